--- /dev/null
+++ b/crates/model/src/setting.rs
@@ -0,0 +1,80 @@
+//! Settings of an entry process, read from a JSON file at start.
+
+use serde::{Deserialize, Serialize};
+
+use crate::name::DomainName;
+
+/// Settings of one entry process.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Name of this entry VM, for logs and rows.
+    pub name: String,
+    /// Failure domain that this process is in.
+    pub domain: DomainName,
+    /// Address for callers and operators, `IP:PORT`.
+    pub http_address: String,
+    /// Address for other entries, `IP:PORT`.
+    pub peer_address: String,
+    /// Address under which other entries reach this one, where it differs from `peer_address`.
+    #[serde(default)]
+    pub peer_advertise: Option<String>,
+    /// Source IP of outgoing connections, for VMs with several addresses.
+    #[serde(default)]
+    pub outgoing_ip: Option<std::net::IpAddr>,
+    /// Peer addresses of other entries, own domain and others; used until they are learnt.
+    #[serde(default)]
+    pub peers: Vec<PeerAddress>,
+    /// Address of the platform's HTTP service, `IP:PORT`.
+    pub platform_address: String,
+    /// Threads for traffic, from 1 to 64.
+    #[serde(default = "default_threads")]
+    pub threads: u16,
+    /// Log level: `error`, `warn`, `info`, `debug` or `trace`.
+    #[serde(default = "default_level")]
+    pub log_level: String,
+    /// Seconds without platform contact until keyed work is refused, from 5 to 3,600.
+    #[serde(default = "default_contact_bound")]
+    pub config_contact_bound_s: u64,
+    /// Seconds that a shutdown waits for requests in flight, from 1 to 600.
+    #[serde(default = "default_drain")]
+    pub drain_s: u64,
+    /// Milliseconds between failing the readiness check and closing the listener, from 0 to 60,000.
+    #[serde(default = "default_balancer")]
+    pub balancer_delay_ms: u64,
+    /// Seed of the random numbers; a fresh one is chosen and logged where it is left out.
+    #[serde(default)]
+    pub seed: Option<u64>,
+}
+
+/// Where another entry listens for its peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PeerAddress {
+    /// Failure domain of that entry.
+    pub domain: DomainName,
+    /// Its peer address, `IP:PORT`.
+    pub address: String,
+}
+
+const fn default_threads() -> u16 {
+    2
+}
+
+fn default_level() -> String {
+    "info".to_owned()
+}
+
+// Regions are cut from each other for minutes, several times a year; serving
+// through that is worth a configuration change that stays pending as long.
+const fn default_contact_bound() -> u64 {
+    300
+}
+
+const fn default_drain() -> u64 {
+    30
+}
+
+const fn default_balancer() -> u64 {
+    1000
+}
--- /dev/null
+++ b/standins/worker/src/lib.rs
@@ -0,0 +1,1 @@
+//! Not built yet.
