--- /dev/null
+++ b/crates/entry/src/control/config.rs
@@ -0,0 +1,374 @@
+//! Following, publishing and confirming configuration versions.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coord::config::{self as tracker, ConfigConfirmation};
+use coord::owner::OwnerEvent;
+use coord::row::{self, ConfigHead, ConfirmRow, OwnerRow};
+use link::failure::CallFailure;
+use model::kind::ErrorKind;
+use model::name::DomainName;
+use model::object::ObjectSet;
+use model::time::ClockMillis;
+use wire::api::ApplyReply;
+use wire::peer::PeerRefusal;
+use wire::platform::{RowCheck, RowPut, TableRead, TableTxn, VmState};
+
+use crate::control::{Control, KnownOwner, allot, cells, domain, ownership};
+use crate::snapshot::ConfigSnapshot;
+
+/// Time between two reads of the configuration head.
+const POLL: Duration = Duration::from_millis(500);
+/// Time between two reads of owners, confirmations and VMs.
+const ROWS_POLL: Duration = Duration::from_millis(2000);
+/// Deadline of calls to the platform about the configuration.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Longest time that a change waits for its confirmations before it is answered.
+const CONFIRM_WAIT_MS: u64 = 5_000;
+/// Time between two looks at the confirmations.
+const CONFIRM_POLL: Duration = Duration::from_millis(100);
+/// Deadline of an offer to a peer.
+const OFFER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Takes a version into force if it is newer; returns whether it was.
+pub fn adopt(control: &Control, version: u64, objects: ObjectSet) -> bool {
+    let objects = Arc::new(objects);
+    if !control.state_mut().config.offer(version, Arc::clone(&objects)) {
+        return false;
+    }
+    log::info!("configuration in force version={version}");
+    control.metrics.config_version.record(version, &[]);
+    control.snapshots.send_replace(Arc::new(ConfigSnapshot::new(version, Arc::clone(&objects))));
+    cells::feed(control, policy::event::CellEvent::Config(objects));
+    domain::sync_links(control);
+    allot::review_all(control);
+    let later = Rc::clone(control);
+    control.spawn(async move { confirm(&later).await });
+    true
+}
+
+/// Reads the head again and again until the process stops.
+pub async fn poll_loop(control: Control) {
+    loop {
+        if let Err(reason) = poll_head(&control).await {
+            log::debug!("configuration head cannot be read: {reason}");
+        }
+        confirm(&control).await;
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+async fn poll_head(control: &Control) -> Result<(), String> {
+    let sent_at = control.now();
+    match read_head(control).await? {
+        Some((_, head)) => follow_head(control, &head, sent_at).await,
+        None => {
+            note_contact(control, sent_at, 0);
+            Ok(())
+        }
+    }
+}
+
+async fn read_head(control: &Control) -> Result<Option<(u64, ConfigHead)>, String> {
+    let read = TableRead { keys: vec![row::CONFIG_HEAD_KEY.to_owned()], prefixes: Vec::new() };
+    let reply = control
+        .platform
+        .read(&read, CALL_TIMEOUT)
+        .await
+        .map_err(|report| format!("{report:?}"))?;
+    let Some(found) = reply.rows.into_iter().next() else { return Ok(None) };
+    let head = serde_json::from_value(found.value).map_err(|error| error.to_string())?;
+    Ok(Some((found.version, head)))
+}
+
+/// Brings the version of a head into force, read by a call sent at `sent_at`.
+///
+/// # Errors
+/// A sentence if the body cannot be read.
+pub async fn follow_head(
+    control: &Control,
+    head: &ConfigHead,
+    sent_at: ClockMillis,
+) -> Result<(), String> {
+    if head.version > control.state().config.version() {
+        let body = control
+            .platform
+            .get_object(&head.object, CALL_TIMEOUT)
+            .await
+            .map_err(|report| format!("{report:?}"))?;
+        if link::endpoint::hex_digest(body.as_bytes()) != head.digest {
+            return Err(format!("object {} does not match its digest", head.object));
+        }
+        let objects = serde_json::from_str(&body).map_err(|error| error.to_string())?;
+        adopt(control, head.version, objects);
+    }
+    note_contact(control, sent_at, head.version);
+    Ok(())
+}
+
+fn note_contact(control: &Control, sent_at: ClockMillis, version: u64) {
+    let now = control.now();
+    let mut state = control.state_mut();
+    state.platform_contact = Some(now);
+    if state.config.version() >= version {
+        state.config.confirm_contact(sent_at);
+    }
+}
+
+/// Confirms the version in force on the platform, once this owner enforces it.
+pub async fn confirm(control: &Control) {
+    let domain = &control.settings.domain;
+    let Some(authority) = control.lease() else { return };
+    let pending = {
+        let state = control.state();
+        let version = state.config.version();
+        state.domain.as_ref().and_then(|owned| {
+            let enforced = owned.authority == authority && allot::limits_in_force(&state, owned);
+            (enforced && version > owned.confirmed.0).then_some((version, owned.confirmed.1))
+        })
+    };
+    let Some((version, row_version)) = pending else { return };
+    let key = row::confirm_key(domain);
+    let value = serde_json::to_value(ConfirmRow { version }).unwrap_or_default();
+    let txn = TableTxn {
+        checks: vec![RowCheck { key: key.clone(), version: row_version }],
+        puts: vec![RowPut { key, value }],
+        deletes: Vec::new(),
+    };
+    let known = match control.platform.transact(&txn, CALL_TIMEOUT).await {
+        Ok(reply) if reply.committed => {
+            log::info!("configuration confirmed domain={domain} version={version}");
+            (version, reply.version)
+        }
+        Ok(reply) => {
+            // Another owner wrote the row, or this one did and the reply was lost.
+            let present = reply.conflicts.into_iter().next();
+            let row_version = present.as_ref().map_or(0, |row| row.version);
+            let row = present.and_then(|row| serde_json::from_value::<ConfirmRow>(row.value).ok());
+            (row.map_or(0, |row| row.version), row_version)
+        }
+        Err(report) => {
+            log::debug!("configuration version {version} is not confirmed yet: {report:?}");
+            return;
+        }
+    };
+    if let Some(owned) = control.state_mut().domain.as_mut()
+        && owned.authority == authority
+    {
+        owned.confirmed = known;
+    }
+}
+
+/// Reads owners, confirmations and the VM list again and again until the process stops.
+pub async fn rows_loop(control: Control) {
+    loop {
+        if let Err(reason) = poll_rows(&control).await {
+            log::debug!("owners cannot be read: {reason}");
+        }
+        poll_vms(&control).await;
+        tokio::time::sleep(ROWS_POLL).await;
+    }
+}
+
+async fn poll_rows(control: &Control) -> Result<(), String> {
+    let prefixes = vec!["owner/".to_owned(), "confirm/".to_owned()];
+    let read = TableRead { keys: Vec::new(), prefixes };
+    let reply = control
+        .platform
+        .read(&read, CALL_TIMEOUT)
+        .await
+        .map_err(|report| format!("{report:?}"))?;
+    for found in reply.rows {
+        if let Some(name) = found.key.strip_prefix("owner/") {
+            let row: OwnerRow =
+                serde_json::from_value(found.value).map_err(|error| error.to_string())?;
+            if let Some(holder) = row.holder {
+                let owner = KnownOwner { authority: row.authority, address: holder.address };
+                learn_owner(control, DomainName::from(name), owner);
+            }
+        } else if let Some(name) = found.key.strip_prefix("confirm/") {
+            let row: ConfirmRow =
+                serde_json::from_value(found.value).map_err(|error| error.to_string())?;
+            control.state_mut().confirmed.insert(DomainName::from(name), row.version);
+        }
+    }
+    Ok(())
+}
+
+/// Notes the owner of a domain, unless one with a higher authority is known.
+pub fn learn_owner(control: &Control, name: DomainName, owner: KnownOwner) {
+    let mut state = control.state_mut();
+    let known = state.owners.get(&name);
+    if known.is_none_or(|known| known.authority <= owner.authority) {
+        state.owners.insert(name, owner);
+    }
+}
+
+async fn poll_vms(control: &Control) {
+    let Ok(list) = control.platform.list_vms(CALL_TIMEOUT).await else { return };
+    let present: std::collections::HashSet<_> =
+        list.vms.iter().map(|vm| vm.name.clone()).collect();
+    let gone: Vec<_> = {
+        let mut state = control.state_mut();
+        let gone = state.listed_vms.difference(&present).cloned().collect();
+        state.listed_vms = present;
+        gone
+    };
+    for vm in gone {
+        ownership::feed(control, OwnerEvent::VmGone { vm });
+    }
+    for vm in list.vms.into_iter().filter(|vm| vm.state == VmState::Leaving) {
+        cells::feed(control, policy::event::CellEvent::WorkerLeaving(vm.name.into()));
+    }
+}
+
+/// Publishes a set that passed its check, and waits for its confirmations.
+///
+/// # Errors
+/// A refusal of kind `conflict`, `platform-down` or `write-unknown`; with the
+/// committed version where it is known.
+pub async fn apply(
+    control: Control,
+    base: u64,
+    change_id: String,
+    objects: ObjectSet,
+) -> Result<ApplyReply, (PeerRefusal, Option<u64>)> {
+    let down = |reason: String| {
+        let message = format!("the platform did not answer, nothing was published: {reason}");
+        (PeerRefusal::new(ErrorKind::PlatformDown, message), None)
+    };
+    let present = read_head(&control).await.map_err(down)?;
+    let (row_version, version) =
+        present.as_ref().map_or((0, 0), |(row, head)| (*row, head.version));
+    let old = Arc::clone(control.state().config.objects());
+    let repeated = present.as_ref().is_some_and(|(_, head)| head.change_id == change_id);
+    let published = if repeated {
+        version
+    } else {
+        if version != base {
+            return Err((conflict(version), Some(version)));
+        }
+        let body = serde_json::to_string(&objects).map_err(|error| down(error.to_string()))?;
+        let head = ConfigHead {
+            version: version + 1,
+            object: format!("config-{}-{change_id}", version + 1),
+            change_id: change_id.clone(),
+            digest: link::endpoint::hex_digest(body.as_bytes()),
+        };
+        let stored = control.platform.put_object(&head.object, body, CALL_TIMEOUT).await;
+        stored.map_err(|report| down(format!("{report:?}")))?;
+        commit_head(&control, row_version, &head).await?;
+        log::info!("configuration committed version={} change={change_id}", head.version);
+        adopt(&control, head.version, objects.clone());
+        head.version
+    };
+    offer_to_owners(&control, published);
+    let confirmation = await_confirmation(&control, published, &old, &objects).await;
+    Ok(ApplyReply {
+        version: published,
+        change_id,
+        in_force: confirmation.in_force.into_iter().collect(),
+        not_confirmed: confirmation.not_confirmed.into_iter().collect(),
+    })
+}
+
+fn conflict(version: u64) -> PeerRefusal {
+    let message = format!(
+        "another change was committed first; the current version is {version}, get it and edit again"
+    );
+    PeerRefusal::new(ErrorKind::Conflict, message)
+}
+
+async fn commit_head(
+    control: &Control,
+    row_version: u64,
+    head: &ConfigHead,
+) -> Result<(), (PeerRefusal, Option<u64>)> {
+    let key = row::CONFIG_HEAD_KEY.to_owned();
+    let txn = TableTxn {
+        checks: vec![RowCheck { key: key.clone(), version: row_version }],
+        puts: vec![RowPut { key, value: serde_json::to_value(head).unwrap_or_default() }],
+        deletes: Vec::new(),
+    };
+    match control.platform.transact(&txn, CALL_TIMEOUT).await {
+        Ok(reply) if reply.committed => Ok(()),
+        Ok(reply) => {
+            let row = reply.conflicts.into_iter().next();
+            let head = row.and_then(|row| serde_json::from_value::<ConfigHead>(row.value).ok());
+            let version = head.map_or(0, |head| head.version);
+            Err((conflict(version), Some(version)))
+        }
+        Err(report) if *report.current_context() == CallFailure::NotDone => {
+            let message = "the platform refused the write; nothing was published, retry";
+            Err((PeerRefusal::new(ErrorKind::PlatformDown, message), None))
+        }
+        Err(_) => resolve_lost_reply(control, head).await,
+    }
+}
+
+/// Reads the head back until it tells whether a write without an answer took effect.
+async fn resolve_lost_reply(
+    control: &Control,
+    head: &ConfigHead,
+) -> Result<(), (PeerRefusal, Option<u64>)> {
+    for _ in 0..10 {
+        match read_head(control).await {
+            Ok(Some((_, present))) if present.change_id == head.change_id => return Ok(()),
+            Ok(Some((_, present))) if present.version >= head.version => {
+                return Err((conflict(present.version), Some(present.version)));
+            }
+            _ => tokio::time::sleep(CONFIRM_POLL).await,
+        }
+    }
+    let message = "the platform did not tell whether the change was published; \
+                   send it again with the same change id";
+    Err((PeerRefusal::new(ErrorKind::WriteUnknown, message), None))
+}
+
+/// Pushes a version to the owners of all domains, so that they need not wait for their poll.
+fn offer_to_owners(control: &Control, version: u64) {
+    let (body, owners) = {
+        let state = control.state();
+        let body = serde_json::to_string(&**state.config.objects()).unwrap_or_default();
+        (Rc::new(body), state.owners.values().cloned().collect::<Vec<_>>())
+    };
+    for owner in owners.into_iter().filter(|owner| owner.address != control.member.address) {
+        let caller = Rc::clone(control);
+        let body = Rc::clone(&body);
+        control.spawn(async move {
+            let call = caller.peers.offer_config(&owner.address, version, &body, OFFER_TIMEOUT);
+            if let Err(report) = call.await {
+                log::debug!("owner at {} was not offered the change: {report:?}", owner.address);
+            }
+        });
+    }
+}
+
+async fn await_confirmation(
+    control: &Control,
+    version: u64,
+    old: &ObjectSet,
+    new: &ObjectSet,
+) -> ConfigConfirmation {
+    let start = control.now();
+    let mut rows: BTreeMap<DomainName, ConfirmRow> = BTreeMap::new();
+    loop {
+        let read = TableRead { keys: Vec::new(), prefixes: vec!["confirm/".to_owned()] };
+        if let Ok(reply) = control.platform.read(&read, CALL_TIMEOUT).await {
+            for found in reply.rows {
+                let name = found.key.strip_prefix("confirm/").unwrap_or_default();
+                if let Ok(row) = serde_json::from_value(found.value) {
+                    rows.insert(DomainName::from(name), row);
+                }
+            }
+        }
+        let confirmation = tracker::confirmation(version, &rows, old, new);
+        if confirmation.is_accepted() || control.now().since(start) > CONFIRM_WAIT_MS {
+            return confirmation;
+        }
+        tokio::time::sleep(CONFIRM_POLL).await;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/domain.rs
@@ -0,0 +1,234 @@
+//! Control state of the domain that this entry owns.
+
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use coord::allotment::AllotmentBook;
+use coord::row::{self, AllotmentRow, ConfirmRow, OwnerRow};
+use model::authority::OwnerAuthority;
+use model::job::JobRecord;
+use model::name::{DomainName, JobId, TeamName, WorkerName};
+use model::resource::ResourceAmounts;
+use model::time::ClockMillis;
+use policy::cell::Cell;
+use policy::event::{CellEvent, TicketNumber};
+use wire::peer::HandoverState;
+use wire::platform::TableRead;
+
+use crate::control::jobs::JobBook;
+use crate::control::requests::{GrantRecord, TicketReply};
+use crate::control::workers::WorkerLink;
+use crate::control::{Control, allot, cells, config};
+
+/// Deadline of the read of all rows of a domain.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Pause between two tries to load.
+const LOAD_RETRY: Duration = Duration::from_millis(100);
+
+/// Control state of an owned domain; dropped with the ownership.
+#[derive(Debug)]
+pub struct DomainState {
+    /// Authority under which it was acquired.
+    pub authority: OwnerAuthority,
+    /// When it was acquired.
+    pub acquired_at: ClockMillis,
+    /// The placement logic.
+    pub cell: Cell,
+    /// Connections to workers.
+    pub links: HashMap<WorkerName, WorkerLink>,
+    /// Requests that wait for a slot.
+    pub tickets: HashMap<TicketNumber, TicketReply>,
+    /// Slots granted and not given back.
+    pub grants: HashMap<TicketNumber, GrantRecord>,
+    /// Number of the next ticket.
+    pub next_ticket: TicketNumber,
+    /// What this domain may run of each team.
+    pub allotments: AllotmentBook,
+    /// What teams want beyond their allotment.
+    pub wanted: BTreeMap<TeamName, ResourceAmounts>,
+    /// Jobs and their rows.
+    pub jobs: JobBook,
+    /// Version confirmed on the platform, with the row's version.
+    pub confirmed: (u64, u64),
+}
+
+/// Reads a domain's rows and takes up its control, unless the ownership ends first.
+pub async fn load(control: Control, authority: OwnerAuthority) {
+    while control.lease() == Some(authority) {
+        match try_load(&control, authority).await {
+            Ok(state) => {
+                install(&control, state);
+                return;
+            }
+            Err(reason) => {
+                log::warn!("domain cannot be loaded yet: {reason}");
+                tokio::time::sleep(LOAD_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn try_load(control: &Control, authority: OwnerAuthority) -> Result<HandoverState, String> {
+    let domain = &control.settings.domain;
+    let sent_at = control.now();
+    let read = TableRead {
+        keys: vec![row::CONFIG_HEAD_KEY.to_owned(), row::confirm_key(domain)],
+        prefixes: vec!["allot/".to_owned(), format!("job/{domain}/")],
+    };
+    let reply = control
+        .platform
+        .read(&read, LOAD_TIMEOUT)
+        .await
+        .map_err(|report| format!("{report:?}"))?;
+    let mut state = HandoverState {
+        authority,
+        row_version: 0,
+        row: OwnerRow::default(),
+        lease_left_ms: 0,
+        config_version: 0,
+        objects: model::object::ObjectSet::default(),
+        contact_age_ms: 0,
+        jobs: Vec::new(),
+        allotments: BTreeMap::new(),
+    };
+    let mut confirmed = 0;
+    for found in reply.rows {
+        let broken = |error: serde_json::Error| format!("row {} is malformed: {error}", found.key);
+        if found.key == row::CONFIG_HEAD_KEY {
+            let head = serde_json::from_value(found.value.clone()).map_err(broken)?;
+            config::follow_head(control, &head, sent_at).await?;
+        } else if found.key.starts_with("confirm/") {
+            let row: ConfirmRow = serde_json::from_value(found.value.clone()).map_err(broken)?;
+            confirmed = row.version;
+        } else if let Some(team) = found.key.strip_prefix("allot/") {
+            let row: AllotmentRow = serde_json::from_value(found.value.clone()).map_err(broken)?;
+            state.allotments.insert(TeamName::from(team), (found.version, row));
+        } else {
+            let record: JobRecord = serde_json::from_value(found.value.clone()).map_err(broken)?;
+            state.jobs.push(record);
+        }
+    }
+    if control.state().config.version() < confirmed {
+        return Err(format!("version {confirmed} was confirmed and is not read yet"));
+    }
+    Ok(state)
+}
+
+/// Takes up the control of a domain with the state loaded or handed over.
+pub fn install(control: &Control, state: HandoverState) {
+    if control.lease() != Some(state.authority) {
+        return;
+    }
+    let now = control.now();
+    let domain = control.settings.domain.clone();
+    let objects = control.state().config.objects().clone();
+    log::info!(
+        "domain loaded domain={domain} authority={} jobs={} config_version={}",
+        state.authority,
+        state.jobs.len(),
+        control.state().config.version()
+    );
+    let mut jobs = JobBook::default();
+    for record in &state.jobs {
+        jobs.adopt(record);
+    }
+    let attempt_base = attempt_base(state.authority);
+    let fresh = DomainState {
+        authority: state.authority,
+        acquired_at: now,
+        cell: Cell::new(domain.clone(), control.seed, attempt_base),
+        links: HashMap::new(),
+        tickets: HashMap::new(),
+        grants: HashMap::new(),
+        next_ticket: 1,
+        allotments: AllotmentBook::new(domain.clone()),
+        wanted: BTreeMap::new(),
+        jobs,
+        confirmed: (0, 0),
+    };
+    control.state_mut().domain = Some(fresh);
+    cells::feed(control, CellEvent::Config(objects));
+    for (team, (version, row)) in state.allotments {
+        allot::adopt_row(control, &team, version, Some(row));
+    }
+    for record in state.jobs {
+        cells::feed(control, CellEvent::JobSubmitted(record.into()));
+    }
+    sync_links(control);
+    let wake = Rc::clone(control);
+    control.spawn(async move { config::confirm(&wake).await });
+}
+
+/// Returns the number above which attempts under an authority count.
+///
+/// Attempts of an owner must be above those of all earlier owners, which this
+/// one may not know of; a million a handover leaves room for thousands of terms.
+fn attempt_base(authority: OwnerAuthority) -> u32 {
+    let step = authority.term.wrapping_mul(8).wrapping_add(u64::from(authority.handover));
+    u32::try_from(step % 40_000).unwrap_or(0).saturating_mul(100_000)
+}
+
+/// Drops the control state of the domain; waiting requests are told to ask the next owner.
+pub fn discard(control: &Control) {
+    let domain = control.state_mut().domain.take();
+    if let Some(domain) = domain {
+        for (_, ticket) in domain.tickets {
+            ticket.refuse_no_owner();
+        }
+    }
+}
+
+/// Returns the JSON of all that a successor needs and drops the own control state.
+pub fn export(
+    control: &Control,
+    authority: OwnerAuthority,
+    row_version: u64,
+    row: &OwnerRow,
+    lease_left_ms: u64,
+) -> Option<String> {
+    let state = {
+        let state = control.state();
+        let domain = state.domain.as_ref()?;
+        let contact_age_ms = state.config.contact_age(control.now()).unwrap_or(u64::MAX / 2);
+        HandoverState {
+            authority,
+            row_version,
+            row: row.clone(),
+            lease_left_ms,
+            config_version: state.config.version(),
+            objects: (**state.config.objects()).clone(),
+            contact_age_ms,
+            jobs: domain.jobs.records(&domain.cell),
+            allotments: domain.allotments.rows(),
+        }
+    };
+    serde_json::to_string(&state).ok()
+}
+
+/// Makes the connections to workers follow the configuration in force.
+pub fn sync_links(control: &Control) {
+    let mut state = control.state_mut();
+    let objects = state.config.objects().clone();
+    let now = control.now();
+    let Some(domain) = state.domain.as_mut() else { return };
+    let own = &control.settings.domain;
+    let present: HashMap<_, _> = objects
+        .workers
+        .iter()
+        .filter(|worker| worker.domain == *own)
+        .map(|worker| (worker.name.clone(), worker.address.clone()))
+        .collect();
+    domain.links.retain(|name, link| present.get(name) == Some(&link.address));
+    for (name, address) in present {
+        domain.links.entry(name).or_insert_with(|| WorkerLink::new(address, now));
+    }
+}
+
+/// Returns the job's identifier and domain from the key of its row.
+#[must_use]
+pub fn split_job_key(key: &str) -> Option<(DomainName, JobId)> {
+    let rest = key.strip_prefix("job/")?;
+    let (domain, job) = rest.split_once('/')?;
+    Some((DomainName::from(domain), JobId::from(job)))
+}
--- /dev/null
+++ b/crates/entry/src/control/once.rs
@@ -0,0 +1,200 @@
+//! Identifiers of non-idempotent requests, inserted before the dispatch.
+//!
+//! Insert-if-absent in the platform's table makes sure that of all entries to
+//! which a caller sends the same identifier only one dispatches it. Several
+//! identifiers share a transaction, since the table takes a few hundred writes
+//! a second only.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use link::failure::CallFailure;
+use model::kind::ErrorKind;
+use model::name::{RequestId, TeamName};
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+use wire::peer::PeerRefusal;
+use wire::platform::{RowCheck, RowPut, TableRead, TableTxn};
+
+use crate::control::Control;
+
+/// Most identifiers in one transaction.
+const BATCH_BOUND: usize = 64;
+/// Most identifiers that wait; more are refused.
+const QUEUE_BOUND: usize = 4096;
+/// Time for identifiers to gather into one transaction.
+const GATHER: Duration = Duration::from_millis(2);
+/// Deadline of a transaction.
+const TXN_TIMEOUT: Duration = Duration::from_millis(500);
+/// Tries of a transaction that surely had no effect.
+const TXN_TRIES: u32 = 3;
+
+type InsertReply = oneshot::Sender<Result<(), PeerRefusal>>;
+
+/// Identifiers that wait to be inserted.
+#[derive(Debug, Default)]
+pub struct InsertQueue {
+    waiting: VecDeque<(String, InsertReply)>,
+    next_nonce: u64,
+}
+
+/// Value of a row `once/<team>/<request id>`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct InsertRow {
+    /// The entry that dispatches the request; a restarted one has another name.
+    entry: String,
+    /// Number of the transaction within that entry.
+    nonce: u64,
+}
+
+fn row_key(team: &TeamName, request: &RequestId) -> String {
+    format!("once/{team}/{request}")
+}
+
+/// Queues an identifier for insertion; the receiver learns whether it may be dispatched.
+pub fn insert(
+    control: &Control,
+    team: &TeamName,
+    request: &RequestId,
+) -> oneshot::Receiver<Result<(), PeerRefusal>> {
+    let (sender, receiver) = oneshot::channel();
+    let queue = &mut control.state_mut().inserts.waiting;
+    if queue.len() < QUEUE_BOUND {
+        queue.push_back((row_key(team, request), sender));
+    } else {
+        let message = "too many non-idempotent requests wait for the platform; retry later";
+        let _ = sender.send(Err(PeerRefusal::new(ErrorKind::QueueFull, message)));
+    }
+    receiver
+}
+
+/// Deletes an identifier that was inserted and surely not run, so that a retry may run it.
+pub async fn erase(control: &Control, team: &TeamName, request: &RequestId) {
+    let txn = TableTxn { deletes: vec![row_key(team, request)], ..TableTxn::default() };
+    if let Err(report) = control.platform.transact(&txn, TXN_TIMEOUT).await {
+        log::debug!("identifier {request} stays marked as dispatched: {report:?}");
+    }
+}
+
+/// Inserts waiting identifiers in batches until the process stops.
+pub async fn flush_loop(control: Control) {
+    loop {
+        tokio::time::sleep(GATHER).await;
+        let batch: Vec<_> = {
+            let queue = &mut control.state_mut().inserts.waiting;
+            let count = queue.len().min(BATCH_BOUND);
+            queue.drain(..count).collect()
+        };
+        if !batch.is_empty() {
+            insert_batch(&control, batch).await;
+        }
+    }
+}
+
+async fn insert_batch(control: &Control, mut batch: Vec<(String, InsertReply)>) {
+    let nonce = {
+        let queue = &mut control.state_mut().inserts;
+        queue.next_nonce += 1;
+        queue.next_nonce
+    };
+    let row = InsertRow { entry: control.member.entry.to_string(), nonce };
+    let value = serde_json::to_value(&row).unwrap_or_default();
+    let mut tries = TXN_TRIES;
+    while !batch.is_empty() && tries > 0 {
+        batch = refuse_repeats(batch);
+        let checks = batch.iter().map(|(key, _)| RowCheck { key: key.clone(), version: 0 });
+        let puts = batch.iter().map(|(key, _)| RowPut { key: key.clone(), value: value.clone() });
+        let txn = TableTxn {
+            checks: checks.collect(),
+            puts: puts.collect(),
+            deletes: Vec::new(),
+        };
+        match control.platform.transact(&txn, TXN_TIMEOUT).await {
+            Ok(reply) if reply.committed => {
+                for (_, reply) in batch.drain(..) {
+                    let _ = reply.send(Ok(()));
+                }
+            }
+            Ok(reply) => {
+                let taken: Vec<_> = reply.conflicts.iter().map(|row| row.key.clone()).collect();
+                batch = refuse_taken(batch, &taken);
+            }
+            Err(report) if *report.current_context() == CallFailure::NotDone => {
+                tries -= 1;
+                tokio::time::sleep(TXN_TIMEOUT / 10).await;
+            }
+            Err(_) => {
+                resolve_lost_reply(control, batch, &row).await;
+                return;
+            }
+        }
+    }
+    refuse_all(batch);
+}
+
+/// Refuses identifiers that stand twice in one batch: the first one is dispatched.
+fn refuse_repeats(batch: Vec<(String, InsertReply)>) -> Vec<(String, InsertReply)> {
+    let mut seen = std::collections::HashSet::new();
+    let mut kept = Vec::with_capacity(batch.len());
+    for (key, reply) in batch {
+        if seen.insert(key.clone()) {
+            kept.push((key, reply));
+        } else {
+            let _ = reply.send(Err(duplicate()));
+        }
+    }
+    kept
+}
+
+fn refuse_taken(batch: Vec<(String, InsertReply)>, taken: &[String]) -> Vec<(String, InsertReply)> {
+    let mut kept = Vec::with_capacity(batch.len());
+    for (key, reply) in batch {
+        if taken.contains(&key) {
+            let _ = reply.send(Err(duplicate()));
+        } else {
+            kept.push((key, reply));
+        }
+    }
+    kept
+}
+
+fn duplicate() -> PeerRefusal {
+    let message = "this identifier was dispatched before; its outcome is not known here";
+    PeerRefusal::new(ErrorKind::DuplicateRequest, message)
+}
+
+fn refuse_all(batch: Vec<(String, InsertReply)>) {
+    for (_, reply) in batch {
+        let message = "the platform did not record the identifier; nothing was run, retry later";
+        let _ = reply.send(Err(PeerRefusal::new(ErrorKind::PlatformDown, message)));
+    }
+}
+
+/// Reads rows back after a transaction without an answer.
+///
+/// A row with this process's name and the transaction's nonce was written by
+/// that transaction. A row that is absent may still be written by it later, so
+/// its request is not run.
+async fn resolve_lost_reply(control: &Control, batch: Vec<(String, InsertReply)>, row: &InsertRow) {
+    let keys = batch.iter().map(|(key, _)| key.clone()).collect();
+    let read = TableRead { keys, prefixes: Vec::new() };
+    let Ok(reply) = control.platform.read(&read, TXN_TIMEOUT).await else {
+        refuse_all(batch);
+        return;
+    };
+    let mut absent = Vec::new();
+    for (key, sender) in batch {
+        let found = reply.rows.iter().find(|found| found.key == key);
+        match found.map(|found| serde_json::from_value::<InsertRow>(found.value.clone())) {
+            Some(Ok(present)) if present == *row => {
+                let _ = sender.send(Ok(()));
+            }
+            Some(_) => {
+                let _ = sender.send(Err(duplicate()));
+            }
+            None => absent.push((key, sender)),
+        }
+    }
+    refuse_all(absent);
+}
--- /dev/null
+++ b/crates/entry/src/control/ownership.rs
@@ -0,0 +1,154 @@
+//! Carries out what the ownership machine asks for.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use coord::owner::{CallToken, OwnerAction, OwnerEvent, WriteResult};
+use coord::row::{self, EntryMember, OwnerRow};
+use link::failure::CallFailure;
+use model::authority::OwnerAuthority;
+use wire::platform::{RowCheck, RowPut, TableRead, TableTxn};
+
+use crate::control::{Control, domain};
+use crate::metrics::label;
+
+/// Deadline of calls about the ownership row; well below the renewal interval.
+const ROW_TIMEOUT: Duration = Duration::from_millis(300);
+/// Deadline of a request for a promise.
+const PROMISE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Deadline of a handover, which carries the whole configuration.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Tells the machine something and carries out what follows.
+pub fn feed(control: &Control, event: OwnerEvent) {
+    let now = control.now();
+    let actions = control.state_mut().ownership.on(now, event);
+    run_actions(control, actions);
+}
+
+/// Carries out actions in order.
+pub fn run_actions(control: &Control, actions: impl IntoIterator<Item = OwnerAction>) {
+    for action in actions {
+        carry_out(control, action);
+    }
+}
+
+fn carry_out(control: &Control, action: OwnerAction) {
+    match action {
+        OwnerAction::Read { token } => control.spawn(read_row(Rc::clone(control), token)),
+        OwnerAction::Write { token, version, row } => {
+            control.spawn(write_row(Rc::clone(control), token, version, row));
+        }
+        OwnerAction::AskPromise { token, voter, authority, ttl_ms } => {
+            control.spawn(ask_promise(Rc::clone(control), token, voter, authority, ttl_ms));
+        }
+        OwnerAction::HandOver { to, authority, version, row } => {
+            let state = domain::export(control, authority, version, &row);
+            control.spawn(hand_over(Rc::clone(control), to, state));
+        }
+        OwnerAction::Acquired { authority, handed_over } => {
+            log::info!(
+                "ownership acquired domain={} authority={authority} handed_over={handed_over}",
+                control.settings.domain
+            );
+            control.metrics.ownership.add(1, &[label("change", "acquired")]);
+            control.metrics.is_owner.record(1, &[]);
+            if !handed_over {
+                control.spawn(domain::load(Rc::clone(control), authority));
+            }
+        }
+        OwnerAction::Lost => {
+            log::warn!("ownership lost domain={}", control.settings.domain);
+            control.metrics.ownership.add(1, &[label("change", "lost")]);
+            control.metrics.is_owner.record(0, &[]);
+            domain::discard(control);
+        }
+    }
+}
+
+async fn read_row(control: Control, token: CallToken) {
+    let key = row::owner_key(&control.settings.domain);
+    let read = TableRead { keys: vec![key], prefixes: Vec::new() };
+    let event = match control.platform.read(&read, ROW_TIMEOUT).await {
+        Ok(reply) => {
+            let now = control.now();
+            control.state_mut().platform_contact = Some(now);
+            let row = reply.rows.into_iter().next().and_then(|row| {
+                let value: OwnerRow = serde_json::from_value(row.value).ok()?;
+                Some((row.version, Box::new(value)))
+            });
+            OwnerEvent::ReadDone { token, row }
+        }
+        Err(report) => {
+            log::debug!("ownership row cannot be read: {report:?}");
+            OwnerEvent::ReadFailed { token }
+        }
+    };
+    feed(&control, event);
+}
+
+async fn write_row(control: Control, token: CallToken, version: u64, row: Box<OwnerRow>) {
+    let key = row::owner_key(&control.settings.domain);
+    let Ok(value) = serde_json::to_value(&*row) else { return };
+    let txn = TableTxn {
+        checks: vec![RowCheck { key: key.clone(), version }],
+        puts: vec![RowPut { key, value }],
+        deletes: Vec::new(),
+    };
+    let result = match control.platform.transact(&txn, ROW_TIMEOUT).await {
+        Ok(reply) if reply.committed => WriteResult::Committed { version: reply.version },
+        Ok(reply) => {
+            let present = reply.conflicts.into_iter().next();
+            let version = present.as_ref().map_or(0, |row| row.version);
+            let row = present.and_then(|row| serde_json::from_value(row.value).ok());
+            WriteResult::Conflict { version, row: row.map(Box::new) }
+        }
+        Err(report) => {
+            log::debug!("ownership row cannot be written: {report:?}");
+            WriteResult::Unknown
+        }
+    };
+    if result != WriteResult::Unknown {
+        let now = control.now();
+        control.state_mut().platform_contact = Some(now);
+    }
+    feed(&control, OwnerEvent::WriteDone { token, result });
+}
+
+async fn ask_promise(
+    control: Control,
+    token: CallToken,
+    voter: EntryMember,
+    authority: OwnerAuthority,
+    ttl_ms: u64,
+) {
+    let ttl = u32::try_from(ttl_ms).unwrap_or(u32::MAX);
+    let domain = control.settings.domain.as_str();
+    let holder = control.member.entry.as_str();
+    let reply = control
+        .peers
+        .promise(&voter.address, domain, holder, authority, ttl, PROMISE_TIMEOUT)
+        .await;
+    match reply {
+        Ok(given) => {
+            feed(&control, OwnerEvent::PromiseReply { token, voter: voter.entry.clone(), given });
+        }
+        Err(report) => log::debug!("voter {} did not answer: {report:?}", voter.entry),
+    }
+}
+
+async fn hand_over(control: Control, to: EntryMember, state: Option<String>) {
+    let accepted = match state {
+        None => Some(false),
+        Some(state) => match control.peers.handover(&to.address, &state, HANDOVER_TIMEOUT).await {
+            Ok(accepted) => Some(accepted),
+            Err(report) if *report.current_context() == CallFailure::NotDone => Some(false),
+            Err(report) => {
+                log::warn!("handover to {} got no answer: {report:?}", to.entry);
+                None
+            }
+        },
+    };
+    log::info!("handover to={} accepted={accepted:?}", to.entry);
+    feed(&control, OwnerEvent::HandoverDone { accepted });
+}
--- /dev/null
+++ b/crates/entry/src/control/status.rs
@@ -0,0 +1,89 @@
+//! What this entry says of itself to peers and operators.
+
+use model::object::DomainState as ServiceState;
+use wire::api::{DomainStatus, StatusReply, WorkerStatus};
+use wire::peer::PeerInfo;
+
+use crate::control::{Control, requests};
+
+/// Returns what this entry tells its peers.
+#[must_use]
+pub fn peer_info(control: &Control) -> PeerInfo {
+    let lease = control.lease();
+    let state = control.state();
+    let holder = state.ownership.known_holder();
+    let known = state.owners.get(&control.settings.domain);
+    let authority = lease.or(known.map(|owner| owner.authority)).unwrap_or_default();
+    let owner_address = match lease {
+        Some(_) => control.member.address.to_string(),
+        None => known.map(|owner| owner.address.to_string()).unwrap_or_default(),
+    };
+    PeerInfo {
+        entry: control.member.entry.clone(),
+        domain: control.settings.domain.clone(),
+        config_version: state.config.version(),
+        is_owner: lease.is_some() && state.domain.is_some(),
+        owner_entry: holder.map(|member| member.entry.clone()).unwrap_or_default(),
+        owner_address,
+        authority,
+        draining: state.draining,
+    }
+}
+
+/// Returns what this entry tells operators.
+#[must_use]
+pub fn report(control: &Control) -> StatusReply {
+    let info = peer_info(control);
+    let now = control.now();
+    let state = control.state();
+    let objects = state.config.objects();
+    let domains = objects.domains.iter().map(|domain| DomainStatus {
+        name: domain.name.clone(),
+        state: domain.state,
+        confirmed: state.confirmed.get(&domain.name).copied().unwrap_or(0),
+    });
+    let workers = state.domain.iter().flat_map(|domain| domain.cell.workers()).map(|worker| {
+        WorkerStatus {
+            name: worker.name.to_string(),
+            state: worker.state.as_str().to_owned(),
+            tasks: worker.tasks,
+            slots_used: worker.slots_used,
+        }
+    });
+    let contact = state.platform_contact;
+    StatusReply {
+        name: control.settings.name.clone(),
+        domain: control.settings.domain.clone(),
+        is_owner: info.is_owner,
+        authority: info.authority.to_string(),
+        config_version: info.config_version,
+        platform_reachable: contact.is_some_and(|at| now.since(at) < 2_000),
+        draining: state.draining,
+        domains: domains.collect(),
+        workers: workers.collect(),
+    }
+}
+
+/// Tells whether the balancer may send requests here.
+///
+/// An entry without a configuration would refuse everything; one whose owner
+/// is unknown only for a moment can still queue requests.
+#[must_use]
+pub fn is_ready(control: &Control) -> bool {
+    let state = control.state();
+    if state.draining || state.config.version() == 0 {
+        return false;
+    }
+    let own = &control.settings.domain;
+    let objects = state.config.objects();
+    let in_service = objects
+        .domains
+        .iter()
+        .any(|domain| domain.state == ServiceState::In && state.owners.contains_key(&domain.name));
+    let owned = state.ownership.lease(control.now()).is_some();
+    let known = state.owners.get(own).is_some_and(|owner| {
+        let answered = state.answered.get(&owner.address);
+        answered.is_some_and(|at| control.now().since(*at) < requests::PEER_SILENCE_MS)
+    });
+    owned || known || in_service
+}
--- /dev/null
+++ b/crates/entry/src/control/workers.rs
@@ -0,0 +1,457 @@
+//! Leases, starts and stops on the workers of the owned domain.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use link::failure::CallFailure;
+use model::authority::OwnerAuthority;
+use model::job::JobRecord;
+use model::name::{BootId, JobId, TaskId, TeamName, WorkerName};
+use model::resource::ResourceAmounts;
+use model::time::{self, ClockMillis};
+use policy::event::{CellEvent, EndKind, RunningTask, TeamSlots, WorkerUpdate};
+use wire::worker::{
+    EndReport, RefusalReason, RenewCall, StartCall, StopCall, StopMode, TaskEnd, WorkerReport,
+};
+
+use crate::control::{Control, cells, requests};
+
+/// Milliseconds that a worker's lease lasts.
+pub const WORKER_TTL_MS: u64 = 8_000;
+/// Milliseconds between renewals of one worker's lease.
+///
+/// Two seconds keep a node's control traffic at about 0.4 KB/s, and three
+/// renewals may be lost before the lease lapses.
+const RENEW_MS: u64 = 1_000;
+/// Milliseconds until a failed renewal is tried again.
+const RENEW_RETRY_MS: u64 = 250;
+/// Milliseconds without a report after which nothing new is placed on a worker.
+const SILENT_MS: u64 = 2_500;
+/// Milliseconds of the worker's clock within which a start must arrive.
+const START_WINDOW_MS: u64 = 1_500;
+/// Deadline of control calls to workers.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Times that a stop is tried.
+const STOP_TRIES: u32 = 4;
+/// Pause between two tries of a stop.
+const STOP_RETRY: Duration = Duration::from_millis(300);
+
+/// A start whose effect is not known yet.
+#[derive(Clone, Debug)]
+struct OpenStart {
+    running: RunningTask,
+    /// Instant of the worker's clock after which it cannot take effect.
+    not_after: ClockMillis,
+    /// Whether the call has ended without an answer.
+    unanswered: bool,
+}
+
+/// The connection to one worker.
+#[derive(Debug)]
+pub struct WorkerLink {
+    /// Address of the worker.
+    pub address: String,
+    boot: Option<BootId>,
+    /// The worker's clock in its last report, and when that report was received.
+    report: Option<(ClockMillis, ClockMillis)>,
+    calling: bool,
+    next_call: ClockMillis,
+    need_full: bool,
+    silent: bool,
+    lost: bool,
+    last_end: u64,
+    unrecorded: Vec<(u64, JobId, u32)>,
+    open_starts: Vec<OpenStart>,
+}
+
+impl WorkerLink {
+    /// Creates the link to a worker that has not been called yet.
+    #[must_use]
+    pub const fn new(address: String, now: ClockMillis) -> Self {
+        Self {
+            address,
+            boot: None,
+            report: None,
+            calling: false,
+            next_call: now,
+            need_full: true,
+            silent: false,
+            lost: false,
+            last_end: 0,
+            unrecorded: Vec::new(),
+            open_starts: Vec::new(),
+        }
+    }
+
+    /// Returns the number up to which ended tasks are recorded durably.
+    fn ack(&self) -> u64 {
+        self.unrecorded.first().map_or(self.last_end, |(number, _, _)| number - 1)
+    }
+
+    /// Notes that a job's progress is durable.
+    pub fn note_durable(&mut self, job: &JobId, is_done: impl Fn(u32) -> bool) {
+        self.unrecorded.retain(|(_, ended, index)| ended != job || !is_done(*index));
+    }
+
+    /// Estimates the worker's clock now; late by the time that the report travelled.
+    fn clock(&self, now: ClockMillis) -> Option<ClockMillis> {
+        self.report.map(|(clock, received)| clock + now.since(received))
+    }
+}
+
+/// Calls every worker that is due and notes those that have gone silent.
+pub fn tick(control: &Control) {
+    let Some(authority) = control.lease() else { return };
+    let now = control.now();
+    let mut due = Vec::new();
+    let mut events = Vec::new();
+    {
+        let mut state = control.state_mut();
+        let Some(domain) = state.domain.as_mut() else { return };
+        if domain.authority != authority {
+            return;
+        }
+        let acquired_at = domain.acquired_at;
+        for (name, link) in &mut domain.links {
+            let heard = link.report.map_or(acquired_at, |(_, received)| received);
+            let quiet = now.since(heard);
+            if quiet > time::with_margin(WORKER_TTL_MS) && !link.lost {
+                link.lost = true;
+                link.open_starts.clear();
+                events.push(CellEvent::WorkerLost(name.clone()));
+            } else if quiet > SILENT_MS && !link.silent {
+                link.silent = true;
+                events.push(CellEvent::WorkerSilent(name.clone()));
+            }
+            if !link.calling && link.next_call <= now {
+                link.calling = true;
+                due.push((name.clone(), renewal(link, authority), link.address.clone()));
+            }
+        }
+    }
+    for event in events {
+        if let CellEvent::WorkerLost(worker) = &event {
+            log::warn!("worker lost worker={worker}: its lease has lapsed");
+            requests::drop_grants(control, worker);
+        }
+        cells::feed(control, event);
+    }
+    for (name, call, address) in due {
+        control.spawn(renew(Rc::clone(control), name, call, address));
+    }
+}
+
+fn renewal(link: &WorkerLink, authority: OwnerAuthority) -> RenewCall {
+    RenewCall {
+        authority,
+        boot: link.boot.clone(),
+        not_after: link.report.map(|(clock, _)| clock + WORKER_TTL_MS),
+        ack: link.ack(),
+        full: link.need_full || !link.open_starts.is_empty(),
+    }
+}
+
+async fn renew(control: Control, name: WorkerName, call: RenewCall, address: String) {
+    let sent_at = control.now();
+    let authority = call.authority;
+    let reply = control.workers.renew(&address, &call, CALL_TIMEOUT).await;
+    let now = control.now();
+    if control.lease() != Some(authority) {
+        return;
+    }
+    let report = match reply {
+        Ok(report) if report.authority == authority => report,
+        other => {
+            match other {
+                Ok(report) => log::warn!(
+                    "worker {name} obeys authority {}, above {authority}",
+                    report.authority
+                ),
+                Err(report) => log::debug!("worker {name} did not report: {report:?}"),
+            }
+            with_link(&control, &name, |link| {
+                link.calling = false;
+                link.next_call = now + RENEW_RETRY_MS;
+            });
+            return;
+        }
+    };
+    accept_report(&control, &name, report, &call, sent_at);
+}
+
+fn with_link<T>(
+    control: &Control,
+    name: &WorkerName,
+    change: impl FnOnce(&mut WorkerLink) -> T,
+) -> Option<T> {
+    let mut state = control.state_mut();
+    let link = state.domain.as_mut()?.links.get_mut(name)?;
+    Some(change(link))
+}
+
+/// What a report brings to the cell.
+#[derive(Default)]
+struct ReportNews {
+    events: Vec<CellEvent>,
+    rebooted: bool,
+}
+
+fn accept_report(
+    control: &Control,
+    name: &WorkerName,
+    report: WorkerReport,
+    call: &RenewCall,
+    sent_at: ClockMillis,
+) {
+    let now = control.now();
+    let slots_used = report.slots_used;
+    let news = with_link(control, name, |link| {
+        link.calling = false;
+        let rebooted = link.boot.as_ref().is_some_and(|boot| *boot != report.boot);
+        let leased = call.boot.as_ref() == Some(&report.boot) && call.not_after.is_some();
+        if link.boot.as_ref() != Some(&report.boot) {
+            link.boot = Some(report.boot.clone());
+            link.last_end = 0;
+            link.unrecorded.clear();
+            link.open_starts.clear();
+            link.need_full = true;
+        }
+        link.report = Some((report.clock, now));
+        let mut news = ReportNews { rebooted, ..ReportNews::default() };
+        news.events.extend(take_ends(link, name, &report.ended));
+        if !leased {
+            // The worker has no lease of this owner yet and would refuse a start.
+            link.next_call = now;
+            return news;
+        }
+        link.silent = false;
+        link.lost = false;
+        link.next_call = now + RENEW_MS;
+        news.events.extend(settle_starts(link, &report));
+        if report.tasks.is_some() {
+            link.need_full = false;
+        }
+        news.events.push(CellEvent::WorkerReported(update(link, name, report, sent_at)));
+        news
+    });
+    let Some(news) = news else { return };
+    if news.rebooted {
+        log::warn!("worker restarted worker={name}: nothing of before runs there");
+        requests::drop_grants(control, name);
+    }
+    for event in news.events {
+        cells::feed(control, event);
+    }
+    requests::reclaim(control, name, slots_used, sent_at);
+}
+
+/// Returns the events for ended tasks that were not seen before.
+fn take_ends(link: &mut WorkerLink, name: &WorkerName, ended: &[EndReport]) -> Vec<CellEvent> {
+    let mut events = Vec::new();
+    for report in ended.iter().filter(|report| report.number > link.last_end) {
+        let end = match report.end {
+            TaskEnd::Done => EndKind::Done,
+            TaskEnd::Failed => EndKind::Failed,
+            TaskEnd::Stopped | TaskEnd::LeaseLapsed => EndKind::Stopped,
+            TaskEnd::Checkpointed => EndKind::Checkpointed,
+        };
+        if end == EndKind::Done {
+            link.unrecorded.push((report.number, report.task.job.clone(), report.task.index));
+        }
+        link.open_starts.retain(|open| {
+            open.running.task != report.task || open.running.attempt != report.attempt
+        });
+        events.push(CellEvent::TaskEnded {
+            task: report.task.clone(),
+            attempt: report.attempt,
+            worker: name.clone(),
+            end,
+        });
+    }
+    if let Some(report) = ended.last() {
+        link.last_end = link.last_end.max(report.number);
+    }
+    events
+}
+
+/// Decides unanswered starts by a report that lists all tasks.
+fn settle_starts(link: &mut WorkerLink, report: &WorkerReport) -> Vec<CellEvent> {
+    let Some(tasks) = &report.tasks else { return Vec::new() };
+    let mut events = Vec::new();
+    link.open_starts.retain(|open| {
+        let (task, attempt) = (open.running.task.clone(), open.running.attempt);
+        if tasks.iter().any(|found| found.task == task && found.attempt == attempt) {
+            events.push(CellEvent::StartConfirmed { task, attempt });
+            return false;
+        }
+        let void = open.unanswered && report.clock > open.not_after;
+        if void {
+            events.push(CellEvent::StartRefused { task, attempt });
+        }
+        !void
+    });
+    events
+}
+
+fn update(
+    link: &WorkerLink,
+    name: &WorkerName,
+    report: WorkerReport,
+    sent_at: ClockMillis,
+) -> WorkerUpdate {
+    let tasks = report.tasks.map(|tasks| {
+        let mut running: Vec<_> = tasks
+            .into_iter()
+            .map(|task| RunningTask {
+                task: task.task,
+                attempt: task.attempt,
+                team: task.team,
+                amounts: task.amounts,
+                usage: task.usage,
+            })
+            .collect();
+        // A start under way may take effect after the report was written.
+        running.extend(link.open_starts.iter().map(|open| open.running.clone()));
+        running
+    });
+    let slots = report.slots_by_team.into_iter();
+    WorkerUpdate {
+        worker: name.clone(),
+        boot: report.boot,
+        tasks,
+        slots_used: report.slots_used,
+        slots_by_team: slots
+            .map(|slots| TeamSlots { team: slots.team, slots: slots.slots })
+            .collect(),
+        leaving: report.leaving,
+        sent_at,
+    }
+}
+
+/// A task to start.
+#[derive(Clone, Debug)]
+pub struct TaskStart {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// Where.
+    pub worker: WorkerName,
+    /// Team that it counts to.
+    pub team: TeamName,
+    /// What to reserve.
+    pub amounts: ResourceAmounts,
+    /// The job, for its payload.
+    pub job: Arc<JobRecord>,
+}
+
+/// Starts a task on its worker, if this entry still holds the lease.
+pub fn start_task(control: &Control, start: TaskStart) {
+    let refused =
+        CellEvent::StartRefused { task: start.task.clone(), attempt: start.attempt };
+    let now = control.now();
+    let authority = control.lease();
+    let call = with_link(control, &start.worker, |link| {
+        let clock = link.clock(now)?;
+        let call = StartCall {
+            authority: authority?,
+            boot: link.boot.clone()?,
+            not_after: clock + START_WINDOW_MS,
+            task: start.task.clone(),
+            attempt: start.attempt,
+            team: start.team.clone(),
+            amounts: start.amounts,
+            payload: start.job.spec.payload.clone(),
+        };
+        link.open_starts.push(OpenStart {
+            running: RunningTask {
+                task: start.task.clone(),
+                attempt: start.attempt,
+                team: start.team.clone(),
+                amounts: start.amounts,
+                usage: ResourceAmounts::ZERO,
+            },
+            not_after: call.not_after,
+            unanswered: false,
+        });
+        Some((call, link.address.clone()))
+    });
+    match call.flatten() {
+        Some((call, address)) => {
+            control.spawn(send_start(Rc::clone(control), start.worker, call, address));
+        }
+        None => {
+            let later = Rc::clone(control);
+            control.spawn(async move { cells::feed(&later, refused) });
+        }
+    }
+}
+
+async fn send_start(control: Control, worker: WorkerName, call: StartCall, address: String) {
+    // The process may have been paused since the decision.
+    if control.lease() != Some(call.authority) {
+        return;
+    }
+    let reply = control.workers.start(&address, &call, CALL_TIMEOUT).await;
+    let (task, attempt) = (call.task.clone(), call.attempt);
+    let event = match reply {
+        Ok(reply) => match reply.refusal {
+            None => Some(CellEvent::StartConfirmed { task, attempt }),
+            Some(RefusalReason::Duplicate) => None,
+            Some(reason) => {
+                log::info!("worker {worker} refused task {task}: {reason:?}");
+                Some(CellEvent::StartRefused { task, attempt })
+            }
+        },
+        Err(report) if *report.current_context() == CallFailure::NotDone => {
+            Some(CellEvent::StartRefused { task, attempt })
+        }
+        Err(report) => {
+            log::debug!("start of {task} on {worker} got no answer: {report:?}");
+            None
+        }
+    };
+    let now = control.now();
+    with_link(&control, &worker, |link| {
+        let mine = |open: &OpenStart| {
+            open.running.task == call.task && open.running.attempt == call.attempt
+        };
+        if event.is_some() {
+            link.open_starts.retain(|open| !mine(open));
+        } else if let Some(open) = link.open_starts.iter_mut().find(|open| mine(open)) {
+            open.unanswered = true;
+            link.need_full = true;
+            link.next_call = link.next_call.min(now + RENEW_RETRY_MS);
+        }
+    });
+    if let Some(event) = event {
+        cells::feed(&control, event);
+    }
+}
+
+/// Stops or checkpoints a task, trying again a few times.
+pub fn stop_task(control: &Control, task: TaskId, worker: &WorkerName, mode: StopMode) {
+    let Some(address) = with_link(control, worker, |link| link.address.clone()) else { return };
+    let caller = Rc::clone(control);
+    let worker = worker.clone();
+    control.spawn(async move {
+        for _ in 0..STOP_TRIES {
+            let Some(authority) = caller.lease() else { return };
+            let call = StopCall { authority, task: task.clone(), mode };
+            match caller.workers.stop(&address, &call, CALL_TIMEOUT).await {
+                Ok(_) => break,
+                Err(report) => {
+                    log::debug!("stop of {task} on {worker} failed: {report:?}");
+                    tokio::time::sleep(STOP_RETRY).await;
+                }
+            }
+        }
+        let now = caller.now();
+        // The end of the task is taken from a report; ask for it at once.
+        with_link(&caller, &worker, |link| {
+            link.need_full = true;
+            link.next_call = link.next_call.min(now + RENEW_RETRY_MS);
+        });
+    });
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,157 @@
+//! Starting and stopping an entry.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use actix::Actor;
+use actix_web::{App, HttpServer, web};
+use error_stack::{Report, ResultExt};
+use model::setting::EntrySettings;
+use tokio::net::TcpListener;
+use tokio::sync::{oneshot, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::control::handle::{ControlActor, ControlCall, ControlHandle};
+use crate::control::{self, ControlShared, peers};
+use crate::http::{self, SharedTraffic, TrafficState};
+use crate::metrics::EntryMetrics;
+use crate::snapshot::ConfigSnapshot;
+
+/// Seconds that callers may keep an idle connection.
+const KEEP_ALIVE: Duration = Duration::from_secs(75);
+
+/// Why an entry could not start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartError;
+
+impl std::fmt::Display for StartError {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        out.write_str("the entry cannot start")
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// An entry that serves.
+#[derive(Debug)]
+pub struct RunningEntry {
+    /// Address for callers and operators.
+    pub http_address: SocketAddr,
+    handle: ControlHandle,
+    server: actix_web::dev::ServerHandle,
+    arbiter: actix_rt::Arbiter,
+    draining: Arc<AtomicBool>,
+    stop: CancellationToken,
+    metrics: Arc<EntryMetrics>,
+    balancer_delay: Duration,
+}
+
+/// Starts an entry inside the present actix system.
+///
+/// # Errors
+/// [`StartError`] with the address or setting at fault.
+pub async fn start(settings: EntrySettings) -> Result<RunningEntry, Report<StartError>> {
+    let seed = settings.seed.unwrap_or_else(rand::random);
+    log::info!("entry starting name={} domain={} seed={seed}", settings.name, settings.domain);
+    let metrics = EntryMetrics::new()
+        .map_err(|error| Report::new(StartError).attach(error.to_string()))?;
+    let metrics = Arc::new(metrics);
+    let stop = CancellationToken::new();
+    let (publisher, snapshots) = watch::channel(Arc::new(ConfigSnapshot::default()));
+    let arbiter = actix_rt::Arbiter::new();
+    let (sender, receiver) = oneshot::channel();
+    let (control_settings, control_metrics) = (settings.clone(), Arc::clone(&metrics));
+    let control_stop = stop.clone();
+    arbiter.spawn(async move {
+        let peer_address = control_settings.peer_address.clone();
+        let listener = TcpListener::bind(&peer_address).await;
+        let listener = listener.map_err(|error| format!("peer_address {peer_address}: {error}"));
+        let started = listener.map(|listener| {
+            let control =
+                ControlShared::new(control_settings, seed, control_metrics, publisher, control_stop);
+            control::start_loops(&control);
+            control.spawn(peers::serve(std::rc::Rc::clone(&control), listener));
+            ControlHandle::new(ControlActor::new(control).start())
+        });
+        let _ = sender.send(started);
+    });
+    let handle = receiver
+        .await
+        .change_context(StartError)?
+        .map_err(|reason| Report::new(StartError).attach(reason))?;
+    let draining = Arc::new(AtomicBool::new(false));
+    let shared = SharedTraffic {
+        control: handle.clone(),
+        snapshots,
+        metrics: Arc::clone(&metrics),
+        draining: Arc::clone(&draining),
+        source: settings.outgoing_ip,
+        entry: settings.name.clone(),
+    };
+    let server = HttpServer::new(move || {
+        let state = std::rc::Rc::new(TrafficState::new(shared.clone()));
+        App::new().app_data(web::Data::new(state)).configure(http::routes)
+    })
+    .workers(usize::from(settings.threads))
+    .keep_alive(KEEP_ALIVE)
+    .disable_signals()
+    .shutdown_timeout(settings.drain_s)
+    .bind(&settings.http_address)
+    .change_context(StartError)
+    .attach_with(|| format!("http_address {}", settings.http_address))?;
+    let http_address = server.addrs().first().copied().ok_or(StartError)?;
+    let server = server.run();
+    let server_handle = server.handle();
+    actix_rt::spawn(server);
+    log::info!("entry serving http={http_address} peers={}", settings.peer_address);
+    Ok(RunningEntry {
+        http_address,
+        handle,
+        server: server_handle,
+        arbiter,
+        draining,
+        stop,
+        metrics,
+        balancer_delay: Duration::from_millis(settings.balancer_delay_ms),
+    })
+}
+
+impl RunningEntry {
+    /// Shuts down gracefully.
+    ///
+    /// The readiness check fails first and the ownership is handed over, while
+    /// requests are still served: the balancer needs a moment to notice. Then
+    /// the listener closes and what is in flight ends.
+    pub async fn shut_down(self) {
+        log::info!("entry draining");
+        self.draining.store(true, Ordering::Relaxed);
+        self.handle.tell(ControlCall::Drain);
+        tokio::time::sleep(self.balancer_delay).await;
+        self.server.stop(true).await;
+        // Slots of the last requests are given back before the control thread ends.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        self.stop.cancel();
+        self.arbiter.stop();
+        self.metrics.shut_down();
+        log::info!("entry stopped");
+    }
+}
+
+/// Runs an entry until SIGTERM or SIGINT, then shuts it down.
+///
+/// # Errors
+/// [`StartError`] if it cannot start.
+pub async fn run(settings: EntrySettings) -> Result<(), Report<StartError>> {
+    let entry = start(settings).await?;
+    println!("listening on {}", entry.http_address);
+    let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())
+        .change_context(StartError)?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+    entry.shut_down().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/http/answer.rs
@@ -0,0 +1,34 @@
+//! Error answers, built from the table of error kinds.
+
+use actix_web::http::StatusCode;
+use actix_web::{HttpResponse, HttpResponseBuilder};
+use model::kind::{ErrorBody, ErrorKind, RequestOutcome};
+use wire::api::OUTCOME_HEADER;
+use wire::peer::PeerRefusal;
+
+/// Starts an answer with a status and the outcome header.
+#[must_use]
+pub fn start(status: u16, outcome: RequestOutcome) -> HttpResponseBuilder {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut builder = HttpResponse::build(status);
+    builder.insert_header((OUTCOME_HEADER, outcome.as_str()));
+    builder
+}
+
+/// Builds the answer of an error body.
+#[must_use]
+pub fn body(body: &ErrorBody) -> HttpResponse {
+    start(body.kind.answer().status, body.outcome).json(body)
+}
+
+/// Builds the answer of an error kind.
+#[must_use]
+pub fn error(kind: ErrorKind, message: &str) -> HttpResponse {
+    body(&ErrorBody::new(kind, message))
+}
+
+/// Builds the answer of a refusal.
+#[must_use]
+pub fn refusal(refusal: &PeerRefusal) -> HttpResponse {
+    error(refusal.kind, &refusal.message)
+}
--- /dev/null
+++ b/crates/entry/src/http/config.rs
@@ -0,0 +1,71 @@
+//! Reading and publishing the configuration.
+
+use actix_web::{HttpRequest, HttpResponse, web};
+use model::check;
+use model::kind::{ErrorBody, ErrorKind, RequestOutcome};
+use model::object::ObjectSet;
+use wire::api::{BASE_VERSION_HEADER, CHANGE_ID_HEADER, ConfigDocument};
+
+use crate::control::handle::ControlCall;
+use crate::http::{Traffic, answer, header};
+
+/// Answers the configuration in force at this entry.
+pub async fn get(traffic: Traffic) -> HttpResponse {
+    let snapshot = traffic.snapshot();
+    HttpResponse::Ok().json(ConfigDocument {
+        version: snapshot.version,
+        change_id: String::new(),
+        objects: (*snapshot.objects).clone(),
+    })
+}
+
+/// Checks and publishes a whole set.
+pub async fn put(request: HttpRequest, body: web::Bytes, traffic: Traffic) -> HttpResponse {
+    let Some(base) = header(&request, BASE_VERSION_HEADER).and_then(|text| text.parse().ok())
+    else {
+        let message = "header x-base-version: must be the version that the change is based on";
+        return answer::error(ErrorKind::BadInput, message);
+    };
+    let change = header(&request, CHANGE_ID_HEADER).unwrap_or_default();
+    if !is_change_id(change) {
+        let message = "header x-change-id: must be 1 to 64 letters, digits or `-`";
+        return answer::error(ErrorKind::BadInput, message);
+    }
+    let objects: ObjectSet = match serde_json::from_slice(&body) {
+        Ok(objects) => objects,
+        Err(error) => {
+            let message = format!("the object set is malformed: {error}");
+            return answer::error(ErrorKind::InvalidConfig, &message);
+        }
+    };
+    let problems = check::check_set(&objects);
+    if !problems.is_empty() {
+        let message = "the object set does not pass its check; nothing was published";
+        let mut body = ErrorBody::new(ErrorKind::InvalidConfig, message);
+        body.problems = problems;
+        return answer::body(&body);
+    }
+    let change = change.to_owned();
+    let reply = traffic
+        .shared
+        .control
+        .ask(|reply| ControlCall::Apply(base, change, Box::new(objects), reply))
+        .await;
+    match reply {
+        Some(Ok(reply)) => {
+            let status = if reply.not_confirmed.is_empty() { 200 } else { 202 };
+            answer::start(status, RequestOutcome::Answered).json(reply)
+        }
+        Some(Err((refusal, version))) => {
+            let mut body = ErrorBody::new(refusal.kind, refusal.message);
+            body.version = version;
+            answer::body(&body)
+        }
+        None => answer::error(ErrorKind::WriteUnknown, "the control thread stopped meanwhile"),
+    }
+}
+
+fn is_change_id(text: &str) -> bool {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-';
+    !text.is_empty() && text.len() <= 64 && text.bytes().all(plain)
+}
--- /dev/null
+++ b/crates/entry/src/http/mod.rs
@@ -0,0 +1,131 @@
+//! The HTTP API towards callers, operators, the balancer and monitoring.
+
+pub mod answer;
+pub mod config;
+pub mod jobs;
+pub mod request;
+
+use std::cell::RefCell;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use actix_web::{HttpRequest, HttpResponse, web};
+use link::budget::RetryBudget;
+use link::endpoint::EndpointClient;
+use model::kind::ErrorKind;
+use tokio::sync::watch;
+
+use crate::control::handle::{ControlCall, ControlHandle};
+use crate::metrics::EntryMetrics;
+use crate::snapshot::ConfigSnapshot;
+
+/// What all traffic threads share.
+#[derive(Clone, Debug)]
+pub struct SharedTraffic {
+    /// The control thread.
+    pub control: ControlHandle,
+    /// The configuration in force.
+    pub snapshots: watch::Receiver<Arc<ConfigSnapshot>>,
+    /// Metrics of the process.
+    pub metrics: Arc<EntryMetrics>,
+    /// Whether the process is shutting down.
+    pub draining: Arc<AtomicBool>,
+    /// Source IP of connections to endpoints.
+    pub source: Option<IpAddr>,
+    /// Name of this entry process, for minted identifiers.
+    pub entry: String,
+}
+
+/// What one traffic thread works with.
+#[derive(Debug)]
+pub struct TrafficState {
+    /// What all threads share.
+    pub shared: SharedTraffic,
+    /// Client of endpoints; connections stay within the thread.
+    pub endpoints: EndpointClient,
+    /// Retry budget of the thread.
+    pub budget: RefCell<RetryBudget>,
+}
+
+/// State of a traffic thread as handlers get it.
+pub type Traffic = web::Data<Rc<TrafficState>>;
+
+impl TrafficState {
+    /// Creates the state of one traffic thread.
+    #[must_use]
+    pub fn new(shared: SharedTraffic) -> Self {
+        let endpoints = EndpointClient::new(shared.source);
+        Self { shared, endpoints, budget: RefCell::default() }
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn snapshot(&self) -> Arc<ConfigSnapshot> {
+        self.shared.snapshots.borrow().clone()
+    }
+
+    /// Tells whether the process is shutting down.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.shared.draining.load(Ordering::Relaxed)
+    }
+}
+
+/// Adds all routes to an application.
+pub fn routes(config: &mut web::ServiceConfig) {
+    config
+        .app_data(web::PayloadConfig::new(link::http::BODY_LIMIT))
+        .route("/v1/queues/{queue}/request", web::post().to(request::handle))
+        .route("/v1/jobs", web::post().to(jobs::submit))
+        .route("/v1/jobs/{job}", web::get().to(jobs::status))
+        .route("/v1/jobs/{job}", web::delete().to(jobs::cancel))
+        .route("/v1/config", web::get().to(config::get))
+        .route("/v1/config", web::put().to(config::put))
+        .route("/v1/status", web::get().to(status))
+        .route("/health/ready", web::get().to(ready))
+        .route("/metrics", web::get().to(metrics))
+        .default_service(web::to(unknown_path));
+}
+
+async fn status(traffic: Traffic) -> HttpResponse {
+    match traffic.shared.control.ask(ControlCall::Status).await {
+        Some(report) => HttpResponse::Ok().json(report),
+        None => answer::error(ErrorKind::Draining, "the control thread has stopped"),
+    }
+}
+
+async fn ready(traffic: Traffic) -> HttpResponse {
+    if traffic.is_draining() {
+        return answer::error(ErrorKind::Draining, "this entry is shutting down");
+    }
+    match traffic.shared.control.ask(ControlCall::Ready).await {
+        Some(true) => HttpResponse::Ok().body("ready\n"),
+        _ => answer::error(ErrorKind::NoOwner, "no configuration or no owner is known yet"),
+    }
+}
+
+async fn metrics(traffic: Traffic) -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(traffic.shared.metrics.render())
+}
+
+async fn unknown_path(request: HttpRequest) -> HttpResponse {
+    let message = format!("there is no {} {}", request.method(), request.path());
+    answer::error(ErrorKind::NotFound, &message)
+}
+
+/// Returns the secret of the `authorization: Bearer` header.
+#[must_use]
+pub fn bearer(request: &HttpRequest) -> Option<&str> {
+    let value = request.headers().get("authorization")?.to_str().ok()?;
+    value.strip_prefix("Bearer ").map(str::trim).filter(|secret| !secret.is_empty())
+}
+
+/// Returns a header as text.
+#[must_use]
+pub fn header<'a>(request: &'a HttpRequest, name: &str) -> Option<&'a str> {
+    request.headers().get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/entry/src/http/request.rs
@@ -0,0 +1,243 @@
+//! The way of one request: authorise, place, attempt, answer, give the slot back.
+
+use std::time::{Duration, Instant};
+
+use actix_web::{HttpRequest, HttpResponse, web};
+use link::endpoint::{AttemptResult, EndpointAttempt};
+use model::kind::{ErrorKind, RequestOutcome};
+use model::name::{EntryId, RequestId, WorkerName};
+use smallvec::SmallVec;
+use wire::api::{DEADLINE_HEADER, IDEMPOTENT_HEADER, OUTCOME_HEADER, REQUEST_ID_HEADER};
+use wire::peer::{PeerRefusal, SlotPlacement};
+
+use crate::control::handle::ControlCall;
+use crate::control::requests::PlacedGrant;
+use crate::http::{Traffic, answer, bearer, header};
+use crate::metrics::label;
+use crate::snapshot::{ConfigSnapshot, QueueAccess};
+
+/// Milliseconds that a caller waits if it does not say.
+const DEFAULT_DEADLINE_MS: u64 = 10_000;
+/// Longest deadline in milliseconds that a caller may ask for.
+const DEADLINE_BOUND_MS: u64 = 600_000;
+/// Most attempts of one request, whatever the budget holds.
+const ATTEMPT_BOUND: u32 = 8;
+
+/// A request as the caller sent it, checked.
+#[derive(Debug)]
+struct CallerRequest {
+    id: RequestId,
+    /// Whether the caller chose the identifier, so that it may send it again.
+    chosen: bool,
+    idempotent: bool,
+    deadline: Instant,
+    access: QueueAccess,
+    body: web::Bytes,
+    config_version: u64,
+}
+
+/// Serves one request of a caller.
+pub async fn handle(
+    request: HttpRequest,
+    queue: web::Path<String>,
+    body: web::Bytes,
+    traffic: Traffic,
+) -> HttpResponse {
+    let arrived = Instant::now();
+    let checked = check(&request, &queue, body, arrived, &traffic);
+    let (id, result) = match checked {
+        Ok(request) => (request.id.clone(), run(&traffic, &request).await),
+        Err(refusal) => (RequestId::default(), Err(refusal)),
+    };
+    let (outcome, kind) = match &result {
+        Ok(_) => (RequestOutcome::Answered, "none"),
+        Err(refusal) => (refusal.kind.answer().outcome, refusal.kind.code()),
+    };
+    let metrics = &traffic.shared.metrics;
+    metrics.requests.add(1, &[label("outcome", outcome.as_str()), label("kind", kind)]);
+    metrics.request_time.record(arrived.elapsed().as_secs_f64() * 1000.0, &[]);
+    let mut response = match result {
+        Ok(body) => answer::start(200, RequestOutcome::Answered)
+            .content_type("application/octet-stream")
+            .body(body),
+        Err(refusal) => answer::refusal(&refusal),
+    };
+    if let Ok(value) = id.as_str().parse() {
+        let name = actix_web::http::header::HeaderName::from_static(REQUEST_ID_HEADER);
+        response.headers_mut().insert(name, value);
+    }
+    if traffic.is_draining() {
+        // A client that keeps the connection could send on it just as it closes.
+        response.head_mut().set_connection_type(actix_web::http::ConnectionType::Close);
+    }
+    debug_assert!(response.headers().contains_key(OUTCOME_HEADER));
+    response
+}
+
+fn check(
+    request: &HttpRequest,
+    queue: &str,
+    body: web::Bytes,
+    arrived: Instant,
+    traffic: &Traffic,
+) -> Result<CallerRequest, PeerRefusal> {
+    let bad = |message: &str| Err(PeerRefusal::new(ErrorKind::BadInput, message));
+    let snapshot = traffic.snapshot();
+    let access = snapshot.authorize(queue, bearer(request))?;
+    if !ConfigSnapshot::takes_requests(&access) {
+        return bad("the queue takes jobs; submit them to `/v1/jobs`");
+    }
+    let idempotent = match header(request, IDEMPOTENT_HEADER) {
+        None | Some("true") => true,
+        Some("false") => false,
+        Some(_) => return bad("header x-idempotent: must be `true` or `false`"),
+    };
+    let deadline = match header(request, DEADLINE_HEADER) {
+        None => DEFAULT_DEADLINE_MS,
+        Some(text) => match text.parse() {
+            Ok(millis) if (1..=DEADLINE_BOUND_MS).contains(&millis) => millis,
+            _ => return bad("header x-deadline-ms: must be a number from 1 to 600000"),
+        },
+    };
+    let chosen = header(request, REQUEST_ID_HEADER);
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
+    if let Some(id) = chosen
+        && (id.is_empty() || id.len() > 128 || !id.bytes().all(plain))
+    {
+        return bad("header x-request-id: must be 1 to 128 letters, digits, `.`, `_` or `-`");
+    }
+    let id = chosen.map_or_else(
+        || RequestId::from(format!("m-{:032x}", rand::random::<u128>())),
+        RequestId::from,
+    );
+    Ok(CallerRequest {
+        id,
+        chosen: chosen.is_some(),
+        idempotent,
+        deadline: arrived + Duration::from_millis(deadline),
+        access,
+        body,
+        config_version: snapshot.version,
+    })
+}
+
+async fn run(traffic: &Traffic, request: &CallerRequest) -> Result<web::Bytes, PeerRefusal> {
+    traffic.budget.borrow_mut().earn();
+    let recorded = !request.idempotent && request.chosen;
+    let team = &request.access.team;
+    if recorded {
+        let call = |reply| ControlCall::Insert(team.clone(), request.id.clone(), reply);
+        traffic.shared.control.request(call).await?;
+    }
+    let result = attempt_all(traffic, request).await;
+    if recorded
+        && let Err(refusal) = &result
+        && refusal.kind.answer().outcome == RequestOutcome::NotRun
+    {
+        let call = |reply| ControlCall::Erase(team.clone(), request.id.clone(), reply);
+        traffic.shared.control.ask(call).await;
+    }
+    result
+}
+
+async fn attempt_all(
+    traffic: &Traffic,
+    request: &CallerRequest,
+) -> Result<web::Bytes, PeerRefusal> {
+    let mut avoid: SmallVec<[WorkerName; 4]> = SmallVec::new();
+    let mut may_have_run = false;
+    let mut number = 1;
+    loop {
+        let placed = match place(traffic, request, &avoid).await {
+            Ok(placed) => placed,
+            // A refusal to place says nothing of earlier attempts.
+            Err(_) if may_have_run => return Err(lost("no further attempt could be placed")),
+            Err(refusal) => return Err(refusal),
+        };
+        let worker = placed.grant.worker.clone();
+        let result = attempt(traffic, request, &placed, number).await;
+        let (label_value, ended) = match &result {
+            AttemptResult::Answered(_) => ("answered", true),
+            AttemptResult::NotRun(_) => ("not-run", true),
+            AttemptResult::Lost(_) => ("lost", false),
+            AttemptResult::BadAnswer(_) => ("bad-answer", false),
+            AttemptResult::Timeout => ("timeout", false),
+        };
+        traffic.shared.metrics.attempts.add(1, &[label("result", label_value)]);
+        log::info!(
+            target: "routing",
+            "attempt request={} number={number} team={} domain={} worker={worker} result={result}",
+            request.id, request.access.team, placed.grant.domain, result = label_value
+        );
+        traffic.shared.control.tell(ControlCall::Release(placed, ended));
+        let refusal = match result {
+            AttemptResult::Answered(body) => return Ok(body),
+            AttemptResult::NotRun(reason) => PeerRefusal::new(
+                ErrorKind::WorkerRefused,
+                format!("worker {worker} refused before running: {reason}"),
+            ),
+            AttemptResult::Lost(reason) => lost(&reason),
+            AttemptResult::BadAnswer(reason) => PeerRefusal::new(ErrorKind::BadAnswer, reason),
+            AttemptResult::Timeout => {
+                let message = "the endpoint did not answer before the deadline";
+                PeerRefusal::new(ErrorKind::EndpointTimeout, message)
+            }
+        };
+        let not_run = refusal.kind == ErrorKind::WorkerRefused;
+        may_have_run |= !not_run;
+        let allowed = (not_run || request.idempotent)
+            && number < ATTEMPT_BOUND
+            && Instant::now() < request.deadline
+            && (not_run || traffic.budget.borrow_mut().spend());
+        if !allowed {
+            return Err(if may_have_run && not_run { lost(&refusal.message) } else { refusal });
+        }
+        avoid.push(worker);
+        number += 1;
+    }
+}
+
+fn lost(reason: &str) -> PeerRefusal {
+    let message = format!("the request may have run, its answer was lost: {reason}");
+    PeerRefusal::new(ErrorKind::EndpointLost, message)
+}
+
+async fn place(
+    traffic: &Traffic,
+    request: &CallerRequest,
+    avoid: &SmallVec<[WorkerName; 4]>,
+) -> Result<PlacedGrant, PeerRefusal> {
+    let left = request.deadline.saturating_duration_since(Instant::now());
+    let placement = SlotPlacement {
+        team: request.access.team.clone(),
+        queue: request.access.queue.name.clone(),
+        key_digest: request.access.digest.clone(),
+        request: request.id.clone(),
+        wait_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+        entry: EntryId::from(traffic.shared.entry.as_str()),
+        avoid: avoid.clone(),
+        config_version: request.config_version,
+    };
+    traffic.shared.control.request(|reply| ControlCall::Place(placement, reply)).await
+}
+
+async fn attempt(
+    traffic: &Traffic,
+    request: &CallerRequest,
+    placed: &PlacedGrant,
+    number: u32,
+) -> AttemptResult {
+    let left = request.deadline.saturating_duration_since(Instant::now());
+    if left.is_zero() {
+        return AttemptResult::NotRun("the deadline passed while waiting for a slot".to_owned());
+    }
+    let attempt = EndpointAttempt {
+        address: placed.grant.address.clone(),
+        request: request.id.clone(),
+        attempt: number,
+        team: request.access.team.clone(),
+        authority: placed.grant.authority,
+        body: request.body.clone(),
+    };
+    traffic.endpoints.send(&attempt, left).await
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,15 @@
-//! Not built yet.
+//! The entry daemon as a library.
+//!
+//! An entry answers callers and operators over HTTP and, while it holds the
+//! ownership lease of its failure domain, decides every placement there. The
+//! control thread holds all control state; traffic threads pass requests on
+//! and reach that state by messages only (docs/design.md, section 2).
+
+pub mod clock;
+pub mod control;
+pub mod daemon;
+pub mod flags;
+pub mod http;
+pub mod logging;
+pub mod metrics;
+pub mod snapshot;
--- /dev/null
+++ b/crates/entry/tests/common/mod.rs
@@ -0,0 +1,288 @@
+//! Starts real processes on loopback addresses of their own and talks to them.
+
+use std::net::Ipv4Addr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use model::object::ObjectSet;
+use serde_json::{Value, json};
+
+/// Secret of the key of team `north`.
+pub const NORTH: &str = "north-secret";
+/// Longest wait for a condition.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A process that is killed by its own id when the test ends.
+pub struct TestProcess {
+    child: Child,
+}
+
+impl TestProcess {
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let pid = nix::unistd::Pid::from_raw(i32::try_from(self.child.id()).expect("a pid"));
+        nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGTERM).expect("the process runs");
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the exit code.
+    pub async fn exit_code(&mut self) -> Option<i32> {
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        None
+    }
+}
+
+impl Drop for TestProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A cell of processes: a platform, and entries and workers in each domain.
+pub struct TestCell {
+    pub entries: Vec<TestProcess>,
+    pub workers: Vec<TestProcess>,
+    pub platform: TestProcess,
+    pub directory: tempfile::TempDir,
+    domains: u8,
+    workers_each: u8,
+    entries_each: u8,
+}
+
+/// Returns a loopback address that no other test process uses.
+fn ip(host: u8) -> Ipv4Addr {
+    let pid = std::process::id();
+    let [_, _, high, low] = (pid % (90 * 256)).to_be_bytes();
+    Ipv4Addr::new(127, 130 + high, low, host)
+}
+
+fn binary(name: &str) -> PathBuf {
+    let test = std::env::current_exe().expect("a test has a path");
+    let target = test.parent().and_then(Path::parent).expect("tests run from target/*/deps");
+    target.join(name)
+}
+
+fn spawn(directory: &Path, program: &str, name: &str, settings: &Value) -> TestProcess {
+    let file = directory.join(format!("{name}.json"));
+    std::fs::write(&file, settings.to_string()).expect("the directory is writable");
+    let log = std::fs::File::create(directory.join(format!("{name}.log"))).expect("writable");
+    let child = Command::new(binary(program))
+        .arg("--settings")
+        .arg(&file)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(log)
+        .spawn()
+        .unwrap_or_else(|error| panic!("{program}: {error}; build the workspace's bins first"));
+    TestProcess { child }
+}
+
+impl TestCell {
+    /// Starts a cell and publishes its configuration.
+    pub async fn start(domains: u8, entries_each: u8, workers_each: u8) -> Self {
+        let directory = tempfile::tempdir().expect("a temporary directory");
+        let settings = json!({
+            "address": format!("{}:7000", ip(1)), "writes_per_s": 400, "reads_per_s": 2000,
+            "vm_lag_ms": 500,
+        });
+        let platform = spawn(directory.path(), "standin-platform", "platform", &settings);
+        let mut cell = Self {
+            entries: Vec::new(),
+            workers: Vec::new(),
+            platform,
+            directory,
+            domains,
+            workers_each,
+            entries_each,
+        };
+        for index in 0..domains * workers_each {
+            let worker = cell.spawn_worker(index);
+            cell.workers.push(worker);
+        }
+        for index in 0..domains * entries_each {
+            let entry = cell.spawn_entry(index);
+            cell.entries.push(entry);
+        }
+        cell.publish().await;
+        for index in 0..cell.entries.len() {
+            cell.until_ready(index).await;
+        }
+        cell
+    }
+
+    fn spawn_worker(&self, index: u8) -> TestProcess {
+        let name = format!("worker-{index}");
+        let settings = json!({
+            "name": name, "domain": self.domain(index / self.workers_each),
+            "address": worker_address(index), "capacity": capacity(), "connections": 64,
+            "history": self.directory.path().join(format!("{name}.jsonl")),
+            "usage_lag_ms": 1000,
+        });
+        spawn(self.directory.path(), "standin-worker", &name, &settings)
+    }
+
+    /// Starts the entry of an index, again if it ran before.
+    pub fn spawn_entry(&self, index: u8) -> TestProcess {
+        let name = format!("entry-{index}");
+        let peers: Vec<_> = (0..self.domains * self.entries_each)
+            .map(|peer| {
+                let domain = self.domain(peer / self.entries_each);
+                json!({ "domain": domain, "address": peer_address(peer) })
+            })
+            .collect();
+        let settings = json!({
+            "name": name, "domain": self.domain(index / self.entries_each),
+            "http_address": http_address(index), "peer_address": peer_address(index),
+            "outgoing_ip": ip(100 + index).to_string(), "peers": peers,
+            "platform_address": format!("{}:7000", ip(1)), "balancer_delay_ms": 500,
+        });
+        spawn(self.directory.path(), "amaranthsaddle-entry", &name, &settings)
+    }
+
+    fn domain(&self, index: u8) -> String {
+        assert!(index < self.domains, "there are {} domains", self.domains);
+        format!("domain-{index}")
+    }
+
+    /// Returns the object set that the cell starts with.
+    pub fn objects(&self) -> ObjectSet {
+        let domains: Vec<_> =
+            (0..self.domains).map(|index| json!({ "name": self.domain(index) })).collect();
+        let workers: Vec<_> = (0..self.domains * self.workers_each)
+            .map(|index| {
+                json!({
+                    "name": format!("worker-{index}"),
+                    "domain": self.domain(index / self.workers_each),
+                    "rack": format!("rack-{}", index / 2),
+                    "address": worker_address(index), "capacity": capacity(),
+                })
+            })
+            .collect();
+        let set = json!({
+            "domains": domains, "workers": workers, "teams": [{ "name": "north" }],
+            "keys": [{
+                "name": "north-key", "team": "north", "digest": model::object::key_digest(NORTH),
+            }],
+            "shares": [{ "name": "north-share", "team": "north", "weight": 1 }],
+            "limits": [{
+                "name": "north-limit", "team": "north",
+                "amounts": { "cpu_millis": 200_000, "memory_mb": 200_000, "slots": 200 },
+            }],
+            "classes": [
+                { "name": "desk", "kind": "request", "urgency": "urgent" },
+                { "name": "nightly", "kind": "batch", "preemptible": true },
+            ],
+            "queues": [
+                { "name": "sheets", "team": "north", "class": "desk" },
+                { "name": "reports", "team": "north", "class": "nightly" },
+            ],
+        });
+        serde_json::from_value(set).expect("a valid set")
+    }
+
+    async fn publish(&self) {
+        let set = self.objects();
+        let start = Instant::now();
+        loop {
+            let sent = client()
+                .put(self.url(0, "/v1/config"))
+                .insert_header(("x-base-version", "0"))
+                .insert_header(("x-change-id", "first"))
+                .send_json(&set)
+                .await;
+            match sent {
+                Ok(answer) if answer.status().is_success() => return,
+                other => assert!(start.elapsed() < PATIENCE, "not published: {other:?}"),
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Returns a URL of an entry.
+    pub fn url(&self, index: usize, path: &str) -> String {
+        let index = u8::try_from(index).expect("few entries");
+        format!("http://{}{path}", http_address(index))
+    }
+
+    /// Waits until the balancer would send requests to an entry.
+    pub async fn until_ready(&self, index: usize) {
+        let start = Instant::now();
+        loop {
+            let answer = client().get(self.url(index, "/health/ready")).send().await;
+            if answer.is_ok_and(|answer| answer.status().is_success()) {
+                return;
+            }
+            assert!(start.elapsed() < PATIENCE, "entry {index} is not ready in {PATIENCE:?}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Sends a request to an entry; returns status, outcome and body.
+    pub async fn request(&self, index: usize, secret: &str, id: &str) -> (u16, String, Vec<u8>) {
+        let sent = client()
+            .post(self.url(index, "/v1/queues/sheets/request"))
+            .bearer_auth(secret)
+            .insert_header(("x-request-id", id))
+            .send_json(&json!({ "run_ms": 20, "answer_bytes": 2000 }))
+            .await;
+        match sent {
+            Ok(mut answer) => {
+                let outcome = answer.headers().get("x-outcome");
+                let outcome = outcome.and_then(|value| value.to_str().ok()).unwrap_or_default();
+                let (status, outcome) = (answer.status().as_u16(), outcome.to_owned());
+                match answer.body().await {
+                    Ok(body) => (status, outcome, body.to_vec()),
+                    Err(error) => (0, error.to_string(), Vec::new()),
+                }
+            }
+            Err(error) => (0, error.to_string(), Vec::new()),
+        }
+    }
+
+    /// Reads the histories of all workers.
+    pub fn history(&self) -> Vec<wire::history::WorkerRecord> {
+        let count = self.domains * self.workers_each;
+        let files = (0..count).map(|index| self.directory.path().join(format!("worker-{index}.jsonl")));
+        files
+            .flat_map(|file| {
+                let text = std::fs::read_to_string(file).unwrap_or_default();
+                text.lines()
+                    .map(|line| serde_json::from_str(line).expect("a history line"))
+                    .collect::<Vec<_>>()
+            })
+            .collect()
+    }
+}
+
+fn http_address(index: u8) -> String {
+    format!("{}:8080", ip(100 + index))
+}
+
+fn peer_address(index: u8) -> String {
+    format!("{}:8081", ip(100 + index))
+}
+
+fn worker_address(index: u8) -> String {
+    format!("{}:9000", ip(10 + index))
+}
+
+fn capacity() -> Value {
+    json!({ "cpu_millis": 32_000, "memory_mb": 65_536, "accelerators": 0, "slots": 8 })
+}
+
+/// Returns a client whose every request has its own connection.
+pub fn client() -> awc::Client {
+    awc::Client::builder().timeout(PATIENCE).finish()
+}
--- /dev/null
+++ b/crates/link/src/endpoint.rs
@@ -0,0 +1,133 @@
+//! One attempt of a request at a worker's endpoint.
+//!
+//! Every attempt uses a connection of its own. A pooled connection that the
+//! worker closes just as a request is sent would leave the outcome unknown,
+//! and answers of an earlier request could be taken for this one's; a failed
+//! connect says with certainty that nothing ran. It also keeps the connections
+//! of an endpoint to the granted slots, far below its 64.
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use awc::error::SendRequestError;
+use model::authority::OwnerAuthority;
+use model::name::{RequestId, TeamName};
+use sha2::Digest;
+use wire::worker;
+
+/// Largest answer in bytes that is passed on.
+pub const ANSWER_LIMIT: usize = 64 << 20;
+
+/// One attempt of a request.
+#[derive(Clone, Debug)]
+pub struct EndpointAttempt {
+    /// Address of the worker, `IP:PORT`.
+    pub address: String,
+    /// The request's identifier.
+    pub request: RequestId,
+    /// Number of the attempt, from 1.
+    pub attempt: u32,
+    /// Team that the request counts to.
+    pub team: TeamName,
+    /// Authority under which the slot was granted.
+    pub authority: OwnerAuthority,
+    /// Body of the request.
+    pub body: bytes::Bytes,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AttemptResult {
+    /// The whole answer of this attempt.
+    Answered(bytes::Bytes),
+    /// The worker could not be reached or refused before running; with the reason.
+    NotRun(String),
+    /// The connection failed after the request was sent; with the reason.
+    Lost(String),
+    /// The answer was truncated or belonged to another attempt; with the reason.
+    BadAnswer(String),
+    /// No answer before the deadline.
+    Timeout,
+}
+
+/// A client of endpoints; cheap to clone within one thread.
+#[derive(Clone)]
+pub struct EndpointClient {
+    client: awc::Client,
+}
+
+impl std::fmt::Debug for EndpointClient {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        out.debug_struct("EndpointClient").finish_non_exhaustive()
+    }
+}
+
+impl EndpointClient {
+    /// Creates a client whose connections leave from `source`, if given.
+    #[must_use]
+    pub fn new(source: Option<IpAddr>) -> Self {
+        Self { client: crate::http::build_client(source) }
+    }
+
+    /// Makes one attempt, for at most `timeout`.
+    pub async fn send(&self, attempt: &EndpointAttempt, timeout: Duration) -> AttemptResult {
+        tokio::time::timeout(timeout, self.exchange(attempt))
+            .await
+            .unwrap_or(AttemptResult::Timeout)
+    }
+
+    async fn exchange(&self, attempt: &EndpointAttempt) -> AttemptResult {
+        let number = attempt.attempt.to_string();
+        let reply = self
+            .client
+            .post(format!("http://{}{}", attempt.address, worker::REQUEST_PATH))
+            .force_close()
+            .no_decompress()
+            .insert_header((worker::REQUEST_ID_HEADER, attempt.request.as_str()))
+            .insert_header((worker::ATTEMPT_HEADER, number.as_str()))
+            .insert_header((worker::TEAM_HEADER, attempt.team.as_str()))
+            .insert_header((worker::AUTHORITY_HEADER, attempt.authority.to_string()))
+            .send_body(attempt.body.clone())
+            .await;
+        let mut answer = match reply {
+            Ok(answer) => answer,
+            Err(error @ (SendRequestError::Connect(_) | SendRequestError::Url(_))) => {
+                return AttemptResult::NotRun(error.to_string());
+            }
+            Err(error) => return AttemptResult::Lost(error.to_string()),
+        };
+        let headers = answer.headers().clone();
+        let header = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        let body = answer.body().limit(ANSWER_LIMIT).await;
+        if header(worker::NOT_RUN_HEADER) == Some("1") {
+            let reason = body.map(|text| String::from_utf8_lossy(&text).into_owned());
+            return AttemptResult::NotRun(reason.unwrap_or_default());
+        }
+        if header(worker::REQUEST_ID_HEADER) != Some(attempt.request.as_str())
+            || header(worker::ATTEMPT_HEADER) != Some(number.as_str())
+        {
+            return AttemptResult::BadAnswer("the answer belongs to another attempt".to_owned());
+        }
+        let Ok(body) = body else {
+            return AttemptResult::BadAnswer("the answer is truncated".to_owned());
+        };
+        if !answer.status().is_success() {
+            return AttemptResult::BadAnswer(format!("status {}", answer.status()));
+        }
+        if header(worker::DIGEST_HEADER) != Some(hex_digest(&body).as_str()) {
+            return AttemptResult::BadAnswer("the answer does not match its digest".to_owned());
+        }
+        AttemptResult::Answered(body)
+    }
+}
+
+/// Returns the SHA-256 of `body` in hexadecimal digits.
+#[must_use]
+pub fn hex_digest(body: &[u8]) -> String {
+    use std::fmt::Write;
+
+    sha2::Sha256::digest(body).iter().fold(String::with_capacity(64), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
--- /dev/null
+++ b/crates/link/src/failure.rs
@@ -0,0 +1,23 @@
+//! What a failed call tells about its effect.
+
+use std::fmt;
+
+/// Whether the other side can have acted on a call that failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFailure {
+    /// Nothing of the call reached the other side, or it refused before acting.
+    NotDone,
+    /// The call was sent and no usable answer came; it may have taken effect.
+    Unknown,
+}
+
+impl fmt::Display for CallFailure {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(match self {
+            Self::NotDone => "the call had no effect",
+            Self::Unknown => "the call got no answer and may have taken effect",
+        })
+    }
+}
+
+impl std::error::Error for CallFailure {}
--- /dev/null
+++ b/crates/link/src/http.rs
@@ -0,0 +1,116 @@
+//! JSON calls over HTTP with a deadline.
+
+use std::net::IpAddr;
+use std::time::Duration;
+
+use awc::error::SendRequestError;
+use awc::http::StatusCode;
+use error_stack::Report;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::failure::CallFailure;
+
+/// Largest answer body in bytes that a control call accepts; the whole object
+/// set of the design size is about 1 MB.
+pub const BODY_LIMIT: usize = 16 << 20;
+
+/// Result of a call.
+pub type CallResult<T> = Result<T, Report<CallFailure>>;
+
+/// Builds a client whose connections leave from `source`, if given.
+///
+/// Waiting for a connection has the same bound as the call, so that a cut link
+/// cannot hold a caller longer than its own deadline.
+#[must_use]
+pub fn build_client(source: Option<IpAddr>) -> awc::Client {
+    let mut connector = awc::Connector::new()
+        .timeout(Duration::from_secs(1))
+        .conn_keep_alive(Duration::from_secs(15));
+    if let Some(ip) = source {
+        connector = connector.local_address(ip);
+    }
+    awc::ClientBuilder::new().connector(connector).disable_timeout().finish()
+}
+
+/// Sends `body` by `POST` and reads a JSON answer.
+///
+/// # Errors
+/// [`CallFailure::NotDone`] if no connection was made, or for a status of 429
+/// or 503, by which servers refuse before acting; [`CallFailure::Unknown`] for
+/// everything else, a missed deadline included.
+pub async fn post_json<B, R>(
+    client: &awc::Client,
+    url: &str,
+    body: &B,
+    timeout: Duration,
+) -> CallResult<R>
+where
+    B: Serialize,
+    R: DeserializeOwned,
+{
+    with_deadline(timeout, async {
+        let reply = client.post(url).send_json(body).await;
+        read_json(reply).await
+    })
+    .await
+}
+
+/// Reads a JSON answer by `GET`.
+///
+/// # Errors
+/// As for [`post_json`].
+pub async fn get_json<R: DeserializeOwned>(
+    client: &awc::Client,
+    url: &str,
+    timeout: Duration,
+) -> CallResult<R> {
+    with_deadline(timeout, async { read_json(client.get(url).send().await).await }).await
+}
+
+/// Runs a call for at most `timeout`.
+///
+/// # Errors
+/// [`CallFailure::Unknown`] when the time is over, else the call's own error.
+pub async fn with_deadline<T>(
+    timeout: Duration,
+    call: impl Future<Output = CallResult<T>>,
+) -> CallResult<T> {
+    tokio::time::timeout(timeout, call).await.unwrap_or_else(|_| {
+        Err(Report::new(CallFailure::Unknown).attach(format!("no answer in {timeout:?}")))
+    })
+}
+
+/// Tells a failed connection from a failure after the request was sent.
+#[must_use]
+pub fn classify(error: &SendRequestError) -> CallFailure {
+    match error {
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => CallFailure::NotDone,
+        _ => CallFailure::Unknown,
+    }
+}
+
+type AwcReply<S> = Result<awc::ClientResponse<S>, SendRequestError>;
+
+async fn read_json<S, R>(reply: AwcReply<S>) -> CallResult<R>
+where
+    S: futures_util::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin,
+    R: DeserializeOwned,
+{
+    let mut answer =
+        reply.map_err(|error| Report::new(classify(&error)).attach(error.to_string()))?;
+    let status = answer.status();
+    let body = answer
+        .body()
+        .limit(BODY_LIMIT)
+        .await
+        .map_err(|error| Report::new(CallFailure::Unknown).attach(error.to_string()))?;
+    if !status.is_success() {
+        let refused =
+            matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE);
+        let failure = if refused { CallFailure::NotDone } else { CallFailure::Unknown };
+        return Err(Report::new(failure).attach(format!("status {status}")));
+    }
+    serde_json::from_slice(&body)
+        .map_err(|error| Report::new(CallFailure::Unknown).attach(error.to_string()))
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod api;
 pub mod history;
+pub mod peer;
 pub mod platform;
 pub mod worker;
 
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,238 @@
+//! Rust forms of the messages between entries, with their Cap'n Proto coding.
+
+use std::collections::BTreeMap;
+
+use coord::row::{AllotmentRow, OwnerRow};
+use model::authority::OwnerAuthority;
+use model::job::JobRecord;
+use model::kind::ErrorKind;
+use model::name::{DomainName, EntryId, QueueName, RequestId, TeamName, WorkerName};
+use model::object::ObjectSet;
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::peer_capnp::{authority, grant, info, placement, refusal};
+
+/// A request for a slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SlotPlacement {
+    /// Team whose key was presented; the queue's team for a queue open to all.
+    pub team: TeamName,
+    /// Queue.
+    pub queue: QueueName,
+    /// Digest of the key; empty without one.
+    pub key_digest: String,
+    /// Identifier, for the owner's log line.
+    pub request: RequestId,
+    /// Longest time in milliseconds that the owner may queue the request.
+    pub wait_ms: u32,
+    /// Entry that dispatches the request.
+    pub entry: EntryId,
+    /// Workers that failed earlier attempts.
+    pub avoid: SmallVec<[WorkerName; 4]>,
+    /// Version that the sender has in force.
+    pub config_version: u64,
+}
+
+/// A granted slot.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SlotGrant {
+    /// Number under which the slot is released.
+    pub id: u64,
+    /// Worker that has the slot.
+    pub worker: WorkerName,
+    /// Address of its endpoint.
+    pub address: String,
+    /// Authority under which the slot was granted.
+    pub authority: OwnerAuthority,
+    /// Domain of the worker.
+    pub domain: DomainName,
+}
+
+/// A refusal by an owner; nothing was run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerRefusal {
+    /// Why.
+    pub kind: ErrorKind,
+    /// A sentence for a person.
+    pub message: String,
+}
+
+impl PeerRefusal {
+    /// Builds a refusal.
+    #[must_use]
+    pub fn new(kind: ErrorKind, message: impl Into<String>) -> Self {
+        Self { kind, message: message.into() }
+    }
+}
+
+/// What an entry says of itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PeerInfo {
+    /// The process.
+    pub entry: EntryId,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Version that it has in force.
+    pub config_version: u64,
+    /// Whether it owns its domain now.
+    pub is_owner: bool,
+    /// The owner that it knows; empty if none.
+    pub owner_entry: EntryId,
+    /// Peer address of that owner.
+    pub owner_address: String,
+    /// Authority of that owner.
+    pub authority: OwnerAuthority,
+    /// Whether it is shutting down.
+    pub draining: bool,
+}
+
+/// Everything that a successor needs when the platform cannot be read.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HandoverState {
+    /// Authority of the successor.
+    pub authority: OwnerAuthority,
+    /// Version of the ownership row.
+    pub row_version: u64,
+    /// The ownership row.
+    pub row: OwnerRow,
+    /// Milliseconds that the giver's lease had left when it sent this.
+    pub lease_left_ms: u64,
+    /// Version of the configuration in force.
+    pub config_version: u64,
+    /// The configuration in force.
+    pub objects: ObjectSet,
+    /// Milliseconds since the platform last confirmed that version.
+    pub contact_age_ms: u64,
+    /// Jobs that are not over.
+    pub jobs: Vec<JobRecord>,
+    /// Allotment rows with their versions.
+    pub allotments: BTreeMap<TeamName, (u64, AllotmentRow)>,
+}
+
+/// Result of decoding a message.
+pub type DecodeResult<T> = Result<T, capnp::Error>;
+
+fn text(reader: capnp::Result<capnp::text::Reader<'_>>) -> DecodeResult<&str> {
+    Ok(reader?.to_str()?)
+}
+
+/// Encodes an authority.
+pub fn write_authority(mut builder: authority::Builder<'_>, authority: OwnerAuthority) {
+    builder.set_term(authority.term);
+    builder.set_handover(authority.handover);
+}
+
+/// Decodes an authority.
+#[must_use]
+pub fn read_authority(reader: authority::Reader<'_>) -> OwnerAuthority {
+    OwnerAuthority { term: reader.get_term(), handover: reader.get_handover() }
+}
+
+/// Encodes a request for a slot.
+///
+/// # Panics
+/// Panics if the list of workers to avoid is longer than 2^32.
+pub fn write_placement(mut builder: placement::Builder<'_>, placement: &SlotPlacement) {
+    builder.set_team(placement.team.as_str());
+    builder.set_queue(placement.queue.as_str());
+    builder.set_key_digest(placement.key_digest.as_str());
+    builder.set_request_id(placement.request.as_str());
+    builder.set_wait_ms(placement.wait_ms);
+    builder.set_entry(placement.entry.as_str());
+    builder.set_config_version(placement.config_version);
+    let length = u32::try_from(placement.avoid.len()).expect("a short list");
+    let mut list = builder.init_avoid(length);
+    for (index, worker) in (0..).zip(&placement.avoid) {
+        list.set(index, worker.as_str());
+    }
+}
+
+/// Decodes a request for a slot.
+///
+/// # Errors
+/// An error if the message is malformed.
+pub fn read_placement(reader: placement::Reader<'_>) -> DecodeResult<SlotPlacement> {
+    let mut avoid = SmallVec::new();
+    for worker in reader.get_avoid()? {
+        avoid.push(WorkerName::from(worker?.to_str()?));
+    }
+    Ok(SlotPlacement {
+        team: text(reader.get_team())?.into(),
+        queue: text(reader.get_queue())?.into(),
+        key_digest: text(reader.get_key_digest())?.to_owned(),
+        request: text(reader.get_request_id())?.into(),
+        wait_ms: reader.get_wait_ms(),
+        entry: text(reader.get_entry())?.into(),
+        avoid,
+        config_version: reader.get_config_version(),
+    })
+}
+
+/// Encodes a grant.
+pub fn write_grant(mut builder: grant::Builder<'_>, grant: &SlotGrant) {
+    builder.set_id(grant.id);
+    builder.set_worker(grant.worker.as_str());
+    builder.set_address(grant.address.as_str());
+    builder.set_domain(grant.domain.as_str());
+    write_authority(builder.init_authority(), grant.authority);
+}
+
+/// Decodes a grant.
+///
+/// # Errors
+/// An error if the message is malformed.
+pub fn read_grant(reader: grant::Reader<'_>) -> DecodeResult<SlotGrant> {
+    Ok(SlotGrant {
+        id: reader.get_id(),
+        worker: text(reader.get_worker())?.into(),
+        address: text(reader.get_address())?.to_owned(),
+        authority: read_authority(reader.get_authority()?),
+        domain: text(reader.get_domain())?.into(),
+    })
+}
+
+/// Encodes a refusal.
+pub fn write_refusal(mut builder: refusal::Builder<'_>, refusal: &PeerRefusal) {
+    builder.set_kind(refusal.kind.code());
+    builder.set_message(refusal.message.as_str());
+}
+
+/// Decodes a refusal; a kind that is not known becomes an internal error.
+///
+/// # Errors
+/// An error if the message is malformed.
+pub fn read_refusal(reader: refusal::Reader<'_>) -> DecodeResult<PeerRefusal> {
+    let kind = ErrorKind::from_code(text(reader.get_kind())?).unwrap_or(ErrorKind::Internal);
+    Ok(PeerRefusal::new(kind, text(reader.get_message())?))
+}
+
+/// Encodes what an entry says of itself.
+pub fn write_info(mut builder: info::Builder<'_>, info: &PeerInfo) {
+    builder.set_entry(info.entry.as_str());
+    builder.set_domain(info.domain.as_str());
+    builder.set_config_version(info.config_version);
+    builder.set_is_owner(info.is_owner);
+    builder.set_owner_entry(info.owner_entry.as_str());
+    builder.set_owner_address(info.owner_address.as_str());
+    builder.set_draining(info.draining);
+    write_authority(builder.init_authority(), info.authority);
+}
+
+/// Decodes what an entry says of itself.
+///
+/// # Errors
+/// An error if the message is malformed.
+pub fn read_info(reader: info::Reader<'_>) -> DecodeResult<PeerInfo> {
+    Ok(PeerInfo {
+        entry: text(reader.get_entry())?.into(),
+        domain: text(reader.get_domain())?.into(),
+        config_version: reader.get_config_version(),
+        is_owner: reader.get_is_owner(),
+        owner_entry: text(reader.get_owner_entry())?.into(),
+        owner_address: text(reader.get_owner_address())?.to_owned(),
+        authority: read_authority(reader.get_authority()?),
+        draining: reader.get_draining(),
+    })
+}
