--- a/crates/coord/src/config.rs
+++ b/crates/coord/src/config.rs
@@ -1,10 +1,14 @@
 //! Which configuration an entry has in force and what it may do with it.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use model::name::DomainName;
 use model::object::ObjectSet;
 use model::time::ClockMillis;
 
+use crate::row::ConfirmRow;
+
 /// The configuration that an entry has in force.
 #[derive(Clone, Debug)]
 pub struct ConfigTracker {
@@ -55,3 +59,42 @@
         &self.objects
     }
 }
+
+/// Where a version is in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ConfigConfirmation {
+    /// Domains whose owner enforces the version or a later one.
+    pub in_force: BTreeSet<DomainName>,
+    /// Domains whose owner has not confirmed it.
+    pub not_confirmed: BTreeSet<DomainName>,
+}
+
+impl ConfigConfirmation {
+    /// Tells whether the change is accepted, so that the answer is 200 and not 202.
+    #[must_use]
+    pub fn is_accepted(&self) -> bool {
+        self.not_confirmed.is_empty()
+    }
+}
+
+/// Tells in which domains the version of the head is in force.
+///
+/// `rows` holds the rows `confirm/<domain>` that exist. A domain of either set
+/// has to confirm: one that the change removes may still run work under the
+/// old set, one that it adds may already have an owner that waits.
+#[must_use]
+pub fn confirmation(
+    head: u64,
+    rows: &BTreeMap<DomainName, ConfirmRow>,
+    old: &ObjectSet,
+    new: &ObjectSet,
+) -> ConfigConfirmation {
+    let mut confirmation = ConfigConfirmation::default();
+    for domain in old.domains.iter().chain(&new.domains) {
+        let confirmed = rows.get(&domain.name).is_some_and(|row| row.version >= head);
+        let names =
+            if confirmed { &mut confirmation.in_force } else { &mut confirmation.not_confirmed };
+        names.insert(domain.name.clone());
+    }
+    confirmation
+}
--- a/crates/coord/src/owner.rs
+++ b/crates/coord/src/owner.rs
@@ -1,9 +1,17 @@
 //! The ownership lease of one failure domain, from the view of one entry.
 
+mod attempt;
+mod holder;
+mod machine;
+mod proof;
+mod standby;
+mod view;
+
 use model::authority::OwnerAuthority;
-use model::name::{DomainName, EntryId};
+use model::name::EntryId;
 use model::time::ClockMillis;
 
+pub use self::machine::Ownership;
 use crate::row::{EntryMember, OwnerRow};
 
 /// Milliseconds that a renewal of the ownership row is good for.
@@ -19,6 +27,15 @@
 /// Longest time in milliseconds that a holder goes on by promises.
 pub const CUT_OFF_BOUND_MS: u64 = 3_600_000;
 
+/// Milliseconds after which a call without a reply counts as unknown.
+pub const CALL_TIMEOUT_MS: u64 = 300;
+/// Milliseconds between rounds of requests for promises.
+pub const PROMISE_ASK_MS: u64 = 500;
+/// Milliseconds without a sign of life after which a voter leaves the row.
+pub const VOTER_SILENCE_MS: u64 = 10_000;
+/// Milliseconds that a draining holder looks for a successor.
+pub const HANDOVER_LIMIT_MS: u64 = 2_000;
+
 /// Identifies one write or read that the machine asked for.
 pub type CallToken = u64;
 
@@ -80,14 +97,23 @@
         entry: EntryId,
         /// Where it was called.
         address: String,
+        /// When it was called. A late answer of an earlier process at the
+        /// address must not count as proof that the present one is dead.
+        asked_at: ClockMillis,
     },
     /// The platform's list once contained this VM and no longer does.
+    ///
+    /// Repeated while it holds, because a proof counts only for members that
+    /// the row names at that moment.
     VmGone {
         /// Name of the VM.
         vm: String,
     },
     /// A standby accepted or refused a handover, or did not answer.
     HandoverDone {
+        /// The authority that was offered, so that a late answer to an earlier
+        /// handover is not taken for the answer to the present one.
+        authority: OwnerAuthority,
         /// Whether it accepted; `None` without an answer, after which it may act.
         accepted: Option<bool>,
     },
@@ -129,9 +155,10 @@
         to: EntryMember,
         /// Authority of the successor.
         authority: OwnerAuthority,
-        /// The row with its version as last known, for the successor to go on from.
+        /// Version of the row as last known, for the successor to go on from.
         version: u64,
-        /// The row.
+        /// The row. Its candidates are those that an unconfirmed write of the
+        /// giver may have made voters.
         row: Box<OwnerRow>,
     },
     /// This entry now owns the domain.
@@ -144,64 +171,3 @@
     /// This entry no longer owns the domain and must drop all control state.
     Lost,
 }
-
-/// The ownership machine of one entry.
-#[derive(Debug)]
-pub struct Ownership {
-    domain: DomainName,
-    member: EntryMember,
-}
-
-impl Ownership {
-    /// Creates the machine of an entry that has just started.
-    #[must_use]
-    pub fn new(domain: DomainName, member: EntryMember, now: ClockMillis) -> Self {
-        let _ = now;
-        Self { domain, member }
-    }
-
-    /// Takes one event and returns what to do.
-    pub fn on(&mut self, now: ClockMillis, event: OwnerEvent) -> Vec<OwnerAction> {
-        let _ = (&self.domain, &self.member, now, event);
-        Vec::new()
-    }
-
-    /// Returns the authority under which this entry may act at this instant, if any.
-    #[must_use]
-    pub fn lease(&self, now: ClockMillis) -> Option<OwnerAuthority> {
-        let _ = now;
-        None
-    }
-
-    /// Returns the holder that this entry last knew, for forwarding.
-    #[must_use]
-    pub fn known_holder(&self) -> Option<&EntryMember> {
-        None
-    }
-
-    /// Decides on a holder's request for a promise not to claim for `ttl_ms`.
-    pub fn promise(
-        &mut self,
-        now: ClockMillis,
-        holder: &EntryId,
-        authority: OwnerAuthority,
-        ttl_ms: u64,
-    ) -> bool {
-        let _ = (now, holder, authority, ttl_ms);
-        false
-    }
-
-    /// Takes the domain over from a holder that hands it over.
-    ///
-    /// Returns no action if this entry is draining or knows a higher authority.
-    pub fn take_over(
-        &mut self,
-        now: ClockMillis,
-        authority: OwnerAuthority,
-        version: u64,
-        row: Box<OwnerRow>,
-    ) -> Vec<OwnerAction> {
-        let _ = (now, authority, version, row);
-        Vec::new()
-    }
-}
--- /dev/null
+++ b/crates/coord/src/owner/attempt.rs
@@ -0,0 +1,80 @@
+//! Writes of this entry whose effect on the row is not known yet.
+
+use model::time::ClockMillis;
+
+use super::{CallToken, OWNER_TTL_MS};
+use crate::row::OwnerRow;
+
+/// What a write of the row is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum WriteKind {
+    /// Adds this entry to the candidates.
+    Join,
+    /// Makes this entry the holder.
+    Claim,
+    /// Renews the lease of this entry.
+    Renew,
+    /// Leaves the row without a holder.
+    Release,
+}
+
+/// A write that was asked for.
+#[derive(Clone, Debug)]
+pub(super) struct WriteAttempt {
+    pub(super) token: CallToken,
+    pub(super) kind: WriteKind,
+    pub(super) asked: ClockMillis,
+    /// The version that the row must have for the write to take effect.
+    pub(super) version: u64,
+    pub(super) row: Box<OwnerRow>,
+}
+
+/// The writes that may still take effect.
+#[derive(Debug, Default)]
+pub(super) struct AttemptList(Vec<WriteAttempt>);
+
+impl AttemptList {
+    /// Adds a write; drops older ones that can extend no lease and that this one covers.
+    pub(super) fn push(&mut self, attempt: WriteAttempt) {
+        self.0.retain(|old| {
+            attempt.asked.since(old.asked) < OWNER_TTL_MS
+                || old.kind != attempt.kind
+                || old.version != attempt.version
+                || old.row.voters != attempt.row.voters
+        });
+        self.0.push(attempt);
+    }
+
+    /// Returns the write with this token.
+    pub(super) fn by_token(&self, token: CallToken) -> Option<&WriteAttempt> {
+        self.0.iter().find(|attempt| attempt.token == token)
+    }
+
+    /// Returns the write that produced the row, if it was one of these.
+    ///
+    /// Each attempt of a process has its own renewal number, so the number
+    /// together with holder and authority identifies the attempt.
+    pub(super) fn that_wrote(&self, row: &OwnerRow) -> Option<&WriteAttempt> {
+        self.0.iter().find(|attempt| {
+            matches!(attempt.kind, WriteKind::Claim | WriteKind::Renew)
+                && attempt.row.authority == row.authority
+                && attempt.row.renewal == row.renewal
+                && attempt.row.holder == row.holder
+        })
+    }
+
+    /// Drops the writes that can no longer take effect because the row has passed their version.
+    pub(super) fn settle(&mut self, version: u64) {
+        self.0.retain(|attempt| attempt.version >= version);
+    }
+
+    /// Tells whether a claim may still take effect.
+    pub(super) fn has_claim(&self) -> bool {
+        self.0.iter().any(|attempt| attempt.kind == WriteKind::Claim)
+    }
+
+    /// Returns the writes.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &WriteAttempt> {
+        self.0.iter()
+    }
+}
--- /dev/null
+++ b/crates/coord/src/owner/machine.rs
@@ -0,0 +1,415 @@
+//! The ownership machine of one entry: events in, actions out.
+
+use model::authority::OwnerAuthority;
+use model::name::{DomainName, EntryId};
+use model::time::{self, ClockMillis};
+
+use super::attempt::{AttemptList, WriteAttempt, WriteKind};
+use super::holder::HolderState;
+use super::proof::DeathProofs;
+use super::view::RowView;
+use super::{
+    CALL_TIMEOUT_MS, CallToken, OWNER_RENEW_MS, OWNER_TTL_MS, OwnerAction, OwnerEvent,
+    PROMISE_CONTACT_MS, STANDBY_READ_MS, WriteResult, holder,
+};
+use crate::row::{EntryMember, OwnerRow};
+
+/// Milliseconds without events after which silence of voters is not held
+/// against them, because this entry itself was paused.
+const PAUSE_MS: u64 = 1_000;
+/// Milliseconds between reads of a holder that gets no reply.
+const RETRY_MS: u64 = 100;
+
+/// What the entry is for its domain.
+#[derive(Debug)]
+pub(super) enum OwnerRole {
+    /// Reads the row and waits.
+    Standby,
+    /// Holds the domain, or was given it and waits for a lease.
+    Holder(Box<HolderState>),
+}
+
+/// The one call to the platform that has no reply yet.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PendingCall {
+    pub(super) token: CallToken,
+    pub(super) asked: ClockMillis,
+    pub(super) is_write: bool,
+}
+
+/// A promise not to claim.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct GivenPromise {
+    pub(super) authority: OwnerAuthority,
+    pub(super) until: ClockMillis,
+}
+
+/// The ownership machine of one entry.
+#[derive(Debug)]
+pub struct Ownership {
+    domain: DomainName,
+    pub(super) member: EntryMember,
+    pub(super) jitter: u64,
+    pub(super) role: OwnerRole,
+    pub(super) view: RowView,
+    pub(super) proofs: DeathProofs,
+    pub(super) attempts: AttemptList,
+    pub(super) pending: Option<PendingCall>,
+    pub(super) promised: Option<GivenPromise>,
+    /// Authority under which this entry has to release the row.
+    pub(super) releasing: Option<OwnerAuthority>,
+    /// Highest authority seen in the row, in a promise or held.
+    pub(super) highest: OwnerAuthority,
+    /// When the platform last answered.
+    contact: ClockMillis,
+    pub(super) next_call: ClockMillis,
+    next_token: CallToken,
+    renewal: u64,
+    pub(super) draining: bool,
+    /// Whether the row was read since it was last acted on.
+    pub(super) observed: bool,
+    last_event: ClockMillis,
+}
+
+impl Ownership {
+    /// Creates the machine of an entry that has just started.
+    #[must_use]
+    pub fn new(domain: DomainName, member: EntryMember, now: ClockMillis) -> Self {
+        let jitter = jitter_of(&member.entry);
+        Self {
+            domain,
+            member,
+            jitter,
+            role: OwnerRole::Standby,
+            view: RowView::default(),
+            proofs: DeathProofs::default(),
+            attempts: AttemptList::default(),
+            pending: None,
+            promised: None,
+            releasing: None,
+            highest: OwnerAuthority::default(),
+            contact: now,
+            next_call: now,
+            next_token: 0,
+            renewal: 0,
+            draining: false,
+            observed: false,
+            last_event: now,
+        }
+    }
+
+    /// Takes one event and returns what to do.
+    pub fn on(&mut self, now: ClockMillis, event: OwnerEvent) -> Vec<OwnerAction> {
+        let mut actions = Vec::new();
+        self.note_pause(now);
+        match event {
+            OwnerEvent::Tick => {}
+            OwnerEvent::ReadDone { token, row } => self.read_done(now, token, row, &mut actions),
+            OwnerEvent::ReadFailed { token } => self.call_failed(now, token, 1),
+            OwnerEvent::WriteDone { token, result } => {
+                self.write_done(now, token, result, &mut actions);
+            }
+            OwnerEvent::PromiseReply { token, voter, given } => {
+                self.promise_reply(now, token, &voter, given, &mut actions);
+            }
+            OwnerEvent::PeerSeen { entry, address, asked_at } => {
+                self.proofs.peer_seen(&entry, &address, asked_at);
+                self.excuse_dead(now);
+                self.note_alive(now, &entry);
+            }
+            OwnerEvent::VmGone { vm } => {
+                self.proofs.vm_gone(&vm);
+                self.excuse_dead(now);
+            }
+            OwnerEvent::HandoverDone { authority, accepted } => {
+                self.handover_done(now, authority, accepted, &mut actions);
+            }
+            OwnerEvent::Drain => self.draining = true,
+        }
+        self.advance(now, &mut actions);
+        actions
+    }
+
+    /// Returns the authority under which this entry may act at this instant, if any.
+    #[must_use]
+    pub fn lease(&self, now: ClockMillis) -> Option<OwnerAuthority> {
+        let OwnerRole::Holder(state) = &self.role else { return None };
+        if state.offer.is_some() {
+            return None;
+        }
+        let end = state.lease_end(&self.required_voters(state))?;
+        (now < end).then_some(state.authority)
+    }
+
+    /// Returns the holder that this entry last knew, for forwarding.
+    #[must_use]
+    pub fn known_holder(&self) -> Option<&EntryMember> {
+        match &self.role {
+            OwnerRole::Holder(_) => Some(&self.member),
+            OwnerRole::Standby => self.view.row.as_ref()?.holder.as_ref(),
+        }
+    }
+
+    /// Returns the domain.
+    #[must_use]
+    pub const fn domain(&self) -> &DomainName {
+        &self.domain
+    }
+
+    /// Tells whether a drain is over, so that the process may end.
+    #[must_use]
+    pub const fn is_drained(&self) -> bool {
+        self.draining && matches!(self.role, OwnerRole::Standby) && self.releasing.is_none()
+    }
+
+    /// Decides on a holder's request for a promise not to claim for `ttl_ms`.
+    ///
+    /// An entry with platform contact refuses, so that the holder hands over
+    /// to it. A draining entry promises in any case: it never claims again and
+    /// could not take a handover.
+    pub fn promise(
+        &mut self,
+        now: ClockMillis,
+        holder: &EntryId,
+        authority: OwnerAuthority,
+        ttl_ms: u64,
+    ) -> bool {
+        let connected = now.since(self.contact) < PROMISE_CONTACT_MS && !self.draining;
+        let is_holder = matches!(self.role, OwnerRole::Holder(_));
+        // A claim without a reply may still take effect after the promise.
+        if is_holder || connected || authority < self.highest || self.attempts.has_claim() {
+            return false;
+        }
+        let row = self.view.row.as_deref().filter(|row| row.authority == authority);
+        if row.is_some_and(|row| row.holder.as_ref().is_none_or(|own| own.entry != *holder)) {
+            return false;
+        }
+        self.highest = authority;
+        let end = now + time::with_margin(ttl_ms);
+        let until = self.promised.map_or(end, |promise| promise.until.max(end));
+        self.promised = Some(GivenPromise { authority, until });
+        true
+    }
+
+    /// Takes the domain over from a holder that hands it over.
+    ///
+    /// Returns no action, which is a refusal, if this entry is draining, is
+    /// holder, is not listed as voter, has a claim without a reply, has not
+    /// read the row, or knows this or a higher authority.
+    pub fn take_over(
+        &mut self,
+        now: ClockMillis,
+        authority: OwnerAuthority,
+        version: u64,
+        row: Box<OwnerRow>,
+    ) -> Vec<OwnerAction> {
+        let mut actions = Vec::new();
+        self.note_pause(now);
+        if self.may_take_over(authority, &row)
+            && let Some(not_before) = self.view.not_before(&row)
+        {
+            let mut state = HolderState::given(now, authority, not_before);
+            state.excuse_giver(&row);
+            self.highest = authority;
+            if version >= self.view.version {
+                self.proofs.follow(now, &self.member, &row);
+                self.view.version = version;
+                self.view.row = Some(row);
+            }
+            self.pending = None;
+            self.begin_holding(now, state);
+            self.advance(now, &mut actions);
+        }
+        actions
+    }
+
+    fn may_take_over(&self, authority: OwnerAuthority, row: &OwnerRow) -> bool {
+        !self.draining
+            && matches!(self.role, OwnerRole::Standby)
+            && authority > self.highest
+            && !self.attempts.has_claim()
+            && super::view::contains(&row.voters, &self.member.entry)
+    }
+
+    pub(super) fn begin_holding(&mut self, now: ClockMillis, mut state: HolderState) {
+        state.heard = self.other_voters().map(|voter| (voter.entry.clone(), now)).collect();
+        self.role = OwnerRole::Holder(Box::new(state));
+        self.next_call = now;
+        self.observed = false;
+    }
+
+    /// Gives up holding; `Lost` is emitted only after `Acquired`.
+    pub(super) fn stand_down(&mut self, now: ClockMillis, actions: &mut Vec<OwnerAction>) {
+        if let OwnerRole::Holder(state) = &self.role
+            && state.acquired
+        {
+            actions.push(OwnerAction::Lost);
+        }
+        self.role = OwnerRole::Standby;
+        self.view.first_seen = now;
+        self.next_call = now;
+    }
+
+    fn note_pause(&mut self, now: ClockMillis) {
+        if now.since(self.last_event) > PAUSE_MS
+            && let OwnerRole::Holder(state) = &mut self.role
+        {
+            state.heard.iter_mut().for_each(|(_, heard)| *heard = now);
+        }
+        self.last_event = self.last_event.max(now);
+    }
+
+    fn read_done(
+        &mut self,
+        now: ClockMillis,
+        token: CallToken,
+        row: Option<(u64, Box<OwnerRow>)>,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        self.contact = now;
+        let Some(call) = self.pending.filter(|call| call.token == token && !call.is_write) else {
+            return;
+        };
+        self.pending = None;
+        let (version, row) = row.map_or((0, None), |(version, row)| (version, Some(row)));
+        self.observe(now, call.asked, version, row, actions);
+    }
+
+    fn write_done(
+        &mut self,
+        now: ClockMillis,
+        token: CallToken,
+        result: WriteResult,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        if result == WriteResult::Unknown {
+            self.call_failed(now, token, 1);
+            return;
+        }
+        self.contact = now;
+        self.pending = self.pending.filter(|call| call.token != token);
+        let Some(attempt) = self.attempts.by_token(token) else { return };
+        let asked = attempt.asked;
+        match result {
+            WriteResult::Committed { version } => {
+                let row = Some(attempt.row.clone());
+                self.observe(now, asked, version, row, actions);
+                if let OwnerRole::Holder(state) = &mut self.role {
+                    state.failures = 0;
+                }
+            }
+            WriteResult::Conflict { version, row } => {
+                self.observe(now, asked, version, row, actions);
+            }
+            WriteResult::Unknown => {}
+        }
+    }
+
+    /// Ends the pending call without a result.
+    fn call_failed(&mut self, now: ClockMillis, token: CallToken, weight: u32) {
+        let Some(call) = self.pending.filter(|call| call.token == token) else { return };
+        self.pending = None;
+        match &mut self.role {
+            OwnerRole::Holder(state) => {
+                state.failures = state.failures.saturating_add(weight);
+                state.must_read = true;
+                self.next_call = if call.is_write { now } else { now + RETRY_MS };
+            }
+            OwnerRole::Standby if call.is_write => self.next_call = now,
+            OwnerRole::Standby => self.next_call = now.max(call.asked + STANDBY_READ_MS),
+        }
+    }
+
+    fn observe(
+        &mut self,
+        now: ClockMillis,
+        asked: ClockMillis,
+        version: u64,
+        row: Option<Box<OwnerRow>>,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        if !self.view.observe(now, asked, version, row) {
+            return;
+        }
+        self.observed = true;
+        let mut shown = None;
+        if let Some(row) = self.view.row.as_deref() {
+            self.highest = self.highest.max(row.authority);
+            self.renewal = self.renewal.max(row.renewal);
+            self.proofs.follow(now, &self.member, row);
+            shown = self.attempts.that_wrote(row);
+        }
+        let shown = shown.map(|attempt| (attempt.kind, attempt.asked, attempt.row.authority));
+        self.attempts.settle(version);
+        match (&self.role, shown) {
+            (OwnerRole::Holder(_), _) => {
+                self.observe_as_holder(now, shown.map(|(_, asked, _)| asked), actions);
+            }
+            (OwnerRole::Standby, Some((WriteKind::Claim, asked, authority)))
+                if now < asked + OWNER_TTL_MS =>
+            {
+                self.begin_holding(now, HolderState::claimed(now, authority, asked));
+                self.next_call = asked + OWNER_RENEW_MS;
+            }
+            (OwnerRole::Standby, _) => {}
+        }
+    }
+
+    /// Does what is due at this instant.
+    fn advance(&mut self, now: ClockMillis, actions: &mut Vec<OwnerAction>) {
+        if let Some(call) = self.pending
+            && now.since(call.asked) >= CALL_TIMEOUT_MS
+        {
+            self.call_failed(now, call.token, holder::AWAY_FAILURES);
+        }
+        if matches!(self.role, OwnerRole::Holder(_)) {
+            self.advance_holder(now, actions);
+        }
+        if matches!(self.role, OwnerRole::Standby) {
+            self.advance_standby(now, actions);
+        }
+    }
+
+    pub(super) fn other_voters(&self) -> impl Iterator<Item = &EntryMember> {
+        let voters = self.view.row.as_deref().map_or(&[][..], |row| &row.voters);
+        voters.iter().filter(|voter| voter.entry != self.member.entry)
+    }
+
+    pub(super) fn token(&mut self) -> CallToken {
+        self.next_token += 1;
+        self.next_token
+    }
+
+    /// Returns a renewal number that no other write of this process has.
+    pub(super) fn next_renewal(&mut self) -> u64 {
+        self.renewal += 1;
+        self.renewal
+    }
+
+    pub(super) fn ask_read(&mut self, now: ClockMillis, actions: &mut Vec<OwnerAction>) {
+        let token = self.token();
+        self.pending = Some(PendingCall { token, asked: now, is_write: false });
+        actions.push(OwnerAction::Read { token });
+    }
+
+    pub(super) fn ask_write(
+        &mut self,
+        now: ClockMillis,
+        kind: WriteKind,
+        row: OwnerRow,
+        actions: &mut Vec<OwnerAction>,
+    ) {
+        let (token, version, row) = (self.token(), self.view.version, Box::new(row));
+        self.pending = Some(PendingCall { token, asked: now, is_write: true });
+        self.attempts.push(WriteAttempt { token, kind, asked: now, version, row: row.clone() });
+        actions.push(OwnerAction::Write { token, version, row });
+    }
+}
+
+/// Returns a number from 0 to 63 that differs between entries, to spread their claims.
+fn jitter_of(entry: &EntryId) -> u64 {
+    let hash = entry.as_str().bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    hash >> 58
+}
--- /dev/null
+++ b/crates/coord/src/owner/standby.rs
@@ -0,0 +1,128 @@
+//! What a standby does: read, join, claim, and release after a drain.
+
+use model::authority::OwnerAuthority;
+use model::time::{self, ClockMillis};
+
+use super::attempt::WriteKind;
+use super::machine::Ownership;
+use super::view;
+use super::{CUT_OFF_BOUND_MS, OWNER_TTL_MS, OwnerAction, STANDBY_READ_MS};
+use crate::row::{EntryMember, MemberList, OwnerRow};
+
+impl Ownership {
+    pub(super) fn advance_standby(&mut self, now: ClockMillis, actions: &mut Vec<OwnerAction>) {
+        if self.pending.is_some() {
+            return;
+        }
+        // Acting only on a fresh read keeps an entry without platform contact
+        // from sending a claim whose fate it could not learn.
+        if std::mem::take(&mut self.observed) {
+            self.next_call = now + STANDBY_READ_MS;
+            if self.releasing.is_some() {
+                self.release_row(now, actions);
+            } else if !self.draining {
+                self.act_on_row(now, actions);
+            }
+        } else if now >= self.next_call {
+            self.ask_read(now, actions);
+        }
+    }
+
+    fn act_on_row(&mut self, now: ClockMillis, actions: &mut Vec<OwnerAction>) {
+        let due = self.claim_due();
+        if now >= due {
+            let row = self.claim_row();
+            self.ask_write(now, WriteKind::Claim, row, actions);
+        } else if !self.is_listed() {
+            let row = self.join_row();
+            self.ask_write(now, WriteKind::Join, row, actions);
+        } else {
+            self.next_call = self.next_call.min(due);
+        }
+    }
+
+    fn is_listed(&self) -> bool {
+        let entry = &self.member.entry;
+        self.view.has_voter(entry) || self.view.has_candidate(entry)
+    }
+
+    /// Returns when this entry may claim the row that it last read.
+    fn claim_due(&self) -> ClockMillis {
+        let Some(row) = self.view.row.as_deref() else { return ClockMillis(0) };
+        let released = row.holder.is_none();
+        // A promise to a holder that released the row afterwards is moot.
+        let promise = self.promised.filter(|given| !released || row.authority < given.authority);
+        let promise_end = promise.map_or(ClockMillis(0), |given| given.until);
+        if released {
+            return promise_end;
+        }
+        let seen = self.view.first_seen;
+        let wait = if self.view.has_voter(&self.member.entry) || self.all_dead(row) {
+            time::with_margin(OWNER_TTL_MS) + self.jitter
+        } else {
+            time::with_margin(CUT_OFF_BOUND_MS + OWNER_TTL_MS) + self.jitter
+        };
+        promise_end.max(seen + wait)
+    }
+
+    /// Tells whether the holder and all voters are proven dead.
+    ///
+    /// The holder alone is not enough: it may have handed over to a voter that
+    /// cannot reach the platform and goes on by promises.
+    fn all_dead(&self, row: &OwnerRow) -> bool {
+        row.holder.iter().chain(&row.voters).all(|member| self.proofs.is_dead(&member.entry))
+    }
+
+    fn claim_row(&mut self) -> OwnerRow {
+        let renewal = self.next_renewal();
+        let row = self.view.row.as_deref();
+        let members = row.into_iter().flat_map(|row| row.voters.iter().chain(&row.candidates));
+        let mut voters = MemberList::new();
+        for member in members.filter(|member| !self.proofs.is_dead(&member.entry)) {
+            add_member(&mut voters, member);
+        }
+        add_member(&mut voters, &self.member);
+        OwnerRow {
+            authority: OwnerAuthority { term: self.highest.term + 1, handover: 0 },
+            holder: Some(self.member.clone()),
+            renewal,
+            voters,
+            candidates: MemberList::new(),
+        }
+    }
+
+    fn join_row(&self) -> OwnerRow {
+        let mut row = self.view.row.as_deref().cloned().unwrap_or_default();
+        // An earlier process at this entry's address is gone.
+        row.candidates.retain(|member| member.address != self.member.address);
+        add_member(&mut row.candidates, &self.member);
+        row
+    }
+
+    /// Writes the row without holder, if it is still this entry's row.
+    fn release_row(&mut self, now: ClockMillis, actions: &mut Vec<OwnerAction>) {
+        let own = &self.member.entry;
+        let authority = self.releasing.unwrap_or_default();
+        let is_own = |row: &&OwnerRow| {
+            row.authority < authority
+                || row.authority == authority
+                    && row.holder.as_ref().is_some_and(|holder| holder.entry == *own)
+        };
+        let Some(mut row) = self.view.row.as_deref().filter(is_own).cloned() else {
+            self.releasing = None;
+            return;
+        };
+        row.voters.retain(|member| member.entry != *own);
+        row.authority = authority;
+        row.holder = None;
+        row.renewal = self.next_renewal();
+        self.ask_write(now, WriteKind::Release, row, actions);
+    }
+}
+
+/// Adds a member unless the list has its entry.
+pub(super) fn add_member(members: &mut MemberList, member: &EntryMember) {
+    if !view::contains(members, &member.entry) {
+        members.push(member.clone());
+    }
+}
