--- /dev/null
+++ b/crates/coord/tests/owner_property.rs
@@ -0,0 +1,77 @@
+//! Guards against two owners of a domain at one instant, authorities that do
+//! not grow, and domains that stay without owner although all is healthy.
+
+mod cluster;
+
+use cluster::{Cluster, ClusterFault};
+use proptest::collection;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+
+fn any_fault() -> impl Strategy<Value = ClusterFault> {
+    let slot = 0_usize..6;
+    let pause = prop_oneof![0_u64..300, 300_u64..6_000];
+    let span = prop_oneof![200_u64..3_000, 2_000_u64..15_000];
+    prop_oneof![
+        (slot.clone(), pause.clone()).prop_map(|(slot, pause)| ClusterFault::Kill { slot, pause }),
+        (slot.clone(), pause.clone())
+            .prop_map(|(slot, pause)| ClusterFault::Replace { slot, pause }),
+        (slot.clone(), span.clone())
+            .prop_map(|(slot, millis)| ClusterFault::Freeze { slot, millis }),
+        (slot.clone(), pause).prop_map(|(slot, pause)| ClusterFault::Drain { slot, pause }),
+        (slot.clone(), span.clone())
+            .prop_map(|(slot, millis)| ClusterFault::CutOne { slot, millis }),
+        span.clone().prop_map(|millis| ClusterFault::CutAll { millis }),
+        (slot, span.clone()).prop_map(|(slot, millis)| ClusterFault::Isolate { slot, millis }),
+        (50_u64..600, span.clone())
+            .prop_map(|(permille, millis)| ClusterFault::Lose { permille, millis }),
+        (50_u64..4_000, span).prop_map(|(delay, millis)| ClusterFault::Slow { delay, millis }),
+    ]
+}
+
+/// Runs the faults with pauses between them, then 10 s without faults.
+fn run_faults(seed: u64, size: usize, faults: &[(u64, ClusterFault)]) -> Result<(), TestCaseError> {
+    let mut cluster = Cluster::new(seed, size);
+    let outcome = (|| {
+        for (pause, fault) in faults {
+            cluster.run(*pause)?;
+            cluster.apply(fault);
+        }
+        cluster.run(3_000)?;
+        cluster.heal();
+        // Processes that were killed or drained last are back by then.
+        cluster.run(12_000)?;
+        cluster.run(10_000)?;
+        let held = cluster.held_ms;
+        cluster.run(5_000)?;
+        if cluster.held_ms - held < 5_000 { Err("no lease after 10 s".to_owned()) } else { Ok(()) }
+    })();
+    outcome.map_err(|fault: String| {
+        let trace = cluster.trace.join("\n");
+        TestCaseError::fail(format!("{fault}\nseed {seed}, size {size}\n{trace}"))
+    })
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: cases(),
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..Config::default()
+    })]
+
+    /// Guards against two leases at one instant under any mixture of faults.
+    #[test]
+    fn one_lease_at_any_instant(
+        seed: u64,
+        size in 1_usize..5,
+        faults in collection::vec(((0_u64..4_000), any_fault()), 0..24),
+    ) {
+        run_faults(seed, size, &faults)?;
+    }
+}
+
+/// Number of cases; `COORD_CASES` raises it for long runs.
+fn cases() -> u32 {
+    std::env::var("COORD_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(192)
+}
