--- /dev/null
+++ b/crates/coord/tests/owner_table.rs
@@ -0,0 +1,392 @@
+//! Single steps of the ownership machine, one rule a test.
+
+use coord::owner::{
+    CUT_OFF_BOUND_MS, OwnerAction, OwnerEvent, Ownership, PROMISE_TTL_MS, WriteResult,
+};
+use coord::row::{EntryMember, OwnerRow};
+use model::authority::OwnerAuthority;
+use model::name::{DomainName, EntryId};
+use model::time::ClockMillis;
+
+fn member(name: &str) -> EntryMember {
+    let (address, vm) = (format!("{name}:1").into(), format!("vm-{name}").into());
+    EntryMember { entry: EntryId::from(name), address, vm }
+}
+
+fn row(term: u64, renewal: u64, holder: &str, voters: &[&str], candidates: &[&str]) -> OwnerRow {
+    OwnerRow {
+        authority: OwnerAuthority { term, handover: 0 },
+        holder: (!holder.is_empty()).then(|| member(holder)),
+        renewal,
+        voters: voters.iter().map(|name| member(name)).collect(),
+        candidates: candidates.iter().map(|name| member(name)).collect(),
+    }
+}
+
+/// One machine with a platform that answers in the same millisecond unless it is away.
+struct Bench {
+    machine: Ownership,
+    now: u64,
+    version: u64,
+    row: Option<OwnerRow>,
+    away: bool,
+    /// Actions other than reads and writes.
+    actions: Vec<OwnerAction>,
+    writes: Vec<OwnerRow>,
+}
+
+impl Bench {
+    fn new(name: &str, row: Option<OwnerRow>) -> Self {
+        let machine = Ownership::new(DomainName::from("d"), member(name), ClockMillis(1_000));
+        let version = u64::from(row.is_some());
+        let (actions, writes) = (Vec::new(), Vec::new());
+        Self { machine, now: 1_000, version, row, away: false, actions, writes }
+    }
+
+    /// Returns a holder of term 1 whose row lists these voters besides itself.
+    fn holder(voters: &[&str]) -> Self {
+        let mut bench = Self::new("a", None);
+        bench.run(100);
+        let present = bench.row.as_mut().expect("claimed");
+        present.voters.extend(voters.iter().map(|name| member(name)));
+        bench.version += 1;
+        bench.run(1_000);
+        bench.take();
+        bench
+    }
+
+    fn on(&mut self, event: OwnerEvent) {
+        let actions = self.machine.on(ClockMillis(self.now), event);
+        self.carry(actions);
+    }
+
+    fn carry(&mut self, actions: Vec<OwnerAction>) {
+        for action in actions {
+            match action {
+                OwnerAction::Read { token } if !self.away => {
+                    let row = self.row.clone().map(|row| (self.version, Box::new(row)));
+                    self.on(OwnerEvent::ReadDone { token, row });
+                }
+                OwnerAction::Write { token, version, row } => {
+                    self.writes.push((*row).clone());
+                    if self.away {
+                        continue;
+                    }
+                    let result = if version == self.version {
+                        self.version += 1;
+                        self.row = Some(*row);
+                        WriteResult::Committed { version: self.version }
+                    } else {
+                        let row = self.row.clone().map(Box::new);
+                        WriteResult::Conflict { version: self.version, row }
+                    };
+                    self.on(OwnerEvent::WriteDone { token, result });
+                }
+                OwnerAction::Read { .. } => {}
+                other => self.actions.push(other),
+            }
+        }
+    }
+
+    fn run(&mut self, millis: u64) {
+        for _ in 0..millis / 50 {
+            self.now += 50;
+            self.on(OwnerEvent::Tick);
+        }
+    }
+
+    /// Runs and answers every request for a promise.
+    fn run_with_promises(&mut self, millis: u64, given: bool) {
+        for _ in 0..millis / 50 {
+            self.run(50);
+            for action in self.take() {
+                let OwnerAction::AskPromise { token, voter, .. } = action else {
+                    self.actions.push(action);
+                    continue;
+                };
+                self.on(OwnerEvent::PromiseReply { token, voter: voter.entry, given });
+            }
+        }
+    }
+
+    fn take(&mut self) -> Vec<OwnerAction> {
+        std::mem::take(&mut self.actions)
+    }
+
+    fn lease(&self) -> Option<(u64, u32)> {
+        let authority = self.machine.lease(ClockMillis(self.now))?;
+        Some((authority.term, authority.handover))
+    }
+
+    fn see(&mut self, name: &str, address: &str, asked: u64) {
+        let (entry, address) = (EntryId::from(name), format!("{address}:1"));
+        self.on(OwnerEvent::PeerSeen { entry, address, asked_at: ClockMillis(asked) });
+    }
+
+    fn promise(&mut self, holder: &str, term: u64) -> bool {
+        let authority = OwnerAuthority { term, handover: 0 };
+        let holder = EntryId::from(holder);
+        self.machine.promise(ClockMillis(self.now), &holder, authority, PROMISE_TTL_MS)
+    }
+
+    /// Returns the authority and target of a handover that was asked for.
+    fn offered(&mut self) -> Option<(OwnerAuthority, String)> {
+        self.take().into_iter().find_map(|action| match action {
+            OwnerAction::HandOver { authority, to, .. } => Some((authority, to.entry.to_string())),
+            _ => None,
+        })
+    }
+}
+
+/// Guards against a new or released domain that waits for a lease nobody holds.
+#[test]
+fn claims_at_once_without_holder() {
+    for row in [None, Some(row(4, 9, "", &["b"], &[]))] {
+        let term = row.as_ref().map_or(1, |_| 5);
+        let mut bench = Bench::new("a", row);
+        bench.run(50);
+        assert_eq!(bench.lease(), Some((term, 0)));
+    }
+}
+
+/// Guards against a claim before the holder's lease is over by any clock, and
+/// against candidates whose writes put the claim off.
+#[test]
+fn voter_claims_after_the_margin() {
+    let mut bench = Bench::new("a", Some(row(1, 5, "b", &["a", "b"], &[])));
+    for candidate in 0..20 {
+        bench.run(100);
+        let name = format!("c{candidate}");
+        bench.row.as_mut().expect("row").candidates.push(member(&name));
+        bench.version += 1;
+    }
+    assert_eq!(bench.writes.len(), 0, "claimed 2 s after it saw the row");
+    bench.run(600);
+    assert_eq!(bench.lease(), Some((2, 0)));
+    assert_eq!(bench.writes[0].voters.len(), 22);
+}
+
+/// Guards against a candidate that takes over from a holder that lives, or that
+/// handed over to a voter; and against a domain that waits for ever.
+#[test]
+fn candidate_waits_for_proofs_or_the_bound() {
+    let present = row(1, 5, "b", &["b", "c"], &["a"]);
+    let mut bench = Bench::new("a", Some(present.clone()));
+    bench.run(3_000);
+    bench.see("b2", "b", 3_000);
+    bench.run(3_000);
+    assert_eq!(bench.writes.len(), 0, "the voter c may have been given the domain");
+    bench.see("c2", "c", 500);
+    bench.run(3_000);
+    assert_eq!(bench.writes.len(), 0, "the answer may be of a process before c");
+    bench.on(OwnerEvent::VmGone { vm: "vm-c".to_owned() });
+    bench.run(500);
+    assert_eq!(bench.lease(), Some((2, 0)));
+    assert_eq!(bench.row.expect("row").voters.as_slice(), [member("a")]);
+
+    let mut bench = Bench::new("a", Some(present));
+    bench.run(3_700_000);
+    assert_eq!(bench.writes.len(), 0, "claimed within the bound");
+    bench.run(100_000);
+    assert_eq!(bench.lease(), Some((2, 0)));
+}
+
+/// Guards against a lease that counts from the read instead of from the write,
+/// and against losing ownership over a lost reply.
+#[test]
+fn lost_reply_is_read_back() {
+    let mut bench = Bench::holder(&["b"]);
+    bench.away = true;
+    let written = bench.writes.len();
+    while bench.writes.len() == written {
+        bench.run(50);
+    }
+    let asked = bench.now;
+    bench.row = bench.writes.last().cloned();
+    bench.version += 1;
+    bench.run(250);
+    bench.away = false;
+    bench.run(50);
+    bench.away = true;
+    bench.run(asked + 1_950 - bench.now);
+    assert_eq!(bench.lease(), Some((1, 0)));
+    bench.run(50);
+    assert_eq!(bench.lease(), None);
+    assert!(bench.actions.contains(&OwnerAction::Lost));
+}
+
+/// Guards against a holder that gives up because a candidate came first, or
+/// that goes on after another entry claimed.
+#[test]
+fn conflict_with_a_candidate_is_not_a_claim() {
+    let mut bench = Bench::holder(&["b"]);
+    bench.row.as_mut().expect("row").candidates.push(member("c"));
+    bench.version += 1;
+    bench.run(600);
+    assert!(bench.take().is_empty());
+    assert_eq!(bench.row.as_ref().expect("row").voters.len(), 3);
+    bench.row = Some(row(2, 1, "b", &["a", "b"], &[]));
+    bench.version += 1;
+    bench.run(600);
+    assert_eq!((bench.lease(), bench.take()), (None, vec![OwnerAction::Lost]));
+}
+
+/// Guards against a lease that outlasts a promise or the bound.
+#[test]
+fn promises_extend_the_lease_to_the_bound() {
+    let mut bench = Bench::holder(&["b", "c"]);
+    bench.away = true;
+    bench.run_with_promises(60_000, true);
+    assert_eq!(bench.lease(), Some((1, 0)));
+    let mut silent = Bench::holder(&["b"]);
+    silent.away = true;
+    silent.run(2_000);
+    assert_eq!(silent.lease(), None, "b promised nothing");
+    bench.run(PROMISE_TTL_MS);
+    assert_eq!(bench.lease(), None, "the promises are over");
+
+    let mut alone = Bench::holder(&[]);
+    alone.away = true;
+    alone.run(CUT_OFF_BOUND_MS - 1_000);
+    assert_eq!(alone.lease(), Some((1, 0)));
+    alone.run(1_000);
+    assert_eq!(alone.lease(), None);
+}
+
+/// Guards against a lease by promises that ignores a voter which only an
+/// unanswered write has made one.
+#[test]
+fn unanswered_promotion_needs_a_promise() {
+    let mut bench = Bench::holder(&["b"]);
+    bench.row.as_mut().expect("row").candidates.push(member("c"));
+    bench.version += 1;
+    bench.run(450);
+    bench.away = true;
+    bench.run_with_promises(700, true);
+    let asked = bench.take();
+    assert!(asked.is_empty(), "{asked:?}");
+    let mut names = Vec::new();
+    while names.is_empty() {
+        bench.run(50);
+        names.extend(bench.take().into_iter().filter_map(|action| match action {
+            OwnerAction::AskPromise { voter, .. } => Some(voter.entry.to_string()),
+            _ => None,
+        }));
+    }
+    assert_eq!(names, ["b", "c"]);
+}
+
+/// Guards against a giver that acts while its successor may act.
+#[test]
+fn handover_suspends_the_lease() {
+    for (accepted, lease) in [(Some(false), Some((1, 0))), (Some(true), None), (None, None)] {
+        let mut bench = Bench::holder(&["b"]);
+        bench.away = true;
+        bench.run_with_promises(1_000, false);
+        let (authority, to) = bench.offered().expect("offer");
+        assert_eq!((authority.term, authority.handover, to.as_str()), (1, 1, "b"));
+        assert_eq!(bench.lease(), None);
+        bench.on(OwnerEvent::HandoverDone { authority, accepted });
+        assert_eq!(bench.lease(), lease, "{accepted:?}");
+    }
+}
+
+/// Guards against a drain that leaves the domain to a timeout although nobody
+/// else may act, or that releases it although a successor may act.
+#[test]
+fn drain_releases_only_after_refusals() {
+    let mut bench = Bench::holder(&["b", "c"]);
+    bench.on(OwnerEvent::Drain);
+    for number in 1..=2 {
+        let (authority, _) = bench.offered().expect("offer");
+        assert_eq!(authority.handover, number);
+        bench.on(OwnerEvent::HandoverDone { authority, accepted: Some(false) });
+    }
+    assert_eq!(bench.row.as_ref().expect("row").holder, None);
+    assert!(bench.machine.is_drained() && bench.lease().is_none());
+
+    let mut bench = Bench::holder(&["b", "c"]);
+    bench.on(OwnerEvent::Drain);
+    let written = bench.writes.len();
+    bench.run(10_000);
+    assert!(bench.machine.is_drained());
+    assert_eq!(bench.writes.len(), written);
+}
+
+/// Guards against a successor that takes a lease from a late message, that is
+/// unlisted, or that takes over under an old authority.
+#[test]
+fn take_over_rests_on_the_successors_own_reads() {
+    let given = row(1, 6, "b", &["a", "b"], &[]);
+    let authority = OwnerAuthority { term: 1, handover: 1 };
+    let take = |late: u64, draining: bool, term: u64, voters: &[&str]| {
+        let mut bench = Bench::new("a", Some(row(term, 5, "b", voters, &[])));
+        bench.run(500);
+        bench.row = Some(given.clone());
+        bench.version += 1;
+        bench.run(300);
+        bench.away = true;
+        bench.run(late);
+        if draining {
+            bench.on(OwnerEvent::Drain);
+        }
+        let row = Box::new(row(1, 6, "b", voters, &[]));
+        let actions = bench.machine.take_over(ClockMillis(bench.now), authority, 2, row);
+        (actions.is_empty(), bench.lease())
+    };
+    assert_eq!(take(0, false, 1, &["a", "b"]), (false, Some((1, 1))));
+    assert_eq!(take(2_000, false, 1, &["a", "b"]), (false, None));
+    assert_eq!(take(0, true, 1, &["a", "b"]), (true, None));
+    assert_eq!(take(0, false, 2, &["a", "b"]), (true, None));
+    assert_eq!(take(0, false, 1, &["b"]), (true, None));
+}
+
+/// Guards against a promise by a voter that may claim, and a claim within it.
+#[test]
+fn voter_promises_only_without_contact() {
+    let mut bench = Bench::new("a", Some(row(2, 5, "b", &["a", "b"], &[])));
+    bench.run(500);
+    assert!(!bench.promise("b", 2), "the voter has contact");
+    bench.away = true;
+    bench.run(800);
+    assert!(!bench.promise("b", 1) && !bench.promise("c", 2), "an old owner asks");
+    assert!(bench.promise("b", 2));
+    bench.away = false;
+    bench.run(PROMISE_TTL_MS + 200);
+    assert_eq!(bench.writes.len(), 0, "claimed within its promise");
+    bench.run(500);
+    assert_eq!(bench.lease(), Some((3, 0)));
+}
+
+/// Guards against a promise while a claim may still take effect.
+#[test]
+fn no_promise_beside_an_unanswered_claim() {
+    let mut bench = Bench::new("a", Some(row(1, 5, "b", &["a", "b"], &[])));
+    bench.run(2_000);
+    let mut actions = Vec::new();
+    while !actions.iter().any(|action| matches!(action, OwnerAction::Write { .. })) {
+        bench.now += 50;
+        actions = bench.machine.on(ClockMillis(bench.now), OwnerEvent::Tick);
+        if let [OwnerAction::Read { token }] = actions[..] {
+            let row = bench.row.clone().map(|row| (bench.version, Box::new(row)));
+            let event = OwnerEvent::ReadDone { token, row };
+            actions = bench.machine.on(ClockMillis(bench.now), event);
+        }
+    }
+    bench.away = true;
+    bench.run(1_000);
+    assert!(!bench.promise("b", 1));
+}
+
+/// Guards against voters that block promises for ever after they died unseen.
+#[test]
+fn silent_voter_leaves_the_row() {
+    let mut bench = Bench::holder(&["b", "c"]);
+    for _ in 0..11 {
+        bench.run(1_000);
+        let now = bench.now;
+        bench.see("b", "b", now);
+    }
+    let voters = bench.row.expect("row").voters;
+    assert_eq!(voters.as_slice(), [member("a"), member("b")]);
+}
