--- /dev/null
+++ b/crates/policy/src/catalog.rs
@@ -0,0 +1,89 @@
+//! Look-ups in the configuration in force.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use model::name::{DomainName, QueueName, TeamName};
+use model::object::{ClassKind, DomainState, ObjectSet, UrgencyLevel};
+use model::resource::ResourceAmounts;
+
+use crate::hold::TaskClass;
+
+/// What the configuration says of a queue.
+#[derive(Clone, Debug)]
+pub(crate) struct QueueEntry {
+    pub(crate) team: TeamName,
+    pub(crate) bound: usize,
+    pub(crate) class: TaskClass,
+    /// What one request uses, its slot included.
+    pub(crate) request: ResourceAmounts,
+}
+
+/// The configuration in force, by name.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Catalog {
+    pub(crate) set: Option<Arc<ObjectSet>>,
+    pub(crate) queues: HashMap<QueueName, QueueEntry>,
+    /// At least as much as any request uses.
+    pub(crate) largest_request: ResourceAmounts,
+    pub(crate) out: bool,
+}
+
+/// The slot that every request occupies.
+const ONE_SLOT: ResourceAmounts = ResourceAmounts { slots: 1, ..ResourceAmounts::ZERO };
+
+impl Catalog {
+    pub(crate) fn new(domain: &DomainName, set: Arc<ObjectSet>) -> Self {
+        let queues = queue_entries(&set);
+        // A request that was granted by an earlier owner may be of any class.
+        let largest_request = queues
+            .values()
+            .filter(|queue| queue.class.kind == ClassKind::Request)
+            .fold(ONE_SLOT, |largest, queue| largest.max(queue.request));
+        // A domain that is not listed takes no work, as after its removal.
+        let out = !set
+            .domains
+            .iter()
+            .any(|object| object.name == *domain && object.state == DomainState::In);
+        Self { set: Some(set), queues, largest_request, out }
+    }
+
+    pub(crate) fn request_queue(&self, name: &QueueName) -> Option<&QueueEntry> {
+        self.queues.get(name).filter(|queue| queue.class.kind == ClassKind::Request)
+    }
+
+    /// Returns the treatment of the jobs of a queue.
+    pub(crate) fn job_class(&self, name: &QueueName) -> Option<TaskClass> {
+        let class = self.queues.get(name)?.class;
+        (class.kind != ClassKind::Request).then_some(class)
+    }
+}
+
+fn queue_entries(set: &ObjectSet) -> HashMap<QueueName, QueueEntry> {
+    let classes: HashMap<_, _> = set.classes.iter().map(|class| (&class.name, class)).collect();
+    let entry = |queue: &model::object::QueueObject| {
+        let class = classes.get(&queue.class)?;
+        let treatment =
+            TaskClass { kind: class.kind, urgency: class.urgency, preemptible: class.preemptible };
+        Some(QueueEntry {
+            team: queue.team.clone(),
+            bound: queue.bound as usize,
+            class: treatment,
+            request: class.amounts.plus(ONE_SLOT),
+        })
+    };
+    set.queues.iter().filter_map(|queue| Some((queue.name.clone(), entry(queue)?))).collect()
+}
+
+/// Urgency levels in the order in which they are served.
+pub(crate) const URGENCIES: [UrgencyLevel; 3] =
+    [UrgencyLevel::Urgent, UrgencyLevel::Normal, UrgencyLevel::Batch];
+
+/// Returns the position of a level in [`URGENCIES`].
+pub(crate) const fn rank(urgency: UrgencyLevel) -> usize {
+    match urgency {
+        UrgencyLevel::Urgent => 0,
+        UrgencyLevel::Normal => 1,
+        UrgencyLevel::Batch => 2,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/config.rs
@@ -0,0 +1,258 @@
+//! Configurations, allotments and what has to stop because of them.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use model::kind::ErrorKind;
+use model::name::{JobId, TeamName, WorkerName};
+use model::object::{ObjectSet, WorkerObject};
+use model::resource::ResourceAmounts;
+
+use crate::catalog::{Catalog, rank};
+use crate::cell::Cell;
+use crate::hold::HoldId;
+use crate::index::WorkerIndex;
+use crate::life::{StopBatch, StopList, StopRule};
+use crate::placement::PlacementRule;
+use crate::rules;
+use crate::team::TeamIndex;
+use crate::timer::TimerKind;
+use crate::worker::WorkerContact;
+
+impl<R: PlacementRule> Cell<R> {
+    pub(crate) fn apply_config(&mut self, set: &Arc<ObjectSet>) {
+        self.catalog = Catalog::new(&self.domain, set.clone());
+        self.apply_teams(set);
+        self.apply_workers(set);
+        self.apply_domain_state();
+        self.resolve_requests();
+        self.queue_imported();
+        self.resolve_jobs();
+        self.stop_excluded();
+        self.settled_changed();
+    }
+
+    fn apply_teams(&mut self, set: &ObjectSet) {
+        for team in &mut self.teams.teams {
+            team.configured = false;
+            team.weight = 1;
+        }
+        for object in &set.teams {
+            let index = self.teams.intern(&object.name);
+            self.teams.get_mut(index).configured = true;
+        }
+        for share in &set.shares {
+            let index = self.teams.intern(&share.team);
+            self.teams.get_mut(index).weight = share.weight.max(1);
+        }
+    }
+
+    fn apply_workers(&mut self, set: &ObjectSet) {
+        let mine = set.workers.iter().filter(|object| object.domain == self.domain);
+        let objects: HashMap<&WorkerName, &WorkerObject> =
+            mine.map(|object| (&object.name, object)).collect();
+        for index in self.pool.indices() {
+            let entry = self.pool.get(index);
+            if entry.configured && !objects.contains_key(&entry.name) {
+                self.pool.edit(index, |entry| entry.configured = false);
+            }
+        }
+        let mut sorted: Vec<_> = objects.into_values().collect();
+        // Workers of a rack are neighbours, so that ties fill rack after rack.
+        sorted.sort_by(|left, right| (&left.rack, &left.name).cmp(&(&right.rack, &right.name)));
+        for object in sorted {
+            self.apply_worker(object);
+        }
+    }
+
+    fn apply_worker(&mut self, object: &WorkerObject) {
+        let index = self.pool.intern(&object.name);
+        let entry = self.pool.get(index);
+        let same =
+            entry.configured && entry.capacity == object.capacity && entry.rack_name == object.rack;
+        if same {
+            return;
+        }
+        let rack = self.pool.rack(&object.rack);
+        self.pool.edit(index, |entry| {
+            entry.configured = true;
+            entry.capacity = object.capacity;
+            entry.rack = rack;
+            entry.rack_name = object.rack.clone();
+        });
+        self.shrink_worker(index);
+    }
+
+    /// Stops tasks of a worker whose capacity was lowered below what is reserved.
+    fn shrink_worker(&mut self, index: WorkerIndex) {
+        let entry = self.pool.get(index);
+        if entry.reserved.fits_in(entry.capacity) {
+            return;
+        }
+        let mut tasks: Vec<_> = entry
+            .tasks
+            .values()
+            .filter_map(|id| Some((self.holds.get(*id)?.victim_key(*id), *id)))
+            .collect();
+        tasks.sort_unstable();
+        let (mut kept, capacity) = (entry.reserved, entry.capacity);
+        for (_, id) in tasks {
+            let Some(hold) = self.holds.get(id) else { continue };
+            if kept.fits_in(capacity) {
+                return;
+            }
+            kept = kept.minus(hold.amounts);
+            self.stop_fitting(id, "worker-shrunk");
+        }
+    }
+
+    fn apply_domain_state(&mut self) {
+        match (self.catalog.out, self.out_since) {
+            (true, None) => self.leave_service(),
+            (false, Some(_)) => self.enter_service(),
+            _ => {}
+        }
+    }
+
+    /// Empties a domain that operators have taken out.
+    fn leave_service(&mut self) {
+        self.out_since = Some(self.now);
+        for ticket in self.requests.in_order() {
+            self.refuse(ticket, ErrorKind::DomainOut);
+        }
+        if let Some(gang) = &self.gang {
+            let job = gang.job.clone();
+            self.release_gang(&job);
+        }
+        let tasks = StopList::List(self.running_tasks().into_iter());
+        let rule = StopRule::CheckpointOnly;
+        self.stops.push_back(StopBatch { tasks, rule, reason: "domain-out" });
+        self.timers.set(self.now + rules::OUT_GRACE_MS, TimerKind::Grace);
+        self.plan_moves();
+    }
+
+    /// Lists the jobs that no task holds here, urgent ones of teams with the largest share first.
+    fn plan_moves(&mut self) {
+        let idle = self.jobs.jobs.iter().filter(|(_, job)| job.running.is_empty());
+        let mut jobs: Vec<(usize, Reverse<u32>, u64, JobId)> = idle
+            .map(|(id, job)| {
+                let level = job.class.map_or(2, |class| rank(class.urgency));
+                let weight = self.teams.get(job.team).weight;
+                (level, Reverse(weight), job.arrival, id.clone())
+            })
+            .collect();
+        jobs.sort_unstable();
+        self.moves = jobs.into_iter().map(|(_, _, _, id)| id).collect();
+    }
+
+    fn enter_service(&mut self) {
+        self.out_since = None;
+        self.moves.clear();
+        self.stops.retain(|batch| batch.reason != "domain-out");
+    }
+
+    /// Moves waiting requests along with changes of their queue.
+    fn resolve_requests(&mut self) {
+        for ticket in self.requests.in_order() {
+            let Some(request) = self.requests.waiting.get(&ticket) else { continue };
+            let name = request.ask.queue.clone();
+            let Some(entry) = self.catalog.request_queue(&name) else {
+                self.refuse(ticket, ErrorKind::NotFound);
+                continue;
+            };
+            let wanted = (self.teams.find(&entry.team), entry.class.urgency, entry.request);
+            let queue = self.requests.queues.get(&name);
+            let current = queue.map(|queue| (Some(queue.team), queue.urgency, queue.amounts));
+            if current != Some(wanted) {
+                self.requeue_all(&name);
+            }
+        }
+        let catalog = &self.catalog;
+        self.requests.queues.retain(|name, _| catalog.queues.contains_key(name));
+    }
+
+    fn requeue_all(&mut self, name: &model::name::QueueName) {
+        let Some(queue) = self.requests.queues.get(name) else { return };
+        let tickets: Vec<_> = queue.tickets().map(|(_, ticket)| ticket).collect();
+        let removed: Vec<_> =
+            tickets.into_iter().filter_map(|ticket| self.requests.remove(ticket)).collect();
+        for request in removed {
+            self.push_request(request.ask);
+        }
+    }
+
+    /// Gives every job the treatment of its class in the new configuration.
+    fn resolve_jobs(&mut self) {
+        let ids: Vec<JobId> = self.jobs.jobs.keys().cloned().collect();
+        for id in ids {
+            let Some(job) = self.jobs.jobs.get(&id) else { continue };
+            let class = self.job_class(job);
+            if class == job.class {
+                continue;
+            }
+            let running: Vec<HoldId> = job.running.values().copied().collect();
+            if let Some(job) = self.jobs.jobs.get_mut(&id) {
+                job.class = class;
+            }
+            self.jobs.refresh(&id);
+            for hold in running {
+                self.set_class(hold, class.unwrap_or(crate::hold::TaskClass::UNKNOWN));
+            }
+        }
+    }
+
+    /// Stops the tasks of removed teams and workers.
+    fn stop_excluded(&mut self) {
+        let mut tasks: Vec<HoldId> = Vec::new();
+        for team in self.teams.teams.iter().filter(|team| !team.configured) {
+            tasks.extend(team.running.iter().map(|(_, _, id)| *id));
+        }
+        for index in self.pool.indices() {
+            let entry = self.pool.get(index);
+            if !entry.configured {
+                tasks.extend(entry.tasks.values());
+            }
+        }
+        for id in tasks {
+            self.stop_if_excluded(id);
+        }
+    }
+
+    pub(crate) fn apply_allotment(&mut self, team: &TeamName, amounts: ResourceAmounts) {
+        let index = self.teams.intern(team);
+        self.teams.get_mut(index).allotment = Some(amounts);
+        self.stop_excess(index, amounts);
+        self.stale = true;
+    }
+
+    /// Stops tasks of a team until what goes on fits its allotment.
+    fn stop_excess(&mut self, index: TeamIndex, allotment: ResourceAmounts) {
+        let team = self.teams.get(index);
+        let mut kept = team.used.minus(team.stopping);
+        if kept.fits_in(allotment) {
+            return;
+        }
+        let victims: Vec<HoldId> = team.running.iter().map(|(_, _, id)| *id).collect();
+        for id in victims {
+            let Some(hold) = self.holds.get(id) else { continue };
+            let excess = kept.minus(allotment);
+            if excess.is_zero() {
+                return;
+            }
+            // A task without any of the resources in excess would stop for nothing.
+            if excess.min(hold.amounts).is_zero() {
+                continue;
+            }
+            kept = kept.minus(hold.amounts);
+            self.stop_fitting(id, "allotment-lowered");
+        }
+    }
+
+    /// Tells whether a worker is of no interest any more.
+    pub(crate) fn is_retired(&self, index: WorkerIndex) -> bool {
+        let entry = self.pool.get(index);
+        let certain = entry.contact != WorkerContact::Unreported || entry.capacity.is_zero();
+        !entry.configured && entry.is_empty() && certain
+    }
+}
--- /dev/null
+++ b/crates/policy/src/desk.rs
@@ -0,0 +1,105 @@
+//! Requests that arrive, end or expire.
+
+use model::kind::ErrorKind;
+
+use crate::cell::Cell;
+use crate::event::{CellDecision, RequestAsk, TicketNumber};
+use crate::placement::PlacementRule;
+use crate::quarantine::WorkerProbe;
+
+impl<R: PlacementRule> Cell<R> {
+    pub(crate) fn request_arrived(&mut self, ask: RequestAsk) {
+        let ticket = ask.ticket;
+        if self.requests.waiting.contains_key(&ticket) || self.requests.grants.contains_key(&ticket)
+        {
+            return;
+        }
+        if let Some(kind) = self.refusal_of(&ask) {
+            self.out.push(CellDecision::RefuseRequest { ticket, kind });
+            return;
+        }
+        self.push_request(ask);
+        self.arrived = Some(ticket);
+        self.stale = true;
+    }
+
+    fn refusal_of(&self, ask: &RequestAsk) -> Option<ErrorKind> {
+        if self.out_since.is_some() {
+            return Some(ErrorKind::DomainOut);
+        }
+        let Some(queue) = self.catalog.request_queue(&ask.queue) else {
+            return Some(ErrorKind::NotFound);
+        };
+        if ask.start_by < self.now {
+            return Some(ErrorKind::DeadlineNotMet);
+        }
+        (self.requests.len(&ask.queue) >= queue.bound).then_some(ErrorKind::QueueFull)
+    }
+
+    pub(crate) fn push_request(&mut self, ask: RequestAsk) {
+        let Some(queue) = self.catalog.request_queue(&ask.queue) else { return };
+        let (urgency, amounts) = (queue.class.urgency, queue.request);
+        let team = self.teams.intern(&queue.team);
+        self.requests.push(ask, team, urgency, amounts);
+    }
+
+    pub(crate) fn request_ended(&mut self, ticket: TicketNumber, healthy: bool) {
+        if self.requests.remove(ticket).is_some() {
+            return;
+        }
+        let Some(grant) = self.requests.grants.get(&ticket) else { return };
+        let worker = grant.worker;
+        self.release_grant(ticket);
+        if !self.rules.quarantine {
+            return;
+        }
+        self.pool.edit(worker, |entry| entry.history.note_request(healthy));
+        let probe = self.pool.get(worker).quarantine.map(|state| state.probe);
+        if probe == Some(WorkerProbe::Request(ticket)) {
+            self.probe_ended(worker, Some(healthy));
+        } else if !healthy {
+            self.quarantine_if_failing(worker);
+        }
+    }
+
+    /// Gives the slot of a request back.
+    pub(crate) fn release_grant(&mut self, ticket: TicketNumber) {
+        let Some(grant) = self.requests.grants.remove(&ticket) else { return };
+        let now = self.now;
+        self.pool.edit(grant.worker, |entry| {
+            entry.reserved = entry.reserved.minus(grant.amounts);
+            entry.grants.remove(&ticket);
+            entry.note_end(None, now);
+        });
+        let team = self.teams.get_mut(grant.team);
+        team.used = team.used.minus(grant.amounts);
+        self.stale = true;
+    }
+
+    pub(crate) fn refuse(&mut self, ticket: TicketNumber, kind: ErrorKind) {
+        if self.requests.remove(ticket).is_some() {
+            self.out.push(CellDecision::RefuseRequest { ticket, kind });
+        }
+    }
+
+    pub(crate) fn refuse_expired(&mut self) {
+        while let Some(ticket) = self.requests.first_expired(self.now) {
+            self.refuse(ticket, ErrorKind::DeadlineNotMet);
+        }
+    }
+
+    /// Refuses the request of this event if others that wait already will take
+    /// all slots that come free before its deadline.
+    pub(crate) fn refuse_late_arrival(&mut self) {
+        let Some(ticket) = self.arrived.take() else { return };
+        if !self.rules.early_refusal {
+            return;
+        }
+        let Some(request) = self.requests.waiting.get(&ticket) else { return };
+        let Some(queue) = self.requests.queues.get(&request.ask.queue) else { return };
+        let left = request.ask.start_by.since(self.now);
+        if queue.expected_wait(self.now).is_some_and(|wait| wait > left) {
+            self.refuse(ticket, ErrorKind::DeadlineNotMet);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/gang.rs
@@ -0,0 +1,239 @@
+//! Jobs whose tasks start all together or not at all.
+
+use model::name::JobId;
+use model::object::UrgencyLevel;
+use model::resource::ResourceAmounts;
+use model::time::ClockMillis;
+
+use crate::cell::Cell;
+use crate::event::PlacementReason;
+use crate::hold::HoldId;
+use crate::index::WorkerIndex;
+use crate::job::JobEntry;
+use crate::placement::PlacementRule;
+use crate::rules;
+use crate::schedule::PlaceOutcome;
+use crate::team::TeamIndex;
+use crate::timer::TimerKind;
+
+/// Milliseconds assumed for tasks that declare no run time, so that nothing
+/// long is let in before them.
+const UNKNOWN_RUN_MS: u64 = 3_600_000;
+
+/// Workers that are kept for one gang. Only one gang of a domain reserves at a
+/// time, so that two cannot keep each other from starting.
+#[derive(Clone, Debug)]
+pub(crate) struct GangReservation {
+    pub(crate) job: JobId,
+    urgency: UrgencyLevel,
+    workers: Vec<WorkerIndex>,
+    /// When the reserved workers are free by the declared run times.
+    pub(crate) start_at: ClockMillis,
+    refreshed_at: ClockMillis,
+}
+
+/// What a gang needs.
+#[derive(Clone, Copy, Debug)]
+struct GangAsk {
+    team: TeamIndex,
+    urgency: UrgencyLevel,
+    amounts: ResourceAmounts,
+    waiting: u64,
+}
+
+impl<R: PlacementRule> Cell<R> {
+    /// Starts all waiting tasks of a gang, or reserves workers for them.
+    pub(crate) fn try_gang(&mut self, id: &JobId, amounts: ResourceAmounts) -> PlaceOutcome {
+        let now = self.now;
+        let Some(job) = self.jobs.jobs.get_mut(id) else { return PlaceOutcome::NoRoom };
+        if job.gang_tried_at.is_some_and(|at| now.since(at) < rules::GANG_RETRY_MS) {
+            return PlaceOutcome::NoRoom;
+        }
+        let Some(class) = job.class else { return PlaceOutcome::NoRoom };
+        let waiting = u64::from(job.waiting);
+        let ask = GangAsk { team: job.team, urgency: class.urgency, amounts, waiting };
+        if !self.has_headroom(ask.team, amounts.times(waiting)) {
+            self.stop_rest(id);
+            self.release_gang(id);
+            return PlaceOutcome::NoAllotment;
+        }
+        if let Some(workers) = self.fit_gang(id, &ask) {
+            self.start_gang(id, amounts, workers);
+            return PlaceOutcome::Placed;
+        }
+        if let Some(job) = self.jobs.jobs.get_mut(id) {
+            job.gang_tried_at = Some(now);
+        }
+        self.timers.set(now + rules::GANG_RETRY_MS, TimerKind::Pass);
+        self.stop_rest(id);
+        self.reserve_gang(id, &ask);
+        PlaceOutcome::NoRoom
+    }
+
+    /// Gives up the reservation of a gang that does not wait any more.
+    pub(crate) fn check_gang(&mut self) {
+        let Some(gang) = &self.gang else { return };
+        let id = gang.job.clone();
+        let job = self.jobs.jobs.get(&id);
+        if !job.is_some_and(|job| job.is_gang() && job.waiting > 0) {
+            self.release_gang(&id);
+        }
+    }
+
+    /// Finds a worker for every waiting task of a gang at once.
+    fn fit_gang(
+        &mut self,
+        id: &JobId,
+        ask: &GangAsk,
+    ) -> Option<Vec<(WorkerIndex, PlacementReason)>> {
+        if !ask.amounts.times(ask.waiting).fits_in(self.pool.free) {
+            return None;
+        }
+        let holds_workers = self.gang.as_ref().is_none_or(|gang| gang.job == *id);
+        let search = self.search_ask(ask.amounts, holds_workers, &[]);
+        let mut choices = Vec::new();
+        for _ in 0..ask.waiting {
+            let Some(choice) = self.pool.choose(&self.rule, &search) else { break };
+            self.pool.edit(choice.0, |entry| entry.reserved = entry.reserved.plus(ask.amounts));
+            choices.push(choice);
+        }
+        // The trial is undone; the tasks reserve for themselves when they start.
+        for (worker, _) in &choices {
+            self.pool.edit(*worker, |entry| entry.reserved = entry.reserved.minus(ask.amounts));
+        }
+        (choices.len() as u64 == ask.waiting).then_some(choices)
+    }
+
+    fn start_gang(
+        &mut self,
+        id: &JobId,
+        amounts: ResourceAmounts,
+        workers: Vec<(WorkerIndex, PlacementReason)>,
+    ) {
+        for (worker, reason) in workers {
+            let next = self.jobs.jobs.get_mut(id).and_then(JobEntry::next_waiting);
+            let Some(index) = next else { break };
+            self.start_task(id, index, worker, amounts, reason);
+        }
+        self.release_gang(id);
+    }
+
+    /// Stops the running tasks of a gang that has lost members which cannot start again now.
+    fn stop_rest(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.jobs.get(id) else { return };
+        let running: Vec<HoldId> = job.running.values().copied().collect();
+        for hold in running {
+            self.stop_fitting(hold, "gang-incomplete");
+        }
+    }
+
+    fn reserve_gang(&mut self, id: &JobId, ask: &GangAsk) {
+        if let Some(gang) = &self.gang {
+            if gang.job != *id && gang.urgency <= ask.urgency {
+                return;
+            }
+            let fresh = self.now.since(gang.refreshed_at) < rules::GANG_REFRESH_MS;
+            if gang.job == *id && fresh {
+                return;
+            }
+            let holder = gang.job.clone();
+            let usable = gang.workers.iter().all(|worker| self.pool.get(*worker).takes_work());
+            if holder == *id && usable {
+                self.refresh_gang(ask);
+                return;
+            }
+            self.release_gang(&holder);
+        }
+        let Some(workers) = self.pick_gang_workers(ask) else { return };
+        for worker in &workers {
+            self.pool.edit(*worker, |entry| entry.for_gang = true);
+        }
+        let now = self.now;
+        self.gang = Some(GangReservation {
+            job: id.clone(),
+            urgency: ask.urgency,
+            workers,
+            start_at: now,
+            refreshed_at: now,
+        });
+        self.refresh_gang(ask);
+    }
+
+    /// Picks the workers with the most room that hold the whole gang once drained.
+    fn pick_gang_workers(&self, ask: &GangAsk) -> Option<Vec<WorkerIndex>> {
+        let mut workers = Vec::new();
+        let mut tasks = 0;
+        for worker in self.pool.roomiest(ask.amounts) {
+            let entry = self.pool.get(worker);
+            tasks += copies(ask.amounts, entry.capacity.minus(entry.lasting));
+            workers.push(worker);
+            if tasks >= ask.waiting {
+                return Some(workers);
+            }
+        }
+        None
+    }
+
+    /// Estimates when the reserved workers are free and preempts what may be preempted.
+    fn refresh_gang(&mut self, ask: &GangAsk) {
+        let Some(gang) = &self.gang else { return };
+        let now = self.now;
+        let workers = gang.workers.iter();
+        let tasks: Vec<HoldId> =
+            workers.flat_map(|worker| self.pool.get(*worker).tasks.values().copied()).collect();
+        let active = self.active_weight();
+        let mut start_at = now;
+        for id in tasks {
+            if self.yields_to_gang(id, ask, active) {
+                self.preempt_task(id, "preempted-by-gang", None);
+            } else if let Some(hold) = self.holds.get(id)
+                && hold.stop.is_none()
+            {
+                let ends_at = hold.ends_at.unwrap_or(hold.started_at + UNKNOWN_RUN_MS);
+                start_at = start_at.max(ends_at);
+            }
+        }
+        if let Some(gang) = &mut self.gang {
+            gang.start_at = start_at;
+            gang.refreshed_at = now;
+        }
+    }
+
+    /// Tells whether a running task makes room for the gang.
+    fn yields_to_gang(&self, id: HoldId, ask: &GangAsk, active: f64) -> bool {
+        let Some(hold) = self.holds.get(id) else { return false };
+        let free_to_stop = hold.stop.is_none() && hold.protected_until <= self.now;
+        if !self.rules.preemption || !hold.class.preemptible || !free_to_stop {
+            return false;
+        }
+        if ask.urgency == UrgencyLevel::Urgent && hold.class.urgency > ask.urgency {
+            return true;
+        }
+        let account = self.teams.get(ask.team);
+        let wanted = account.used.plus(ask.amounts.times(ask.waiting));
+        self.rules.fair_share
+            && hold.team != ask.team
+            && hold.class.urgency >= ask.urgency
+            && wanted.dominant_share(self.pool.total) <= self.entitlement(ask.team, active)
+            && self.stays_above_share(hold.team, hold.amounts, active)
+    }
+
+    /// Gives up the reservation of a job, if it has one.
+    pub(crate) fn release_gang(&mut self, id: &JobId) {
+        if self.gang.as_ref().is_none_or(|gang| gang.job != *id) {
+            return;
+        }
+        let Some(gang) = self.gang.take() else { return };
+        for worker in gang.workers {
+            self.pool.edit(worker, |entry| entry.for_gang = false);
+        }
+        self.stale = true;
+    }
+}
+
+/// Returns how many times `amounts` fits into `room`.
+fn copies(amounts: ResourceAmounts, room: ResourceAmounts) -> u64 {
+    let parts = amounts.as_array().into_iter().zip(room.as_array());
+    let most = parts.filter(|(amount, _)| *amount > 0).map(|(amount, room)| room / amount);
+    most.min().unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/policy/src/index.rs
@@ -0,0 +1,148 @@
+//! An index of workers by what is free on them.
+
+use std::collections::BTreeSet;
+use std::ops::Bound;
+
+use model::resource::ResourceAmounts;
+
+use crate::placement::WalkOrder;
+
+/// Position of a worker in the pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct WorkerIndex(pub(crate) u32);
+
+/// Coarse free amounts, four steps an octave, by which workers are sorted.
+///
+/// Workers without accelerators come first, so that work without accelerators
+/// meets the others last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct RoomKey {
+    accelerators: u8,
+    cpu: u8,
+    memory: u8,
+}
+
+impl RoomKey {
+    pub(crate) fn of_worker(free: ResourceAmounts, capacity: ResourceAmounts) -> Self {
+        let accelerators = match capacity.accelerators {
+            0 => 0,
+            _ => accelerator_level(free.accelerators),
+        };
+        Self { accelerators, cpu: level(free.cpu_millis), memory: level(free.memory_mb) }
+    }
+
+    fn of_demand(demand: ResourceAmounts) -> Self {
+        let accelerators = match demand.accelerators {
+            0 => 0,
+            count => accelerator_level(count),
+        };
+        Self { accelerators, cpu: level(demand.cpu_millis), memory: level(demand.memory_mb) }
+    }
+}
+
+fn accelerator_level(count: u64) -> u8 {
+    u8::try_from(count.saturating_add(1)).unwrap_or(u8::MAX)
+}
+
+/// Returns a step that never falls as the amount grows.
+fn level(amount: u64) -> u8 {
+    if amount < 4 {
+        return u8::try_from(amount).unwrap_or(0);
+    }
+    let exponent = amount.ilog2();
+    let quarter = (amount >> (exponent - 2)) & 3;
+    u8::try_from(u64::from(exponent) * 4 + quarter - 4).unwrap_or(u8::MAX)
+}
+
+type IndexEntry = (RoomKey, WorkerIndex);
+
+/// Workers ordered by free amounts.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FreeIndex {
+    entries: BTreeSet<IndexEntry>,
+}
+
+impl FreeIndex {
+    pub(crate) fn insert(&mut self, key: RoomKey, worker: WorkerIndex) {
+        self.entries.insert((key, worker));
+    }
+
+    pub(crate) fn remove(&mut self, key: RoomKey, worker: WorkerIndex) {
+        self.entries.remove(&(key, worker));
+    }
+
+    pub(crate) fn workers(&self) -> impl Iterator<Item = WorkerIndex> + '_ {
+        self.entries.iter().map(|(_, worker)| *worker)
+    }
+
+    /// Visits workers that may have room for `demand` until `visit` returns
+    /// false, group by group of free accelerators; `end_group` may end the walk
+    /// between two groups.
+    pub(crate) fn walk(
+        &self,
+        demand: ResourceAmounts,
+        order: WalkOrder,
+        mut visit: impl FnMut(WorkerIndex) -> bool,
+        mut end_group: impl FnMut() -> bool,
+    ) {
+        let low = RoomKey::of_demand(demand);
+        let mut next = Some(low.accelerators);
+        while let Some(start) = next {
+            let Some(group) = self.group_from(start) else { return };
+            let low = RoomKey { accelerators: group, ..low };
+            let go_on = match order {
+                WalkOrder::Tightest | WalkOrder::Listed => self.walk_up(low, &mut visit),
+                WalkOrder::Roomiest => self.walk_down(low, &mut visit),
+            };
+            if !go_on || end_group() {
+                return;
+            }
+            next = group.checked_add(1);
+        }
+    }
+
+    fn group_from(&self, accelerators: u8) -> Option<u8> {
+        let start = RoomKey { accelerators, cpu: 0, memory: 0 };
+        self.entries.range((start, WorkerIndex(0))..).next().map(|(key, _)| key.accelerators)
+    }
+
+    fn walk_up(&self, low: RoomKey, visit: &mut impl FnMut(WorkerIndex) -> bool) -> bool {
+        let mut cursor = Bound::Included((low, WorkerIndex(0)));
+        while let Some(entry) = self.entries.range((cursor, Bound::Unbounded)).next() {
+            let (key, worker) = *entry;
+            if key.accelerators != low.accelerators {
+                break;
+            }
+            if key.memory < low.memory {
+                // Skips the rest of this processor step, which has too little memory.
+                cursor = Bound::Included((RoomKey { memory: low.memory, ..key }, WorkerIndex(0)));
+                continue;
+            }
+            if !visit(worker) {
+                return false;
+            }
+            cursor = Bound::Excluded((key, worker));
+        }
+        true
+    }
+
+    fn walk_down(&self, low: RoomKey, visit: &mut impl FnMut(WorkerIndex) -> bool) -> bool {
+        let top = RoomKey { accelerators: low.accelerators, cpu: u8::MAX, memory: u8::MAX };
+        let mut cursor = Bound::Included((top, WorkerIndex(u32::MAX)));
+        while let Some(entry) = self.entries.range((Bound::Unbounded, cursor)).next_back() {
+            let (key, worker) = *entry;
+            if key.accelerators != low.accelerators || key.cpu < low.cpu {
+                break;
+            }
+            if key.memory < low.memory {
+                cursor = Bound::Excluded((RoomKey { memory: 0, ..key }, WorkerIndex(0)));
+                continue;
+            }
+            if !visit(worker) {
+                return false;
+            }
+            cursor = Bound::Excluded((key, worker));
+        }
+        true
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,3 +6,28 @@
 
 pub mod cell;
 pub mod event;
+pub mod placement;
+pub mod rules;
+pub mod snapshot;
+pub mod status;
+
+mod catalog;
+mod config;
+mod desk;
+mod due;
+mod gang;
+mod hold;
+mod index;
+mod job;
+mod life;
+mod pool;
+mod preempt;
+mod quarantine;
+mod report;
+mod request;
+mod schedule;
+mod submit;
+mod team;
+mod timer;
+mod usage;
+mod worker;
--- /dev/null
+++ b/crates/policy/src/life.rs
@@ -0,0 +1,439 @@
+//! The life of an attempt: start, confirmation, stop and end.
+
+use std::collections::btree_map;
+use std::vec;
+
+use model::job::JobState;
+use model::name::{JobId, TaskId, WorkerName};
+use model::object::ClassKind;
+use model::resource::ResourceAmounts;
+
+use crate::cell::Cell;
+use crate::event::{CellDecision, EndKind, PlacementReason};
+use crate::hold::{HoldId, StopOrder, TaskClass, TaskHold};
+use crate::index::WorkerIndex;
+use crate::job::TaskStage;
+use crate::placement::PlacementRule;
+use crate::quarantine::{self, WorkerProbe, WorkerQuarantine};
+use crate::rules;
+use crate::team::TeamIndex;
+use crate::timer::TimerKind;
+
+/// Tasks that are told to stop a few at a time.
+#[derive(Debug)]
+pub(crate) struct StopBatch {
+    pub(crate) tasks: StopList,
+    pub(crate) rule: StopRule,
+    pub(crate) reason: &'static str,
+}
+
+/// Where the tasks of a [`StopBatch`] come from; both can be built without a copy.
+#[derive(Debug)]
+pub(crate) enum StopList {
+    /// The running tasks of a job that is over.
+    Job(btree_map::IntoValues<u32, HoldId>),
+    /// Any tasks.
+    List(vec::IntoIter<HoldId>),
+}
+
+impl StopList {
+    fn next(&mut self) -> Option<HoldId> {
+        match self {
+            Self::Job(tasks) => tasks.next(),
+            Self::List(tasks) => tasks.next(),
+        }
+    }
+}
+
+/// How the tasks of a [`StopBatch`] are stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StopRule {
+    /// Without a checkpoint, as their work is not needed.
+    Plain,
+    /// With a checkpoint where the class allows it, otherwise plainly.
+    Fitting,
+    /// With a checkpoint; classes that do not allow it go on.
+    CheckpointOnly,
+}
+
+impl<R: PlacementRule> Cell<R> {
+    /// Counts an attempt on its worker and team.
+    pub(crate) fn add_hold(&mut self, hold: TaskHold) -> HoldId {
+        let id = self.holds.next_id();
+        self.insert_hold(id, hold);
+        id
+    }
+
+    fn insert_hold(&mut self, id: HoldId, hold: TaskHold) {
+        self.teams.add_hold(id, &hold);
+        self.pool.edit(hold.worker, |worker| {
+            worker.reserved = worker.reserved.plus(hold.amounts);
+            if hold.class.kind == ClassKind::Service {
+                worker.lasting = worker.lasting.plus(hold.amounts);
+            }
+            worker.tasks.insert(hold.task.clone(), id);
+        });
+        self.holds.insert(id, hold);
+    }
+
+    fn remove_hold(&mut self, id: HoldId) -> Option<TaskHold> {
+        let hold = self.holds.remove(id)?;
+        self.teams.remove_hold(id, &hold);
+        self.pool.edit(hold.worker, |worker| {
+            worker.reserved = worker.reserved.minus(hold.amounts);
+            if hold.class.kind == ClassKind::Service {
+                worker.lasting = worker.lasting.minus(hold.amounts);
+            }
+            worker.tasks.remove(&hold.task);
+        });
+        Some(hold)
+    }
+
+    /// Gives an attempt the treatment of its job's class.
+    pub(crate) fn set_class(&mut self, id: HoldId, class: TaskClass) {
+        if self.holds.get(id).is_none_or(|hold| hold.class == class) {
+            return;
+        }
+        if let Some(hold) = self.remove_hold(id) {
+            self.insert_hold(id, TaskHold { class, ..hold });
+        }
+    }
+
+    /// Reserves room for a task and orders its start.
+    pub(crate) fn start_task(
+        &mut self,
+        job_id: &JobId,
+        index: u32,
+        worker: WorkerIndex,
+        amounts: ResourceAmounts,
+        reason: PlacementReason,
+    ) {
+        let Some(job) = self.jobs.jobs.get(job_id) else { return };
+        let attempt = job.slots[index as usize].attempt.saturating_add(1);
+        let record = job.record.clone();
+        let task = TaskId { job: job_id.clone(), index };
+        let run = record.spec.run_ms;
+        let team = job.team;
+        let hold = TaskHold {
+            task: task.clone(),
+            attempt,
+            worker,
+            team,
+            amounts,
+            class: job.class.unwrap_or(TaskClass::UNKNOWN),
+            started_at: self.now,
+            confirmed_at: None,
+            ends_at: (run > 0).then(|| self.now + run),
+            protected_until: job.protected.get(&index).copied().unwrap_or_default(),
+            stop: None,
+            missing: false,
+        };
+        let id = self.add_hold(hold);
+        let rack = self.pool.get(worker).rack;
+        if let Some(job) = self.jobs.jobs.get_mut(job_id) {
+            job.set_running(index, id, rack, attempt);
+        }
+        self.jobs.refresh(job_id);
+        self.pool.edit(worker, |entry| {
+            entry.history.add_start(id, job_id.clone());
+            if let Some(state) = &mut entry.quarantine {
+                state.probe = WorkerProbe::Task(id);
+            }
+        });
+        if self.pool.get(worker).quarantine.is_some() {
+            let verdict = quarantine::probe_verdict(self.now);
+            self.timers.set(verdict, TimerKind::Verdict(worker, id));
+        }
+        self.starts_left = self.starts_left.saturating_sub(1);
+        self.out.push(CellDecision::StartTask {
+            task,
+            attempt,
+            worker: self.pool.get(worker).name.clone(),
+            team: self.teams.get(team).name.clone(),
+            amounts,
+            job: record,
+            reason,
+        });
+    }
+
+    pub(crate) fn start_confirmed(&mut self, task: &TaskId, attempt: u32) {
+        let Some(id) = self.holds.find(task, attempt) else { return };
+        let now = self.now;
+        if let Some(hold) = self.holds.get_mut(id) {
+            hold.confirmed_at.get_or_insert(now);
+        }
+    }
+
+    pub(crate) fn start_refused(&mut self, task: &TaskId, attempt: u32) {
+        let Some(id) = self.holds.find(task, attempt) else { return };
+        let Some(worker) = self.holds.get(id).map(|hold| hold.worker) else { return };
+        let until = self.now + rules::REFUSAL_PAUSE_MS;
+        self.pool.edit(worker, |entry| {
+            entry.history.forget_start(id);
+            entry.paused_until = Some(until);
+        });
+        self.timers.set(until, TimerKind::Pause(worker));
+        self.end_hold(id, EndKind::Stopped);
+    }
+
+    pub(crate) fn task_ended(
+        &mut self,
+        task: &TaskId,
+        attempt: u32,
+        worker: &WorkerName,
+        end: EndKind,
+    ) {
+        let index = self.pool.intern(worker);
+        let hold = self.pool.get(index).tasks.get(task).copied();
+        match hold.filter(|id| self.holds.get(*id).is_some_and(|hold| hold.attempt == attempt)) {
+            Some(id) => self.end_hold(id, end),
+            None => self.unknown_ended(task, attempt, index, end),
+        }
+    }
+
+    /// Takes the end of an attempt that an earlier owner started.
+    fn unknown_ended(&mut self, task: &TaskId, attempt: u32, worker: WorkerIndex, end: EndKind) {
+        let now = self.now;
+        self.pool.edit(worker, |entry| entry.note_end(Some((task.clone(), attempt)), now));
+        if end != EndKind::Done || self.jobs.has_ended(&task.job) {
+            return;
+        }
+        if self.jobs.jobs.contains_key(&task.job) {
+            self.mark_done(&task.job, task.index);
+        } else {
+            self.jobs.note_early_end(&task.job, task.index);
+        }
+    }
+
+    pub(crate) fn mark_done(&mut self, job_id: &JobId, index: u32) {
+        let Some(job) = self.jobs.jobs.get_mut(job_id) else { return };
+        if !job.set_done(index) {
+            return;
+        }
+        job.unsaved = true;
+        let done = job.is_done();
+        self.jobs.refresh(job_id);
+        if done {
+            self.finish_job(job_id, JobState::Done);
+        } else {
+            self.plan_progress(job_id);
+        }
+    }
+
+    /// Takes an attempt off its worker and brings its job up to date.
+    pub(crate) fn end_hold(&mut self, id: HoldId, end: EndKind) {
+        let Some(hold) = self.remove_hold(id) else { return };
+        self.stale = true;
+        let now = self.now;
+        let ended = (hold.task.clone(), hold.attempt);
+        self.pool.edit(hold.worker, |worker| worker.note_end(Some(ended), now));
+        if let Some(StopOrder { relieves: Some(team), .. }) = hold.stop {
+            self.relief = self.relief.saturating_sub(1);
+            let account = self.teams.get_mut(team);
+            account.relief = account.relief.saturating_sub(1);
+        }
+        self.judge_worker(id, &hold, end);
+        let job_id = hold.task.job.clone();
+        let index = hold.task.index;
+        let rack = self.pool.get(hold.worker).rack;
+        let Some(job) = self.jobs.jobs.get_mut(&job_id) else {
+            self.orphan_ended(id, &hold, end);
+            return;
+        };
+        if job.slots[index as usize].stage != TaskStage::Running(id) {
+            return;
+        }
+        job.clear_running(index, rack, end == EndKind::Done);
+        if end == EndKind::Failed {
+            job.failures.entry(index).or_default().push(hold.worker);
+        }
+        job.unsaved |= end == EndKind::Done;
+        let done = job.is_done();
+        // The task must not start again while a duplicate of it is being stopped.
+        if end != EndKind::Done
+            && let Some(other) = self.holds.any_of(&hold.task)
+        {
+            self.count_duplicate(other);
+        }
+        self.jobs.refresh(&job_id);
+        if done {
+            self.finish_job(&job_id, JobState::Done);
+        } else if end == EndKind::Failed && self.has_failed(&job_id, index) {
+            self.fail_job(&job_id);
+        } else {
+            if end == EndKind::Done {
+                self.plan_progress(&job_id);
+            }
+            let idle = self.jobs.jobs.get(&job_id).is_some_and(|job| job.running.is_empty());
+            if idle && self.out_since.is_some() {
+                self.moves.push_back(job_id);
+            }
+        }
+    }
+
+    fn count_duplicate(&mut self, id: HoldId) {
+        let Some(hold) = self.holds.get(id) else { return };
+        let rack = self.pool.get(hold.worker).rack;
+        if let Some(job) = self.jobs.jobs.get_mut(&hold.task.job) {
+            job.set_running(hold.task.index, id, rack, hold.attempt);
+        }
+    }
+
+    fn orphan_ended(&mut self, id: HoldId, hold: &TaskHold, end: EndKind) {
+        let job = &hold.task.job;
+        if let Some(holds) = self.jobs.orphans.get_mut(job) {
+            holds.retain(|orphan| *orphan != id);
+            if holds.is_empty() {
+                self.jobs.orphans.remove(job);
+            }
+        }
+        if end == EndKind::Done && !self.jobs.has_ended(job) {
+            self.jobs.note_early_end(job, hold.task.index);
+        }
+    }
+
+    /// Tells whether a task failed so often that its job has failed; failures on
+    /// quarantined workers say little about the job.
+    fn has_failed(&self, job_id: &JobId, index: u32) -> bool {
+        let job = self.jobs.jobs.get(job_id);
+        let Some(failures) = job.and_then(|job| job.failures.get(&index)) else { return false };
+        let counted =
+            failures.iter().filter(|worker| self.pool.get(**worker).quarantine.is_none()).count();
+        counted >= rules::TASK_FAILURES || failures.len() >= rules::TASK_FAILURES_ANYWHERE
+    }
+
+    fn fail_job(&mut self, job_id: &JobId) {
+        // Workers that failed nothing but this job are not at fault.
+        for worker in self.pool.indices() {
+            let entry = self.pool.get(worker);
+            if entry.quarantine.is_some() && entry.history.blames_only(job_id) {
+                self.lift_quarantine(worker);
+            }
+        }
+        self.finish_job(job_id, JobState::Failed);
+    }
+
+    /// Draws conclusions about the worker from the end of an attempt.
+    fn judge_worker(&mut self, id: HoldId, hold: &TaskHold, end: EndKind) {
+        if !self.rules.quarantine {
+            return;
+        }
+        let ran = self.now.since(hold.started_at);
+        let worker = hold.worker;
+        let quick = end == EndKind::Failed
+            && self.pool.edit(worker, |entry| entry.history.note_failure(id, ran));
+        let probe = self.pool.get(worker).quarantine.map(|state| state.probe);
+        if probe == Some(WorkerProbe::Task(id)) {
+            let healthy = match end {
+                EndKind::Done => Some(true),
+                EndKind::Failed => Some(!quick),
+                EndKind::Stopped | EndKind::Checkpointed => None,
+            };
+            self.probe_ended(worker, healthy);
+        } else if quick {
+            self.quarantine_if_failing(worker);
+        }
+    }
+
+    pub(crate) fn quarantine_if_failing(&mut self, worker: WorkerIndex) {
+        let entry = self.pool.get(worker);
+        if !self.rules.quarantine || entry.quarantine.is_some() || !entry.history.is_failing() {
+            return;
+        }
+        let (state, probe_at) = WorkerQuarantine::start(self.now);
+        self.pool.edit(worker, |entry| entry.quarantine = Some(state));
+        self.timers.set(probe_at, TimerKind::Probe(worker));
+    }
+
+    /// Takes the result of a probe; none if it ended without saying anything.
+    pub(crate) fn probe_ended(&mut self, worker: WorkerIndex, healthy: Option<bool>) {
+        if healthy == Some(true) {
+            self.lift_quarantine(worker);
+            return;
+        }
+        let now = self.now;
+        let next = self.pool.edit(worker, |entry| {
+            let state = entry.quarantine.as_mut()?;
+            let repeat = healthy.is_none();
+            Some(if repeat { state.repeat_probe(now) } else { state.next_probe(now) })
+        });
+        if let Some(at) = next {
+            self.timers.set(at, TimerKind::Probe(worker));
+        }
+    }
+
+    pub(crate) fn lift_quarantine(&mut self, worker: WorkerIndex) {
+        self.pool.edit(worker, |entry| {
+            entry.quarantine = None;
+            entry.history.clear();
+        });
+        self.stale = true;
+    }
+
+    /// Orders an attempt to stop; a second order counts only if it is stricter.
+    pub(crate) fn order_stop(
+        &mut self,
+        id: HoldId,
+        checkpoint: bool,
+        reason: &'static str,
+        relieves: Option<TeamIndex>,
+    ) {
+        let Some(hold) = self.holds.get_mut(id) else { return };
+        if hold.stop.is_some_and(|stop| checkpoint || !stop.checkpoint) {
+            return;
+        }
+        self.teams.remove_hold(id, hold);
+        let relieves = hold.stop.and_then(|stop| stop.relieves).or(relieves);
+        hold.stop = Some(StopOrder { checkpoint, reason, since: self.now, relieves });
+        self.teams.add_hold(id, hold);
+        let task = hold.task.clone();
+        let worker = self.pool.get(hold.worker).name.clone();
+        self.timers.set(self.now + rules::STOP_RETRY_MS, TimerKind::Stop(id));
+        self.out.push(CellDecision::StopTask { task, worker, checkpoint, reason });
+    }
+
+    /// Stops an attempt with a checkpoint if its class allows that.
+    pub(crate) fn stop_fitting(&mut self, id: HoldId, reason: &'static str) {
+        if let Some(hold) = self.holds.get(id) {
+            self.order_stop(id, hold.class.preemptible, reason, None);
+        }
+    }
+
+    /// Sends a stop again that had no effect.
+    pub(crate) fn repeat_stop(&mut self, id: HoldId) {
+        let now = self.now;
+        let Some(hold) = self.holds.get_mut(id) else { return };
+        let Some(stop) = &mut hold.stop else { return };
+        if now.since(stop.since) >= rules::CHECKPOINT_LIMIT_MS {
+            stop.checkpoint = false;
+        }
+        let StopOrder { checkpoint, reason, .. } = *stop;
+        let task = hold.task.clone();
+        let worker = self.pool.get(hold.worker).name.clone();
+        self.timers.set(now + rules::STOP_RETRY_MS, TimerKind::Stop(id));
+        self.out.push(CellDecision::StopTask { task, worker, checkpoint, reason });
+    }
+
+    /// Orders the next few stops of jobs that are over and of a domain that was taken out.
+    pub(crate) fn run_stops(&mut self) {
+        let mut left = rules::STOPS_PER_EVENT;
+        while left > 0 {
+            let Some(batch) = self.stops.front_mut() else { return };
+            let Some(id) = batch.tasks.next() else {
+                self.stops.pop_front();
+                continue;
+            };
+            let (rule, reason) = (batch.rule, batch.reason);
+            let Some(hold) = self.holds.get(id) else { continue };
+            left -= 1;
+            match rule {
+                StopRule::Plain => self.order_stop(id, false, reason, None),
+                StopRule::Fitting => self.stop_fitting(id, reason),
+                StopRule::CheckpointOnly if hold.class.preemptible => {
+                    self.order_stop(id, true, reason, None);
+                }
+                StopRule::CheckpointOnly => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/preempt.rs
@@ -0,0 +1,265 @@
+//! Room for waiting work by checkpointing running tasks.
+
+use model::object::UrgencyLevel;
+use model::resource::ResourceAmounts;
+use smallvec::SmallVec;
+
+use crate::cell::Cell;
+use crate::hold::{HoldId, TaskHold, VictimKey};
+use crate::index::WorkerIndex;
+use crate::placement::PlacementRule;
+use crate::rules;
+use crate::team::TeamIndex;
+use crate::timer::TimerKind;
+
+/// Work for which there is no room.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RoomAsk {
+    pub(crate) team: TeamIndex,
+    pub(crate) urgency: UrgencyLevel,
+    /// What one piece of the work reserves.
+    pub(crate) amounts: ResourceAmounts,
+    /// How many pieces wait.
+    pub(crate) waiting: usize,
+    /// Whether it is a request.
+    pub(crate) in_slot: bool,
+    /// How many pieces must start together.
+    pub(crate) together: u64,
+}
+
+/// Why tasks may be preempted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PreemptCause {
+    /// Urgent work waits; any team's less urgent tasks make room.
+    Urgent,
+    /// A team below its share waits; teams above theirs give back what was lent.
+    Reclaim,
+    /// The team is at its limit; its own less urgent tasks make room.
+    OwnTeam,
+}
+
+/// Tasks of one worker that make room together.
+type VictimList = SmallVec<[HoldId; 4]>;
+
+impl<R: PlacementRule> Cell<R> {
+    /// Preempts tasks so that waiting work fits once they have been checkpointed.
+    pub(crate) fn make_room(&mut self, room: &RoomAsk) {
+        if room.urgency == UrgencyLevel::Urgent {
+            self.preempt(room, PreemptCause::Urgent, rules::URGENT_IN_FLIGHT);
+        } else if self.rules.fair_share && self.is_below_share(room) {
+            self.preempt(room, PreemptCause::Reclaim, rules::RECLAIM_IN_FLIGHT);
+        }
+    }
+
+    /// Preempts tasks of the same team for its urgent work, when its limit is reached.
+    pub(crate) fn make_room_in_team(&mut self, room: &RoomAsk) {
+        if room.urgency == UrgencyLevel::Urgent {
+            self.preempt(room, PreemptCause::OwnTeam, rules::URGENT_IN_FLIGHT);
+        }
+    }
+
+    fn preempt(&mut self, room: &RoomAsk, cause: PreemptCause, most: usize) {
+        if !self.rules.preemption || self.now < self.preempt_after {
+            return;
+        }
+        while self.teams.get(room.team).relief < room.waiting && self.relief < most {
+            let Some(victims) = self.find_victims(room, cause) else {
+                // Nothing will be found until more has changed than one event changes.
+                self.retry_preemption(rules::PASS_RETRY_MS);
+                return;
+            };
+            self.checkpoint_victims(&victims, room.team, cause);
+            if cause == PreemptCause::Reclaim {
+                self.retry_preemption(rules::RECLAIM_INTERVAL_MS);
+                return;
+            }
+        }
+    }
+
+    fn retry_preemption(&mut self, delay: u64) {
+        self.preempt_after = self.now + delay;
+        self.timers.set(self.preempt_after, TimerKind::Pass);
+    }
+
+    fn checkpoint_victims(&mut self, victims: &[HoldId], team: TeamIndex, cause: PreemptCause) {
+        let reason = match cause {
+            PreemptCause::Urgent | PreemptCause::OwnTeam => "preempted-by-urgent",
+            PreemptCause::Reclaim => "share-reclaimed",
+        };
+        for (position, id) in victims.iter().enumerate() {
+            // The victims of one worker make room for one piece of work together.
+            self.preempt_task(*id, reason, (position == 0).then_some(team));
+        }
+    }
+
+    /// Checkpoints one task and protects its next attempt for a while.
+    pub(crate) fn preempt_task(
+        &mut self,
+        id: HoldId,
+        reason: &'static str,
+        relieves: Option<TeamIndex>,
+    ) {
+        let Some(hold) = self.holds.get(id) else { return };
+        let task = hold.task.clone();
+        if let Some(job) = self.jobs.jobs.get_mut(&task.job) {
+            job.protected.insert(task.index, self.now + rules::PREEMPT_PROTECT_MS);
+        }
+        if let Some(team) = relieves {
+            self.relief += 1;
+            self.teams.get_mut(team).relief += 1;
+        }
+        self.order_stop(id, true, reason, relieves);
+    }
+
+    /// Returns the sum of the weights of the teams that use or want something.
+    pub(crate) fn active_weight(&mut self) -> f64 {
+        if let Some(weight) = self.active_weight {
+            return weight;
+        }
+        let weight = self.sum_active_weight();
+        self.active_weight = Some(weight);
+        weight
+    }
+
+    fn sum_active_weight(&self) -> f64 {
+        let active = self.teams.indices().filter(|team| {
+            let account = self.teams.get(*team);
+            account.configured && (!account.used.is_zero() || self.has_waiting(*team))
+        });
+        active.map(|team| f64::from(self.teams.get(team).weight)).sum()
+    }
+
+    fn has_waiting(&self, team: TeamIndex) -> bool {
+        let jobs = (0..3).any(|level| self.jobs.ready(team, level).next().is_some());
+        jobs || (0..3).any(|level| {
+            let queues = self.requests.active(level);
+            queues.filter_map(|name| self.requests.queues.get(name)).any(|queue| queue.team == team)
+        })
+    }
+
+    /// Returns the part of the fleet that a team is entitled to, from 0.0 to 1.0.
+    pub(crate) fn entitlement(&self, team: TeamIndex, active: f64) -> f64 {
+        f64::from(self.teams.get(team).weight) / active.max(1.0)
+    }
+
+    /// Tells whether a team stays within its share with one more piece of work.
+    fn is_below_share(&mut self, room: &RoomAsk) -> bool {
+        if self.now < self.preempt_after {
+            return false;
+        }
+        let active = self.active_weight();
+        let account = self.teams.get(room.team);
+        let coming = room.amounts.times(account.relief as u64 + 1);
+        let share = account.used.plus(coming).dominant_share(self.pool.total);
+        share <= self.entitlement(room.team, active)
+    }
+
+    /// Tells whether a team keeps its share when it gives `amounts` back.
+    pub(crate) fn stays_above_share(
+        &self,
+        team: TeamIndex,
+        amounts: ResourceAmounts,
+        active: f64,
+    ) -> bool {
+        let account = self.teams.get(team);
+        let kept = account.used.minus(account.stopping).minus(amounts);
+        kept.dominant_share(self.pool.total) >= self.entitlement(team, active)
+    }
+
+    fn find_victims(&mut self, room: &RoomAsk, cause: PreemptCause) -> Option<VictimList> {
+        let active = self.active_weight();
+        let mut teams: Vec<(f64, TeamIndex)> = self
+            .teams
+            .indices()
+            .filter(|team| !self.teams.get(*team).preemptible.is_empty())
+            .filter(|team| match cause {
+                PreemptCause::Urgent => true,
+                PreemptCause::OwnTeam => *team == room.team,
+                PreemptCause::Reclaim => *team != room.team,
+            })
+            .map(|team| (self.teams.weighted_share(team, self.pool.total), team))
+            .collect();
+        teams.sort_by(|left, right| right.0.total_cmp(&left.0));
+        let mut seen: SmallVec<[WorkerIndex; rules::VICTIM_SCAN]> = SmallVec::new();
+        for (_, team) in teams {
+            for (_, _, id) in &self.teams.get(team).preemptible {
+                if seen.len() >= rules::VICTIM_SCAN {
+                    return None;
+                }
+                let Some(hold) = self.holds.get(*id) else { continue };
+                // The least urgent come first, so that no later one may be taken either.
+                if !may_yield(hold, room, cause) {
+                    break;
+                }
+                if seen.contains(&hold.worker) {
+                    continue;
+                }
+                seen.push(hold.worker);
+                if let Some(victims) = self.victims_on(hold.worker, team, room, cause, active) {
+                    return Some(victims);
+                }
+            }
+        }
+        None
+    }
+
+    /// Returns the fewest tasks of a worker, in victim order, that make enough room.
+    fn victims_on(
+        &self,
+        worker: WorkerIndex,
+        team: TeamIndex,
+        room: &RoomAsk,
+        cause: PreemptCause,
+        active: f64,
+    ) -> Option<VictimList> {
+        let entry = self.pool.get(worker);
+        if !entry.takes_work() {
+            return None;
+        }
+        let mut tasks: SmallVec<[VictimKey; 16]> = SmallVec::new();
+        for id in entry.tasks.values() {
+            let Some(hold) = self.holds.get(*id) else { continue };
+            let same_team = cause == PreemptCause::Urgent || hold.team == team;
+            let free_to_stop = hold.stop.is_none() && hold.protected_until <= self.now;
+            if same_team && free_to_stop && hold.class.preemptible && may_yield(hold, room, cause) {
+                tasks.push(hold.victim_key(*id));
+            }
+        }
+        tasks.sort_unstable();
+        let mut victims = VictimList::new();
+        let mut freed = ResourceAmounts::ZERO;
+        for (_, _, id) in tasks {
+            if !victims.is_empty() && self.is_enough(worker, room, cause, freed) {
+                break;
+            }
+            freed = freed.plus(self.holds.get(id)?.amounts);
+            victims.push(id);
+        }
+        let enough = !victims.is_empty() && self.is_enough(worker, room, cause, freed);
+        let allowed = cause != PreemptCause::Reclaim || self.stays_above_share(team, freed, active);
+        (enough && allowed).then_some(victims)
+    }
+
+    fn is_enough(
+        &self,
+        worker: WorkerIndex,
+        room: &RoomAsk,
+        cause: PreemptCause,
+        freed: ResourceAmounts,
+    ) -> bool {
+        let on_worker = room.amounts.fits_in(self.pool.get(worker).free().plus(freed));
+        if cause != PreemptCause::OwnTeam {
+            return on_worker;
+        }
+        let account = self.teams.get(room.team);
+        let used = account.used.plus(self.unattributed()).minus(freed).plus(room.amounts);
+        on_worker && account.allotment.is_some_and(|allotment| used.fits_in(allotment))
+    }
+}
+
+fn may_yield(hold: &TaskHold, room: &RoomAsk, cause: PreemptCause) -> bool {
+    match cause {
+        PreemptCause::Urgent | PreemptCause::OwnTeam => hold.class.urgency > room.urgency,
+        PreemptCause::Reclaim => hold.class.urgency >= room.urgency,
+    }
+}
--- /dev/null
+++ b/crates/policy/src/request.rs
@@ -0,0 +1,152 @@
+//! Requests that wait for a slot, and those that hold one.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+
+use model::name::QueueName;
+use model::object::UrgencyLevel;
+use model::resource::ResourceAmounts;
+use model::time::ClockMillis;
+
+use crate::catalog::rank;
+use crate::event::{RequestAsk, TicketNumber};
+use crate::index::WorkerIndex;
+use crate::team::TeamIndex;
+
+/// Grants from which the service rate of a queue is measured.
+const RATE_GRANTS: usize = 64;
+/// With fewer grants, the rate is not known well enough to refuse a request.
+const RATE_EVIDENCE: usize = 8;
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub(crate) struct WaitingRequest {
+    pub(crate) ask: RequestAsk,
+    arrival: u64,
+}
+
+/// A request that holds a slot.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestGrant {
+    pub(crate) worker: WorkerIndex,
+    pub(crate) team: TeamIndex,
+    pub(crate) amounts: ResourceAmounts,
+    /// After it, the request has reached the worker or never will.
+    pub(crate) settled_at: ClockMillis,
+}
+
+/// The requests of one queue that wait.
+#[derive(Clone, Debug)]
+pub(crate) struct WaitingQueue {
+    pub(crate) team: TeamIndex,
+    pub(crate) urgency: UrgencyLevel,
+    pub(crate) amounts: ResourceAmounts,
+    order: BTreeMap<u64, TicketNumber>,
+    /// Instants of grants while requests waited; others say nothing about the
+    /// rate at which slots come free.
+    grants: VecDeque<ClockMillis>,
+}
+
+impl WaitingQueue {
+    pub(crate) fn tickets(&self) -> impl Iterator<Item = (u64, TicketNumber)> {
+        self.order.iter().map(|(arrival, ticket)| (*arrival, *ticket))
+    }
+
+    /// Returns the milliseconds that the last request of the queue will probably wait.
+    pub(crate) fn expected_wait(&self, now: ClockMillis) -> Option<u64> {
+        if self.grants.len() < RATE_EVIDENCE {
+            return None;
+        }
+        let span = now.since(*self.grants.front()?);
+        Some(self.order.len() as u64 * span / self.grants.len() as u64)
+    }
+}
+
+/// All requests of the domain.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RequestDesk {
+    pub(crate) waiting: HashMap<TicketNumber, WaitingRequest>,
+    pub(crate) queues: HashMap<QueueName, WaitingQueue>,
+    /// Queues in which requests wait, by urgency.
+    active: [BTreeSet<QueueName>; 3],
+    deadlines: BTreeSet<(ClockMillis, TicketNumber)>,
+    pub(crate) grants: HashMap<TicketNumber, RequestGrant>,
+    arrivals: u64,
+}
+
+impl RequestDesk {
+    /// Adds a request at the end of its queue.
+    pub(crate) fn push(
+        &mut self,
+        ask: RequestAsk,
+        team: TeamIndex,
+        urgency: UrgencyLevel,
+        amounts: ResourceAmounts,
+    ) {
+        self.arrivals += 1;
+        let arrival = self.arrivals;
+        let queue = self.queues.entry(ask.queue.clone()).or_insert_with(|| WaitingQueue {
+            team,
+            urgency,
+            amounts,
+            order: BTreeMap::new(),
+            grants: VecDeque::new(),
+        });
+        if queue.order.is_empty() {
+            (queue.team, queue.urgency, queue.amounts) = (team, urgency, amounts);
+            queue.grants.clear();
+            self.active[rank(urgency)].insert(ask.queue.clone());
+        }
+        queue.order.insert(arrival, ask.ticket);
+        self.deadlines.insert((ask.start_by, ask.ticket));
+        self.waiting.insert(ask.ticket, WaitingRequest { ask, arrival });
+    }
+
+    /// Removes a waiting request.
+    pub(crate) fn remove(&mut self, ticket: TicketNumber) -> Option<WaitingRequest> {
+        let request = self.waiting.remove(&ticket)?;
+        self.deadlines.remove(&(request.ask.start_by, ticket));
+        if let Some(queue) = self.queues.get_mut(&request.ask.queue) {
+            queue.order.remove(&request.arrival);
+            if queue.order.is_empty() {
+                self.active[rank(queue.urgency)].remove(&request.ask.queue);
+            }
+        }
+        Some(request)
+    }
+
+    /// Notes a grant for the service rate of its queue.
+    pub(crate) fn note_grant(&mut self, queue: &QueueName, now: ClockMillis) {
+        let Some(queue) = self.queues.get_mut(queue) else { return };
+        if queue.grants.len() == RATE_GRANTS {
+            queue.grants.pop_front();
+        }
+        queue.grants.push_back(now);
+    }
+
+    pub(crate) fn len(&self, queue: &QueueName) -> usize {
+        self.queues.get(queue).map_or(0, |queue| queue.order.len())
+    }
+
+    pub(crate) fn active(&self, level: usize) -> impl Iterator<Item = &QueueName> {
+        self.active[level].iter()
+    }
+
+    pub(crate) fn active_len(&self, urgency: UrgencyLevel) -> usize {
+        let queues = self.active[rank(urgency)].iter().filter_map(|name| self.queues.get(name));
+        queues.map(|queue| queue.order.len()).sum()
+    }
+
+    /// Returns a request whose latest start has passed.
+    pub(crate) fn first_expired(&self, now: ClockMillis) -> Option<TicketNumber> {
+        let (start_by, ticket) = self.deadlines.first()?;
+        (*start_by < now).then_some(*ticket)
+    }
+
+    /// Returns all waiting requests in order of arrival.
+    pub(crate) fn in_order(&self) -> Vec<TicketNumber> {
+        let mut tickets: Vec<_> =
+            self.waiting.iter().map(|(ticket, request)| (request.arrival, *ticket)).collect();
+        tickets.sort_unstable();
+        tickets.into_iter().map(|(_, ticket)| ticket).collect()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/rules.rs
@@ -0,0 +1,101 @@
+//! Switches and fixed numbers of the policy.
+
+/// Switches single rules off, so that the benchmark can show what each is worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[expect(clippy::struct_excessive_bools, reason = "each rule is switched on its own")]
+pub struct PolicyRules {
+    /// Teams are served in order of their weighted dominant share, not by arrival alone.
+    pub fair_share: bool,
+    /// Urgent work and teams below their share may checkpoint running tasks.
+    pub preemption: bool,
+    /// Short work may use workers that are reserved for a gang.
+    pub backfill: bool,
+    /// Workers that fail everything get no work except probes.
+    pub quarantine: bool,
+    /// Later tasks of a job are sized by what its earlier tasks were measured to use.
+    pub usage_correction: bool,
+    /// Work without accelerators goes to workers without them first.
+    pub accelerator_keeping: bool,
+    /// Requests are refused as soon as their deadline cannot be met.
+    pub early_refusal: bool,
+}
+
+impl PolicyRules {
+    /// All rules on.
+    pub const ALL: Self = Self {
+        fair_share: true,
+        preemption: true,
+        backfill: true,
+        quarantine: true,
+        usage_correction: true,
+        accelerator_keeping: true,
+        early_refusal: true,
+    };
+
+    /// All rules off.
+    pub const NONE: Self = Self {
+        fair_share: false,
+        preemption: false,
+        backfill: false,
+        quarantine: false,
+        usage_correction: false,
+        accelerator_keeping: false,
+        early_refusal: false,
+    };
+}
+
+impl Default for PolicyRules {
+    fn default() -> Self {
+        Self::ALL
+    }
+}
+
+/// Milliseconds between two requests for allotment of one team.
+pub const WANT_INTERVAL_MS: u64 = 200;
+/// Milliseconds that services and non-preemptible tasks may go on in a domain that was taken out.
+pub const OUT_GRACE_MS: u64 = 30_000;
+/// Milliseconds between two progress records of one job; each record is a write to the platform.
+pub const PROGRESS_INTERVAL_MS: u64 = 1_000;
+/// Failures of one task after which its job has failed.
+pub const TASK_FAILURES: usize = 3;
+/// Failures of one task, those on quarantined workers included, after which its job has failed.
+/// Without it a job that always fails would quarantine a small fleet and be retried forever.
+pub const TASK_FAILURES_ANYWHERE: usize = 6;
+/// Milliseconds for which a task that was preempted is not preempted again.
+pub const PREEMPT_PROTECT_MS: u64 = 10_000;
+/// Preemptions in flight at most on behalf of teams below their share.
+pub const RECLAIM_IN_FLIGHT: usize = 16;
+/// Preemptions in flight at most on behalf of urgent work.
+pub const URGENT_IN_FLIGHT: usize = 256;
+/// Running tasks that are looked at in one search for a task to preempt.
+pub const VICTIM_SCAN: usize = 32;
+/// Milliseconds until a stop that had no effect is sent again.
+pub const STOP_RETRY_MS: u64 = 5_000;
+/// Milliseconds after which a checkpoint that has not ended becomes a plain stop.
+pub const CHECKPOINT_LIMIT_MS: u64 = 30_000;
+/// Milliseconds for which a worker that refused a start gets no task; an immediate
+/// retry would be refused for the same reason.
+pub const REFUSAL_PAUSE_MS: u64 = 500;
+/// Starts in one event at most, so that one large job does not delay other decisions.
+pub const STARTS_PER_EVENT: usize = 128;
+/// Stops of ended jobs and of a domain that was taken out in one event at most.
+pub const STOPS_PER_EVENT: usize = 256;
+/// Jobs that move to other domains in one event at most.
+pub const MOVES_PER_EVENT: usize = 64;
+/// Jobs of one team and urgency that are tried when the first ones do not fit.
+pub const JOB_LOOKAHEAD: usize = 8;
+/// Milliseconds of a worker's lease; a start is void after it (docs/design.md, section 4).
+pub const WORKER_TTL_MS: u64 = 8_000;
+/// Milliseconds between two attempts to start a gang that did not fit.
+pub const GANG_RETRY_MS: u64 = 100;
+/// Milliseconds after which the workers reserved for a gang are chosen anew.
+pub const GANG_REFRESH_MS: u64 = 1_000;
+/// Milliseconds until a pass that was cut short or rate-limited is repeated.
+pub const PASS_RETRY_MS: u64 = 100;
+/// Milliseconds after a grant's latest start at which its request must have reached the worker.
+pub const GRANT_MARGIN_MS: u64 = 1_000;
+/// Milliseconds for which slots that an earlier owner granted are counted on a
+/// worker that stays busy. Deadlines of requests are shorter (10 s by default).
+pub const FOREIGN_LIMIT_MS: u64 = 60_000;
+/// Milliseconds between two preemptions on behalf of teams below their share.
+pub const RECLAIM_INTERVAL_MS: u64 = 20;
--- /dev/null
+++ b/crates/policy/src/snapshot.rs
@@ -0,0 +1,247 @@
+//! The state that one owner hands to the next.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use model::job::JobRecord;
+use model::name::{DomainName, JobId, QueueName, TaskId, TeamName, WorkerName};
+use model::resource::ResourceAmounts;
+use model::time::ClockMillis;
+use serde::{Deserialize, Serialize};
+
+use crate::cell::Cell;
+use crate::event::{RequestAsk, TicketNumber, WorkerList};
+use crate::placement::PlacementRule;
+use crate::request::RequestGrant;
+use crate::rules::PolicyRules;
+
+/// Waiting and running state of a cell.
+///
+/// It names no instants, because clocks of two processes must not be compared,
+/// but the milliseconds that were left. The configuration travels separately,
+/// and running tasks are learnt from the workers' reports; only what reports
+/// do not say is listed here.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CellSnapshot {
+    /// Allotments in force, by team.
+    pub allotments: Vec<(TeamName, ResourceAmounts)>,
+    /// Jobs in order of arrival.
+    pub jobs: Vec<JobSnapshot>,
+    /// Waiting requests in order of arrival.
+    pub requests: Vec<RequestSnapshot>,
+    /// Requests that hold a slot.
+    pub grants: Vec<GrantSnapshot>,
+    /// Tasks that run, or may run.
+    pub running: Vec<RunningSnapshot>,
+    /// Jobs that are over, oldest first.
+    pub ended: Vec<JobId>,
+}
+
+/// A job with what its row does not say.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobSnapshot {
+    /// The job, with the tasks that have ended well.
+    pub record: JobRecord,
+    /// Highest attempt of any of its tasks.
+    pub attempt: u32,
+    /// Whether progress was not recorded yet.
+    pub unsaved: bool,
+}
+
+/// A request that waits.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RequestSnapshot {
+    /// Its number; the next owner numbers new requests from above all of these.
+    pub ticket: TicketNumber,
+    /// Its queue.
+    pub queue: QueueName,
+    /// Milliseconds until a grant is of no use any more.
+    pub wait_ms: u64,
+    /// Workers on which earlier attempts failed.
+    pub avoid: WorkerList,
+}
+
+/// A request that holds a slot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GrantSnapshot {
+    /// Its number.
+    pub ticket: TicketNumber,
+    /// The worker.
+    pub worker: WorkerName,
+    /// Team that it counts to.
+    pub team: TeamName,
+    /// What it uses, its slot included.
+    pub amounts: ResourceAmounts,
+    /// Milliseconds until it has reached the worker or never will.
+    pub settle_ms: u64,
+}
+
+/// A task that runs, or may run.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RunningSnapshot {
+    /// The task.
+    pub task: TaskId,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// Its worker.
+    pub worker: WorkerName,
+    /// Milliseconds since it was started.
+    pub age_ms: u64,
+}
+
+impl<R: PlacementRule> Cell<R> {
+    /// Returns what the next owner has to know, as of the last event.
+    #[must_use]
+    pub fn export(&self) -> CellSnapshot {
+        let mut running: Vec<_> = self.export_running().collect();
+        running.sort_unstable_by(|left, right| left.task.cmp(&right.task));
+        let allotted = self.teams.teams.iter();
+        let mut grants: Vec<_> = self.export_grants().collect();
+        grants.sort_unstable_by_key(|grant| grant.ticket);
+        CellSnapshot {
+            allotments: allotted
+                .filter_map(|team| Some((team.name.clone(), team.allotment?)))
+                .collect(),
+            jobs: self.export_jobs(),
+            requests: self.export_requests(),
+            grants,
+            running,
+            ended: self.jobs.ended_jobs().cloned().collect(),
+        }
+    }
+
+    fn export_jobs(&self) -> Vec<JobSnapshot> {
+        let mut jobs: Vec<_> = self.jobs.jobs.values().collect();
+        jobs.sort_unstable_by_key(|job| job.arrival);
+        let snapshot = |job: &crate::job::JobEntry| JobSnapshot {
+            record: JobRecord { done: job.done_indices(), ..(*job.record).clone() },
+            attempt: job.slots.iter().map(|slot| slot.attempt).max().unwrap_or(0),
+            unsaved: job.unsaved,
+        };
+        jobs.into_iter().map(snapshot).collect()
+    }
+
+    fn export_requests(&self) -> Vec<RequestSnapshot> {
+        let tickets = self.requests.in_order().into_iter();
+        let snapshot = |ticket: TicketNumber| {
+            let ask = &self.requests.waiting.get(&ticket)?.ask;
+            Some(RequestSnapshot {
+                ticket,
+                queue: ask.queue.clone(),
+                wait_ms: ask.start_by.since(self.now),
+                avoid: ask.avoid.clone(),
+            })
+        };
+        tickets.filter_map(snapshot).collect()
+    }
+
+    fn export_grants(&self) -> impl Iterator<Item = GrantSnapshot> + '_ {
+        self.requests.grants.iter().map(|(ticket, grant)| GrantSnapshot {
+            ticket: *ticket,
+            worker: self.pool.get(grant.worker).name.clone(),
+            team: self.teams.get(grant.team).name.clone(),
+            amounts: grant.amounts,
+            settle_ms: grant.settled_at.since(self.now),
+        })
+    }
+
+    fn export_running(&self) -> impl Iterator<Item = RunningSnapshot> + '_ {
+        self.holds.holds.values().map(|hold| RunningSnapshot {
+            task: hold.task.clone(),
+            attempt: hold.attempt,
+            worker: self.pool.get(hold.worker).name.clone(),
+            age_ms: self.now.since(hold.started_at),
+        })
+    }
+
+    /// Builds the cell of the next owner, which knows no configuration yet.
+    ///
+    /// Every worker has to report again, because the tasks that ran under the
+    /// earlier authority may have ended since.
+    #[must_use]
+    pub fn import(
+        domain: DomainName,
+        seed: u64,
+        now: ClockMillis,
+        snapshot: CellSnapshot,
+        rule: R,
+        rules: PolicyRules,
+    ) -> Self {
+        let mut cell = Self::with_rule(domain, seed, 0, rule, rules);
+        cell.now = now;
+        for (team, amounts) in snapshot.allotments {
+            let index = cell.teams.intern(&team);
+            cell.teams.get_mut(index).allotment = Some(amounts);
+        }
+        for job in snapshot.ended {
+            cell.jobs.note_ended(&job);
+        }
+        for job in snapshot.jobs {
+            cell.import_job(job);
+        }
+        for grant in snapshot.grants {
+            cell.import_grant(&grant);
+        }
+        for running in snapshot.running {
+            cell.ages.insert((running.task, running.attempt), running.age_ms);
+        }
+        cell.imported = snapshot.requests.into_iter().map(|request| request.ask(now)).collect();
+        cell
+    }
+
+    fn import_job(&mut self, job: JobSnapshot) {
+        let id = job.record.spec.id.clone();
+        // Attempts of one job are numbered from above the highest of all its
+        // tasks, which is simpler than one number a task and as good.
+        self.attempt_base = job.attempt;
+        self.add_job(Arc::new(job.record));
+        self.attempt_base = 0;
+        if let Some(entry) = self.jobs.jobs.get_mut(&id) {
+            entry.unsaved = job.unsaved;
+        }
+        if job.unsaved {
+            self.timers.set(self.now, crate::timer::TimerKind::Progress(id));
+        }
+    }
+
+    fn import_grant(&mut self, grant: &GrantSnapshot) {
+        let worker = self.pool.intern(&grant.worker);
+        let team = self.teams.intern(&grant.team);
+        let settled_at = self.now + grant.settle_ms;
+        let amounts = grant.amounts;
+        self.pool.edit(worker, |entry| {
+            entry.reserved = entry.reserved.plus(amounts);
+            entry.grants.insert(grant.ticket, settled_at);
+        });
+        let account = self.teams.get_mut(team);
+        account.used = account.used.plus(amounts);
+        self.requests
+            .grants
+            .insert(grant.ticket, RequestGrant { worker, team, amounts, settled_at });
+    }
+
+    /// Queues the requests of the earlier owner once the configuration is known.
+    pub(crate) fn queue_imported(&mut self) {
+        let asks: VecDeque<RequestAsk> = std::mem::take(&mut self.imported);
+        for ask in asks {
+            self.request_arrived(ask);
+        }
+        self.arrived = None;
+    }
+}
+
+impl RequestSnapshot {
+    fn ask(self, now: ClockMillis) -> RequestAsk {
+        RequestAsk {
+            ticket: self.ticket,
+            queue: self.queue,
+            start_by: now + self.wait_ms,
+            avoid: self.avoid,
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/team.rs
@@ -0,0 +1,109 @@
+//! What teams use and may use.
+
+use std::collections::{BTreeSet, HashMap};
+
+use model::name::TeamName;
+use model::resource::ResourceAmounts;
+use model::time::ClockMillis;
+
+use crate::hold::{HoldId, TaskHold, VictimKey};
+
+/// Position of a team in the ledger.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct TeamIndex(pub(crate) u32);
+
+/// One team.
+#[derive(Clone, Debug)]
+pub(crate) struct TeamAccount {
+    pub(crate) name: TeamName,
+    pub(crate) configured: bool,
+    pub(crate) weight: u32,
+    pub(crate) allotment: Option<ResourceAmounts>,
+    /// Reserved by tasks and granted requests.
+    pub(crate) used: ResourceAmounts,
+    /// Part of `used` that was told to stop.
+    pub(crate) stopping: ResourceAmounts,
+    /// Tasks that were not told to stop.
+    pub(crate) running: BTreeSet<VictimKey>,
+    /// Of those, the ones that may be checkpointed.
+    pub(crate) preemptible: BTreeSet<VictimKey>,
+    pub(crate) wanted_at: Option<ClockMillis>,
+    /// Preemptions in flight that make room for the team, one a piece of work.
+    pub(crate) relief: usize,
+}
+
+/// All teams.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TeamLedger {
+    pub(crate) teams: Vec<TeamAccount>,
+    by_name: HashMap<TeamName, TeamIndex>,
+}
+
+impl TeamLedger {
+    pub(crate) fn find(&self, name: &TeamName) -> Option<TeamIndex> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Returns the position of a team, adding one that is not configured if need be.
+    pub(crate) fn intern(&mut self, name: &TeamName) -> TeamIndex {
+        if let Some(index) = self.find(name) {
+            return index;
+        }
+        let index = TeamIndex(u32::try_from(self.teams.len()).unwrap_or(u32::MAX));
+        self.teams.push(TeamAccount {
+            name: name.clone(),
+            configured: false,
+            weight: 1,
+            allotment: None,
+            used: ResourceAmounts::ZERO,
+            stopping: ResourceAmounts::ZERO,
+            running: BTreeSet::new(),
+            preemptible: BTreeSet::new(),
+            wanted_at: None,
+            relief: 0,
+        });
+        self.by_name.insert(name.clone(), index);
+        index
+    }
+
+    pub(crate) fn get(&self, index: TeamIndex) -> &TeamAccount {
+        &self.teams[index.0 as usize]
+    }
+
+    pub(crate) fn get_mut(&mut self, index: TeamIndex) -> &mut TeamAccount {
+        &mut self.teams[index.0 as usize]
+    }
+
+    pub(crate) fn indices(&self) -> impl Iterator<Item = TeamIndex> + use<> {
+        (0..u32::try_from(self.teams.len()).unwrap_or(u32::MAX)).map(TeamIndex)
+    }
+
+    pub(crate) fn add_hold(&mut self, id: HoldId, hold: &TaskHold) {
+        let team = self.get_mut(hold.team);
+        team.used = team.used.plus(hold.amounts);
+        if hold.stop.is_some() {
+            team.stopping = team.stopping.plus(hold.amounts);
+            return;
+        }
+        team.running.insert(hold.victim_key(id));
+        if hold.class.preemptible {
+            team.preemptible.insert(hold.victim_key(id));
+        }
+    }
+
+    pub(crate) fn remove_hold(&mut self, id: HoldId, hold: &TaskHold) {
+        let team = self.get_mut(hold.team);
+        team.used = team.used.minus(hold.amounts);
+        if hold.stop.is_some() {
+            team.stopping = team.stopping.minus(hold.amounts);
+        }
+        team.running.remove(&hold.victim_key(id));
+        team.preemptible.remove(&hold.victim_key(id));
+    }
+
+    /// Returns the weighted dominant share, by which teams are served.
+    pub(crate) fn weighted_share(&self, index: TeamIndex, total: ResourceAmounts) -> f64 {
+        let team = self.get(index);
+        team.used.dominant_share(total) / f64::from(team.weight.max(1))
+    }
+}
