--- a/crates/model/src/check.rs
+++ b/crates/model/src/check.rs
@@ -4,8 +4,14 @@
 
 use serde::{Deserialize, Serialize};
 
+use self::problem::ProblemList;
 use crate::object::ObjectSet;
 
+pub(crate) mod name;
+pub(crate) mod problem;
+pub(crate) mod range;
+mod reference;
+
 /// One thing that is wrong with an object set.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -25,8 +31,16 @@
 }
 
 /// Returns every problem of the set; an empty list means that it may be published.
+///
+/// Operators fix a set in one pass only if they see everything that is wrong
+/// with it, so no rule stops at its first finding.
 #[must_use]
 pub fn check_set(set: &ObjectSet) -> Vec<CheckProblem> {
-    let _ = set;
-    Vec::new()
+    let mut problems = ProblemList::default();
+    name::check_names(set, &mut problems);
+    reference::check_references(set, &mut problems);
+    reference::check_parents(set, &mut problems);
+    reference::check_team_objects(set, &mut problems);
+    range::check_ranges(set, &mut problems);
+    problems.into_inner()
 }
--- a/crates/model/src/object.rs
+++ b/crates/model/src/object.rs
@@ -14,6 +14,8 @@
 };
 use crate::resource::ResourceAmounts;
 
+mod parse;
+
 /// The whole configuration of one cell.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
--- a/crates/model/src/setting.rs
+++ b/crates/model/src/setting.rs
@@ -4,6 +4,8 @@
 
 use crate::name::DomainName;
 
+mod parse;
+
 /// Settings of one entry process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/model/src/setting/parse.rs
@@ -0,0 +1,157 @@
+//! Parsing and range checks of the settings of an entry.
+
+use serde_json::{Map, Value};
+
+use super::{EntrySettings, PeerAddress};
+use crate::check::CheckProblem;
+use crate::check::name::{NAME_RULE, is_name};
+use crate::check::problem::ProblemList;
+use crate::check::range::{ADDRESS_RULE, check_range, parse_address};
+
+/// How problems name the settings file.
+const OBJECT: &str = "settings";
+
+const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+
+impl EntrySettings {
+    /// Parses settings from JSON and checks the range of every field.
+    ///
+    /// # Errors
+    ///
+    /// Returns every problem found: unknown and missing fields, values of the
+    /// wrong type, and values out of range.
+    pub fn parse(text: &str) -> Result<Self, Vec<CheckProblem>> {
+        let mut problems = ProblemList::default();
+        let fields: Map<String, Value> = match serde_json::from_str(text) {
+            Ok(fields) => fields,
+            Err(error) => {
+                problems.add(OBJECT, "JSON", format_args!("{error}; one JSON object is accepted"));
+                return Err(problems.into_inner());
+            }
+        };
+        let template = template_fields();
+        for field in fields.keys().filter(|field| !template.contains_key(*field)) {
+            let known: Vec<&str> = template.keys().map(String::as_str).collect();
+            let message = format!("is not a setting; accepted are {}", known.join(", "));
+            problems.add(OBJECT, field, message);
+        }
+        let settings = from_fields(&template, &fields, &mut problems);
+        check_settings(&settings, &mut problems);
+        if !problems.is_empty() {
+            return Err(problems.into_inner());
+        }
+        // A map keeps the last of two equal fields; the derived parser refuses them.
+        serde_json::from_str(text).map_err(|error| {
+            problems.add(OBJECT, "JSON", error);
+            problems.into_inner()
+        })
+    }
+}
+
+/// Settings that pass every check; they stand in for fields that do not parse.
+fn template_settings() -> EntrySettings {
+    EntrySettings {
+        name: "entry".to_owned(),
+        domain: "domain".into(),
+        http_address: "127.0.0.1:1".to_owned(),
+        peer_address: "127.0.0.1:2".to_owned(),
+        peer_advertise: None,
+        outgoing_ip: None,
+        peers: Vec::new(),
+        platform_address: "127.0.0.1:3".to_owned(),
+        threads: super::default_threads(),
+        log_level: super::default_level(),
+        config_contact_bound_s: super::default_contact_bound(),
+        drain_s: super::default_drain(),
+        balancer_delay_ms: super::default_balancer(),
+        seed: None,
+    }
+}
+
+/// Returns the template as JSON, whose field names are the known settings.
+fn template_fields() -> Map<String, Value> {
+    match serde_json::to_value(template_settings()) {
+        Ok(Value::Object(fields)) => fields,
+        _ => Map::new(),
+    }
+}
+
+/// Puts one field after the other into the template, so that each is judged by itself.
+fn from_fields(
+    template: &Map<String, Value>,
+    fields: &Map<String, Value>,
+    problems: &mut ProblemList,
+) -> EntrySettings {
+    let mut settings = template_settings();
+    let mut accepted = template.clone();
+    for field in template.keys() {
+        let mut tried = accepted.clone();
+        match fields.get(field) {
+            Some(value) => tried.insert(field.clone(), value.clone()),
+            None => tried.remove(field),
+        };
+        match serde_json::from_value(Value::Object(tried.clone())) {
+            Ok(parsed) => {
+                settings = parsed;
+                accepted = tried;
+            }
+            Err(error) if fields.contains_key(field) => problems.add(OBJECT, field, error),
+            Err(_) => problems.add(OBJECT, field, "is missing; it has no default"),
+        }
+    }
+    settings
+}
+
+fn check_settings(settings: &EntrySettings, problems: &mut ProblemList) {
+    check_name("name", &settings.name, problems);
+    check_name("domain", settings.domain.as_str(), problems);
+    check_addresses(settings, problems);
+    for (index, peer) in settings.peers.iter().enumerate() {
+        check_peer(index, peer, problems);
+    }
+    check_range(OBJECT, "threads", &settings.threads, &(1..=64), problems);
+    if !LEVELS.contains(&settings.log_level.as_str()) {
+        let message =
+            format!("`{}` is not a level; accepted are {}", settings.log_level, LEVELS.join(", "));
+        problems.add(OBJECT, "log_level", message);
+    }
+    let bound = settings.config_contact_bound_s;
+    check_range(OBJECT, "config_contact_bound_s", &bound, &(5..=3600), problems);
+    check_range(OBJECT, "drain_s", &settings.drain_s, &(1..=600), problems);
+    let delay = settings.balancer_delay_ms;
+    check_range(OBJECT, "balancer_delay_ms", &delay, &(0..=60_000), problems);
+}
+
+fn check_addresses(settings: &EntrySettings, problems: &mut ProblemList) {
+    check_address("http_address", &settings.http_address, problems);
+    check_address("peer_address", &settings.peer_address, problems);
+    check_address("platform_address", &settings.platform_address, problems);
+    match &settings.peer_advertise {
+        Some(address) => check_address("peer_advertise", address, problems),
+        None if parse_address(&settings.peer_address)
+            .is_some_and(|address| address.ip().is_unspecified()) =>
+        {
+            let message = "is missing, but `peer_address` listens on every interface; accepted \
+                           is the IP:PORT under which other entries reach this one";
+            problems.add(OBJECT, "peer_advertise", message);
+        }
+        None => {}
+    }
+}
+
+fn check_peer(index: usize, peer: &PeerAddress, problems: &mut ProblemList) {
+    check_name(&format!("peers[{index}].domain"), peer.domain.as_str(), problems);
+    check_address(&format!("peers[{index}].address"), &peer.address, problems);
+}
+
+fn check_name(field: &str, name: &str, problems: &mut ProblemList) {
+    if !is_name(name) {
+        problems.add(OBJECT, field, format_args!("`{name}` is not a name; {NAME_RULE}"));
+    }
+}
+
+fn check_address(field: &str, address: &str, problems: &mut ProblemList) {
+    if parse_address(address).is_none() {
+        problems.add(OBJECT, field, format_args!("`{address}` is not an address; {ADDRESS_RULE}"));
+    }
+}
