--- a/crates/model/src/check.rs
+++ b/crates/model/src/check.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use self::name::{NAME_RULE, is_name};
 use self::problem::ProblemList;
 use crate::object::ObjectSet;
 
--- a/crates/model/src/check/name.rs
+++ b/crates/model/src/check/name.rs
@@ -9,11 +9,12 @@
 const NAME_BYTES: usize = 63;
 
 /// What a name may look like, for messages.
-pub(crate) const NAME_RULE: &str = "1 to 63 characters are accepted: lower-case letters, digits, \
+pub const NAME_RULE: &str = "1 to 63 characters are accepted: lower-case letters, digits, \
      `.`, `_` and `-`, with a letter or digit first";
 
 /// Tells whether a text is a name, `[a-z0-9][a-z0-9._-]{0,62}`.
-pub(crate) fn is_name(text: &str) -> bool {
+#[must_use]
+pub fn is_name(text: &str) -> bool {
     let is_plain = |byte: &u8| byte.is_ascii_lowercase() || byte.is_ascii_digit();
     let bytes = text.as_bytes();
     bytes.len() <= NAME_BYTES
--- a/crates/model/src/object/parse.rs
+++ b/crates/model/src/object/parse.rs
@@ -47,7 +47,7 @@
         let sections: RawSections<'_> = match from_object(text) {
             Ok(sections) => sections,
             Err(error) => {
-                let message = format!("line {}: {}", error.line(), bare_message(&error));
+                let message = format!("line {}: {}", error.line().max(1), bare_message(&error));
                 let field = quoted_field(&message).unwrap_or("JSON").to_owned();
                 problems.add("object set", &field, message);
                 return Err(problems.into_inner());
--- /dev/null
+++ b/crates/saddle/src/client.rs
@@ -0,0 +1,333 @@
+//! The HTTP client towards entries.
+//!
+//! A caller must be able to tell *not run* from *unknown*, so the client keeps
+//! apart whether a request may have reached an entry, and sends it again only
+//! where that cannot do the work twice.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use awc::error::{ConnectError, SendRequestError};
+use awc::http::{Method, StatusCode, header};
+use awc::{Connector, body};
+use model::kind::{ErrorBody, ErrorKind, RequestOutcome};
+use serde::de::DeserializeOwned;
+use wire::api;
+
+/// Longest wait for a connection; an entry is at most a few milliseconds away,
+/// and the next one should be tried soon.
+const CONNECT_MS: u64 = 2000;
+
+/// Most sends of one call after a reply was lost.
+const LOST_SENDS: usize = 4;
+
+/// Pause before an entry is asked again. Together with the other pauses this
+/// outlasts the 500 ms between two reads of the configuration head.
+const RESEND_MS: u64 = 200;
+
+/// Largest answer accepted; a set of 2,300 workers takes about 0.6 MB.
+const ANSWER_BYTES: usize = 64 << 20;
+
+/// Whether a call may be sent again after its reply was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResendRule {
+    /// The call does the same however often it arrives.
+    Always,
+    /// The call may do its work each time that it arrives.
+    Never,
+}
+
+/// One call of the HTTP API.
+#[derive(Clone, Debug)]
+pub struct ApiCall {
+    /// HTTP method.
+    pub method: Method,
+    /// Path from the root, already percent-encoded.
+    pub path: String,
+    /// Headers beside the key.
+    pub headers: Vec<(&'static str, String)>,
+    /// Body; empty for none.
+    pub body: Vec<u8>,
+    /// Whether it may be sent again.
+    pub resend: ResendRule,
+    /// Time after which it is not sent again, where the caller has a deadline.
+    pub resend_within: Option<Duration>,
+}
+
+impl ApiCall {
+    /// Builds a call without headers and body that may be sent again.
+    #[must_use]
+    pub fn new(method: Method, path: impl Into<String>) -> Self {
+        Self {
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            resend: ResendRule::Always,
+            resend_within: None,
+        }
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn with_header(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    /// Sets a JSON body.
+    #[must_use]
+    pub fn with_json(mut self, document: &impl serde::Serialize) -> Self {
+        // Documents of the API have string keys only, which always serialise.
+        self.body = serde_json::to_vec(document).unwrap_or_default();
+        self.with_header("content-type", "application/json")
+    }
+}
+
+/// A complete answer that is no refusal.
+#[derive(Clone, Debug)]
+pub struct ApiAnswer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Identifier of the request in the answer's header, where it has one.
+    pub request_id: Option<String>,
+    /// Whether the header states that the endpoint answered.
+    pub answered: bool,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+/// Why a call brought no answer.
+#[derive(Clone, Debug)]
+pub enum CallFailure {
+    /// No entry could be connected to; one text an entry.
+    Unreachable(Vec<String>),
+    /// The call may have reached an entry, but its answer did not come back.
+    Lost(String),
+    /// An entry refused the call.
+    Refused {
+        /// What the entry answered.
+        body: ErrorBody,
+        /// Whether an earlier reply to the same call was lost.
+        lost_before: bool,
+    },
+}
+
+/// Sends calls to the first entry that can be reached.
+pub struct EntryClient {
+    entries: Vec<SocketAddr>,
+    key: Option<String>,
+    timeout: Duration,
+    http: awc::Client,
+}
+
+impl std::fmt::Debug for EntryClient {
+    /// Leaves the secret out.
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        out.debug_struct("EntryClient").field("entries", &self.entries).finish_non_exhaustive()
+    }
+}
+
+/// What came of sending a call to one entry once.
+enum SendResult {
+    NotSent(String),
+    Lost(String),
+    Answered(ApiAnswer),
+}
+
+/// What is known after some sends of one call.
+#[derive(Default)]
+struct SendLog {
+    unreachable: Vec<String>,
+    lost: Option<String>,
+    refused: Option<ErrorBody>,
+}
+
+impl SendLog {
+    fn into_failure(self) -> CallFailure {
+        match (self.lost, self.refused) {
+            (Some(reason), _) => CallFailure::Lost(reason),
+            (None, Some(body)) => CallFailure::Refused { body, lost_before: false },
+            (None, None) => CallFailure::Unreachable(self.unreachable),
+        }
+    }
+}
+
+impl EntryClient {
+    /// Builds a client; needs an actix system.
+    #[must_use]
+    pub fn new(entries: Vec<SocketAddr>, key: Option<String>, timeout: Duration) -> Self {
+        // Shorter than the whole wait, so that a slow connect is told from a lost reply.
+        let connect = (timeout / 2).min(Duration::from_millis(CONNECT_MS));
+        // A redirect could carry the key to an address that nobody named.
+        let http = awc::Client::builder()
+            .connector(Connector::new().timeout(connect))
+            .timeout(timeout)
+            .disable_redirects()
+            .finish();
+        Self { entries, key, timeout, http }
+    }
+
+    /// Returns a client that waits for at least `timeout` for each answer.
+    #[must_use]
+    pub fn with_least_timeout(self, timeout: Duration) -> Self {
+        let timeout = self.timeout.max(timeout);
+        Self::new(self.entries, self.key, timeout)
+    }
+
+    /// Sends a call, to the next entry where one cannot be reached or did not run it.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is known about the call when no entry answered it.
+    pub async fn send(&self, call: &ApiCall) -> Result<ApiAnswer, CallFailure> {
+        let start = Instant::now();
+        let mut log = SendLog::default();
+        let mut sends = self.entries.len();
+        let mut index = 0;
+        while index < sends {
+            if index >= self.entries.len() {
+                actix_rt::time::sleep(Duration::from_millis(RESEND_MS)).await;
+            }
+            let entry = self.entries[index % self.entries.len()];
+            index += 1;
+            match self.send_once(entry, call).await {
+                SendResult::NotSent(reason) => log.unreachable.push(format!("{entry}: {reason}")),
+                SendResult::Lost(reason) => log.lost = Some(format!("{entry}: {reason}")),
+                SendResult::Answered(answer) => {
+                    let Some(body) = answer.refusal() else {
+                        return Ok(answer);
+                    };
+                    if body.outcome == RequestOutcome::Unknown && body.retry {
+                        log.lost = Some(format!("{entry}: {}: {}", body.kind, body.message));
+                    } else if is_worth_asking_others(&body) {
+                        log.refused = Some(body);
+                    } else {
+                        return Err(CallFailure::Refused { body, lost_before: log.lost.is_some() });
+                    }
+                }
+            }
+            if log.lost.is_some() {
+                let is_late = call.resend_within.is_some_and(|bound| start.elapsed() >= bound);
+                if call.resend == ResendRule::Never || is_late {
+                    break;
+                }
+                sends = sends.max(LOST_SENDS);
+            }
+        }
+        Err(log.into_failure())
+    }
+
+    async fn send_once(&self, entry: SocketAddr, call: &ApiCall) -> SendResult {
+        match actix_rt::time::timeout(self.timeout, self.exchange(entry, call)).await {
+            Ok(result) => result,
+            Err(_) => SendResult::Lost(format!("no answer in {} ms", self.timeout.as_millis())),
+        }
+    }
+
+    async fn exchange(&self, entry: SocketAddr, call: &ApiCall) -> SendResult {
+        let url = format!("http://{entry}{}", call.path);
+        // An entry may close an idle connection at any moment, which would look
+        // like a lost reply; so each send has its own.
+        let mut request = self.http.request(call.method.clone(), url).force_close();
+        if let Some(key) = &self.key {
+            request = request.insert_header((header::AUTHORIZATION, format!("Bearer {key}")));
+        }
+        for (name, value) in &call.headers {
+            request = request.insert_header((*name, value.as_str()));
+        }
+        let mut response = match request.send_body(body::BoxBody::new(call.body.clone())).await {
+            Ok(response) => response,
+            Err(error) if is_not_sent(&error) => return SendResult::NotSent(error.to_string()),
+            Err(error) => return SendResult::Lost(error.to_string()),
+        };
+        let text = |name: &str| {
+            response.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+        };
+        let request_id = text(api::REQUEST_ID_HEADER);
+        let answered = text(api::OUTCOME_HEADER).as_deref() == Some("answered");
+        let status = response.status();
+        match response.body().limit(ANSWER_BYTES).await {
+            Ok(body) => SendResult::Answered(ApiAnswer {
+                status,
+                request_id,
+                answered,
+                body: body.to_vec(),
+            }),
+            Err(error) => SendResult::Lost(format!("the answer was cut off: {error}")),
+        }
+    }
+}
+
+impl ApiAnswer {
+    /// Parses the body of an answer to an entry's own API.
+    ///
+    /// # Errors
+    ///
+    /// Returns a lost answer: the entry did something, but it cannot be told what.
+    pub fn parse<T: DeserializeOwned>(&self) -> Result<T, CallFailure> {
+        serde_json::from_slice(&self.body).map_err(|error| {
+            CallFailure::Lost(format!(
+                "the answer with status {} has another form: {error}",
+                self.status
+            ))
+        })
+    }
+
+    /// Returns the body of a refusal, or nothing where the call was answered.
+    fn refusal(&self) -> Option<ErrorBody> {
+        if self.answered || self.status.is_success() {
+            return None;
+        }
+        let body = serde_json::from_slice(&self.body).unwrap_or_else(|_| {
+            // Whatever sent this is no entry; only a 4xx states that nothing was done.
+            let kind = match self.status {
+                StatusCode::NOT_FOUND => ErrorKind::NotFound,
+                status if status.is_client_error() => ErrorKind::BadInput,
+                _ => ErrorKind::Internal,
+            };
+            let message = format!("the answer has status {} and no error body", self.status);
+            ErrorBody::new(kind, message)
+        });
+        Some(body)
+    }
+}
+
+/// Tells whether another entry may accept what this one refused without running it.
+fn is_worth_asking_others(body: &ErrorBody) -> bool {
+    body.retry && body.outcome == RequestOutcome::NotRun && body.kind != ErrorKind::Conflict
+}
+
+/// Tells whether an error proves that nothing was sent.
+///
+/// awc reports some connections that close before an answer as connect errors
+/// too, so only errors that cannot come from an open connection count.
+fn is_not_sent(error: &SendRequestError) -> bool {
+    match error {
+        SendRequestError::Url(_) | SendRequestError::Connect(ConnectError::Timeout) => true,
+        SendRequestError::Connect(ConnectError::Io(fault)) => matches!(
+            fault.kind(),
+            io::ErrorKind::ConnectionRefused
+                | io::ErrorKind::HostUnreachable
+                | io::ErrorKind::NetworkUnreachable
+                | io::ErrorKind::AddrNotAvailable
+        ),
+        _ => false,
+    }
+}
+
+/// Percent-encodes one segment of a path.
+#[must_use]
+pub fn path_segment(text: &str) -> String {
+    use std::fmt::Write;
+
+    text.bytes().fold(String::with_capacity(text.len()), |mut path, byte| {
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            path.push(char::from(byte));
+        } else {
+            let _ = write!(path, "%{byte:02X}");
+        }
+        path
+    })
+}
--- /dev/null
+++ b/crates/saddle/src/command/cancel.rs
@@ -0,0 +1,45 @@
+//! `saddle cancel`: cancels a job.
+
+use awc::http::Method;
+use getopts::Options;
+use model::job::JobRecord;
+use wire::api;
+
+use super::{CommandContext, CommandSpec, status};
+use crate::client::{ApiCall, path_segment};
+use crate::error::{CommandError, CommandResult};
+use crate::output::CommandOutput;
+
+pub(super) const SPEC: CommandSpec = CommandSpec {
+    name: "cancel",
+    summary: "Cancel a job",
+    synopsis: &["JOB"],
+    details: "Stops the tasks of a job and starts no more of them. A job that is over stays as it \
+              is.",
+    add_options: |_: &mut Options| {},
+};
+
+pub(super) async fn run(context: &CommandContext, output: &mut CommandOutput) -> CommandResult<()> {
+    let [job] = context.expect("cancel")?;
+    let path = format!("{}/{}", api::JOB_PATH, path_segment(job));
+    let answer = context.client()?.send(&ApiCall::new(Method::DELETE, path)).await;
+    let answer = answer.map_err(|failure| {
+        let error = CommandError::from(failure);
+        if error.status == crate::status::ExitStatus::Unknown {
+            error.with_next(format!(
+                "run `saddle status {job}`, and cancel it again if it is not cancelled"
+            ))
+        } else {
+            error
+        }
+    })?;
+    match answer.parse::<JobRecord>() {
+        Ok(record) if context.options.json => output.print_json(&record),
+        Ok(record) => output.print(&status::describe_job(&record)),
+        Err(_) if context.options.json => {
+            output.print_json(&serde_json::json!({ "job": job, "cancelled": true }));
+        }
+        Err(_) => output.print(&format!("job {job}: cancelled")),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/saddle/src/command/request.rs
@@ -0,0 +1,118 @@
+//! `saddle request`: sends a request to a queue and prints the endpoint's answer.
+
+use std::time::Duration;
+
+use awc::http::Method;
+use getopts::Options;
+use model::check::{NAME_RULE, is_name};
+use wire::api;
+
+use super::{CommandContext, CommandSpec, usage_error};
+use crate::client::{ApiAnswer, ApiCall, ResendRule};
+use crate::error::{CommandError, CommandResult};
+use crate::output::CommandOutput;
+use crate::status::ExitStatus;
+
+pub(super) const SPEC: CommandSpec = CommandSpec {
+    name: "request",
+    summary: "Send a request to a queue and print its answer",
+    synopsis: &["QUEUE [--body TEXT] [--id ID] [--non-idempotent] [--deadline-ms N]"],
+    details: "Prints the body of the endpoint's answer unchanged. A request marked \
+              --non-idempotent is never\nsent again once it may have reached an entry.",
+    add_options: |options: &mut Options| {
+        options.optopt("", "body", "body of the request (default: empty)", "TEXT");
+        options.optopt("", "id", "id of the request within the team (default: minted)", "ID");
+        options.optflag("", "non-idempotent", "the work must not run twice");
+        options.optopt("", "deadline-ms", "longest wait for the answer, 1 to 600000", "N");
+    },
+};
+
+/// Deadline that entries use where none is given, see docs/design.md, section 7.
+const DEFAULT_DEADLINE_MS: u64 = 10_000;
+
+/// Time for an entry to report that a deadline has passed.
+const DEADLINE_SLACK_MS: u64 = 1000;
+
+pub(super) async fn run(context: &CommandContext, output: &mut CommandOutput) -> CommandResult<()> {
+    let [queue] = context.expect("request")?;
+    if !is_name(queue) {
+        let message = format!("`{queue}` is not the name of a queue; {NAME_RULE}");
+        return Err(usage_error("request", message).into());
+    }
+    let id = context.matches.opt_str("id");
+    if let Some(id) = &id
+        && !is_name(id)
+    {
+        let message = format!("--id: `{id}` is not an id; {NAME_RULE}");
+        return Err(usage_error("request", message).into());
+    }
+    let deadline = context.number("deadline-ms", 1, 600_000)?;
+    let mut client = context.client()?;
+    if let Some(deadline) = deadline {
+        client = client.with_least_timeout(Duration::from_millis(deadline + DEADLINE_SLACK_MS));
+    }
+    let call = build_call(context, queue, id.as_deref(), deadline);
+    let answer = client.send(&call).await.map_err(|failure| {
+        let error = CommandError::from(failure);
+        if error.status == ExitStatus::Unknown {
+            unknown_request(error, id.as_deref())
+        } else {
+            error
+        }
+    })?;
+    check_id(&answer, id.as_deref())?;
+    if context.options.json {
+        output.print_json(&serde_json::json!({
+            "id": answer.request_id,
+            "status": answer.status.as_u16(),
+            "body": String::from_utf8_lossy(&answer.body),
+        }));
+    } else {
+        output.print_bytes(&answer.body);
+    }
+    Ok(())
+}
+
+fn build_call(
+    context: &CommandContext,
+    queue: &str,
+    id: Option<&str>,
+    deadline: Option<u64>,
+) -> ApiCall {
+    let mut call = ApiCall::new(Method::POST, format!("{}{queue}/request", api::QUEUE_PREFIX));
+    call.resend_within = Some(Duration::from_millis(deadline.unwrap_or(DEFAULT_DEADLINE_MS)));
+    call.body = context.matches.opt_str("body").unwrap_or_default().into_bytes();
+    if let Some(id) = id {
+        call = call.with_header(api::REQUEST_ID_HEADER, id);
+    }
+    if let Some(deadline) = deadline {
+        call = call.with_header(api::DEADLINE_HEADER, deadline.to_string());
+    }
+    if context.matches.opt_present("non-idempotent") {
+        call.resend = ResendRule::Never;
+        call = call.with_header(api::IDEMPOTENT_HEADER, "false");
+    }
+    call
+}
+
+fn unknown_request(error: CommandError, id: Option<&str>) -> CommandError {
+    error.with_next(match id {
+        Some(id) => format!(
+            "the request may have run; sending it again with `--id {id} --non-idempotent` cannot \
+             run it twice"
+        ),
+        None => "the request may have run; send it again only if running it twice does no harm"
+            .to_owned(),
+    })
+}
+
+/// Refuses an answer that states another request's id.
+fn check_id(answer: &ApiAnswer, id: Option<&str>) -> CommandResult<()> {
+    match (id, &answer.request_id) {
+        (Some(id), Some(found)) if id != found => {
+            let message = format!("the answer belongs to request `{found}`, not to `{id}`");
+            Err(unknown_request(CommandError::unknown(message, ""), Some(id)).into())
+        }
+        _ => Ok(()),
+    }
+}
--- a/crates/saddle/src/lib.rs
+++ b/crates/saddle/src/lib.rs
@@ -1,1 +1,53 @@
-//! Not built yet.
+//! The command line `saddle` for operators and callers.
+//!
+//! The binary is a thin `main` over [`run`], so that tests can call whole
+//! commands inside their own actix system. Commands and exit codes are
+//! described in [docs/cli.md](https://example.org/amaranthsaddle/docs/cli.md).
+
+pub mod client;
+mod command;
+pub mod environment;
+mod error;
+mod help;
+mod option;
+mod output;
+mod publish;
+pub mod status;
+
+pub use output::CommandOutput;
+
+use crate::command::CommandContext;
+use crate::environment::CliEnvironment;
+use crate::error::{CommandError, CommandResult};
+
+/// Runs one command and returns what it prints and its exit code.
+///
+/// `arguments` are those after the program's name. Nothing is printed here.
+/// Needs an actix system, because awc runs on its local tasks.
+pub async fn run(arguments: &[String], environment: &CliEnvironment) -> CommandOutput {
+    let mut output = CommandOutput::default();
+    let name = command::find_name(arguments);
+    if let Err(report) = run_command(arguments, environment, &mut output).await {
+        let json = arguments.iter().any(|argument| argument == "--json");
+        output.fail(name, report.current_context(), json);
+    }
+    output
+}
+
+async fn run_command(
+    arguments: &[String],
+    environment: &CliEnvironment,
+    output: &mut CommandOutput,
+) -> CommandResult<()> {
+    let line = option::CommandLine::parse(arguments)?;
+    if line.wants_help() {
+        output.print(&help::help_for(line.command));
+        return Ok(());
+    }
+    let Some(command) = line.command else {
+        return Err(CommandError::usage("no command was given", "run `saddle --help`").into());
+    };
+    let options = line.global_options(environment)?;
+    let context = CommandContext { options, matches: line.matches, arguments: line.arguments };
+    command::run_named(command, &context, output).await
+}
--- /dev/null
+++ b/crates/saddle/src/publish.rs
@@ -0,0 +1,305 @@
+//! Publication of changes by compare-and-swap on the version.
+
+use std::time::Duration;
+
+use awc::http::Method;
+use error_stack::Report;
+use model::check;
+use model::kind::{ErrorKind, RequestOutcome};
+use model::object::ObjectSet;
+use wire::api::{self, ApplyReply, ConfigDocument, StatusReply};
+
+use crate::client::{ApiCall, CallFailure, EntryClient};
+use crate::error::{CommandError, CommandResult};
+use crate::output::CommandOutput;
+use crate::status::ExitStatus;
+
+/// Most times that an edit is put onto a newer version, or that a lagging entry
+/// is read again.
+const EDIT_ATTEMPTS: usize = 6;
+
+/// Pause after a conflict; entries read the head every 500 ms, so that the
+/// attempts together outlast several reads.
+const CONFLICT_MS: u64 = 300;
+
+/// What an edit found in the set that it was given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EditStep {
+    /// The set was changed and is to be published.
+    Changed,
+    /// The set is as wanted already.
+    AlreadyDone,
+}
+
+/// How a `PUT` that was not answered with a reply ended.
+enum PutFailure {
+    /// Another change holds the version; `maybe_applied` where an own reply was lost before.
+    Conflict {
+        version: Option<u64>,
+        maybe_applied: bool,
+    },
+    Other(CallFailure),
+}
+
+/// Mints an identifier of 128 random bits.
+pub(crate) fn mint_id() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
+
+/// Reads the published configuration.
+pub(crate) async fn fetch_config(client: &EntryClient) -> CommandResult<ConfigDocument> {
+    let call = ApiCall::new(Method::GET, api::CONFIG_PATH);
+    let document = client.send(&call).await.and_then(|answer| answer.parse());
+    Ok(document.map_err(read_error)?)
+}
+
+/// Turns the failure of a read into an error; a lost read changed nothing.
+pub(crate) fn read_error(failure: CallFailure) -> CommandError {
+    match failure {
+        CallFailure::Lost(reason) => CommandError::new(
+            ExitStatus::Unreachable,
+            format!("no entry gave a complete answer: {reason}"),
+            "try again, or name another entry with `--entry`; nothing was changed",
+        ),
+        failure => failure.into(),
+    }
+}
+
+async fn put_config(
+    client: &EntryClient,
+    base: u64,
+    change_id: &str,
+    objects: &ObjectSet,
+) -> Result<ApplyReply, PutFailure> {
+    let call = ApiCall::new(Method::PUT, api::CONFIG_PATH)
+        .with_header(api::BASE_VERSION_HEADER, base.to_string())
+        .with_header(api::CHANGE_ID_HEADER, change_id)
+        .with_json(objects);
+    match client.send(&call).await.and_then(|answer| answer.parse()) {
+        Ok(reply) => Ok(reply),
+        Err(CallFailure::Refused { body, lost_before }) if body.kind == ErrorKind::Conflict => {
+            Err(PutFailure::Conflict { version: body.version, maybe_applied: lost_before })
+        }
+        // A refusal after a lost reply tells nothing about the first send.
+        Err(CallFailure::Refused { body, lost_before })
+            if lost_before || body.outcome == RequestOutcome::Unknown =>
+        {
+            Err(PutFailure::Other(CallFailure::Lost(format!("{}: {}", body.kind, body.message))))
+        }
+        Err(failure) => Err(PutFailure::Other(failure)),
+    }
+}
+
+/// Publishes a whole set on top of version `base`.
+pub(crate) async fn publish_set(
+    client: &EntryClient,
+    base: u64,
+    objects: &ObjectSet,
+) -> CommandResult<ApplyReply> {
+    let change_id = mint_id();
+    match put_config(client, base, &change_id, objects).await {
+        Ok(reply) => Ok(reply),
+        Err(PutFailure::Conflict { version, maybe_applied: false }) => {
+            Err(conflict_error(base, version).into())
+        }
+        Err(PutFailure::Conflict { version, maybe_applied: true }) => {
+            resolve_lost(client, base, &change_id, version).await
+        }
+        Err(PutFailure::Other(CallFailure::Lost(reason))) => {
+            match resolve_lost(client, base, &change_id, None).await {
+                Ok(reply) => Ok(reply),
+                Err(report) if report.current_context().status == ExitStatus::Conflict => {
+                    Err(report)
+                }
+                Err(_) => Err(unknown_error(base, &reason).into()),
+            }
+        }
+        Err(PutFailure::Other(failure)) => Err(CommandError::from(failure).into()),
+    }
+}
+
+/// Finds out whose change followed version `base`, after an own reply was lost.
+async fn resolve_lost(
+    client: &EntryClient,
+    base: u64,
+    change_id: &str,
+    known: Option<u64>,
+) -> CommandResult<ApplyReply> {
+    let least = known.unwrap_or(base + 1).max(base + 1);
+    for _ in 0..EDIT_ATTEMPTS {
+        let document = fetch_config(client).await?;
+        if document.change_id == change_id {
+            return confirmed_reply(client, document).await;
+        }
+        if document.version >= least {
+            // Versions have no gaps: where the next version is another change, the own
+            // one cannot be committed any more. Beyond it, its fate cannot be read.
+            return Err(if document.version == base + 1 {
+                conflict_error(base, Some(document.version)).into()
+            } else {
+                unknown_error(base, "other changes have been committed since").into()
+            });
+        }
+        actix_rt::time::sleep(Duration::from_millis(CONFLICT_MS)).await;
+    }
+    Err(unknown_error(base, "the version did not become visible").into())
+}
+
+fn conflict_error(base: u64, version: Option<u64>) -> CommandError {
+    let current = version.map_or_else(String::new, |version| format!(" (now {version})"));
+    let message = format!(
+        "the configuration is no longer at version {base}{current}; nothing of this change was \
+         published"
+    );
+    let next = "read the current set with `saddle get`, put your change into it, and run `saddle \
+                apply FILE --base` with the version read";
+    CommandError {
+        kind: Some(ErrorKind::Conflict),
+        version,
+        ..CommandError::new(ExitStatus::Conflict, message, next)
+    }
+}
+
+fn unknown_error(base: u64, reason: &str) -> CommandError {
+    let message =
+        format!("it is not known whether the change on version {base} is committed: {reason}");
+    let next = format!(
+        "run `saddle get` to see the version and the objects; repeating `saddle apply FILE --base \
+         {base}` cannot apply the change twice"
+    );
+    CommandError::unknown(message, next)
+}
+
+/// Reads the configuration, edits it and publishes it, again where another change came first.
+///
+/// `edit` is told whether an earlier round of its own may have been committed.
+pub(crate) async fn edit_config(
+    client: &EntryClient,
+    mut edit: impl FnMut(&mut ObjectSet, bool) -> CommandResult<EditStep>,
+) -> CommandResult<ApplyReply> {
+    let mut maybe_applied = false;
+    let mut least = 0;
+    let mut base = 0;
+    for attempt in 0..EDIT_ATTEMPTS {
+        if attempt > 0 {
+            actix_rt::time::sleep(Duration::from_millis(CONFLICT_MS)).await;
+        }
+        let document =
+            fetch_config(client).await.map_err(|report| after_loss(report, maybe_applied))?;
+        if document.version < least {
+            // This entry has not read the version that the conflict stated.
+            continue;
+        }
+        base = document.version;
+        let mut objects = document.objects.clone();
+        if edit(&mut objects, maybe_applied)? == EditStep::AlreadyDone {
+            return confirmed_reply(client, document).await;
+        }
+        let problems = check::check_set(&objects);
+        if !problems.is_empty() {
+            return Err(CommandError::problems("the edited object set", problems).into());
+        }
+        match put_config(client, base, &mint_id(), &objects).await {
+            Ok(reply) => return Ok(reply),
+            Err(PutFailure::Conflict { version, maybe_applied: lost }) => {
+                maybe_applied |= lost;
+                least = version.unwrap_or(base + 1);
+            }
+            Err(PutFailure::Other(CallFailure::Lost(reason))) => {
+                return read_back(client, edit, &reason).await;
+            }
+            Err(PutFailure::Other(failure)) => {
+                return Err(after_loss(CommandError::from(failure).into(), maybe_applied));
+            }
+        }
+    }
+    let error = conflict_error(base, Some(least))
+        .with_next("other operators are editing as well; run the command again in a few seconds");
+    Err(after_loss(error.into(), maybe_applied))
+}
+
+/// Looks whether an edit whose reply was lost is in the published set.
+async fn read_back(
+    client: &EntryClient,
+    mut edit: impl FnMut(&mut ObjectSet, bool) -> CommandResult<EditStep>,
+    reason: &str,
+) -> CommandResult<ApplyReply> {
+    let message = format!("it is not known whether the change is committed: {reason}");
+    let next = "run `saddle get` to see whether the change is in the set before repeating it";
+    let unknown = CommandError::unknown(message, next);
+    actix_rt::time::sleep(Duration::from_millis(CONFLICT_MS)).await;
+    let Ok(document) = fetch_config(client).await else {
+        return Err(unknown.into());
+    };
+    let mut objects = document.objects.clone();
+    match edit(&mut objects, true) {
+        Ok(EditStep::AlreadyDone) => confirmed_reply(client, document).await,
+        _ => Err(unknown.into()),
+    }
+}
+
+/// Keeps a lost reply of an earlier round in the exit code.
+fn after_loss(report: Report<CommandError>, maybe_applied: bool) -> Report<CommandError> {
+    if !maybe_applied {
+        return report;
+    }
+    let message = format!("an earlier reply was lost, then: {}", report.current_context().message);
+    let next = "run `saddle get` to see whether the change is in the set before repeating it";
+    report.change_context(CommandError::unknown(message, next))
+}
+
+/// Builds the reply for a version that is published already, from what owners confirmed.
+async fn confirmed_reply(
+    client: &EntryClient,
+    document: ConfigDocument,
+) -> CommandResult<ApplyReply> {
+    let status = fetch_status(client).await?;
+    let (in_force, not_confirmed) = status
+        .domains
+        .into_iter()
+        .partition::<Vec<_>, _>(|domain| domain.confirmed >= document.version);
+    let names = |domains: Vec<api::DomainStatus>| domains.into_iter().map(|domain| domain.name);
+    Ok(ApplyReply {
+        version: document.version,
+        change_id: document.change_id,
+        in_force: names(in_force).collect(),
+        not_confirmed: names(not_confirmed).collect(),
+    })
+}
+
+/// Reads the status of the first entry that can be reached.
+pub(crate) async fn fetch_status(client: &EntryClient) -> CommandResult<StatusReply> {
+    let call = ApiCall::new(Method::GET, api::STATUS_PATH);
+    let status = client.send(&call).await.and_then(|answer| answer.parse());
+    Ok(status.map_err(read_error)?)
+}
+
+/// Prints how far a change has got and sets the exit code.
+pub(crate) fn print_reply(reply: &ApplyReply, json: bool, output: &mut CommandOutput) {
+    if json {
+        output.print_json(reply);
+    } else {
+        output.print(&describe_reply(reply));
+    }
+    if !reply.not_confirmed.is_empty() {
+        output.status = ExitStatus::NotConfirmed;
+    }
+}
+
+/// Tells in a sentence how far a change has got.
+pub(crate) fn describe_reply(reply: &ApplyReply) -> String {
+    if reply.not_confirmed.is_empty() {
+        return format!("version {} is in force everywhere", reply.version);
+    }
+    let join = |names: &[model::name::DomainName]| {
+        let names: Vec<&str> = names.iter().map(model::name::DomainName::as_str).collect();
+        if names.is_empty() { "none".to_owned() } else { names.join(", ") }
+    };
+    format!(
+        "version {} is committed but not confirmed everywhere\n  in force in: {}\n  not confirmed \
+         by: {}\nIt cannot be lost any more; `saddle status` shows when the others confirm it.",
+        reply.version,
+        join(&reply.in_force),
+        join(&reply.not_confirmed)
+    )
+}
