--- /dev/null
+++ b/testing/scenario/src/check/answer.rs
@@ -0,0 +1,176 @@
+//! Promises about requests and keys: 3, 6, 7 and 8.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use model::kind::RequestOutcome;
+use model::name::TeamName;
+use wire::history::{CallerEvent, CallerRecord, WorkerEvent};
+
+use super::Violation;
+use super::timeline::{ConfigChange, ConfigTimeline};
+use super::work::{WorkId, WorkRun};
+use crate::record::RunHistory;
+
+/// The records of one request or job in the callers' history.
+#[derive(Default)]
+struct CallerTrace<'a> {
+    sent: Vec<&'a CallerRecord>,
+    received: Vec<&'a CallerRecord>,
+}
+
+fn collect_traces(records: &[CallerRecord]) -> BTreeMap<&str, CallerTrace<'_>> {
+    let mut traces: BTreeMap<&str, CallerTrace<'_>> = BTreeMap::new();
+    for record in records {
+        match &record.event {
+            CallerEvent::Sent { request: id, .. } | CallerEvent::JobSent { job: id, .. } => {
+                traces.entry(id).or_default().sent.push(record);
+            }
+            CallerEvent::Received { request: id, .. }
+            | CallerEvent::JobReceived { job: id, .. } => {
+                traces.entry(id).or_default().received.push(record);
+            }
+        }
+    }
+    traces
+}
+
+/// Returns the team for which a sending could be accepted under one configuration.
+fn permitted_team<'a>(change: &'a ConfigChange<'_>, event: &CallerEvent) -> Option<&'a TeamName> {
+    let CallerEvent::Sent { key, queue, .. } = event else { return None };
+    let (team, open) = change.queue_team(queue)?;
+    let key_team = key.as_ref().and_then(|key| change.key_team(key));
+    (open || key_team == Some(team)).then_some(team)
+}
+
+/// Tells whether a sending could be accepted, for `team` if that is given.
+fn is_permitted(
+    timeline: &ConfigTimeline<'_>,
+    record: &CallerRecord,
+    team: Option<&TeamName>,
+) -> bool {
+    timeline.possible(record.at_us).iter().any(|change| match &record.event {
+        CallerEvent::JobSent { key, .. } => team
+            .is_some_and(|team| change.key_team(key) == Some(team) || change.has_open_queue(team)),
+        event => {
+            let permitted = permitted_team(change, event);
+            permitted.is_some() && (team.is_none() || permitted == team)
+        }
+    })
+}
+
+/// Promise 3: work is accepted only for the team whose key came with it.
+pub fn check_keys(
+    history: &RunHistory,
+    timeline: &ConfigTimeline<'_>,
+    runs: &[WorkRun<'_>],
+) -> Vec<Violation> {
+    let traces = collect_traces(&history.callers);
+    let mut violations = Vec::new();
+    for run in runs {
+        let id = match &run.id {
+            WorkId::Task(task) => task.job.as_str(),
+            WorkId::Request(request) => request.as_str(),
+        };
+        let sent = traces.get(id).map(|trace| trace.sent.as_slice()).unwrap_or_default();
+        if !sent.iter().any(|record| is_permitted(timeline, record, Some(run.team))) {
+            let message = format!("{id} ran for team {} without a valid key", run.team);
+            let violation = Violation::new(3, run.start, message).with_record(run.record);
+            let add = |violation: Violation, record: &&CallerRecord| violation.with_record(*record);
+            violations.push(sent.iter().fold(violation, add));
+        }
+    }
+    for (id, trace) in &traces {
+        let answers = trace.received.iter().filter(|record| is_answered(record));
+        for answer in answers {
+            if !trace.sent.iter().any(|record| is_permitted(timeline, record, None)) {
+                let message = format!("request {id} was answered without a valid key");
+                violations.push(Violation::new(3, answer.at_us, message).with_record(*answer));
+            }
+        }
+    }
+    violations
+}
+
+fn outcome_of(record: &CallerRecord) -> Option<RequestOutcome> {
+    match &record.event {
+        CallerEvent::Received { outcome, .. } => Some(*outcome),
+        _ => None,
+    }
+}
+
+fn is_answered(record: &CallerRecord) -> bool {
+    outcome_of(record) == Some(RequestOutcome::Answered)
+}
+
+/// Promise 6: a caller gets the complete answer to its own request.
+pub fn check_answers(history: &RunHistory) -> Vec<Violation> {
+    let ended: BTreeSet<(&str, &str)> = history
+        .workers
+        .iter()
+        .filter_map(|record| match &record.event {
+            WorkerEvent::RequestEnded { request, digest, .. } => {
+                Some((request.as_str(), digest.as_str()))
+            }
+            _ => None,
+        })
+        .collect();
+    let mut violations = Vec::new();
+    for record in history.callers.iter().filter(|record| is_answered(record)) {
+        let CallerEvent::Received { request, digest, .. } = &record.event else { continue };
+        if digest.is_empty() || !ended.contains(&(request.as_str(), digest.as_str())) {
+            let message = format!("request {request} got an answer that no worker gave to it");
+            violations.push(Violation::new(6, record.at_us, message).with_record(record));
+        }
+    }
+    violations
+}
+
+/// Returns the runs of one request.
+fn runs_of<'a, 'b>(
+    runs: &'a [WorkRun<'b>],
+    id: &'a str,
+) -> impl Iterator<Item = &'a WorkRun<'b>> + 'a {
+    runs.iter().filter(move |run| matches!(&run.id, WorkId::Request(request) if request == id))
+}
+
+/// Promise 7: what was refused as not run did not run.
+///
+/// A request that was sent several times counts only if every sending was
+/// refused, because an earlier one may have run.
+pub fn check_not_run(history: &RunHistory, runs: &[WorkRun<'_>]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (id, trace) in collect_traces(&history.callers) {
+        let is_refused =
+            |record: &&CallerRecord| outcome_of(record) == Some(RequestOutcome::NotRun);
+        let all_refused =
+            trace.received.len() >= trace.sent.len() && trace.received.iter().all(is_refused);
+        let Some(refusal) = trace.received.last().filter(|_| all_refused) else { continue };
+        for run in runs_of(runs, id) {
+            let message = format!("request {id} was refused as not run but ran on {}", run.worker);
+            let violation = Violation::new(7, run.start, message);
+            violations.push(violation.with_record(*refusal).with_record(run.record));
+        }
+    }
+    violations
+}
+
+/// Promise 8: a non-idempotent request runs at most once.
+pub fn check_once(history: &RunHistory, runs: &[WorkRun<'_>]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (id, trace) in collect_traces(&history.callers) {
+        let is_marked = |record: &&CallerRecord| {
+            matches!(record.event, CallerEvent::Sent { idempotent: false, .. })
+        };
+        if !trace.sent.iter().any(is_marked) {
+            continue;
+        }
+        let mut starts = runs_of(runs, id);
+        let Some(first) = starts.next() else { continue };
+        for again in starts {
+            let message = format!("non-idempotent request {id} ran again on {}", again.worker);
+            let violation = Violation::new(8, again.start, message);
+            violations.push(violation.with_record(first.record).with_record(again.record));
+        }
+    }
+    violations
+}
--- /dev/null
+++ b/testing/scenario/src/check/stop.rs
@@ -0,0 +1,140 @@
+//! Promise 10: planned stops interrupt no request.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use wire::history::CallerEvent;
+
+use super::Violation;
+use crate::record::{RunHistory, RunnerEvent, RunnerRecord, SignalName};
+
+/// One sending of a request through one entry.
+struct RequestSending<'a> {
+    request: &'a str,
+    entry: &'a str,
+    sent: u64,
+    received: u64,
+    status: u16,
+}
+
+/// Pairs the sendings of each request with their answers, in order.
+///
+/// A caller sends a request again only after the answer to the sending before.
+fn collect_sendings(history: &RunHistory) -> Vec<RequestSending<'_>> {
+    let mut answers: BTreeMap<&str, Vec<(u64, u16)>> = BTreeMap::new();
+    for record in &history.callers {
+        if let CallerEvent::Received { request, status, .. } = &record.event {
+            answers.entry(request).or_default().push((record.at_us, *status));
+        }
+    }
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut sendings = Vec::new();
+    for record in &history.runner {
+        let RunnerEvent::RequestVia { request, entry } = &record.event else { continue };
+        let count = counts.entry(request).or_default();
+        let answer = answers.get(request.as_str()).and_then(|answers| answers.get(*count));
+        *count += 1;
+        if let Some((received, status)) = answer.copied() {
+            sendings.push(RequestSending { request, entry, sent: record.at_us, received, status });
+        }
+    }
+    sendings
+}
+
+/// Returns the intervals in which a network fault held or a process was paused.
+fn collect_faults(records: &[RunnerRecord]) -> Vec<(u64, u64)> {
+    let mut open: BTreeMap<(&str, bool), u64> = BTreeMap::new();
+    let mut intervals = Vec::new();
+    for record in records {
+        let (key, begins) = match &record.event {
+            RunnerEvent::FaultBegan { fault, .. } => ((fault.as_str(), true), true),
+            RunnerEvent::FaultEnded { fault } => ((fault.as_str(), true), false),
+            RunnerEvent::Signalled { process, signal: SignalName::Stop } => {
+                ((process.as_str(), false), true)
+            }
+            RunnerEvent::Signalled { process, signal: SignalName::Continue } => {
+                ((process.as_str(), false), false)
+            }
+            _ => continue,
+        };
+        if begins {
+            open.entry(key).or_insert(record.at_us);
+        } else if let Some(start) = open.remove(&key) {
+            intervals.push((start, record.at_us));
+        }
+    }
+    intervals.extend(open.into_values().map(|start| (start, u64::MAX)));
+    intervals
+}
+
+/// Promise 10: no request through an entry that is stopped as planned is interrupted.
+///
+/// Callers talk to entries directly, so the death of another process excuses
+/// nothing; a kill of the entry itself, a network fault and a paused process do.
+pub fn check_stops(history: &RunHistory) -> Vec<Violation> {
+    let sendings = collect_sendings(history);
+    let faults = collect_faults(&history.runner);
+    let entries: BTreeSet<&str> = sendings.iter().map(|sending| sending.entry).collect();
+    let mut violations = Vec::new();
+    for (index, record) in history.runner.iter().enumerate() {
+        let RunnerEvent::Signalled { process, signal: SignalName::Terminate } = &record.event
+        else {
+            continue;
+        };
+        if !entries.contains(process.as_str()) {
+            continue;
+        }
+        let exit = find_exit(&history.runner[index..], process);
+        if exit.killed {
+            continue;
+        }
+        if let Some(exit_record) = exit.record.filter(|_| exit.code != Some(0)) {
+            let message = format!("entry {process} did not end its planned stop with code 0");
+            let violation = Violation::new(10, exit.at, message);
+            violations.push(violation.with_record(record).with_record(exit_record));
+        }
+        let interrupted = sendings.iter().filter(|sending| {
+            sending.entry == process
+                && sending.status == 0
+                && sending.sent <= exit.at
+                && sending.received >= record.at_us
+                && !faults
+                    .iter()
+                    .any(|(start, end)| *start <= sending.received && *end >= sending.sent)
+        });
+        for sending in interrupted {
+            let message = format!(
+                "request {} sent at {} us through entry {process} lost its connection during a planned stop",
+                sending.request, sending.sent
+            );
+            violations.push(Violation::new(10, sending.received, message).with_record(record));
+        }
+    }
+    violations
+}
+
+/// How a stopped entry ended.
+struct EntryExit<'a> {
+    at: u64,
+    code: Option<i32>,
+    killed: bool,
+    record: Option<&'a RunnerRecord>,
+}
+
+fn find_exit<'a>(records: &'a [RunnerRecord], name: &str) -> EntryExit<'a> {
+    let mut exit = EntryExit { at: u64::MAX, code: None, killed: false, record: None };
+    for record in records {
+        match &record.event {
+            RunnerEvent::Signalled { process, signal: SignalName::Kill } if process == name => {
+                exit.killed = true;
+            }
+            RunnerEvent::Exited { process, code } if process == name => {
+                exit.at = record.at_us;
+                exit.code = *code;
+                exit.record = Some(record);
+                return exit;
+            }
+            _ => {}
+        }
+    }
+    exit
+}
--- /dev/null
+++ b/testing/scenario/src/check/work.rs
@@ -0,0 +1,146 @@
+//! The intervals in which work ran on workers.
+
+use model::name::{DomainName, TaskId, TeamName, WorkerName};
+use model::resource::ResourceAmounts;
+use wire::history::{WorkerEvent, WorkerRecord};
+
+use crate::record::{RunHistory, RunnerEvent, SignalName};
+
+/// Time, in microseconds, in which a resumed worker must notice that its lease has lapsed.
+///
+/// A stopped process runs nothing, but it can only write the end of its tasks
+/// once it is resumed.
+const RESUME_US: u64 = 250_000;
+
+/// What ran.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WorkId {
+    /// A task of a job.
+    Task(TaskId),
+    /// A request, by the caller's identifier.
+    Request(String),
+}
+
+/// One run of a task or request on one worker.
+#[derive(Debug)]
+pub struct WorkRun<'a> {
+    /// What ran.
+    pub id: WorkId,
+    /// Number of the attempt.
+    pub attempt: u32,
+    /// Where it ran.
+    pub worker: &'a WorkerName,
+    /// Domain of the worker.
+    pub domain: &'a DomainName,
+    /// Team that it counts to.
+    pub team: &'a TeamName,
+    /// What it holds.
+    pub amounts: ResourceAmounts,
+    /// When it started.
+    pub start: u64,
+    /// When it ended; the largest value if it never did.
+    pub end: u64,
+    /// The record of its start.
+    pub record: &'a WorkerRecord,
+}
+
+/// Collects the runs of all workers in order of their start.
+///
+/// A run also ends when its worker boots again or its process is seen to have
+/// ended.
+pub fn collect_runs(history: &RunHistory) -> Vec<WorkRun<'_>> {
+    let mut runs: Vec<WorkRun<'_>> = Vec::new();
+    for record in &history.workers {
+        let (id, attempt) = match &record.event {
+            WorkerEvent::TaskStarted { task, attempt, team, amounts, .. } => {
+                let id = WorkId::Task(task.clone());
+                runs.push(open_run(id, *attempt, team, *amounts, record));
+                continue;
+            }
+            WorkerEvent::RequestStarted { request, attempt, team, .. } => {
+                let id = WorkId::Request(request.clone());
+                let slot = ResourceAmounts { slots: 1, ..ResourceAmounts::ZERO };
+                runs.push(open_run(id, *attempt, team, slot, record));
+                continue;
+            }
+            WorkerEvent::Booted { .. } => {
+                close_all(&mut runs, &record.worker, record.at_us);
+                continue;
+            }
+            WorkerEvent::TaskEnded { task, attempt, .. } => (WorkId::Task(task.clone()), *attempt),
+            WorkerEvent::RequestEnded { request, attempt, .. } => {
+                (WorkId::Request(request.clone()), *attempt)
+            }
+            _ => continue,
+        };
+        let is_same = |run: &&mut WorkRun<'_>| {
+            run.end == u64::MAX
+                && *run.worker == record.worker
+                && run.id == id
+                && run.attempt == attempt
+        };
+        if let Some(run) = runs.iter_mut().rev().find(is_same) {
+            run.end = record.at_us;
+        }
+    }
+    for run in &mut runs {
+        cut_at_exit(run, history);
+        cut_at_pause(run, history);
+    }
+    runs
+}
+
+fn open_run<'a>(
+    id: WorkId,
+    attempt: u32,
+    team: &'a TeamName,
+    amounts: ResourceAmounts,
+    record: &'a WorkerRecord,
+) -> WorkRun<'a> {
+    WorkRun {
+        id,
+        attempt,
+        worker: &record.worker,
+        domain: &record.domain,
+        team,
+        amounts,
+        start: record.at_us,
+        end: u64::MAX,
+        record,
+    }
+}
+
+fn close_all(runs: &mut [WorkRun<'_>], worker: &WorkerName, at: u64) {
+    let is_open = |run: &&mut WorkRun<'_>| run.end == u64::MAX && run.worker == worker;
+    runs.iter_mut().filter(is_open).for_each(|run| run.end = at);
+}
+
+fn cut_at_exit(run: &mut WorkRun<'_>, history: &RunHistory) {
+    let is_exit = |event: &RunnerEvent| matches!(event, RunnerEvent::Exited { process, .. } if process == run.worker.as_str());
+    let mut later = history.runner.iter().filter(|record| record.at_us >= run.start);
+    if let Some(exit) = later.find(|record| is_exit(&record.event)) {
+        run.end = run.end.min(exit.at_us);
+    }
+}
+
+fn cut_at_pause(run: &mut WorkRun<'_>, history: &RunHistory) {
+    let signal_times = |wanted: SignalName| {
+        let worker = run.worker.as_str();
+        history.runner.iter().filter_map(move |record| match &record.event {
+            RunnerEvent::Signalled { process, signal }
+                if process == worker && *signal == wanted =>
+            {
+                Some(record.at_us)
+            }
+            _ => None,
+        })
+    };
+    let resume = signal_times(SignalName::Continue)
+        .filter(|at| *at > run.start && *at <= run.end)
+        .find(|at| run.end - at <= RESUME_US);
+    let Some(resume) = resume else { return };
+    let pause = signal_times(SignalName::Stop).filter(|at| *at >= run.start && *at < resume).max();
+    if let Some(pause) = pause {
+        run.end = pause;
+    }
+}
--- /dev/null
+++ b/testing/scenario/src/record.rs
@@ -0,0 +1,172 @@
+//! What the runner itself records, and the histories of a whole run.
+
+use std::fs;
+use std::io;
+use std::path::Path;
+
+use model::name::DomainName;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use wire::history::{CallerRecord, OperatorRecord, WorkerRecord};
+
+/// File with the records of test callers.
+pub const CALLER_FILE: &str = "callers.jsonl";
+/// File with the records of test operators.
+pub const OPERATOR_FILE: &str = "operators.jsonl";
+/// File with the records of the runner.
+pub const RUNNER_FILE: &str = "runner.jsonl";
+/// Start of the names of files with the records of workers.
+pub const WORKER_PREFIX: &str = "worker-";
+
+/// One record of the runner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RunnerRecord {
+    /// `CLOCK_MONOTONIC` in microseconds.
+    pub at_us: u64,
+    /// What happened.
+    pub event: RunnerEvent,
+}
+
+/// What the runner did or saw.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub enum RunnerEvent {
+    /// A process was started.
+    Started {
+        /// Name of the process.
+        process: String,
+    },
+    /// A signal is about to be sent to a process.
+    Signalled {
+        /// Name of the process.
+        process: String,
+        /// Name of the signal.
+        signal: SignalName,
+    },
+    /// A process was seen to have ended.
+    Exited {
+        /// Name of the process.
+        process: String,
+        /// Exit code; absent if a signal ended it.
+        code: Option<i32>,
+    },
+    /// A network fault is about to begin.
+    FaultBegan {
+        /// Name of the fault.
+        fault: String,
+        /// What the fault does, as in the scenario.
+        effect: String,
+        /// Entries whose traffic it touches.
+        entries: Vec<String>,
+        /// Whether it touches their traffic to the platform.
+        platform: bool,
+    },
+    /// A network fault has ended.
+    FaultEnded {
+        /// Name of the fault.
+        fault: String,
+    },
+    /// The state of the platform was changed.
+    PlatformChanged {
+        /// The body that the platform got.
+        fault: String,
+    },
+    /// A request is about to be sent through an entry.
+    RequestVia {
+        /// The caller's identifier.
+        request: String,
+        /// Name of the entry.
+        entry: String,
+    },
+    /// A load began.
+    LoadBegan {
+        /// Number of the load.
+        load: u64,
+        /// Domain that gets the requests.
+        domain: DomainName,
+    },
+    /// The last request of a load was sent.
+    LoadEnded {
+        /// Number of the load.
+        load: u64,
+    },
+}
+
+/// Signals that the runner sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum SignalName {
+    /// `SIGKILL`.
+    Kill,
+    /// `SIGSTOP`.
+    Stop,
+    /// `SIGCONT`.
+    Continue,
+    /// `SIGTERM`.
+    Terminate,
+}
+
+/// All histories of one run, each in order of time.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RunHistory {
+    /// Records of all workers.
+    pub workers: Vec<WorkerRecord>,
+    /// Records of callers.
+    pub callers: Vec<CallerRecord>,
+    /// Records of operators.
+    pub operators: Vec<OperatorRecord>,
+    /// Records of the runner.
+    pub runner: Vec<RunnerRecord>,
+}
+
+impl RunHistory {
+    /// Reads all histories of a directory.
+    ///
+    /// # Errors
+    /// Returns an error that names the file and line of a record that cannot be
+    /// read. A last line without its end is left out, because a killed process
+    /// may have been writing it.
+    pub fn read(dir: &Path) -> io::Result<Self> {
+        let mut history = Self::default();
+        let mut files = fs::read_dir(dir)?.collect::<io::Result<Vec<_>>>()?;
+        files.sort_by_key(fs::DirEntry::file_name);
+        for file in files {
+            let name = file.file_name().to_string_lossy().into_owned();
+            let path = file.path();
+            let has_lines = path.extension().is_some_and(|extension| extension == "jsonl");
+            let is_worker = has_lines && name.starts_with(WORKER_PREFIX);
+            match name.as_str() {
+                CALLER_FILE => history.callers = read_lines(&path)?,
+                OPERATOR_FILE => history.operators = read_lines(&path)?,
+                RUNNER_FILE => history.runner = read_lines(&path)?,
+                _ if is_worker => history.workers.extend(read_lines(&path)?),
+                _ => {}
+            }
+        }
+        history.sort();
+        Ok(history)
+    }
+
+    /// Brings the records of each kind into order of time.
+    ///
+    /// The sort is stable, so records of one process stay in the order in which
+    /// it wrote them.
+    pub fn sort(&mut self) {
+        self.workers.sort_by_key(|record| record.at_us);
+        self.callers.sort_by_key(|record| record.at_us);
+        self.operators.sort_by_key(|record| record.at_us);
+        self.runner.sort_by_key(|record| record.at_us);
+    }
+}
+
+fn read_lines<T: DeserializeOwned>(path: &Path) -> io::Result<Vec<T>> {
+    let text = fs::read_to_string(path)?;
+    let complete = text.rfind('\n').map_or("", |end| &text[..end]);
+    let lines = complete.lines().enumerate().filter(|(_, line)| !line.is_empty());
+    let parse = |(index, line): (usize, &str)| {
+        serde_json::from_str(line)
+            .map_err(|error| io::Error::other(format!("{}:{}: {error}", path.display(), index + 1)))
+    };
+    lines.map(parse).collect()
+}
--- /dev/null
+++ b/testing/scenario/src/report.rs
@@ -0,0 +1,153 @@
+//! Figures of a run, taken from its histories.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use model::kind::RequestOutcome;
+use model::name::DomainName;
+use wire::history::CallerEvent;
+
+use crate::record::{RunHistory, RunnerEvent};
+
+/// Numbers of requests by their last outcome.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OutcomeCounts {
+    /// Requests with a complete answer.
+    pub answered: u64,
+    /// Requests that were refused as not run.
+    pub not_run: u64,
+    /// Requests of which nothing is known.
+    pub unknown: u64,
+}
+
+impl OutcomeCounts {
+    /// Returns the number for one outcome.
+    #[must_use]
+    pub const fn of(&self, outcome: RequestOutcome) -> u64 {
+        match outcome {
+            RequestOutcome::Answered => self.answered,
+            RequestOutcome::NotRun => self.not_run,
+            RequestOutcome::Unknown => self.unknown,
+        }
+    }
+
+    const fn add(&mut self, outcome: RequestOutcome) {
+        match outcome {
+            RequestOutcome::Answered => self.answered += 1,
+            RequestOutcome::NotRun => self.not_run += 1,
+            RequestOutcome::Unknown => self.unknown += 1,
+        }
+    }
+}
+
+/// Figures of one domain.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DomainFigures {
+    /// Outcomes of the requests that were sent to entries of the domain.
+    pub counts: OutcomeCounts,
+    /// Longest time without an answered request while load was sent to the domain.
+    pub gap: Duration,
+}
+
+/// Figures of one run, by domain.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RunFigures {
+    /// Domains that got load.
+    pub domains: BTreeMap<DomainName, DomainFigures>,
+}
+
+impl RunFigures {
+    /// Computes the figures from the histories.
+    #[must_use]
+    pub fn collect(history: &RunHistory) -> Self {
+        let mut last: BTreeMap<&str, (&DomainName, RequestOutcome)> = BTreeMap::new();
+        let mut answered: BTreeMap<&DomainName, Vec<u64>> = BTreeMap::new();
+        for record in &history.callers {
+            match &record.event {
+                CallerEvent::Sent { request, domain, .. } => {
+                    last.insert(request, (domain, RequestOutcome::Unknown));
+                }
+                CallerEvent::Received { request, outcome, .. } => {
+                    let Some(state) = last.get_mut(request.as_str()) else { continue };
+                    state.1 = *outcome;
+                    if *outcome == RequestOutcome::Answered {
+                        answered.entry(state.0).or_default().push(record.at_us);
+                    }
+                }
+                _ => {}
+            }
+        }
+        let mut figures = Self::default();
+        for (domain, outcome) in last.into_values() {
+            figures.domains.entry(domain.clone()).or_default().counts.add(outcome);
+        }
+        for (domain, intervals) in load_intervals(history) {
+            let times = answered.get(domain).map(Vec::as_slice).unwrap_or_default();
+            let gaps = intervals.iter().map(|interval| longest_gap(*interval, times));
+            let gap = Duration::from_micros(gaps.max().unwrap_or_default());
+            figures.domains.entry(domain.clone()).or_default().gap = gap;
+        }
+        figures
+    }
+
+    /// Returns the sum of the outcomes, of one domain or of all.
+    #[must_use]
+    pub fn count(&self, outcome: RequestOutcome, domain: Option<&DomainName>) -> u64 {
+        let wanted = self.domains.iter().filter(|(name, _)| domain.is_none_or(|it| it == *name));
+        wanted.map(|(_, figures)| figures.counts.of(outcome)).sum()
+    }
+}
+
+impl fmt::Display for RunFigures {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let [answered, not_run, unknown] =
+            [RequestOutcome::Answered, RequestOutcome::NotRun, RequestOutcome::Unknown]
+                .map(|outcome| self.count(outcome, None));
+        write!(out, "answered {answered}, not run {not_run}, unknown {unknown}")?;
+        self.domains.iter().try_for_each(|(domain, figures)| {
+            let DomainFigures { counts, gap } = figures;
+            write!(
+                out,
+                "\ndomain {domain}: longest gap {} ms, answered {}, not run {}, unknown {}",
+                gap.as_millis(),
+                counts.answered,
+                counts.not_run,
+                counts.unknown
+            )
+        })
+    }
+}
+
+/// Returns the times in which load was sent to each domain, with overlapping ones merged.
+fn load_intervals(history: &RunHistory) -> BTreeMap<&DomainName, Vec<(u64, u64)>> {
+    let run_end = history.runner.last().map_or(0, |record| record.at_us);
+    let mut ends: BTreeMap<u64, u64> = BTreeMap::new();
+    for record in &history.runner {
+        if let RunnerEvent::LoadEnded { load } = &record.event {
+            ends.insert(*load, record.at_us);
+        }
+    }
+    let mut intervals: BTreeMap<&DomainName, Vec<(u64, u64)>> = BTreeMap::new();
+    for record in &history.runner {
+        let RunnerEvent::LoadBegan { load, domain } = &record.event else { continue };
+        let end = ends.get(load).copied().unwrap_or(run_end);
+        let list = intervals.entry(domain).or_default();
+        match list.last_mut() {
+            Some(before) if record.at_us <= before.1 => before.1 = before.1.max(end),
+            _ => list.push((record.at_us, end)),
+        }
+    }
+    intervals
+}
+
+fn longest_gap((start, end): (u64, u64), times: &[u64]) -> u64 {
+    let inside = times.iter().copied().filter(|at| (start..end).contains(at));
+    let mut before = start;
+    let mut longest = 0;
+    for at in inside.chain([end]) {
+        longest = longest.max(at - before);
+        before = at;
+    }
+    longest
+}
--- /dev/null
+++ b/testing/scenario/src/run/expect.rs
@@ -0,0 +1,145 @@
+//! Comparison of what happened with what a scenario expects.
+
+use std::time::Duration;
+
+use tokio::time::{self, Instant};
+
+use super::caller;
+use super::operator::AppliedChange;
+use super::state::{POLL, RunState};
+use crate::record::RunHistory;
+use crate::report::RunFigures;
+use crate::script::{ApplyState, RunExpectation};
+
+/// Longest time that loads and submissions may go on after their last sending.
+const PENDING_BOUND: Duration = Duration::from_mins(1);
+
+/// Waits until every load and submission has ended.
+pub async fn wait_pending(state: &RunState) -> Result<(), String> {
+    if state.wait_until(PENDING_BOUND, || state.pending.get() == 0).await {
+        Ok(())
+    } else {
+        Err(format!("{} loads, requests or submissions have not ended", state.pending.get()))
+    }
+}
+
+/// Checks one expectation; the error says what was found instead.
+pub async fn check_expectation(
+    state: &RunState,
+    dir: &std::path::Path,
+    expectation: &RunExpectation,
+) -> Result<(), String> {
+    match expectation {
+        RunExpectation::Count { outcome, at_least, number, domain } => {
+            let found = read_figures(state, dir).await?.count(*outcome, domain.as_ref());
+            let holds = if *at_least { found >= *number } else { found <= *number };
+            require(holds, || format!("found {found}"))
+        }
+        RunExpectation::Gap { domain, under } => {
+            let figures = read_figures(state, dir).await?;
+            let found = figures.domains.get(domain).copied();
+            let Some(found) = found else { return Err("the domain got no load".to_owned()) };
+            let answered = found.counts.answered > 0;
+            require(answered && found.gap < *under, || {
+                format!("longest gap was {} ms", found.gap.as_millis())
+            })
+        }
+        RunExpectation::JobsDone { within } => expect_jobs(state, *within).await,
+        RunExpectation::RaceWon { within } => expect_race(state, *within).await,
+        RunExpectation::Apply { alias, state: wanted, within } => {
+            let found = || find_change(state, alias.as_deref()).and_then(|change| change.state);
+            let holds = state.wait_until(*within, || found() == Some(*wanted)).await;
+            require(holds, || format!("found {:?}", found()))
+        }
+        RunExpectation::Status { entry, version, within } => {
+            let place = state.resolve_entry(entry).await?;
+            let end = Instant::now() + *within;
+            loop {
+                let status = state.fetch_status(place).await;
+                if status.as_ref().is_ok_and(|status| status.config_version >= *version) {
+                    return Ok(());
+                }
+                if Instant::now() >= end {
+                    let found = status.map(|status| status.config_version);
+                    return Err(format!("found {found:?}"));
+                }
+                time::sleep(POLL).await;
+            }
+        }
+        RunExpectation::Owner { domain, negated, entry, within } => {
+            let wanted = state.resolve_entry(entry).await?;
+            let end = Instant::now() + *within;
+            loop {
+                let owner = state.find_owner(domain).await.map(|owner| &owner.name);
+                if owner.is_some_and(|owner| (*owner == wanted.name) != *negated) {
+                    return Ok(());
+                }
+                if Instant::now() >= end {
+                    return Err(format!("found owner {owner:?}"));
+                }
+                time::sleep(POLL).await;
+            }
+        }
+        RunExpectation::Stopped { process, within, code } => {
+            let name = state.resolve_process(process).await?;
+            let exit = || state.children.borrow().exit(&name);
+            let stopped = state.wait_until(*within, || exit().is_some()).await;
+            require(stopped, || "still running".to_owned())?;
+            let found = exit().and_then(|status| status.code());
+            require(code.is_none() || found == *code, || format!("found exit code {found:?}"))
+        }
+    }
+}
+
+fn require(holds: bool, message: impl FnOnce() -> String) -> Result<(), String> {
+    if holds { Ok(()) } else { Err(message()) }
+}
+
+async fn read_figures(state: &RunState, dir: &std::path::Path) -> Result<RunFigures, String> {
+    wait_pending(state).await?;
+    let history = RunHistory::read(dir).map_err(|error| error.to_string())?;
+    Ok(RunFigures::collect(&history))
+}
+
+fn find_change(state: &RunState, alias: Option<&str>) -> Option<AppliedChange> {
+    let changes = state.changes.borrow();
+    match alias {
+        None => changes.last().cloned(),
+        wanted => changes.iter().rev().find(|change| change.alias.as_deref() == wanted).cloned(),
+    }
+}
+
+async fn expect_race(state: &RunState, within: Duration) -> Result<(), String> {
+    let states = || -> Vec<Option<ApplyState>> {
+        let changes = state.changes.borrow();
+        let racing = state.race.borrow();
+        racing.iter().map(|index| changes.get(*index).and_then(|change| change.state)).collect()
+    };
+    let is_won = || {
+        let states = states();
+        let count = |wanted| states.iter().filter(|state| **state == Some(wanted)).count();
+        count(ApplyState::Accepted) == 1 && count(ApplyState::Conflict) + 1 == states.len()
+    };
+    let won = state.wait_until(within, is_won).await;
+    require(won, || format!("found {:?}", states()))
+}
+
+async fn expect_jobs(state: &RunState, within: Duration) -> Result<(), String> {
+    let end = Instant::now() + within;
+    loop {
+        let jobs = state.jobs.borrow().clone();
+        let mut open = Vec::new();
+        for (job, secret) in &jobs {
+            if !caller::is_job_done(state, job, secret).await {
+                open.push(job.clone());
+            }
+        }
+        if open.is_empty() && !jobs.is_empty() && state.pending.get() == 0 {
+            return Ok(());
+        }
+        if Instant::now() >= end {
+            return Err(format!("{} jobs were accepted, not done: {open:?}", jobs.len()));
+        }
+        time::sleep(POLL).await;
+    }
+}
--- /dev/null
+++ b/testing/scenario/src/run/journal.rs
@@ -0,0 +1,73 @@
+//! Writes the histories of callers, operators and the runner.
+
+use std::cell::RefCell;
+use std::fs::File;
+use std::io::{self, Write};
+use std::path::Path;
+
+use serde::Serialize;
+use wire::history::{CallerEvent, CallerRecord, OperatorEvent, OperatorRecord, monotonic_us};
+
+use crate::record::{CALLER_FILE, OPERATOR_FILE, RUNNER_FILE, RunnerEvent, RunnerRecord};
+
+/// The open history files of one run, and what went wrong outside of any step.
+#[derive(Debug)]
+pub struct RunJournal {
+    callers: RefCell<File>,
+    operators: RefCell<File>,
+    runner: RefCell<File>,
+    problems: RefCell<Vec<String>>,
+}
+
+impl RunJournal {
+    /// Creates the files.
+    pub fn create(dir: &Path) -> io::Result<Self> {
+        let create = |name| File::create_new(dir.join(name)).map(RefCell::new);
+        Ok(Self {
+            callers: create(CALLER_FILE)?,
+            operators: create(OPERATOR_FILE)?,
+            runner: create(RUNNER_FILE)?,
+            problems: RefCell::default(),
+        })
+    }
+
+    /// Records what a caller did or saw now.
+    pub fn caller(&self, event: CallerEvent) {
+        self.write(&self.callers, &CallerRecord { at_us: monotonic_us(), event });
+    }
+
+    /// Records what an operator did or saw now.
+    pub fn operator(&self, event: OperatorEvent) {
+        self.operator_at(monotonic_us(), event);
+    }
+
+    /// Records what an operator saw in the answer to a call sent at `at_us`.
+    pub fn operator_at(&self, at_us: u64, event: OperatorEvent) {
+        self.write(&self.operators, &OperatorRecord { at_us, event });
+    }
+
+    /// Records what the runner did or saw now.
+    pub fn runner(&self, event: RunnerEvent) {
+        self.write(&self.runner, &RunnerRecord { at_us: monotonic_us(), event });
+    }
+
+    /// Keeps a failure that belongs to no step.
+    pub fn problem(&self, message: impl Into<String>) {
+        self.problems.borrow_mut().push(message.into());
+    }
+
+    /// Returns the failures kept so far and forgets them.
+    pub fn take_problems(&self) -> Vec<String> {
+        self.problems.take()
+    }
+
+    fn write(&self, file: &RefCell<File>, record: &impl Serialize) {
+        let written = serde_json::to_vec(record).map_err(io::Error::from).and_then(|mut line| {
+            line.push(b'\n');
+            file.borrow_mut().write_all(&line)
+        });
+        if let Err(error) = written {
+            self.problem(format!("a history cannot be written: {error}"));
+        }
+    }
+}
--- /dev/null
+++ b/testing/scenario/src/run/mod.rs
@@ -0,0 +1,266 @@
+//! Runs a scenario with real processes on loopback addresses.
+
+mod caller;
+mod config;
+mod expect;
+mod http;
+mod journal;
+mod network;
+mod operator;
+mod place;
+mod process;
+mod state;
+mod step;
+
+use std::fmt;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use model::setting::{EntrySettings, PeerAddress};
+use serde_json::json;
+use tokio_util::sync::CancellationToken;
+
+use crate::check::{self, Violation};
+use crate::parse;
+use crate::record::RunHistory;
+use crate::report::RunFigures;
+use crate::script::ScenarioScript;
+use journal::RunJournal;
+use network::PLATFORM_LINK;
+use place::{CellPlaces, EntryPlace, WorkerPlace};
+use process::ChildTable;
+use state::RunState;
+
+const ENTRY_BINARY: &str = "amaranthsaddle-entry";
+const PLATFORM_BINARY: &str = "standin-platform";
+const WORKER_BINARY: &str = "standin-worker";
+const PROXY_BINARY: &str = "standin-proxy";
+const PLATFORM_PROCESS: &str = "platform";
+const PROXY_PROCESS: &str = "proxy";
+const START_BOUND: Duration = Duration::from_secs(10);
+const REAP_INTERVAL: Duration = Duration::from_millis(20);
+
+/// How scenarios are run.
+#[derive(Clone, Debug)]
+pub struct RunOptions {
+    /// Directory with the programs.
+    pub binaries: PathBuf,
+    /// Whether the files of a run are kept even if nothing failed.
+    pub keep: bool,
+}
+
+/// What a run showed.
+#[derive(Debug)]
+pub struct RunReport {
+    /// Steps that failed, and failures that belong to no step.
+    pub failures: Vec<String>,
+    /// Promises that were broken.
+    pub violations: Vec<Violation>,
+    /// Outcomes and gaps.
+    pub figures: RunFigures,
+    /// Where the files of the run are, if they were kept.
+    pub kept: Option<PathBuf>,
+}
+
+impl RunReport {
+    /// Tells whether nothing failed and no promise was broken.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        self.failures.is_empty() && self.violations.is_empty()
+    }
+}
+
+impl fmt::Display for RunReport {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(out, "{}", self.figures)?;
+        self.failures.iter().try_for_each(|failure| writeln!(out, "failed: {failure}"))?;
+        self.violations.iter().try_for_each(|violation| writeln!(out, "{violation}"))?;
+        match &self.kept {
+            Some(dir) => writeln!(out, "files kept in {}", dir.display()),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Reads and runs a scenario file.
+///
+/// # Errors
+/// Returns an error if the file cannot be read or is not a scenario, or if
+/// files of the run cannot be written or read.
+pub fn run_file(path: &Path, options: &RunOptions) -> io::Result<RunReport> {
+    let text = fs::read_to_string(path)?;
+    let script = parse::parse_script(&text)
+        .map_err(|error| io::Error::other(format!("{}:\n{error}", path.display())))?;
+    let name = path.file_stem().unwrap_or_default().to_string_lossy();
+    run_script(&name, &script, options)
+}
+
+/// Runs a scenario.
+///
+/// # Errors
+/// Returns an error if files of the run cannot be written or read.
+pub fn run_script(
+    name: &str,
+    script: &ScenarioScript,
+    options: &RunOptions,
+) -> io::Result<RunReport> {
+    let dir = tempfile::Builder::new().prefix(&format!("scenario-{name}-")).tempdir()?;
+    let failures = actix_rt::System::new().block_on(run_steps(script, options, dir.path()))?;
+    let history = RunHistory::read(dir.path());
+    let violations = history.as_ref().map(check::check_history).unwrap_or_default();
+    let is_clean = failures.is_empty() && violations.is_empty() && history.is_ok();
+    let kept = (options.keep || !is_clean).then(|| dir.keep());
+    let history = history.map_err(|error| match &kept {
+        Some(dir) => io::Error::other(format!("{error}; files kept in {}", dir.display())),
+        None => error,
+    })?;
+    Ok(RunReport { failures, violations, figures: RunFigures::collect(&history), kept })
+}
+
+async fn run_steps(
+    script: &ScenarioScript,
+    options: &RunOptions,
+    dir: &Path,
+) -> io::Result<Vec<String>> {
+    let journal = Rc::new(RunJournal::create(dir)?);
+    let children = ChildTable::new(&options.binaries, dir, Rc::clone(&journal));
+    let state = Rc::new(RunState::new(script.cell.clone(), children, Rc::clone(&journal)));
+    let stop = CancellationToken::new();
+    let _guard = stop.clone().drop_guard();
+    let mut failures = Vec::new();
+    if let Err(error) = start_cell(&state, &stop).await {
+        failures.push(format!("start: {error}"));
+    } else {
+        for step in &script.steps {
+            if let Err(error) = step::run_step(&state, dir, step).await {
+                failures.push(format!("line {}: {}: {error}", step.line, step.text));
+            }
+        }
+        failures.extend(expect::wait_pending(&state).await.err());
+    }
+    stop.cancel();
+    state.children.borrow_mut().reap();
+    failures.extend(journal.take_problems());
+    state.children.replace(ChildTable::new(&options.binaries, dir, journal));
+    Ok(failures)
+}
+
+/// Starts all processes and publishes the first configuration.
+async fn start_cell(state: &Rc<RunState>, stop: &CancellationToken) -> Result<(), String> {
+    add_processes(state);
+    let reaper = Rc::clone(state);
+    spawn_until(stop, async move {
+        loop {
+            tokio::time::sleep(REAP_INTERVAL).await;
+            reaper.children.borrow_mut().reap();
+        }
+    });
+    let workers = state.places.workers.iter().map(|worker| worker.name.as_str());
+    for name in [PLATFORM_PROCESS, PROXY_PROCESS].into_iter().chain(workers) {
+        start_process(state, name)?;
+    }
+    let workers = state.places.workers.iter().map(|worker| worker.name.as_str());
+    for name in [PLATFORM_PROCESS, PROXY_PROCESS].into_iter().chain(workers) {
+        wait_listening(state, name).await?;
+    }
+    state.publish_vms().await?;
+    for entry in &state.places.entries {
+        start_process(state, &entry.name)?;
+    }
+    for entry in &state.places.entries {
+        spawn_until(stop, Rc::clone(state).watch_status(entry.clone()));
+        spawn_until(stop, Rc::clone(state).watch_ready(entry.clone()));
+    }
+    let expected = state.places.entries.len();
+    let all_answer = || state.statuses.borrow().len() == expected;
+    if !state.wait_until(START_BOUND, all_answer).await {
+        let answered: Vec<String> = state.statuses.borrow().keys().cloned().collect();
+        return Err(format!("only these entries answer: {answered:?}"));
+    }
+    operator::publish_first(state).await
+}
+
+fn spawn_until(stop: &CancellationToken, task: impl Future<Output = ()> + 'static) {
+    let stop = stop.clone();
+    actix_rt::spawn(async move {
+        stop.run_until_cancelled(task).await;
+    });
+}
+
+fn start_process(state: &RunState, name: &str) -> Result<(), String> {
+    state.children.borrow_mut().start(name).map_err(|error| error.to_string())
+}
+
+async fn wait_listening(state: &RunState, name: &str) -> Result<(), String> {
+    let listens = || state.children.borrow().is_listening(name);
+    if state.wait_until(START_BOUND, listens).await {
+        Ok(())
+    } else {
+        Err(format!("{name} did not say that it listens"))
+    }
+}
+
+fn add_processes(state: &RunState) {
+    let places = &state.places;
+    let mut children = state.children.borrow_mut();
+    let platform = json!({
+        "address": places.platform, "writes_per_s": 400, "reads_per_s": 2000, "vm_lag_ms": 2000,
+    });
+    children.add(PLATFORM_PROCESS, PLATFORM_BINARY, platform);
+    let proxy = json!({"admin": places.proxy_admin, "links": proxy_links(places)});
+    children.add(PROXY_PROCESS, PROXY_BINARY, proxy);
+    for worker in &places.workers {
+        children.add(worker.name.as_str(), WORKER_BINARY, worker_settings(worker));
+    }
+    for entry in &places.entries {
+        children.add(&entry.name, ENTRY_BINARY, json!(entry_settings(state, entry)));
+    }
+}
+
+fn proxy_links(places: &CellPlaces) -> Vec<serde_json::Value> {
+    let link = |name: &str, listen: &str, target: &str| json!({"name": name, "listen": listen, "target": target});
+    let platform = link(PLATFORM_LINK, &places.platform_advertised, &places.platform);
+    let entries = places.entries.iter().map(|it| link(&it.name, &it.advertised, &it.peer));
+    let workers =
+        places.workers.iter().map(|it| link(it.name.as_str(), &it.advertised, &it.address));
+    std::iter::once(platform).chain(entries).chain(workers).collect()
+}
+
+fn worker_settings(worker: &WorkerPlace) -> serde_json::Value {
+    json!({
+        "name": worker.name, "domain": worker.domain, "address": worker.address,
+        "capacity": worker.capacity, "connections": worker.connections,
+        "history": "set at each start", "usage_lag_ms": 2000,
+    })
+}
+
+fn entry_settings(state: &RunState, entry: &EntryPlace) -> EntrySettings {
+    let places = &state.places;
+    let options = state.layout.options;
+    let peers = places
+        .entries
+        .iter()
+        .map(|peer| PeerAddress { domain: peer.domain.clone(), address: peer.advertised.clone() });
+    EntrySettings {
+        name: entry.name.clone(),
+        domain: entry.domain.clone(),
+        http_address: entry.http.clone(),
+        peer_address: entry.peer.clone(),
+        peer_advertise: Some(entry.advertised.clone()),
+        outgoing_ip: entry.ip.parse().ok(),
+        peers: peers.collect(),
+        platform_address: places.platform_advertised.clone(),
+        threads: 2,
+        log_level: "debug".to_owned(),
+        config_contact_bound_s: options.contact_bound.map_or(300, |bound| bound.as_secs().max(5)),
+        drain_s: options.drain.map_or(30, |drain| drain.as_secs().max(1)),
+        balancer_delay_ms: options
+            .balancer_delay
+            .and_then(|delay| u64::try_from(delay.as_millis()).ok())
+            .unwrap_or(1000),
+        seed: None,
+    }
+}
--- /dev/null
+++ b/testing/scenario/src/run/network.rs
@@ -0,0 +1,142 @@
+//! Network faults as rules of the proxy.
+
+use std::collections::BTreeSet;
+
+use serde_json::{Value, json};
+
+use super::place::EntryPlace;
+use super::state::RunState;
+use crate::record::RunnerEvent;
+use crate::script::{FaultKind, FaultPlan, FaultWay, LinkSide};
+
+/// Name of the proxy's link to the platform.
+pub const PLATFORM_LINK: &str = "platform";
+
+/// A network fault that holds now.
+#[derive(Clone, Debug)]
+pub struct ActiveFault {
+    name: String,
+    rules: Vec<Value>,
+}
+
+/// What one side of a fault sends from and listens on.
+#[derive(Default)]
+struct SideTraffic {
+    /// Source IPs of its connections.
+    ips: Vec<String>,
+    /// The proxy's links that lead to it.
+    links: Vec<String>,
+    /// Names of the entries that are part of it.
+    entries: Vec<String>,
+}
+
+impl SideTraffic {
+    fn add_entry(&mut self, entry: &EntryPlace) {
+        self.ips.push(entry.ip.clone());
+        self.links.push(entry.name.clone());
+        self.entries.push(entry.name.clone());
+    }
+}
+
+async fn side_traffic(state: &RunState, side: &LinkSide) -> Result<SideTraffic, String> {
+    let mut traffic = SideTraffic::default();
+    let workers = &state.places.workers;
+    match side {
+        LinkSide::Platform => traffic.links.push(PLATFORM_LINK.to_owned()),
+        LinkSide::Workers => {
+            traffic.links.extend(workers.iter().map(|worker| worker.name.to_string()));
+        }
+        LinkSide::Worker(place) => {
+            traffic.links.push(state.resolve_worker(place)?.name.to_string());
+        }
+        LinkSide::Entry(entry) => traffic.add_entry(state.resolve_entry(entry).await?),
+        LinkSide::Domain(domain) => {
+            state.places.entries_of(domain).for_each(|entry| traffic.add_entry(entry));
+            let own = workers.iter().filter(|worker| worker.domain == *domain);
+            traffic.links.extend(own.map(|worker| worker.name.to_string()));
+        }
+    }
+    Ok(traffic)
+}
+
+const fn reverse(way: FaultWay) -> FaultWay {
+    match way {
+        FaultWay::Both => FaultWay::Both,
+        FaultWay::ToTarget => FaultWay::ToClient,
+        FaultWay::ToClient => FaultWay::ToTarget,
+    }
+}
+
+fn build_rule(
+    kind: FaultKind,
+    from: &SideTraffic,
+    to: &SideTraffic,
+    way: FaultWay,
+) -> Option<Value> {
+    if from.ips.is_empty() || to.links.is_empty() {
+        return None;
+    }
+    let (effect, delay) = match kind {
+        FaultKind::Cut => ("cut", None),
+        FaultKind::Freeze => ("freeze", None),
+        FaultKind::DropReplies => ("drop-replies", None),
+        FaultKind::Reset => ("reset", None),
+        FaultKind::Delay(delay) => ("delay", Some(delay)),
+    };
+    let way = match way {
+        FaultWay::Both => "both",
+        FaultWay::ToTarget => "to-target",
+        FaultWay::ToClient => "to-client",
+    };
+    let mut rule = json!({"from": from.ips, "links": to.links, "effect": effect, "way": way});
+    if let Some(delay) = delay {
+        rule["delay_ms"] = json!(delay.as_millis());
+    }
+    Some(rule)
+}
+
+/// Begins a network fault.
+///
+/// Connections run both ways between two domains, so a fault has one rule for
+/// each side that opens connections. Lost replies are those to the left side.
+pub async fn begin_fault(state: &RunState, plan: &FaultPlan, text: &str) -> Result<(), String> {
+    let left = side_traffic(state, &plan.left).await?;
+    let right = side_traffic(state, &plan.right).await?;
+    let mut rules: Vec<Value> =
+        build_rule(plan.kind, &left, &right, plan.way).into_iter().collect();
+    if plan.kind != FaultKind::DropReplies {
+        rules.extend(build_rule(plan.kind, &right, &left, reverse(plan.way)));
+    }
+    if rules.is_empty() {
+        return Err("no connections are opened between these sides".to_owned());
+    }
+    let number = state.next_number();
+    let name = plan.alias.clone().unwrap_or_else(|| format!("fault-{number}"));
+    let touched: BTreeSet<&String> = left.entries.iter().chain(&right.entries).collect();
+    state.journal.runner(RunnerEvent::FaultBegan {
+        fault: name.clone(),
+        effect: text.to_owned(),
+        entries: touched.into_iter().cloned().collect(),
+        platform: plan.left == LinkSide::Platform || plan.right == LinkSide::Platform,
+    });
+    state.faults.borrow_mut().push(ActiveFault { name, rules });
+    publish_rules(state).await
+}
+
+/// Ends one network fault, or all.
+pub async fn end_faults(state: &RunState, wanted: Option<&str>) -> Result<(), String> {
+    let is_wanted = |fault: &ActiveFault| wanted.is_none_or(|name| fault.name == name);
+    let (ended, kept) = state.faults.take().into_iter().partition::<Vec<_>, _>(is_wanted);
+    state.faults.replace(kept);
+    let published = publish_rules(state).await;
+    for fault in ended {
+        state.journal.runner(RunnerEvent::FaultEnded { fault: fault.name });
+    }
+    published
+}
+
+async fn publish_rules(state: &RunState) -> Result<(), String> {
+    let rules: Vec<Value> =
+        state.faults.borrow().iter().flat_map(|fault| fault.rules.clone()).collect();
+    state.client.post_admin(&state.places.proxy_admin, "/admin/rules", &rules).await
+}
--- /dev/null
+++ b/testing/scenario/src/run/operator.rs
@@ -0,0 +1,190 @@
+//! Test operators: changes of the configuration and what becomes of them.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use awc::http::Method;
+use futures_util::future;
+use model::object::ObjectSet;
+use tokio::time::{self, Instant};
+use wire::api::{self, ApplyReply, ConfigDocument};
+use wire::history::OperatorEvent;
+
+use super::config;
+use super::http::HttpCall;
+use super::place::EntryPlace;
+use super::state::{POLL, RunState};
+use crate::script::{ApplyPlan, ApplyState};
+
+const READ_BOUND: Duration = Duration::from_secs(5);
+/// Time that an operator waits for the answer to a change.
+const APPLY_BOUND: Duration = Duration::from_secs(10);
+const FIRST_BOUND: Duration = Duration::from_secs(15);
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+
+/// A change that was applied in this run.
+#[derive(Clone, Debug)]
+pub struct AppliedChange {
+    /// Name by which expectations refer to it.
+    pub alias: Option<String>,
+    /// Where it stands; absent while it is not answered or its result is unknown.
+    pub state: Option<ApplyState>,
+    id: String,
+    version: u64,
+}
+
+/// A change with the version that it is based on.
+struct PreparedChange<'a> {
+    index: usize,
+    id: String,
+    base: u64,
+    objects: ObjectSet,
+    entry: &'a EntryPlace,
+}
+
+/// Applies changes that are all based on the version read before any is sent.
+pub async fn apply_changes(state: &RunState, plans: &[ApplyPlan]) -> Result<(), String> {
+    let mut prepared = Vec::new();
+    for plan in plans {
+        prepared.push(prepare_change(state, plan).await?);
+    }
+    let indices = prepared.iter().map(|change| change.index).collect();
+    future::join_all(prepared.iter().map(|change| send_change(state, change))).await;
+    if plans.len() > 1 {
+        state.race.replace(indices);
+    }
+    Ok(())
+}
+
+async fn prepare_change<'a>(
+    state: &'a RunState,
+    plan: &ApplyPlan,
+) -> Result<PreparedChange<'a>, String> {
+    let entry = match &plan.via {
+        Some(entry) => state.resolve_entry(entry).await?,
+        None => state.any_entry()?,
+    };
+    let read: Result<ConfigDocument, _> =
+        state.client.get(&entry.http, api::CONFIG_PATH, READ_BOUND).await;
+    let document = read.map_err(|error| format!("configuration of {}: {error}", entry.name))?;
+    let mut objects = document.objects;
+    config::edit_objects(&mut objects, &plan.change, state.places.capacity());
+    let (index, id) = register_change(state, plan.alias.clone());
+    Ok(PreparedChange { index, id, base: document.version, objects, entry })
+}
+
+fn register_change(state: &RunState, alias: Option<String>) -> (usize, String) {
+    let id = format!("change-{}", state.next_number());
+    let mut changes = state.changes.borrow_mut();
+    changes.push(AppliedChange { alias, state: None, id: id.clone(), version: 0 });
+    (changes.len() - 1, id)
+}
+
+/// Sends a change and notes what the answer says of it.
+async fn send_change(state: &RunState, change: &PreparedChange<'_>) {
+    state.journal.operator(OperatorEvent::Sent {
+        change_id: change.id.clone(),
+        objects: change.objects.clone(),
+    });
+    let call = HttpCall {
+        method: Method::PUT,
+        address: &change.entry.http,
+        path: api::CONFIG_PATH,
+        headers: vec![
+            (api::BASE_VERSION_HEADER, change.base.to_string()),
+            (api::CHANGE_ID_HEADER, change.id.clone()),
+        ],
+        body: serde_json::to_vec(&change.objects).unwrap_or_default(),
+        bound: APPLY_BOUND,
+    };
+    let answer = state.client.send(call).await;
+    let status = answer.as_ref().map_or(0, |answer| answer.status.as_u16());
+    let reply: Option<ApplyReply> = match (&answer, status) {
+        (Ok(answer), 200 | 202) => {
+            let reply = answer.json();
+            let note = |error| state.journal.problem(format!("answer to {}: {error}", change.id));
+            reply.map_err(note).ok()
+        }
+        _ => None,
+    };
+    let version = reply.as_ref().map_or(0, |reply| reply.version);
+    let (in_force, not_confirmed) =
+        reply.map(|reply| (reply.in_force, reply.not_confirmed)).unwrap_or_default();
+    let change_id = change.id.clone();
+    state.journal.operator(OperatorEvent::Received {
+        change_id,
+        status,
+        version,
+        in_force,
+        not_confirmed,
+    });
+    let mut changes = state.changes.borrow_mut();
+    let Some(applied) = changes.get_mut(change.index) else { return };
+    applied.version = version;
+    applied.state = match status {
+        200 => Some(ApplyState::Accepted),
+        202 => Some(ApplyState::Pending),
+        409 => Some(ApplyState::Conflict),
+        400..500 | 503 => Some(ApplyState::Refused),
+        _ => None,
+    };
+}
+
+impl RunState {
+    /// Notes the pending changes that every domain has confirmed meanwhile.
+    pub fn note_confirmations(&self) {
+        let statuses = self.statuses.borrow();
+        let confirmed = |domain| {
+            let reported = statuses.values().flat_map(|status| &status.domains);
+            reported.filter(|it| it.name == domain).map(|it| it.confirmed).max().unwrap_or(0)
+        };
+        let domains: Vec<_> = self.layout.domains.iter().map(|it| it.name.clone()).collect();
+        let lowest = domains.iter().map(|domain| confirmed(domain.clone())).min().unwrap_or(0);
+        for change in self.changes.borrow_mut().iter_mut() {
+            if change.state == Some(ApplyState::Pending) && change.version <= lowest {
+                change.state = Some(ApplyState::Accepted);
+                self.journal.operator(OperatorEvent::Received {
+                    change_id: change.id.clone(),
+                    status: 200,
+                    version: change.version,
+                    in_force: domains.clone(),
+                    not_confirmed: Vec::new(),
+                });
+            }
+        }
+    }
+}
+
+/// Publishes the first configuration and waits until it is in force everywhere.
+///
+/// The change is sent again while entries answer that it was not committed,
+/// because they may have no contact to the platform yet.
+pub async fn publish_first(state: &Rc<RunState>) -> Result<(), String> {
+    let objects = config::build_objects(&state.layout, &state.places);
+    let end = Instant::now() + FIRST_BOUND;
+    let (index, id) = register_change(state, None);
+    loop {
+        let entry = state.any_entry()?;
+        let change =
+            PreparedChange { index, id: id.clone(), base: 0, objects: objects.clone(), entry };
+        send_change(state, &change).await;
+        let reached = state.changes.borrow().get(index).and_then(|change| change.state);
+        match reached {
+            Some(ApplyState::Accepted | ApplyState::Pending) => break,
+            Some(ApplyState::Conflict) => {
+                return Err("the first configuration met a conflict".to_owned());
+            }
+            _ if Instant::now() >= end => {
+                return Err("the first configuration was not committed".to_owned());
+            }
+            _ => time::sleep(FIRST_PAUSE).await,
+        }
+    }
+    while state.changes.borrow().get(index).and_then(|it| it.state) != Some(ApplyState::Accepted) {
+        if Instant::now() >= end {
+            return Err("the first configuration was not confirmed by every domain".to_owned());
+        }
+        time::sleep(POLL).await;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/testing/scenario/src/run/place.rs
@@ -0,0 +1,170 @@
+//! Addresses and names of the processes of one run.
+
+use std::sync::atomic::{AtomicU16, Ordering};
+
+use model::name::{DomainName, RackName, WorkerName};
+use model::resource::ResourceAmounts;
+
+use crate::script::{CellLayout, DomainLayout};
+
+const FIRST_PORT: u16 = 7000;
+/// Ports that one run of a runner process may use on each of its addresses.
+const PORTS_PER_RUN: u16 = 4;
+/// Runs of one process that have distinct ports; later runs use those of the first again.
+const RUN_COUNT: u16 = 1000;
+
+static NEXT_RUN: AtomicU16 = AtomicU16::new(0);
+
+/// Hands out addresses that no other run on the machine uses.
+///
+/// The network is derived from the process id, because test runners start one
+/// process for each test; the ports differ between runs of one process.
+struct AddressPlan {
+    network: [u8; 2],
+    port: u16,
+    host: u8,
+}
+
+impl AddressPlan {
+    fn new() -> Self {
+        let pid = std::process::id();
+        let [low, ..] = pid.to_le_bytes();
+        let high = u8::try_from(16 + pid / 256 % 200).expect("at most 215");
+        let run = NEXT_RUN.fetch_add(1, Ordering::Relaxed) % RUN_COUNT;
+        Self { network: [high, low], port: FIRST_PORT + run * PORTS_PER_RUN, host: 0 }
+    }
+
+    fn next_ip(&mut self) -> String {
+        self.host += 1;
+        format!("127.{}.{}.{}", self.network[0], self.network[1], self.host)
+    }
+
+    fn next_address(&mut self) -> String {
+        format!("{}:{}", self.next_ip(), self.port)
+    }
+}
+
+/// Where one entry is.
+#[derive(Clone, Debug)]
+pub struct EntryPlace {
+    /// Name of the process, and of the proxy's link to its peer address.
+    pub name: String,
+    /// Its domain.
+    pub domain: DomainName,
+    /// Its number in the domain, from 1.
+    pub number: u32,
+    /// Its own IP.
+    pub ip: String,
+    /// Address for callers and operators.
+    pub http: String,
+    /// Its own address for peers.
+    pub peer: String,
+    /// The proxy's address for its peers.
+    pub advertised: String,
+}
+
+/// Where one worker is.
+#[derive(Clone, Debug)]
+pub struct WorkerPlace {
+    /// Name of the worker, its process, and the proxy's link to it.
+    pub name: WorkerName,
+    /// Its domain.
+    pub domain: DomainName,
+    /// Its number in the domain, from 1.
+    pub number: u32,
+    /// Its rack.
+    pub rack: RackName,
+    /// Its own address.
+    pub address: String,
+    /// The proxy's address for it.
+    pub advertised: String,
+    /// What it offers.
+    pub capacity: ResourceAmounts,
+    /// Connections that it accepts.
+    pub connections: u32,
+}
+
+/// Where all processes of a cell are.
+#[derive(Clone, Debug)]
+pub struct CellPlaces {
+    /// The platform's own address.
+    pub platform: String,
+    /// The proxy's address for the platform.
+    pub platform_advertised: String,
+    /// The proxy's address for rules.
+    pub proxy_admin: String,
+    /// All entries.
+    pub entries: Vec<EntryPlace>,
+    /// All workers.
+    pub workers: Vec<WorkerPlace>,
+}
+
+impl CellPlaces {
+    /// Gives every process of a layout its addresses.
+    pub fn assign(layout: &CellLayout) -> Self {
+        let mut plan = AddressPlan::new();
+        let mut places = Self {
+            platform: plan.next_address(),
+            platform_advertised: plan.next_address(),
+            proxy_admin: plan.next_address(),
+            entries: Vec::new(),
+            workers: Vec::new(),
+        };
+        for domain in &layout.domains {
+            let entries = (1..=domain.entries).map(|number| place_entry(&mut plan, domain, number));
+            places.entries.extend(entries);
+            let workers =
+                (1..=domain.workers).map(|number| place_worker(&mut plan, domain, number));
+            places.workers.extend(workers);
+        }
+        places
+    }
+
+    /// Returns what all workers together offer.
+    pub fn capacity(&self) -> ResourceAmounts {
+        let capacities = self.workers.iter().map(|worker| worker.capacity);
+        capacities.fold(ResourceAmounts::ZERO, ResourceAmounts::plus)
+    }
+
+    /// Returns the entries of a domain.
+    pub fn entries_of(&self, domain: &DomainName) -> impl Iterator<Item = &EntryPlace> {
+        self.entries.iter().filter(move |entry| entry.domain == *domain)
+    }
+
+    /// Finds an entry by its process name.
+    pub fn entry(&self, name: &str) -> Option<&EntryPlace> {
+        self.entries.iter().find(|entry| entry.name == name)
+    }
+}
+
+fn place_entry(plan: &mut AddressPlan, domain: &DomainLayout, number: u32) -> EntryPlace {
+    let ip = plan.next_ip();
+    EntryPlace {
+        name: format!("{}-e{number}", domain.name),
+        domain: domain.name.clone(),
+        number,
+        http: format!("{ip}:{}", plan.port),
+        peer: format!("{ip}:{}", plan.port + 1),
+        ip,
+        advertised: plan.next_address(),
+    }
+}
+
+fn place_worker(plan: &mut AddressPlan, domain: &DomainLayout, number: u32) -> WorkerPlace {
+    let rack = (number - 1) % domain.racks + 1;
+    WorkerPlace {
+        name: WorkerName::from(format!("{}-w{number}", domain.name)),
+        domain: domain.name.clone(),
+        number,
+        rack: RackName::from(format!("{}-r{rack}", domain.name)),
+        address: plan.next_address(),
+        advertised: plan.next_address(),
+        capacity: ResourceAmounts {
+            cpu_millis: domain.cores.saturating_mul(1000),
+            memory_mb: domain.memory,
+            accelerators: 0,
+            slots: domain.slots,
+        },
+        connections: domain.connections,
+    }
+}
--- /dev/null
+++ b/testing/scenario/src/run/process.rs
@@ -0,0 +1,159 @@
+//! Child processes, their signals and their ends.
+
+use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::io;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::rc::Rc;
+
+use nix::sys::signal::{self, Signal};
+use nix::unistd::Pid;
+use serde_json::Value;
+
+use super::journal::RunJournal;
+use crate::record::{RunnerEvent, SignalName};
+
+/// One process of the run, running or ended.
+#[derive(Debug)]
+struct ChildSlot {
+    binary: &'static str,
+    settings: Value,
+    child: Option<Child>,
+    starts: u32,
+    /// Whether its end is expected, because a signal asked for it.
+    stopping: bool,
+    /// How it last ended.
+    exit: Option<ExitStatus>,
+}
+
+/// All processes of one run; kills those that still run when it is dropped.
+#[derive(Debug)]
+pub struct ChildTable {
+    binaries: PathBuf,
+    dir: PathBuf,
+    journal: Rc<RunJournal>,
+    slots: BTreeMap<String, ChildSlot>,
+}
+
+impl ChildTable {
+    /// Creates a table without processes.
+    pub fn new(binaries: &Path, dir: &Path, journal: Rc<RunJournal>) -> Self {
+        Self { binaries: binaries.to_owned(), dir: dir.to_owned(), journal, slots: BTreeMap::new() }
+    }
+
+    /// Adds a process that is not started yet.
+    pub fn add(&mut self, name: &str, binary: &'static str, settings: Value) {
+        let slot =
+            ChildSlot { binary, settings, child: None, starts: 0, stopping: false, exit: None };
+        self.slots.insert(name.to_owned(), slot);
+    }
+
+    /// Starts a process that does not run.
+    ///
+    /// Each start has its own log and worker history, so that a process started
+    /// again overwrites nothing.
+    pub fn start(&mut self, name: &str) -> io::Result<()> {
+        let log = self.next_log(name)?;
+        let slot = find_slot(&mut self.slots, name)?;
+        if slot.child.is_some() {
+            return Err(io::Error::other(format!("{name} runs already")));
+        }
+        let mut settings = slot.settings.clone();
+        if let Some(history) = settings.get_mut("history") {
+            let file = format!("{}{name}.{}.jsonl", crate::record::WORKER_PREFIX, slot.starts + 1);
+            *history = self.dir.join(file).to_string_lossy().into();
+        }
+        let path = self.dir.join(format!("{name}.json"));
+        fs::write(&path, serde_json::to_vec_pretty(&settings)?)?;
+        let output = File::create(log)?;
+        let binary = self.binaries.join(slot.binary);
+        let child = Command::new(&binary)
+            .arg("--settings")
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(output.try_clone()?)
+            .stderr(output)
+            .spawn()
+            .map_err(|error| io::Error::other(format!("{}: {error}", binary.display())))?;
+        slot.child = Some(child);
+        slot.starts += 1;
+        slot.stopping = false;
+        slot.exit = None;
+        self.journal.runner(RunnerEvent::Started { process: name.to_owned() });
+        Ok(())
+    }
+
+    fn next_log(&mut self, name: &str) -> io::Result<PathBuf> {
+        let starts = find_slot(&mut self.slots, name)?.starts + 1;
+        Ok(self.dir.join(format!("{name}.{starts}.log")))
+    }
+
+    /// Tells whether the log of a process says that it serves.
+    pub fn is_listening(&self, name: &str) -> bool {
+        let starts = self.slots.get(name).map_or(0, |slot| slot.starts);
+        let log = fs::read_to_string(self.dir.join(format!("{name}.{starts}.log")));
+        log.is_ok_and(|log| log.contains("listening on "))
+    }
+
+    /// Sends a signal to a running process.
+    pub fn signal(&mut self, name: &str, wanted: SignalName) -> io::Result<()> {
+        let slot = find_slot(&mut self.slots, name)?;
+        let Some(child) = &slot.child else {
+            return Err(io::Error::other(format!("{name} does not run")));
+        };
+        let (number, stops) = match wanted {
+            SignalName::Kill => (Signal::SIGKILL, true),
+            SignalName::Stop => (Signal::SIGSTOP, false),
+            SignalName::Continue => (Signal::SIGCONT, false),
+            SignalName::Terminate => (Signal::SIGTERM, true),
+        };
+        slot.stopping |= stops;
+        let process = name.to_owned();
+        self.journal.runner(RunnerEvent::Signalled { process, signal: wanted });
+        let pid = Pid::from_raw(child.id().cast_signed());
+        signal::kill(pid, number).map_err(io::Error::from)
+    }
+
+    /// Records the processes that have ended since the last call.
+    pub fn reap(&mut self) {
+        for (name, slot) in &mut self.slots {
+            let ended = slot.child.as_mut().and_then(|child| child.try_wait().ok().flatten());
+            let Some(status) = ended else { continue };
+            slot.child = None;
+            slot.exit = Some(status);
+            let process = name.clone();
+            self.journal.runner(RunnerEvent::Exited { process, code: status.code() });
+            if !slot.stopping {
+                self.journal.problem(format!("{name} ended unexpectedly: {status}"));
+            }
+        }
+    }
+
+    /// Tells whether a process runs or is paused.
+    pub fn is_running(&self, name: &str) -> bool {
+        self.slots.get(name).is_some_and(|slot| slot.child.is_some())
+    }
+
+    /// Returns how a process ended, if it has since its last start.
+    pub fn exit(&self, name: &str) -> Option<ExitStatus> {
+        self.slots.get(name).and_then(|slot| slot.exit)
+    }
+}
+
+fn find_slot<'a>(
+    slots: &'a mut BTreeMap<String, ChildSlot>,
+    name: &str,
+) -> io::Result<&'a mut ChildSlot> {
+    slots.get_mut(name).ok_or_else(|| io::Error::other(format!("no process is named {name}")))
+}
+
+impl Drop for ChildTable {
+    fn drop(&mut self) {
+        for child in self.slots.values_mut().filter_map(|slot| slot.child.as_mut()) {
+            // Fails only if the child has ended already.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
--- /dev/null
+++ b/testing/scenario/src/run/state.rs
@@ -0,0 +1,304 @@
+//! State that the steps and background tasks of one run share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use model::authority::OwnerAuthority;
+use model::name::DomainName;
+use serde_json::json;
+use tokio::time::{self, Instant};
+use wire::api::{READY_PATH, STATUS_PATH, StatusReply};
+use wire::history::{OperatorEvent, monotonic_us};
+use wire::platform::{VmEntry, VmList, VmState};
+
+use super::http::{HttpCall, HttpClient};
+use super::journal::RunJournal;
+use super::network::ActiveFault;
+use super::operator::AppliedChange;
+use super::place::{CellPlaces, EntryPlace, WorkerPlace};
+use super::process::ChildTable;
+use crate::script::{CellLayout, EntryRef, PlaceKind, PlaceRef, ProcessRef};
+
+/// Time between two looks at something that is waited for.
+pub const POLL: Duration = Duration::from_millis(50);
+const STATUS_INTERVAL: Duration = Duration::from_millis(500);
+const STATUS_BOUND: Duration = Duration::from_millis(450);
+/// Time between two readiness checks; a load balancer that checks once a second
+/// would miss the one second for which a stopping entry goes on listening.
+const READY_INTERVAL: Duration = Duration::from_millis(200);
+const READY_BOUND: Duration = Duration::from_millis(300);
+/// Time in which a domain must have an owner for a step that names it.
+const RESOLVE_BOUND: Duration = Duration::from_secs(6);
+
+/// State of one run.
+pub struct RunState {
+    /// What was declared.
+    pub layout: CellLayout,
+    /// Where the processes are.
+    pub places: CellPlaces,
+    /// The histories that the runner writes.
+    pub journal: Rc<RunJournal>,
+    /// The processes.
+    pub children: RefCell<ChildTable>,
+    /// The client for all calls.
+    pub client: HttpClient,
+    /// Last answers to status calls, by entry.
+    pub statuses: RefCell<BTreeMap<String, StatusReply>>,
+    /// Entries that the balancer sends requests to.
+    pub ready: RefCell<BTreeSet<String>>,
+    /// Entries that answer the readiness check at all.
+    pub reachable: RefCell<BTreeSet<String>>,
+    /// Processes by the aliases that steps gave them.
+    pub aliases: RefCell<BTreeMap<String, String>>,
+    /// Network faults that hold now.
+    pub faults: RefCell<Vec<ActiveFault>>,
+    /// Changes applied so far.
+    pub changes: RefCell<Vec<AppliedChange>>,
+    /// Indices in `changes` of the changes of the last race.
+    pub race: RefCell<Vec<usize>>,
+    /// Jobs accepted so far, with the secret of their key.
+    pub jobs: RefCell<Vec<(String, String)>>,
+    /// VMs as the platform should list them.
+    pub vms: RefCell<BTreeMap<String, VmState>>,
+    /// Loads and submissions that have not ended.
+    pub pending: Cell<usize>,
+    counter: Cell<u64>,
+}
+
+impl RunState {
+    /// Creates the state of a run without processes.
+    pub fn new(layout: CellLayout, children: ChildTable, journal: Rc<RunJournal>) -> Self {
+        let places = CellPlaces::assign(&layout);
+        let entries = places.entries.iter().map(|entry| entry.name.clone());
+        let workers = places.workers.iter().map(|worker| worker.name.to_string());
+        let vms = entries.chain(workers).map(|name| (name, VmState::Live)).collect();
+        Self {
+            layout,
+            places,
+            journal,
+            children: RefCell::new(children),
+            client: HttpClient::new(),
+            statuses: RefCell::default(),
+            ready: RefCell::default(),
+            reachable: RefCell::default(),
+            aliases: RefCell::default(),
+            faults: RefCell::default(),
+            changes: RefCell::default(),
+            race: RefCell::default(),
+            jobs: RefCell::default(),
+            vms: RefCell::new(vms),
+            pending: Cell::new(0),
+            counter: Cell::new(0),
+        }
+    }
+
+    /// Returns a number that no earlier call returned.
+    pub fn next_number(&self) -> u64 {
+        self.counter.set(self.counter.get() + 1);
+        self.counter.get()
+    }
+
+    /// Waits until a condition holds or the time is over; tells whether it holds.
+    pub async fn wait_until(&self, bound: Duration, mut condition: impl FnMut() -> bool) -> bool {
+        let end = Instant::now() + bound;
+        loop {
+            if condition() {
+                return true;
+            }
+            if Instant::now() >= end {
+                return false;
+            }
+            time::sleep(POLL).await;
+        }
+    }
+
+    /// Asks an entry for its status.
+    pub async fn fetch_status(&self, entry: &EntryPlace) -> Result<StatusReply, String> {
+        self.client.get(&entry.http, STATUS_PATH, STATUS_BOUND).await
+    }
+
+    /// Records the versions that an entry reports, until the run ends.
+    pub async fn watch_status(self: Rc<Self>, entry: EntryPlace) {
+        let mut ticks = time::interval(STATUS_INTERVAL);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let sent = monotonic_us();
+            let Ok(status) = self.fetch_status(&entry).await else {
+                self.statuses.borrow_mut().remove(&entry.name);
+                continue;
+            };
+            self.journal.operator_at(
+                sent,
+                OperatorEvent::Observed {
+                    entry: entry.name.clone(),
+                    domain: entry.domain.clone(),
+                    version: status.config_version,
+                },
+            );
+            self.statuses.borrow_mut().insert(entry.name.clone(), status);
+            self.note_confirmations();
+        }
+    }
+
+    /// Checks the readiness of an entry as a load balancer does, until the run ends.
+    pub async fn watch_ready(self: Rc<Self>, entry: EntryPlace) {
+        let mut ticks = time::interval(READY_INTERVAL);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            let status = self.fetch_ready(&entry).await;
+            set_member(&self.reachable, &entry.name, status.is_some());
+            set_member(&self.ready, &entry.name, status == Some(200));
+        }
+    }
+
+    async fn fetch_ready(&self, entry: &EntryPlace) -> Option<u16> {
+        let call = HttpCall {
+            method: awc::http::Method::GET,
+            address: &entry.http,
+            path: READY_PATH,
+            headers: Vec::new(),
+            body: Vec::new(),
+            bound: READY_BOUND,
+        };
+        self.client.send(call).await.ok().map(|answer| answer.status.as_u16())
+    }
+
+    /// Takes an entry out of the balancer until its next readiness check.
+    pub fn mark_unready(&self, entry: &str) {
+        set_member(&self.ready, entry, false);
+        set_member(&self.reachable, entry, false);
+    }
+
+    /// Returns the entries of a domain that a balancer would send requests to.
+    ///
+    /// Where none is ready, it tries those that answer the readiness check, and
+    /// where there is none of these either, all.
+    pub fn balanced_entries(&self, domain: &DomainName) -> Vec<&EntryPlace> {
+        let all: Vec<_> = self.places.entries_of(domain).collect();
+        for names in [&self.ready, &self.reachable] {
+            let names = names.borrow();
+            let found: Vec<_> =
+                all.iter().copied().filter(|entry| names.contains(&entry.name)).collect();
+            if !found.is_empty() {
+                return found;
+            }
+        }
+        all
+    }
+
+    /// Returns any entry that is ready, or else the first one.
+    pub fn any_entry(&self) -> Result<&EntryPlace, String> {
+        let ready = self.ready.borrow();
+        let entries = &self.places.entries;
+        let found = entries.iter().find(|entry| ready.contains(&entry.name));
+        found.or(entries.first()).ok_or_else(|| "the scenario has no entry".to_owned())
+    }
+
+    /// Finds the entry that says it owns a domain, and those that say they do not.
+    ///
+    /// Where several claim it, the one with the highest authority counts.
+    async fn ask_owner(&self, domain: &DomainName) -> (Option<&EntryPlace>, Vec<&EntryPlace>) {
+        let mut owner: Option<(OwnerAuthority, &EntryPlace)> = None;
+        let mut others = Vec::new();
+        for entry in self.places.entries_of(domain) {
+            let Ok(status) = self.fetch_status(entry).await else { continue };
+            let authority = status.authority.parse().unwrap_or_default();
+            if !status.is_owner {
+                others.push(entry);
+            } else if owner.is_none_or(|(highest, _)| authority > highest) {
+                owner = Some((authority, entry));
+            }
+        }
+        (owner.map(|(_, entry)| entry), others)
+    }
+
+    /// Returns the present owner of a domain, if one answers.
+    pub async fn find_owner(&self, domain: &DomainName) -> Option<&EntryPlace> {
+        self.ask_owner(domain).await.0
+    }
+
+    /// Finds the entry that a step means.
+    pub async fn resolve_entry(&self, entry: &EntryRef) -> Result<&EntryPlace, String> {
+        match entry {
+            EntryRef::Alias(alias) => {
+                let name = self.resolve_alias(alias)?;
+                self.places.entry(&name).ok_or_else(|| format!("{alias} is not an entry"))
+            }
+            EntryRef::Place(place) => self.resolve_place(place).await,
+        }
+    }
+
+    fn resolve_alias(&self, alias: &str) -> Result<String, String> {
+        let found = self.aliases.borrow().get(alias).cloned();
+        found.ok_or_else(|| format!("the step that names {alias} failed"))
+    }
+
+    async fn resolve_place(&self, place: &PlaceRef) -> Result<&EntryPlace, String> {
+        if let PlaceKind::Number(number) = place.kind {
+            let mut entries = self.places.entries_of(&place.domain);
+            let found = entries.find(|entry| entry.number == number);
+            return found.ok_or_else(|| format!("no entry {}.{number}", place.domain));
+        }
+        let end = Instant::now() + RESOLVE_BOUND;
+        loop {
+            let (owner, others) = self.ask_owner(&place.domain).await;
+            let found = match place.kind {
+                PlaceKind::Owner => owner,
+                _ => owner.and(others.first().copied()),
+            };
+            if let Some(entry) = found {
+                return Ok(entry);
+            }
+            if Instant::now() >= end {
+                return Err(format!("domain {} has no owner or no standby", place.domain));
+            }
+            time::sleep(POLL).await;
+        }
+    }
+
+    /// Finds the worker that a step means.
+    pub fn resolve_worker(&self, place: &PlaceRef) -> Result<&WorkerPlace, String> {
+        let is_meant = |worker: &&WorkerPlace| {
+            worker.domain == place.domain && place.kind == PlaceKind::Number(worker.number)
+        };
+        let found = self.places.workers.iter().find(is_meant);
+        found.ok_or_else(|| format!("no such worker in {}", place.domain))
+    }
+
+    /// Finds the name of the process that a step means.
+    pub async fn resolve_process(&self, process: &ProcessRef) -> Result<String, String> {
+        match process {
+            ProcessRef::Worker(place) => self.resolve_worker(place).map(|it| it.name.to_string()),
+            ProcessRef::Entry(EntryRef::Alias(alias)) => self.resolve_alias(alias),
+            ProcessRef::Entry(entry) => self.resolve_entry(entry).await.map(|it| it.name.clone()),
+        }
+    }
+
+    /// Gives the platform the true list of VMs.
+    pub async fn publish_vms(&self) -> Result<(), String> {
+        let entry =
+            |(name, state): (&String, &VmState)| VmEntry { name: name.clone(), state: *state };
+        let list = VmList { vms: self.vms.borrow().iter().map(entry).collect() };
+        self.client.post_admin(&self.places.platform, "/admin/vms", &list).await
+    }
+
+    /// Replaces the fault of the platform.
+    pub async fn set_platform_fault(&self, fault: serde_json::Value) -> Result<(), String> {
+        let event = crate::record::RunnerEvent::PlatformChanged { fault: fault.to_string() };
+        self.journal.runner(event);
+        self.client.post_admin(&self.places.platform, "/admin/fault", &json!(fault)).await
+    }
+}
+
+fn set_member(names: &RefCell<BTreeSet<String>>, name: &str, is_member: bool) {
+    let mut names = names.borrow_mut();
+    if is_member {
+        names.insert(name.to_owned());
+    } else {
+        names.remove(name);
+    }
+}
--- /dev/null
+++ b/testing/scenario/src/run/step.rs
@@ -0,0 +1,142 @@
+//! Carries out the steps of a scenario.
+
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+
+use model::name::DomainName;
+use serde_json::{Value, json};
+use tokio::time;
+use wire::platform::VmState;
+
+use super::state::RunState;
+use super::{caller, expect, network, operator};
+use crate::record::SignalName;
+use crate::script::{
+    PlaceRef, PlatformFault, ProcessRef, ScriptStep, SignalKind, StepAction, WorkerFault,
+};
+
+/// Longest time that a planned stop may take, with the default drain time of an entry.
+const STOP_BOUND: Duration = Duration::from_secs(40);
+/// Longest time until a restarted entry is ready.
+const READY_BOUND: Duration = Duration::from_secs(15);
+
+/// Carries out one step; the error says why it failed.
+pub async fn run_step(state: &Rc<RunState>, dir: &Path, step: &ScriptStep) -> Result<(), String> {
+    match &step.action {
+        StepAction::Load(plan) => caller::spawn_load(state, plan.clone()),
+        StepAction::Job(plan) => caller::spawn_job(state, plan.clone()),
+        StepAction::Wait(duration) => time::sleep(*duration).await,
+        StepAction::WaitReady(bound) => wait_ready(state, *bound).await?,
+        StepAction::Signal { kind, process, alias } => {
+            let name = state.resolve_process(process).await?;
+            let aliases = alias.iter().map(|alias| (alias.clone(), name.clone()));
+            state.aliases.borrow_mut().extend(aliases);
+            send_signal(state, &name, *kind)?;
+        }
+        StepAction::Fault(plan) => network::begin_fault(state, plan, &step.text).await?,
+        StepAction::Heal(name) => network::end_faults(state, name.as_deref()).await?,
+        StepAction::Platform(fault) => state.set_platform_fault(platform_body(fault)).await?,
+        StepAction::Apply(plan) => {
+            operator::apply_changes(state, std::slice::from_ref(plan)).await?;
+        }
+        StepAction::Race(plans) => operator::apply_changes(state, plans).await?,
+        StepAction::Leave(place) => post_worker(state, place, "/admin/leave", &json!({})).await?,
+        StepAction::WorkerFault(place, fault) => {
+            post_worker(state, place, "/admin/fault", &fault_body(*fault)).await?;
+        }
+        StepAction::RollingRestart(domain) => restart_entries(state, domain.as_ref()).await?,
+        StepAction::Vm(process, vm) => change_vm(state, process, *vm).await?,
+        StepAction::Expect(expectation) => {
+            expect::check_expectation(state, dir, expectation).await?;
+        }
+    }
+    Ok(())
+}
+
+fn send_signal(state: &RunState, name: &str, kind: SignalKind) -> Result<(), String> {
+    let mut children = state.children.borrow_mut();
+    let done = match kind {
+        SignalKind::Start => children.start(name),
+        SignalKind::Kill => children.signal(name, SignalName::Kill),
+        SignalKind::Pause => children.signal(name, SignalName::Stop),
+        SignalKind::Resume => children.signal(name, SignalName::Continue),
+        SignalKind::Terminate => children.signal(name, SignalName::Terminate),
+    };
+    done.map_err(|error| error.to_string())
+}
+
+async fn wait_ready(state: &RunState, bound: Duration) -> Result<(), String> {
+    let unready = || -> Vec<&str> {
+        let ready = state.ready.borrow();
+        let children = state.children.borrow();
+        let running = state.places.entries.iter().filter(|it| children.is_running(&it.name));
+        running.filter(|it| !ready.contains(&it.name)).map(|it| it.name.as_str()).collect()
+    };
+    if state.wait_until(bound, || unready().is_empty()).await {
+        Ok(())
+    } else {
+        Err(format!("not ready: {:?}", unready()))
+    }
+}
+
+fn platform_body(fault: &PlatformFault) -> Value {
+    match fault {
+        PlatformFault::Down => json!({"down": true}),
+        PlatformFault::Up => json!({}),
+        PlatformFault::Slow(delay) => json!({"delay_ms": delay.as_millis()}),
+        PlatformFault::LoseReplies { count, prefix: None } => json!({"lose_replies": count}),
+        PlatformFault::LoseReplies { count, prefix: Some(prefix) } => {
+            json!({"lose_replies": count, "lose_prefix": prefix})
+        }
+    }
+}
+
+fn fault_body(fault: WorkerFault) -> Value {
+    json!({
+        "fail_tasks": fault.fail_tasks,
+        "truncate_answers": fault.truncate_answers,
+        "swap_ids": fault.swap_ids,
+        "answer_delay_ms": fault.answer_delay.as_millis(),
+    })
+}
+
+async fn post_worker(
+    state: &RunState,
+    place: &PlaceRef,
+    path: &str,
+    body: &Value,
+) -> Result<(), String> {
+    let worker = state.resolve_worker(place)?;
+    state.client.post_admin(&worker.address, path, body).await
+}
+
+async fn change_vm(
+    state: &RunState,
+    process: &ProcessRef,
+    vm: Option<VmState>,
+) -> Result<(), String> {
+    let name = state.resolve_process(process).await?;
+    match vm {
+        Some(vm) => state.vms.borrow_mut().insert(name, vm),
+        None => state.vms.borrow_mut().remove(&name),
+    };
+    state.publish_vms().await
+}
+
+/// Stops and starts entries one after another, each once the one before is ready.
+async fn restart_entries(state: &RunState, domain: Option<&DomainName>) -> Result<(), String> {
+    let is_wanted = |name: &DomainName| domain.is_none_or(|domain| domain == name);
+    for entry in state.places.entries.iter().filter(|entry| is_wanted(&entry.domain)) {
+        let name = &entry.name;
+        send_signal(state, name, SignalKind::Terminate)?;
+        let stopped = || !state.children.borrow().is_running(name);
+        if !state.wait_until(STOP_BOUND, stopped).await {
+            return Err(format!("{name} did not stop"));
+        }
+        state.mark_unready(name);
+        send_signal(state, name, SignalKind::Start)?;
+        wait_ready(state, READY_BOUND).await?;
+    }
+    Ok(())
+}
