--- a/crates/coord/src/config.rs
+++ b/crates/coord/src/config.rs
@@ -47,6 +47,12 @@
         self.contact.is_some_and(|contact| now.since(contact) < self.bound_ms)
     }
 
+    /// Returns the milliseconds since the platform last confirmed the version in force.
+    #[must_use]
+    pub fn contact_age(&self, now: ClockMillis) -> Option<u64> {
+        self.contact.map(|contact| now.since(contact))
+    }
+
     /// Returns the version in force, 0 before the first.
     #[must_use]
     pub const fn version(&self) -> u64 {
--- a/crates/coord/src/owner/machine.rs
+++ b/crates/coord/src/owner/machine.rs
@@ -150,6 +150,12 @@
         }
     }
 
+    /// Returns the other entries that the row names, as last known.
+    pub fn known_members(&self) -> impl Iterator<Item = &EntryMember> {
+        let row = self.view.row.as_deref();
+        row.into_iter().flat_map(|row| row.voters.iter().chain(&row.candidates).chain(&row.holder))
+    }
+
     /// Returns the domain.
     #[must_use]
     pub const fn domain(&self) -> &DomainName {
--- a/crates/entry/src/control/allot.rs
+++ b/crates/entry/src/control/allot.rs
@@ -4,9 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use coord::allotment::{AllotmentView, WriteOutcome};
+use coord::allotment::{AllotmentNeed, RowResult};
 use coord::row::{self, AllotmentRow};
-use link::failure::CallFailure;
 use model::name::{DomainName, TeamName};
 use model::object::{DomainState as ServiceState, ObjectSet};
 use model::resource::ResourceAmounts;
@@ -16,7 +15,7 @@
 use crate::control::{Control, ControlState, cells, domain};
 
 /// Time between two reads of all rows.
-const ROW_POLL: Duration = Duration::from_millis(1000);
+const ROW_POLL: Duration = Duration::from_secs(1);
 /// Deadline of calls about allotment rows.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -77,11 +76,8 @@
 async fn read_rows(control: &Control, keys: Vec<String>) -> Result<(), String> {
     let authority = control.lease();
     let read = TableRead { keys: keys.clone(), prefixes: Vec::new() };
-    let reply = control
-        .platform
-        .read(&read, CALL_TIMEOUT)
-        .await
-        .map_err(|report| format!("{report:?}"))?;
+    let reply =
+        control.platform.read(&read, CALL_TIMEOUT).await.map_err(|report| format!("{report:?}"))?;
     if control.lease() != authority {
         return Ok(());
     }
@@ -123,18 +119,20 @@
         let capacities = capacities(objects);
         let limit = team_limit(objects, team);
         let Some(domain) = state.domain.as_mut() else { return };
-        let view = AllotmentView {
-            domain: &control.settings.domain,
+        let need = AllotmentNeed {
             limit,
             capacities: &capacities,
             used: domain.cell.team_use(team),
             wanted: domain.wanted.get(team).copied().unwrap_or_default(),
-            row: None,
         };
-        let write = domain.allotments.plan(team, &view);
-        (domain.allotments.usable(team), write)
+        let write = domain.allotments.plan(team, &need);
+        let usable = domain.allotments.usable(team);
+        (domain.allotments.is_settled(team).then_some(usable), write)
     };
-    cells::feed(control, CellEvent::Allotment { team: team.clone(), amounts: usable });
+    // Before the row is known, running work must not be stopped for want of an allotment.
+    if let Some(amounts) = usable {
+        cells::feed(control, CellEvent::Allotment { team: team.clone(), amounts });
+    }
     if let Some(write) = write {
         let caller = Rc::clone(control);
         let team = team.clone();
@@ -151,28 +149,25 @@
         deletes: Vec::new(),
     };
     let outcome = match control.platform.transact(&txn, CALL_TIMEOUT).await {
-        Ok(reply) if reply.committed => WriteOutcome::Committed { version: reply.version },
+        Ok(reply) if reply.committed => RowResult::Committed { version: reply.version },
         Ok(reply) => {
             let present = reply.conflicts.into_iter().next();
             let version = present.as_ref().map_or(0, |row| row.version);
             let row = present.and_then(|row| serde_json::from_value(row.value).ok());
-            WriteOutcome::Conflict { version, row }
+            RowResult::Conflict { version, row }
+        }
+        Err(report) => {
+            log::debug!("allotment of {team} cannot be written: {report:?}");
+            RowResult::Unknown
         }
-        Err(report) if *report.current_context() == CallFailure::NotDone => WriteOutcome::NotDone,
-        Err(_) => WriteOutcome::Unknown,
     };
     if control.lease() != Some(authority) {
         return;
     }
     if let Some(domain) = control.state_mut().domain.as_mut() {
         domain.allotments.written(team, outcome);
-        let usable = domain.allotments.usable(team);
-        log::debug!("allotment of {team} usable={usable:?}");
-    }
-    let usable = control.state().domain.as_ref().map(|domain| domain.allotments.usable(team));
-    if let Some(amounts) = usable {
-        cells::feed(control, CellEvent::Allotment { team: team.clone(), amounts });
     }
+    review(control, team);
 }
 
 /// Tells whether the limits of the version in force hold in this domain.
--- a/crates/entry/src/control/cells.rs
+++ b/crates/entry/src/control/cells.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use model::kind::ErrorKind;
+use model::name::{TeamName, WorkerName};
 use policy::event::{CellDecision, CellEvent, PlacementReason};
 use wire::peer::{PeerRefusal, SlotGrant};
 use wire::worker::StopMode;
@@ -63,7 +64,7 @@
         }
         CellDecision::GrantRequest { ticket, worker, team, reason } => {
             count(control, "slot", &reason);
-            grant(control, ticket, worker, team, &reason);
+            grant(control, ticket, worker, &team, &reason);
         }
         CellDecision::RefuseRequest { ticket, kind } => refuse(control, ticket, kind),
         CellDecision::JobChanged { job, state, done } => {
@@ -88,8 +89,8 @@
 fn grant(
     control: &Control,
     ticket: u64,
-    worker: model::name::WorkerName,
-    team: model::name::TeamName,
+    worker: WorkerName,
+    team: &TeamName,
     reason: &PlacementReason,
 ) {
     let now = control.now();
@@ -121,7 +122,10 @@
             let domain = control.settings.domain.clone();
             waiting.grant(SlotGrant { id: ticket, worker, address, authority, domain })
         }
-        _ => waiting.refuse_no_owner(),
+        _ => {
+            waiting.refuse_no_owner();
+            false
+        }
     };
     drop(state);
     if !sent {
--- a/crates/entry/src/control/config.rs
+++ b/crates/entry/src/control/config.rs
@@ -23,9 +23,9 @@
 /// Time between two reads of the configuration head.
 const POLL: Duration = Duration::from_millis(500);
 /// Time between two reads of owners, confirmations and VMs.
-const ROWS_POLL: Duration = Duration::from_millis(2000);
+const ROWS_POLL: Duration = Duration::from_secs(2);
 /// Deadline of calls to the platform about the configuration.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest time that a change waits for its confirmations before it is answered.
 const CONFIRM_WAIT_MS: u64 = 5_000;
 /// Time between two looks at the confirmations.
@@ -63,22 +63,17 @@
 
 async fn poll_head(control: &Control) -> Result<(), String> {
     let sent_at = control.now();
-    match read_head(control).await? {
-        Some((_, head)) => follow_head(control, &head, sent_at).await,
-        None => {
-            note_contact(control, sent_at, 0);
-            Ok(())
-        }
+    if let Some((_, head)) = read_head(control).await? {
+        return follow_head(control, &head, sent_at).await;
     }
+    note_contact(control, sent_at, 0);
+    Ok(())
 }
 
 async fn read_head(control: &Control) -> Result<Option<(u64, ConfigHead)>, String> {
     let read = TableRead { keys: vec![row::CONFIG_HEAD_KEY.to_owned()], prefixes: Vec::new() };
-    let reply = control
-        .platform
-        .read(&read, CALL_TIMEOUT)
-        .await
-        .map_err(|report| format!("{report:?}"))?;
+    let reply =
+        control.platform.read(&read, CALL_TIMEOUT).await.map_err(|report| format!("{report:?}"))?;
     let Some(found) = reply.rows.into_iter().next() else { return Ok(None) };
     let head = serde_json::from_value(found.value).map_err(|error| error.to_string())?;
     Ok(Some((found.version, head)))
@@ -176,11 +171,8 @@
 async fn poll_rows(control: &Control) -> Result<(), String> {
     let prefixes = vec!["owner/".to_owned(), "confirm/".to_owned()];
     let read = TableRead { keys: Vec::new(), prefixes };
-    let reply = control
-        .platform
-        .read(&read, CALL_TIMEOUT)
-        .await
-        .map_err(|report| format!("{report:?}"))?;
+    let reply =
+        control.platform.read(&read, CALL_TIMEOUT).await.map_err(|report| format!("{report:?}"))?;
     for found in reply.rows {
         if let Some(name) = found.key.strip_prefix("owner/") {
             let row: OwnerRow =
@@ -209,13 +201,11 @@
 
 async fn poll_vms(control: &Control) {
     let Ok(list) = control.platform.list_vms(CALL_TIMEOUT).await else { return };
-    let present: std::collections::HashSet<_> =
-        list.vms.iter().map(|vm| vm.name.clone()).collect();
-    let gone: Vec<_> = {
+    let present: std::collections::HashSet<_> = list.vms.iter().map(|vm| vm.name.clone()).collect();
+    let gone = {
         let mut state = control.state_mut();
-        let gone = state.listed_vms.difference(&present).cloned().collect();
-        state.listed_vms = present;
-        gone
+        state.listed_vms.extend(present.iter().cloned());
+        state.listed_vms.difference(&present).cloned().collect::<Vec<_>>()
     };
     for vm in gone {
         ownership::feed(control, OwnerEvent::VmGone { vm });
--- a/crates/entry/src/control/domain.rs
+++ b/crates/entry/src/control/domain.rs
@@ -22,7 +22,7 @@
 use crate::control::{Control, allot, cells, config};
 
 /// Deadline of the read of all rows of a domain.
-const LOAD_TIMEOUT: Duration = Duration::from_millis(1000);
+const LOAD_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause between two tries to load.
 const LOAD_RETRY: Duration = Duration::from_millis(100);
 
@@ -76,21 +76,17 @@
         keys: vec![row::CONFIG_HEAD_KEY.to_owned(), row::confirm_key(domain)],
         prefixes: vec!["allot/".to_owned(), format!("job/{domain}/")],
     };
-    let reply = control
-        .platform
-        .read(&read, LOAD_TIMEOUT)
-        .await
-        .map_err(|report| format!("{report:?}"))?;
+    let reply =
+        control.platform.read(&read, LOAD_TIMEOUT).await.map_err(|report| format!("{report:?}"))?;
     let mut state = HandoverState {
         authority,
         row_version: 0,
         row: OwnerRow::default(),
-        lease_left_ms: 0,
         config_version: 0,
         objects: model::object::ObjectSet::default(),
         contact_age_ms: 0,
         jobs: Vec::new(),
-        allotments: BTreeMap::new(),
+        allotments: AllotmentBook::new(domain.clone()),
     };
     let mut confirmed = 0;
     for found in reply.rows {
@@ -103,7 +99,7 @@
             confirmed = row.version;
         } else if let Some(team) = found.key.strip_prefix("allot/") {
             let row: AllotmentRow = serde_json::from_value(found.value.clone()).map_err(broken)?;
-            state.allotments.insert(TeamName::from(team), (found.version, row));
+            state.allotments.read(&TeamName::from(team), found.version, Some(row));
         } else {
             let record: JobRecord = serde_json::from_value(found.value.clone()).map_err(broken)?;
             state.jobs.push(record);
@@ -142,16 +138,14 @@
         tickets: HashMap::new(),
         grants: HashMap::new(),
         next_ticket: 1,
-        allotments: AllotmentBook::new(domain.clone()),
+        allotments: state.allotments,
         wanted: BTreeMap::new(),
         jobs,
         confirmed: (0, 0),
     };
     control.state_mut().domain = Some(fresh);
     cells::feed(control, CellEvent::Config(objects));
-    for (team, (version, row)) in state.allotments {
-        allot::adopt_row(control, &team, version, Some(row));
-    }
+    allot::review_all(control);
     for record in state.jobs {
         cells::feed(control, CellEvent::JobSubmitted(record.into()));
     }
@@ -185,7 +179,6 @@
     authority: OwnerAuthority,
     row_version: u64,
     row: &OwnerRow,
-    lease_left_ms: u64,
 ) -> Option<String> {
     let state = {
         let state = control.state();
@@ -195,12 +188,11 @@
             authority,
             row_version,
             row: row.clone(),
-            lease_left_ms,
             config_version: state.config.version(),
             objects: (**state.config.objects()).clone(),
             contact_age_ms,
             jobs: domain.jobs.records(&domain.cell),
-            allotments: domain.allotments.rows(),
+            allotments: domain.allotments.handed_over(),
         }
     };
     serde_json::to_string(&state).ok()
--- a/crates/entry/src/control/handle.rs
+++ b/crates/entry/src/control/handle.rs
@@ -69,6 +69,8 @@
     Ready(Reply<bool>),
     /// Begin to shut down.
     Drain,
+    /// Tell whether the ownership was handed over or released.
+    Drained(Reply<bool>),
 }
 
 impl Message for ControlCall {
@@ -116,6 +118,9 @@
             ControlCall::Ready(reply) => {
                 let _ = reply.send(status::is_ready(&control));
             }
+            ControlCall::Drained(reply) => {
+                let _ = reply.send(control.state().ownership.is_drained());
+            }
             ControlCall::Drain => {
                 control.state_mut().draining = true;
                 ownership::feed(&control, coord::owner::OwnerEvent::Drain);
--- a/crates/entry/src/control/jobs.rs
+++ b/crates/entry/src/control/jobs.rs
@@ -24,9 +24,9 @@
 /// Most jobs in one write of progress.
 const FLUSH_BOUND: usize = 64;
 /// Time between two looks for jobs whose notification was lost.
-const SCAN: Duration = Duration::from_millis(3000);
+const SCAN: Duration = Duration::from_secs(3);
 /// Deadline of calls to the platform about jobs.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Deadline of calls to owners about jobs.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Most tasks of one job.
@@ -199,9 +199,11 @@
         .map(|domain| domain.name.clone())
         .collect();
     // Jobs are spread by their identifier, so that one entry's domain does not fill first.
-    let hash = spec.id.as_str().bytes().fold(5381_usize, |hash, byte| {
-        hash.wrapping_mul(33).wrapping_add(usize::from(byte))
-    });
+    let hash = spec
+        .id
+        .as_str()
+        .bytes()
+        .fold(5381_usize, |hash, byte| hash.wrapping_mul(33).wrapping_add(usize::from(byte)));
     if !names.is_empty() {
         let turn = hash % names.len();
         names.rotate_left(turn);
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -71,7 +71,7 @@
     pub answered: HashMap<ArcStr, ClockMillis>,
     /// When the platform last answered a read.
     pub platform_contact: Option<ClockMillis>,
-    /// VMs that the platform's list has contained.
+    /// VMs that the platform's list has contained, whether or not it still does.
     pub listed_vms: HashSet<String>,
     /// Non-idempotent identifiers that wait to be inserted.
     pub inserts: once::InsertQueue,
--- a/crates/entry/src/control/once.rs
+++ b/crates/entry/src/control/once.rs
@@ -105,11 +105,7 @@
         batch = refuse_repeats(batch);
         let checks = batch.iter().map(|(key, _)| RowCheck { key: key.clone(), version: 0 });
         let puts = batch.iter().map(|(key, _)| RowPut { key: key.clone(), value: value.clone() });
-        let txn = TableTxn {
-            checks: checks.collect(),
-            puts: puts.collect(),
-            deletes: Vec::new(),
-        };
+        let txn = TableTxn { checks: checks.collect(), puts: puts.collect(), deletes: Vec::new() };
         match control.platform.transact(&txn, TXN_TIMEOUT).await {
             Ok(reply) if reply.committed => {
                 for (_, reply) in batch.drain(..) {
--- a/crates/entry/src/control/ownership.rs
+++ b/crates/entry/src/control/ownership.rs
@@ -17,7 +17,7 @@
 /// Deadline of a request for a promise.
 const PROMISE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Deadline of a handover, which carries the whole configuration.
-const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1000);
+const HANDOVER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Tells the machine something and carries out what follows.
 pub fn feed(control: &Control, event: OwnerEvent) {
@@ -44,7 +44,7 @@
         }
         OwnerAction::HandOver { to, authority, version, row } => {
             let state = domain::export(control, authority, version, &row);
-            control.spawn(hand_over(Rc::clone(control), to, state));
+            control.spawn(hand_over(Rc::clone(control), to, authority, state));
         }
         OwnerAction::Acquired { authority, handed_over } => {
             log::info!(
@@ -137,7 +137,12 @@
     }
 }
 
-async fn hand_over(control: Control, to: EntryMember, state: Option<String>) {
+async fn hand_over(
+    control: Control,
+    to: EntryMember,
+    authority: OwnerAuthority,
+    state: Option<String>,
+) {
     let accepted = match state {
         None => Some(false),
         Some(state) => match control.peers.handover(&to.address, &state, HANDOVER_TIMEOUT).await {
@@ -150,5 +155,5 @@
         },
     };
     log::info!("handover to={} accepted={accepted:?}", to.entry);
-    feed(&control, OwnerEvent::HandoverDone { accepted });
+    feed(&control, OwnerEvent::HandoverDone { authority, accepted });
 }
--- a/crates/entry/src/control/peers.rs
+++ b/crates/entry/src/control/peers.rs
@@ -1,6 +1,6 @@
 //! Serving and calling other entries.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,7 +26,7 @@
 /// Entries of other domains are called once in so many rounds, unless they own their domain.
 const FOREIGN_ROUNDS: u64 = 8;
 /// Deadline of reading a configuration from a peer.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(1000);
+const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Calls peers again and again until the process stops.
 ///
@@ -46,23 +46,24 @@
 fn targets(control: &Control, round: u64) -> Vec<ArcStr> {
     let state = control.state();
     let own = &control.settings.domain;
-    let mut found: HashMap<ArcStr, ()> = HashMap::new();
+    let mut found: HashSet<ArcStr> = HashSet::new();
     for peer in &control.settings.peers {
         if peer.domain == *own || round.is_multiple_of(FOREIGN_ROUNDS) {
-            found.insert(ArcStr::from(peer.address.as_str()), ());
+            found.insert(ArcStr::from(peer.address.as_str()));
         }
     }
     for owner in state.owners.values() {
-        found.insert(owner.address.clone(), ());
+        found.insert(owner.address.clone());
     }
     for member in state.ownership.known_members() {
-        found.insert(member.address.clone(), ());
+        found.insert(member.address.clone());
     }
     found.remove(&control.member.address);
-    found.into_keys().collect()
+    found.into_iter().collect()
 }
 
 async fn ping(control: Control, address: ArcStr) {
+    let asked_at = control.now();
     let Ok(info) = control.peers.info(&address, PING_TIMEOUT).await else {
         // A peer that never answered counts as silent from the first failure on.
         control.state_mut().answered.entry(address).or_insert(ClockMillis(0));
@@ -72,7 +73,8 @@
     control.state_mut().answered.insert(address.clone(), now);
     learn(&control, &info, &address);
     if info.domain == control.settings.domain {
-        let event = OwnerEvent::PeerSeen { entry: info.entry, address: address.to_string() };
+        let event =
+            OwnerEvent::PeerSeen { entry: info.entry, address: address.to_string(), asked_at };
         ownership::feed(&control, event);
     }
     if info.config_version > control.state().config.version() {
@@ -177,8 +179,8 @@
         mut results: peer::SubmitResults,
     ) -> CallResult {
         let text = params.get()?.get_record()?.to_str()?;
-        let record: JobRecord = serde_json::from_str(text)
-            .map_err(|error| capnp::Error::failed(error.to_string()))?;
+        let record: JobRecord =
+            serde_json::from_str(text).map_err(|error| capnp::Error::failed(error.to_string()))?;
         if self.control.lease().is_some() && record.domain == self.control.settings.domain {
             jobs::accept(&self.control, record);
             results.get().set_accepted(true);
@@ -246,8 +248,8 @@
         mut results: peer::HandoverResults,
     ) -> CallResult {
         let text = params.get()?.get_state()?.to_str()?;
-        let state: HandoverState = serde_json::from_str(text)
-            .map_err(|error| capnp::Error::failed(error.to_string()))?;
+        let state: HandoverState =
+            serde_json::from_str(text).map_err(|error| capnp::Error::failed(error.to_string()))?;
         results.get().set_accepted(take_over(&self.control, state));
         Ok(())
     }
@@ -296,8 +298,7 @@
     let actions = {
         let mut control_state = control.state_mut();
         let row = Box::new(state.row.clone());
-        let left = state.lease_left_ms;
-        control_state.ownership.take_over(now, state.authority, state.row_version, row, left)
+        control_state.ownership.take_over(now, state.authority, state.row_version, row)
     };
     if actions.is_empty() {
         return false;
--- a/crates/entry/src/control/requests.rs
+++ b/crates/entry/src/control/requests.rs
@@ -27,7 +27,7 @@
 /// Time to answer beyond the wait that the owner was allowed.
 const ANSWER_MARGIN: Duration = Duration::from_millis(300);
 /// Deadline of the call that gives a slot back.
-const RELEASE_TIMEOUT: Duration = Duration::from_millis(1000);
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A slot that was granted and not given back.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -54,6 +54,7 @@
 
 impl TicketReply {
     /// Passes a grant on; returns whether somebody still waits for it.
+    #[must_use]
     pub fn grant(self, grant: SlotGrant) -> bool {
         self.sender.send(Ok(grant)).is_ok()
     }
@@ -64,10 +65,9 @@
         let _ = self.sender.send(Err(refusal));
     }
 
-    /// Tells the asker that this entry owns the domain no more; returns true, since no slot is held.
-    pub fn refuse_no_owner(self) -> bool {
+    /// Tells the asker that this entry owns the domain no more.
+    pub fn refuse_no_owner(self) {
         self.refuse(PeerRefusal::new(ErrorKind::NoOwner, "this entry does not own the domain"));
-        true
     }
 }
 
--- a/crates/entry/src/control/status.rs
+++ b/crates/entry/src/control/status.rs
@@ -1,6 +1,7 @@
 //! What this entry says of itself to peers and operators.
 
 use model::object::DomainState as ServiceState;
+use policy::status::WorkerState;
 use wire::api::{DomainStatus, StatusReply, WorkerStatus};
 use wire::peer::PeerInfo;
 
@@ -42,14 +43,13 @@
         state: domain.state,
         confirmed: state.confirmed.get(&domain.name).copied().unwrap_or(0),
     });
-    let workers = state.domain.iter().flat_map(|domain| domain.cell.workers()).map(|worker| {
-        WorkerStatus {
-            name: worker.name.to_string(),
-            state: worker.state.as_str().to_owned(),
-            tasks: worker.tasks,
-            slots_used: worker.slots_used,
-        }
-    });
+    let workers =
+        state.domain.iter().flat_map(|domain| domain.cell.workers()).map(|worker| WorkerStatus {
+            name: worker.worker.to_string(),
+            state: state_name(worker.state).to_owned(),
+            tasks: u32::try_from(worker.tasks).unwrap_or(u32::MAX),
+            slots_used: u32::try_from(worker.slots_used).unwrap_or(u32::MAX),
+        });
     let contact = state.platform_contact;
     StatusReply {
         name: control.settings.name.clone(),
@@ -64,6 +64,18 @@
     }
 }
 
+const fn state_name(state: WorkerState) -> &'static str {
+    match state {
+        WorkerState::Reported => "reported",
+        WorkerState::Unreported => "unreported",
+        WorkerState::Silent => "silent",
+        WorkerState::Lost => "lost",
+        WorkerState::Leaving => "leaving",
+        WorkerState::Quarantined => "quarantined",
+        WorkerState::Removed => "removed",
+    }
+}
+
 /// Tells whether the balancer may send requests here.
 ///
 /// An entry without a configuration would refuse everything; one whose owner
--- a/crates/entry/src/control/workers.rs
+++ b/crates/entry/src/control/workers.rs
@@ -10,7 +10,7 @@
 use model::name::{BootId, JobId, TaskId, TeamName, WorkerName};
 use model::resource::ResourceAmounts;
 use model::time::{self, ClockMillis};
-use policy::event::{CellEvent, EndKind, RunningTask, TeamSlots, WorkerUpdate};
+use policy::event::{CellEvent, EndKind, RunningTask, WorkerUpdate};
 use wire::worker::{
     EndReport, RefusalReason, RenewCall, StartCall, StopCall, StopMode, TaskEnd, WorkerReport,
 };
@@ -47,6 +47,14 @@
     unanswered: bool,
 }
 
+/// What the cell was told of a worker last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LinkHealth {
+    Heard,
+    Silent,
+    Lost,
+}
+
 /// The connection to one worker.
 #[derive(Debug)]
 pub struct WorkerLink {
@@ -58,8 +66,7 @@
     calling: bool,
     next_call: ClockMillis,
     need_full: bool,
-    silent: bool,
-    lost: bool,
+    health: LinkHealth,
     last_end: u64,
     unrecorded: Vec<(u64, JobId, u32)>,
     open_starts: Vec<OpenStart>,
@@ -76,8 +83,7 @@
             calling: false,
             next_call: now,
             need_full: true,
-            silent: false,
-            lost: false,
+            health: LinkHealth::Heard,
             last_end: 0,
             unrecorded: Vec::new(),
             open_starts: Vec::new(),
@@ -116,12 +122,12 @@
         for (name, link) in &mut domain.links {
             let heard = link.report.map_or(acquired_at, |(_, received)| received);
             let quiet = now.since(heard);
-            if quiet > time::with_margin(WORKER_TTL_MS) && !link.lost {
-                link.lost = true;
+            if quiet > time::with_margin(WORKER_TTL_MS) && link.health != LinkHealth::Lost {
+                link.health = LinkHealth::Lost;
                 link.open_starts.clear();
                 events.push(CellEvent::WorkerLost(name.clone()));
-            } else if quiet > SILENT_MS && !link.silent {
-                link.silent = true;
+            } else if quiet > SILENT_MS && link.health == LinkHealth::Heard {
+                link.health = LinkHealth::Silent;
                 events.push(CellEvent::WorkerSilent(name.clone()));
             }
             if !link.calling && link.next_call <= now {
@@ -225,8 +231,7 @@
             link.next_call = now;
             return news;
         }
-        link.silent = false;
-        link.lost = false;
+        link.health = LinkHealth::Heard;
         link.next_call = now + RENEW_MS;
         news.events.extend(settle_starts(link, &report));
         if report.tasks.is_some() {
@@ -315,15 +320,11 @@
         running.extend(link.open_starts.iter().map(|open| open.running.clone()));
         running
     });
-    let slots = report.slots_by_team.into_iter();
     WorkerUpdate {
         worker: name.clone(),
         boot: report.boot,
         tasks,
         slots_used: report.slots_used,
-        slots_by_team: slots
-            .map(|slots| TeamSlots { team: slots.team, slots: slots.slots })
-            .collect(),
         leaving: report.leaving,
         sent_at,
     }
@@ -348,8 +349,7 @@
 
 /// Starts a task on its worker, if this entry still holds the lease.
 pub fn start_task(control: &Control, start: TaskStart) {
-    let refused =
-        CellEvent::StartRefused { task: start.task.clone(), attempt: start.attempt };
+    let refused = CellEvent::StartRefused { task: start.task.clone(), attempt: start.attempt };
     let now = control.now();
     let authority = control.lease();
     let call = with_link(control, &start.worker, |link| {
@@ -377,14 +377,11 @@
         });
         Some((call, link.address.clone()))
     });
-    match call.flatten() {
-        Some((call, address)) => {
-            control.spawn(send_start(Rc::clone(control), start.worker, call, address));
-        }
-        None => {
-            let later = Rc::clone(control);
-            control.spawn(async move { cells::feed(&later, refused) });
-        }
+    if let Some((call, address)) = call.flatten() {
+        control.spawn(send_start(Rc::clone(control), start.worker, call, address));
+    } else {
+        let later = Rc::clone(control);
+        control.spawn(async move { cells::feed(&later, refused) });
     }
 }
 
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -22,6 +22,9 @@
 /// Seconds that callers may keep an idle connection.
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 
+/// Longest wait for the ownership to be handed over or released.
+const HANDOVER_BOUND: Duration = Duration::from_secs(5);
+
 /// Why an entry could not start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StartError;
@@ -55,8 +58,8 @@
 pub async fn start(settings: EntrySettings) -> Result<RunningEntry, Report<StartError>> {
     let seed = settings.seed.unwrap_or_else(rand::random);
     log::info!("entry starting name={} domain={} seed={seed}", settings.name, settings.domain);
-    let metrics = EntryMetrics::new()
-        .map_err(|error| Report::new(StartError).attach(error.to_string()))?;
+    let metrics =
+        EntryMetrics::new().map_err(|error| Report::new(StartError).attach(error.to_string()))?;
     let metrics = Arc::new(metrics);
     let stop = CancellationToken::new();
     let (publisher, snapshots) = watch::channel(Arc::new(ConfigSnapshot::default()));
@@ -69,8 +72,13 @@
         let listener = TcpListener::bind(&peer_address).await;
         let listener = listener.map_err(|error| format!("peer_address {peer_address}: {error}"));
         let started = listener.map(|listener| {
-            let control =
-                ControlShared::new(control_settings, seed, control_metrics, publisher, control_stop);
+            let control = ControlShared::new(
+                control_settings,
+                seed,
+                control_metrics,
+                publisher,
+                control_stop,
+            );
             control::start_loops(&control);
             control.spawn(peers::serve(std::rc::Rc::clone(&control), listener));
             ControlHandle::new(ControlActor::new(control).start())
@@ -129,6 +137,12 @@
         self.draining.store(true, Ordering::Relaxed);
         self.handle.tell(ControlCall::Drain);
         tokio::time::sleep(self.balancer_delay).await;
+        let start = tokio::time::Instant::now();
+        while self.handle.ask(ControlCall::Drained).await == Some(false)
+            && start.elapsed() < HANDOVER_BOUND
+        {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
         self.server.stop(true).await;
         // Slots of the last requests are given back before the control thread ends.
         tokio::time::sleep(Duration::from_millis(100)).await;
--- a/crates/entry/src/flags.rs
+++ b/crates/entry/src/flags.rs
@@ -23,8 +23,7 @@
     options.optflag("", "check-settings", "check the settings, print every problem and exit");
     options.optflag("h", "help", "print this text");
     options.optflag("V", "version", "print the version");
-    let matches =
-        options.parse(arguments).map_err(|error| format!("{error}; see --help"))?;
+    let matches = options.parse(arguments).map_err(|error| format!("{error}; see --help"))?;
     if matches.opt_present("help") {
         let brief = "Usage: amaranthsaddle-entry --settings FILE [--check-settings]";
         return Ok(FlagCommand::Print(options.usage(brief)));
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -254,7 +254,8 @@
     /// Reads the histories of all workers.
     pub fn history(&self) -> Vec<wire::history::WorkerRecord> {
         let count = self.domains * self.workers_each;
-        let files = (0..count).map(|index| self.directory.path().join(format!("worker-{index}.jsonl")));
+        let files =
+            (0..count).map(|index| self.directory.path().join(format!("worker-{index}.jsonl")));
         files
             .flat_map(|file| {
                 let text = std::fs::read_to_string(file).unwrap_or_default();
--- a/crates/policy/src/cell.rs
+++ b/crates/policy/src/cell.rs
@@ -49,6 +49,8 @@
     /// Whether waiting work may fit that did not fit before.
     pub(crate) stale: bool,
     pub(crate) starts_left: usize,
+    /// Whether no task may be started at present.
+    pub(crate) starts_held: bool,
     /// Preemptions in flight, counted by the work for which they make room.
     pub(crate) relief: usize,
     /// No search for tasks to preempt before this instant.
@@ -104,6 +106,7 @@
             active_weight: None,
             stale: false,
             starts_left: 0,
+            starts_held: false,
             relief: 0,
             preempt_after: ClockMillis(0),
             imported: VecDeque::new(),
@@ -149,6 +152,10 @@
             }
             CellEvent::RequestArrived(ask) => self.request_arrived(ask),
             CellEvent::RequestEnded { ticket, healthy } => self.request_ended(ticket, healthy),
+            CellEvent::StartsHeld(held) => {
+                self.stale |= self.starts_held && !held;
+                self.starts_held = held;
+            }
             CellEvent::Tick => {}
         }
     }
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -134,6 +134,9 @@
         /// Whether the worker answered; false counts against the worker's health.
         healthy: bool,
     },
+    /// Whether no task may be started at present, because the configuration
+    /// has not been confirmed for too long.
+    StartsHeld(bool),
     /// Time has passed.
     Tick,
 }
--- a/crates/policy/src/schedule.rs
+++ b/crates/policy/src/schedule.rs
@@ -44,7 +44,9 @@
         self.starts_left = rules::STARTS_PER_EVENT;
         for urgency in URGENCIES {
             self.place_requests(urgency);
-            self.place_jobs(urgency);
+            if !self.starts_held {
+                self.place_jobs(urgency);
+            }
         }
         if self.starts_left == 0 {
             self.stale = true;
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -109,7 +109,7 @@
 pub struct WorkerStatus {
     /// Name of the worker.
     pub name: String,
-    /// `reported`, `unreported`, `leaving` or `quarantined`.
+    /// `reported`, `unreported`, `silent`, `lost`, `leaving`, `quarantined` or `removed`.
     pub state: String,
     /// Running tasks.
     pub tasks: u32,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,8 +1,7 @@
 //! Rust forms of the messages between entries, with their Cap'n Proto coding.
 
-use std::collections::BTreeMap;
-
-use coord::row::{AllotmentRow, OwnerRow};
+use coord::allotment::AllotmentBook;
+use coord::row::OwnerRow;
 use model::authority::OwnerAuthority;
 use model::job::JobRecord;
 use model::kind::ErrorKind;
@@ -88,7 +87,7 @@
 }
 
 /// Everything that a successor needs when the platform cannot be read.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct HandoverState {
     /// Authority of the successor.
@@ -97,8 +96,6 @@
     pub row_version: u64,
     /// The ownership row.
     pub row: OwnerRow,
-    /// Milliseconds that the giver's lease had left when it sent this.
-    pub lease_left_ms: u64,
     /// Version of the configuration in force.
     pub config_version: u64,
     /// The configuration in force.
@@ -107,8 +104,8 @@
     pub contact_age_ms: u64,
     /// Jobs that are not over.
     pub jobs: Vec<JobRecord>,
-    /// Allotment rows with their versions.
-    pub allotments: BTreeMap<TeamName, (u64, AllotmentRow)>,
+    /// What the domain may run of each team.
+    pub allotments: AllotmentBook,
 }
 
 /// Result of decoding a message.
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -67,23 +67,10 @@
     pub ended: Vec<EndReport>,
     /// Request slots in use.
     pub slots_used: u32,
-    /// Of those, the slots in use of each team, so that a new owner can count
-    /// requests that it did not place towards the right team.
-    pub slots_by_team: Vec<SlotReport>,
     /// Whether the VM is about to leave.
     pub leaving: bool,
 }
 
-/// Request slots of one team as their worker reports them.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct SlotReport {
-    /// The team.
-    pub team: TeamName,
-    /// Slots in use.
-    pub slots: u32,
-}
-
 /// A running task as its worker reports it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
