Add the worker stand-in

Fences by authority, boot and not_after, and ends its tasks itself when its lease lapses. Every call first ends what is due by the clock, so that a process that was paused never judges a call by a lapsed lease. A request keeps its slot when its caller disconnects.

--- a/standins/worker/src/lib.rs
+++ b/standins/worker/src/lib.rs
@@ -1,1 +1,677 @@
-//! Not built yet.
+//! Stand-in for a worker VM: runs tasks under a lease and answers requests.
+//!
+//! The protocol is `wire::worker`; settings, rules and fault injection are
+//! described in `docs/standins.md`.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use actix_web::body::SizedStream;
+use actix_web::dev::{Extensions, ServerHandle};
+use actix_web::http::header::HeaderMap;
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use futures_util::stream::{self, StreamExt};
+use model::authority::OwnerAuthority;
+use model::name::{BootId, DomainName, TaskId, TeamName, WorkerName};
+use model::resource::ResourceAmounts;
+use model::time::ClockMillis;
+use serde::Deserialize;
+use serde_json::json;
+use sha2::{Digest, Sha256};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+use wire::history::{self, WorkerEvent, WorkerRecord};
+use wire::worker::{
+    self, EndReport, RefusalReason, RenewCall, StartCall, StartReply, StopCall, StopMode,
+    StopReply, TaskEnd, TaskReport, WorkerReport,
+};
+
+/// Longer than callers keep idle connections, so that the stand-in never closes one first.
+const KEEP_ALIVE: Duration = Duration::from_mins(2);
+
+/// Largest accepted body in bytes.
+const BODY_LIMIT: usize = 16 << 20;
+
+/// Time between the first half of a truncated answer and the end of its
+/// connection; an immediate error would discard the half that is still buffered.
+const TRUNCATE_PAUSE: Duration = Duration::from_millis(20);
+
+/// Longest sleep of the timer between two looks at the state.
+const MAX_SLEEP_MS: u64 = 60_000;
+
+/// Settings of one worker.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct WorkerSettings {
+    /// Name of the worker.
+    pub name: WorkerName,
+    /// Failure domain that it is in.
+    pub domain: DomainName,
+    /// Address to listen on.
+    pub address: SocketAddr,
+    /// What it offers.
+    pub capacity: ResourceAmounts,
+    /// Connections that its endpoint accepts.
+    #[serde(default = "default_connections")]
+    pub connections: u32,
+    /// File that history records are appended to.
+    #[serde(default)]
+    pub history: Option<PathBuf>,
+    /// Milliseconds until reports show what a task uses.
+    #[serde(default = "default_lag")]
+    pub usage_lag_ms: u64,
+}
+
+const fn default_connections() -> u32 {
+    64
+}
+
+const fn default_lag() -> u64 {
+    2000
+}
+
+/// Faults in force, set by `POST /admin/fault`.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct WorkerFault {
+    fail_tasks: bool,
+    truncate_answers: bool,
+    answer_delay_ms: u64,
+    swap_ids: bool,
+}
+
+/// What a task does, from its payload.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct TaskPayload {
+    run_ms: u64,
+    fail: bool,
+    usage: Option<ResourceAmounts>,
+}
+
+/// What a request does, from its body.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct RequestPayload {
+    run_ms: u64,
+    answer_bytes: usize,
+}
+
+#[derive(Debug)]
+struct RunningTask {
+    attempt: u32,
+    team: TeamName,
+    amounts: ResourceAmounts,
+    usage: ResourceAmounts,
+    started_at: ClockMillis,
+    /// When and how the task ends by itself.
+    ends: Option<(ClockMillis, TaskEnd)>,
+    throttled: bool,
+}
+
+/// The headers of a request.
+#[derive(Clone, Debug)]
+struct RequestHead {
+    request: String,
+    attempt: u32,
+    authority: OwnerAuthority,
+    team: TeamName,
+}
+
+impl RequestHead {
+    fn parse(headers: &HeaderMap) -> Option<Self> {
+        let text = |name| headers.get(name)?.to_str().ok();
+        Some(Self {
+            request: text(worker::REQUEST_ID_HEADER)?.to_owned(),
+            attempt: text(worker::ATTEMPT_HEADER)?.parse().ok()?,
+            authority: text(worker::AUTHORITY_HEADER)?.parse().ok()?,
+            team: text(worker::TEAM_HEADER)?.into(),
+        })
+    }
+}
+
+#[derive(Debug)]
+struct WorkerState {
+    boot: BootId,
+    authority: OwnerAuthority,
+    lease: Option<ClockMillis>,
+    tasks: BTreeMap<TaskId, RunningTask>,
+    ended: Vec<EndReport>,
+    next_end: u64,
+    slots_used: u32,
+    connections: u32,
+    leaving: bool,
+    fault: WorkerFault,
+    /// Identifier of the last request that ended, for swapped answers.
+    last_request: String,
+    history: Option<File>,
+}
+
+#[derive(Debug)]
+struct Worker {
+    settings: WorkerSettings,
+    booted_at: Instant,
+    stopping: CancellationToken,
+    /// Signals that the lease or the tasks have changed.
+    changed: Notify,
+    state: Mutex<WorkerState>,
+}
+
+impl Worker {
+    fn now(&self) -> ClockMillis {
+        let elapsed = self.booted_at.elapsed().as_millis();
+        ClockMillis(u64::try_from(elapsed).expect("uptime fits in 64 bits"))
+    }
+
+    fn raw_state(&self) -> MutexGuard<'_, WorkerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the state after ending what has to end by now.
+    ///
+    /// No call may be judged by a lease that has lapsed but whose timer has not
+    /// fired yet, as is the case after a pause of the process.
+    fn state(&self) -> (MutexGuard<'_, WorkerState>, ClockMillis) {
+        let mut state = self.raw_state();
+        let now = self.now();
+        self.expire(&mut state, now);
+        (state, now)
+    }
+
+    /// Ends tasks whose time has come, and all tasks once the lease has lapsed.
+    fn expire(&self, state: &mut WorkerState, now: ClockMillis) {
+        // A lease is over at its end, not after it: the clock rounds down.
+        let lapsed = state.lease.filter(|end| *end <= now);
+        let until = lapsed.unwrap_or(now);
+        let mut due: Vec<_> = state
+            .tasks
+            .iter()
+            .filter_map(|(task, running)| Some((running.ends?, task.clone())))
+            .filter(|((at, _), _)| *at <= until)
+            .collect();
+        due.sort_by_key(|((at, _), _)| *at);
+        for ((_, end), task) in due {
+            self.end_task(state, &task, end);
+        }
+        if lapsed.is_some() {
+            while let Some(task) = state.tasks.keys().next().cloned() {
+                self.end_task(state, &task, TaskEnd::LeaseLapsed);
+            }
+            state.lease = None;
+        }
+    }
+
+    fn end_task(&self, state: &mut WorkerState, task: &TaskId, end: TaskEnd) {
+        let Some(running) = state.tasks.remove(task) else { return };
+        let attempt = running.attempt;
+        self.record(state, WorkerEvent::TaskEnded { task: task.clone(), attempt, end });
+        let number = state.next_end;
+        state.next_end += 1;
+        state.ended.push(EndReport { number, task: task.clone(), attempt, end });
+    }
+
+    /// Appends to the history; callers hold the lock, so that nobody sees the effect earlier.
+    fn record(&self, state: &mut WorkerState, event: WorkerEvent) {
+        let Some(file) = &mut state.history else { return };
+        let record = WorkerRecord {
+            at_us: history::monotonic_us(),
+            worker: self.settings.name.clone(),
+            domain: self.settings.domain.clone(),
+            boot: state.boot.clone(),
+            event,
+        };
+        let mut line = serde_json::to_vec(&record).expect("records serialize");
+        line.push(b'\n');
+        // An unbuffered file: one write makes the whole line visible. A history
+        // with a gap would let a faulty run pass, so an error ends the worker.
+        if let Err(error) = file.write_all(&line) {
+            eprintln!("cannot write history: {error}");
+            std::process::abort();
+        }
+    }
+
+    fn accept_authority(state: &mut WorkerState, authority: OwnerAuthority) -> Option<()> {
+        (authority >= state.authority).then(|| state.authority = authority)
+    }
+
+    fn reserved(state: &WorkerState) -> ResourceAmounts {
+        let requests =
+            ResourceAmounts { slots: u64::from(state.slots_used), ..ResourceAmounts::ZERO };
+        state.tasks.values().fold(requests, |sum, running| sum.plus(running.amounts))
+    }
+
+    fn check_start(
+        &self,
+        state: &mut WorkerState,
+        now: ClockMillis,
+        call: &StartCall,
+    ) -> Result<(), RefusalReason> {
+        Self::accept_authority(state, call.authority).ok_or(RefusalReason::StaleAuthority)?;
+        if call.boot != state.boot {
+            return Err(RefusalReason::WrongBoot);
+        }
+        if call.not_after <= now {
+            return Err(RefusalReason::Expired);
+        }
+        if state.lease.is_none() {
+            return Err(RefusalReason::NoLease);
+        }
+        if state.leaving {
+            return Err(RefusalReason::Leaving);
+        }
+        if state.tasks.contains_key(&call.task) {
+            return Err(RefusalReason::Duplicate);
+        }
+        if !Self::reserved(state).plus(call.amounts).fits_in(self.settings.capacity) {
+            return Err(RefusalReason::NoCapacity);
+        }
+        Ok(())
+    }
+
+    fn start_task(&self, call: StartCall) -> Option<RefusalReason> {
+        let (mut state, now) = self.state();
+        let state = &mut *state;
+        if let Err(reason) = self.check_start(state, now, &call) {
+            self.record(state, WorkerEvent::StartRefused { task: call.task, reason });
+            return Some(reason);
+        }
+        let StartCall { task, attempt, team, amounts, authority, payload, .. } = call;
+        // A payload that cannot be read makes the task fail, as a bad input does.
+        let payload: TaskPayload = match payload {
+            serde_json::Value::Null => TaskPayload::default(),
+            payload => serde_json::from_value(payload)
+                .unwrap_or(TaskPayload { fail: true, ..TaskPayload::default() }),
+        };
+        let ends = if state.fault.fail_tasks {
+            Some((now, TaskEnd::Failed))
+        } else if payload.fail {
+            Some((now + payload.run_ms, TaskEnd::Failed))
+        } else {
+            (payload.run_ms > 0).then(|| (now + payload.run_ms, TaskEnd::Done))
+        };
+        let started = WorkerEvent::TaskStarted {
+            task: task.clone(),
+            attempt,
+            team: team.clone(),
+            amounts,
+            authority,
+        };
+        self.record(state, started);
+        let usage = payload.usage.unwrap_or(amounts);
+        let running =
+            RunningTask { attempt, team, amounts, usage, started_at: now, ends, throttled: false };
+        state.tasks.insert(task, running);
+        self.changed.notify_one();
+        None
+    }
+
+    fn stop_task(&self, call: &StopCall) -> Option<RefusalReason> {
+        let (mut state, now) = self.state();
+        let state = &mut *state;
+        if Self::accept_authority(state, call.authority).is_none() {
+            return Some(RefusalReason::StaleAuthority);
+        }
+        let Some(running) = state.tasks.get_mut(&call.task) else {
+            return Some(RefusalReason::UnknownTask);
+        };
+        match call.mode {
+            StopMode::Stop => self.end_task(state, &call.task, TaskEnd::Stopped),
+            StopMode::Checkpoint => self.end_task(state, &call.task, TaskEnd::Checkpointed),
+            StopMode::Throttle if running.throttled => {}
+            StopMode::Throttle => {
+                running.throttled = true;
+                if let Some((at, _)) = &mut running.ends {
+                    *at = *at + at.since(now);
+                }
+            }
+        }
+        self.changed.notify_one();
+        None
+    }
+
+    fn renew(&self, call: &RenewCall) -> WorkerReport {
+        let (mut state, now) = self.state();
+        let state = &mut *state;
+        let accepted = Self::accept_authority(state, call.authority).is_some();
+        if accepted && call.boot.as_ref() == Some(&state.boot) {
+            state.ended.retain(|end| end.number > call.ack);
+            // An end in the past does not start a lease that would lapse at once.
+            let not_after = call.not_after.filter(|end| *end > now);
+            state.lease = state.lease.max(not_after);
+            self.changed.notify_one();
+        }
+        let report_task = |(task, running): (&TaskId, &RunningTask)| TaskReport {
+            task: task.clone(),
+            attempt: running.attempt,
+            team: running.team.clone(),
+            amounts: running.amounts,
+            usage: if now.since(running.started_at) >= self.settings.usage_lag_ms {
+                running.usage
+            } else {
+                ResourceAmounts::ZERO
+            },
+        };
+        WorkerReport {
+            authority: state.authority,
+            boot: state.boot.clone(),
+            clock: now,
+            tasks: call.full.then(|| state.tasks.iter().map(report_task).collect()),
+            running: u32::try_from(state.tasks.len()).unwrap_or(u32::MAX),
+            ended: state.ended.clone(),
+            slots_used: state.slots_used,
+            leaving: state.leaving,
+        }
+    }
+
+    fn check_request(
+        &self,
+        state: &mut WorkerState,
+        head: &RequestHead,
+        connection: &ConnectionSlot,
+    ) -> Result<(), RefusalReason> {
+        Self::accept_authority(state, head.authority).ok_or(RefusalReason::StaleAuthority)?;
+        if state.lease.is_none() {
+            return Err(RefusalReason::NoLease);
+        }
+        if state.leaving {
+            return Err(RefusalReason::Leaving);
+        }
+        let connection_free =
+            connection.counted.get() || state.connections < self.settings.connections;
+        if !connection_free || Self::reserved(state).slots >= self.settings.capacity.slots {
+            return Err(RefusalReason::NoCapacity);
+        }
+        Ok(())
+    }
+
+    fn begin_request(
+        &self,
+        head: &RequestHead,
+        connection: &ConnectionSlot,
+    ) -> Result<(), RefusalReason> {
+        let (mut state, _) = self.state();
+        let state = &mut *state;
+        let RequestHead { request, attempt, team, .. } = head.clone();
+        if let Err(reason) = self.check_request(state, head, connection) {
+            self.record(state, WorkerEvent::RequestRefused { request, attempt, reason });
+            return Err(reason);
+        }
+        if !connection.counted.replace(true) {
+            state.connections += 1;
+        }
+        state.slots_used += 1;
+        let (connections, slots_used) = (state.connections, state.slots_used);
+        self.record(
+            state,
+            WorkerEvent::RequestStarted { request, attempt, team, connections, slots_used },
+        );
+        Ok(())
+    }
+
+    /// Runs a request to its end and returns the answer with its identifier and body.
+    async fn run_request(
+        &self,
+        head: &RequestHead,
+        payload: &RequestPayload,
+    ) -> (String, Vec<u8>, WorkerFault) {
+        actix_rt::time::sleep(Duration::from_millis(payload.run_ms)).await;
+        let answer = |request: &str| {
+            let mut body = request.as_bytes().to_vec();
+            body.resize(body.len().max(payload.answer_bytes), b'.');
+            body
+        };
+        let body = answer(&head.request);
+        let (answered, fault) = {
+            let (mut state, _) = self.state();
+            let state = &mut *state;
+            let RequestHead { request, attempt, .. } = head.clone();
+            self.record(
+                state,
+                WorkerEvent::RequestEnded { request, attempt, digest: digest(&body) },
+            );
+            state.slots_used -= 1;
+            let last = std::mem::replace(&mut state.last_request, head.request.clone());
+            let answered = if !state.fault.swap_ids {
+                head.request.clone()
+            } else if last.is_empty() || last == head.request {
+                format!("other-{}", head.request)
+            } else {
+                last
+            };
+            (answered, state.fault)
+        };
+        actix_rt::time::sleep(Duration::from_millis(fault.answer_delay_ms)).await;
+        let body = if fault.swap_ids { answer(&answered) } else { body };
+        (answered, body, fault)
+    }
+
+    /// Ends tasks and the lease in time where no call arrives to do it.
+    async fn watch_timers(&self) {
+        loop {
+            let next = {
+                let (state, _) = self.state();
+                let ends = state.tasks.values().filter_map(|running| Some(running.ends?.0));
+                ends.chain(state.lease).min()
+            };
+            // Bounded, as a sum with the largest instants that calls may name would overflow.
+            let bound = self.now() + MAX_SLEEP_MS;
+            let next = next.map_or(bound, |next| next.min(bound));
+            let next = self.booted_at + Duration::from_millis(next.0);
+            tokio::select! {
+                () = actix_rt::time::sleep_until(next.into()) => {}
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+}
+
+fn digest(body: &[u8]) -> String {
+    use std::fmt::Write as _;
+
+    Sha256::digest(body).iter().fold(String::with_capacity(64), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
+/// A connection, which counts from its first accepted request until it closes.
+///
+/// Control and admin connections carry no requests and take none of the limit.
+struct ConnectionSlot {
+    worker: Arc<Worker>,
+    counted: Cell<bool>,
+}
+
+impl Drop for ConnectionSlot {
+    fn drop(&mut self) {
+        if self.counted.get() {
+            self.worker.raw_state().connections -= 1;
+        }
+    }
+}
+
+async fn renew(worker: web::Data<Worker>, call: web::Json<RenewCall>) -> HttpResponse {
+    HttpResponse::Ok().json(worker.renew(&call))
+}
+
+async fn start_task(worker: web::Data<Worker>, call: web::Json<StartCall>) -> HttpResponse {
+    HttpResponse::Ok().json(StartReply { refusal: worker.start_task(call.into_inner()) })
+}
+
+async fn stop_task(worker: web::Data<Worker>, call: web::Json<StopCall>) -> HttpResponse {
+    HttpResponse::Ok().json(StopReply { refusal: worker.stop_task(&call) })
+}
+
+async fn answer_request(
+    worker: web::Data<Worker>,
+    request: HttpRequest,
+    body: web::Bytes,
+) -> HttpResponse {
+    let connection = request.conn_data::<ConnectionSlot>().expect("set in on_connect");
+    let Some(head) = RequestHead::parse(request.headers()) else {
+        return HttpResponse::BadRequest()
+            .insert_header((worker::NOT_RUN_HEADER, "1"))
+            .json(json!({"reason": "bad-headers"}));
+    };
+    if let Err(reason) = worker.begin_request(&head, connection) {
+        return HttpResponse::ServiceUnavailable()
+            .insert_header((worker::REQUEST_ID_HEADER, head.request))
+            .insert_header((worker::ATTEMPT_HEADER, head.attempt))
+            .insert_header((worker::NOT_RUN_HEADER, "1"))
+            .json(json!({"reason": reason}));
+    }
+    let payload = serde_json::from_slice(&body).unwrap_or_default();
+    let attempt = head.attempt;
+    // A task of its own: the work goes on and holds its slot when the caller disconnects.
+    let run = {
+        let worker = worker.clone();
+        actix_rt::spawn(async move { worker.run_request(&head, &payload).await })
+    };
+    let Ok((answered, body, fault)) = run.await else {
+        return HttpResponse::InternalServerError().finish();
+    };
+    let mut reply = HttpResponse::Ok();
+    reply
+        .insert_header((worker::REQUEST_ID_HEADER, answered))
+        .insert_header((worker::ATTEMPT_HEADER, attempt))
+        .insert_header((worker::DIGEST_HEADER, digest(&body)));
+    if !fault.truncate_answers {
+        return reply.body(body);
+    }
+    let length = body.len() as u64;
+    let half = web::Bytes::copy_from_slice(&body[..body.len() / 2]);
+    let cut = stream::once(async {
+        actix_rt::time::sleep(TRUNCATE_PAUSE).await;
+        Err(std::io::Error::other("truncated on order"))
+    });
+    let parts = stream::once(async { Ok::<_, std::io::Error>(half) }).chain(cut);
+    reply.body(SizedStream::new(length, parts.boxed_local()))
+}
+
+async fn set_leaving(worker: web::Data<Worker>) -> HttpResponse {
+    let (mut state, _) = worker.state();
+    if !state.leaving {
+        worker.record(&mut state, WorkerEvent::Leaving);
+        state.leaving = true;
+    }
+    HttpResponse::Ok().finish()
+}
+
+async fn set_fault(worker: web::Data<Worker>, fault: web::Json<WorkerFault>) -> HttpResponse {
+    let (mut state, _) = worker.state();
+    state.fault = fault.into_inner();
+    HttpResponse::Ok().finish()
+}
+
+/// A worker that serves until it is stopped.
+#[derive(Debug)]
+pub struct RunningStandin {
+    address: SocketAddr,
+    handle: ServerHandle,
+    stopping: CancellationToken,
+}
+
+impl RunningStandin {
+    /// Returns the address that it listens on.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener and all connections at once, as a crash does.
+    ///
+    /// Running tasks vanish without a record of their end.
+    pub async fn stop(self) {
+        self.stopping.cancel();
+        self.handle.stop(false).await;
+    }
+}
+
+/// Boots a worker; must be called inside an actix system.
+///
+/// # Errors
+/// Returns the error of opening the history file or binding the address.
+pub fn start(settings: WorkerSettings) -> std::io::Result<RunningStandin> {
+    static BOOTS: AtomicU32 = AtomicU32::new(0);
+
+    let history = settings.history.as_ref();
+    let history = history
+        .map(|path| File::options().create(true).append(true).open(path))
+        .transpose()
+        .map_err(|error| std::io::Error::other(format!("cannot open history file: {error}")))?;
+    // Clock and process tell two processes apart, the counter two boots of one process.
+    let boot = format!(
+        "{}-{:x}-{}-{}",
+        settings.name,
+        history::monotonic_us(),
+        std::process::id(),
+        BOOTS.fetch_add(1, Ordering::Relaxed),
+    );
+    let state = WorkerState {
+        boot: boot.into(),
+        authority: OwnerAuthority::default(),
+        lease: None,
+        tasks: BTreeMap::new(),
+        ended: Vec::new(),
+        next_end: 1,
+        slots_used: 0,
+        connections: 0,
+        leaving: false,
+        fault: WorkerFault::default(),
+        last_request: String::new(),
+        history,
+    };
+    let worker = Arc::new(Worker {
+        settings,
+        booted_at: Instant::now(),
+        stopping: CancellationToken::new(),
+        changed: Notify::new(),
+        state: Mutex::new(state),
+    });
+    let data = web::Data::from(worker.clone());
+    let connected = worker.clone();
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(data.clone())
+            .app_data(web::JsonConfig::default().limit(BODY_LIMIT))
+            .app_data(web::PayloadConfig::new(BODY_LIMIT))
+            .route(worker::RENEW_PATH, web::post().to(renew))
+            .route(worker::START_PATH, web::post().to(start_task))
+            .route(worker::STOP_PATH, web::post().to(stop_task))
+            .route(worker::REQUEST_PATH, web::post().to(answer_request))
+            .route("/admin/leave", web::post().to(set_leaving))
+            .route("/admin/fault", web::post().to(set_fault))
+    })
+    .on_connect(move |_, extensions: &mut Extensions| {
+        let worker = connected.clone();
+        extensions.insert(ConnectionSlot { worker, counted: Cell::new(false) });
+    })
+    .workers(1)
+    .worker_max_blocking_threads(1)
+    .keep_alive(KEEP_ALIVE)
+    // No limit, as callers open connections ahead of their first request.
+    .client_request_timeout(Duration::ZERO)
+    .disable_signals()
+    .bind(worker.settings.address)?;
+    let booted = WorkerEvent::Booted {
+        capacity: worker.settings.capacity,
+        connections: worker.settings.connections,
+    };
+    worker.record(&mut worker.raw_state(), booted);
+    let address = server.addrs()[0];
+    let server = server.run();
+    let handle = server.handle();
+    let stopping = worker.stopping.clone();
+    actix_rt::spawn(server);
+    actix_rt::spawn(async move {
+        worker.stopping.run_until_cancelled(worker.watch_timers()).await;
+    });
+    Ok(RunningStandin { address, handle, stopping })
+}
--- /dev/null
+++ b/standins/worker/tests/worker.rs
@@ -0,0 +1,216 @@
+//! The worker behaviour on which the safety tests rely.
+
+use std::time::Duration;
+
+use awc::ClientResponse;
+use serde_json::{Value, json};
+use standin_worker::RunningStandin;
+
+struct TestWorker {
+    running: RunningStandin,
+    client: awc::Client,
+    boot: Value,
+}
+
+impl TestWorker {
+    /// Starts a worker with four cores and two slots and makes contact under term 1.
+    async fn start(extra: Value) -> Self {
+        let mut settings = json!({
+            "name": "w1", "domain": "d1", "address": "127.0.0.1:0",
+            "capacity": {"cpu_millis": 4000, "slots": 2},
+        });
+        settings.as_object_mut().unwrap().extend(extra.as_object().unwrap().clone());
+        let running = standin_worker::start(serde_json::from_value(settings).unwrap()).unwrap();
+        let mut worker = Self { running, client: awc::Client::new(), boot: Value::Null };
+        worker.boot = worker.renew(1, None).await["boot"].clone();
+        worker
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.running.address())
+    }
+
+    async fn post(&self, path: &str, body: Value) -> Value {
+        let mut reply = self.client.post(self.url(path)).send_json(&body).await.unwrap();
+        assert_eq!(reply.status(), 200, "{path}");
+        serde_json::from_slice(&reply.body().await.unwrap()).unwrap_or_default()
+    }
+
+    async fn renew(&self, term: u64, not_after: Option<u64>) -> Value {
+        let authority = json!({"term": term, "handover": 0});
+        let call = json!({
+            "authority": authority, "boot": self.boot, "not_after": not_after,
+            "ack": 0, "full": true,
+        });
+        self.post("/v1/renew", call).await
+    }
+
+    /// Extends the lease to `millis` from now and returns the worker's clock.
+    async fn lease(&self, millis: u64) -> u64 {
+        let clock = self.renew(1, None).await["clock"].as_u64().unwrap();
+        self.renew(1, Some(clock + millis)).await;
+        clock
+    }
+
+    /// Starts a task under term 1 with changes to the call and returns the refusal.
+    async fn start_task(&self, index: u32, changes: Value) -> Value {
+        let mut call = json!({
+            "authority": {"term": 1, "handover": 0}, "boot": self.boot, "not_after": 60_000,
+            "task": {"job": "j", "index": index}, "attempt": 1, "team": "t",
+            "amounts": {"cpu_millis": 3000}, "payload": null,
+        });
+        call.as_object_mut().unwrap().extend(changes.as_object().unwrap().clone());
+        self.post("/v1/start", call).await["refusal"].clone()
+    }
+
+    /// Sends a request on a connection of its own.
+    async fn request(&self, id: &str, authority: &str, body: Value) -> ClientResponse {
+        awc::Client::new()
+            .post(self.url("/v1/request"))
+            .insert_header(("x-request-id", id))
+            .insert_header(("x-attempt", "1"))
+            .insert_header(("x-authority", authority))
+            .insert_header(("x-team", "t"))
+            .send_json(&body)
+            .await
+            .unwrap()
+    }
+
+    /// Sends a request and expects a refusal that says why nothing was run.
+    async fn refused(&self, authority: &str, reason: &str) {
+        let mut reply = self.request("refused", authority, json!({})).await;
+        assert_eq!(reply.status(), 503);
+        assert_eq!(reply.headers().get("x-not-run").unwrap(), "1");
+        assert_eq!(reply.json::<Value>().await.unwrap(), json!({"reason": reason}));
+    }
+}
+
+async fn sleep(millis: u64) {
+    actix_rt::time::sleep(Duration::from_millis(millis)).await;
+}
+
+/// A paused owner that resumes must not place work or extend the lease.
+#[actix_web::test]
+async fn lower_authority_is_refused() {
+    let worker = TestWorker::start(json!({})).await;
+    worker.lease(1500).await;
+    let second = worker.renew(2, None).await;
+    assert_eq!(second["authority"]["term"], 2);
+    let refused = worker.renew(1, Some(60_000)).await;
+    assert_eq!(refused["authority"]["term"], 2);
+    assert_eq!(worker.start_task(0, json!({})).await, "stale-authority");
+    worker.refused("1.9", "stale-authority").await;
+    let by_handover = json!({"authority": {"term": 2, "handover": 1}});
+    assert_eq!(worker.start_task(1, by_handover).await, Value::Null);
+    let before = json!({"authority": {"term": 2, "handover": 0}});
+    assert_eq!(worker.start_task(2, before).await, "stale-authority");
+    sleep(1700).await;
+    assert_eq!(worker.renew(2, None).await["running"], 0);
+}
+
+/// A message that was delayed or meant for an earlier boot must not start a task or a lease.
+#[actix_web::test]
+async fn late_calls_are_void() {
+    let worker = TestWorker::start(json!({})).await;
+    assert_eq!(worker.start_task(0, json!({})).await, "no-lease");
+    worker.renew(1, Some(0)).await;
+    assert_eq!(worker.start_task(0, json!({})).await, "no-lease");
+    let clock = worker.lease(60_000).await;
+    assert_eq!(worker.start_task(0, json!({"not_after": clock})).await, "expired");
+    assert_eq!(worker.start_task(0, json!({"boot": "other"})).await, "wrong-boot");
+    assert_eq!(worker.start_task(0, json!({})).await, Value::Null);
+    assert_eq!(worker.start_task(0, json!({})).await, "duplicate");
+    assert_eq!(worker.start_task(1, json!({})).await, "no-capacity");
+    let mut rebooted = TestWorker::start(json!({})).await;
+    assert_ne!(rebooted.boot, worker.boot);
+    rebooted.boot = worker.boot.clone();
+    rebooted.renew(1, Some(60_000)).await;
+    rebooted.boot = rebooted.renew(1, None).await["boot"].clone();
+    assert_eq!(rebooted.start_task(0, json!({})).await, "no-lease");
+}
+
+/// A task must have stopped by the time at which the owner may restart it elsewhere.
+#[actix_web::test]
+async fn lapsed_lease_stops_tasks() {
+    let history = tempfile::NamedTempFile::new().unwrap();
+    let worker = TestWorker::start(json!({"history": history.path()})).await;
+    worker.lease(1200).await;
+    worker.lease(100).await;
+    assert_eq!(worker.start_task(0, json!({})).await, Value::Null);
+    sleep(300).await;
+    assert_eq!(worker.renew(1, None).await["running"], 1, "the lease moved backwards");
+    let under_way = async { worker.request("r", "1.0", json!({"run_ms": 2000})).await.status() };
+    let lapse = async {
+        sleep(1200).await;
+        // Read from the history, so that no call has made the worker look at its clock.
+        let records = std::fs::read_to_string(history.path()).unwrap();
+        assert!(records.lines().last().unwrap().contains(r#""end":"lease-lapsed""#), "{records}");
+        assert_eq!(worker.start_task(1, json!({})).await, "no-lease");
+        worker.refused("1.0", "no-lease").await;
+    };
+    let (status, ()) = tokio::join!(under_way, lapse);
+    assert_eq!(status, 200);
+    let ended = &worker.renew(1, None).await["ended"];
+    assert_eq!(ended[0]["end"], "lease-lapsed");
+}
+
+/// More requests than slots or connections must be refused before anything is run.
+#[actix_web::test]
+async fn full_worker_refuses_requests() {
+    let worker = TestWorker::start(json!({})).await;
+    worker.lease(60_000).await;
+    let run = |id| worker.request(id, "1.0", json!({"run_ms": 1500}));
+    let refusal = async {
+        sleep(300).await;
+        worker.refused("1.0", "no-capacity").await;
+        assert_eq!(worker.renew(1, None).await["slots_used"], 2);
+    };
+    let (first, second, ()) = tokio::join!(run("a"), run("b"), refusal);
+    assert_eq!((first.status().as_u16(), second.status().as_u16()), (200, 200));
+    worker.post("/admin/leave", json!({})).await;
+    worker.refused("1.0", "leaving").await;
+
+    let narrow = TestWorker::start(json!({"connections": 1})).await;
+    narrow.lease(60_000).await;
+    let refusal = async {
+        sleep(300).await;
+        narrow.refused("1.0", "no-capacity").await;
+    };
+    let (only, ()) = tokio::join!(narrow.request("a", "1.0", json!({"run_ms": 1500})), refusal);
+    assert_eq!(only.status(), 200);
+}
+
+/// Work that goes on after its caller has gone must keep its slot, or the VM is overcommitted.
+#[actix_web::test]
+async fn disconnected_request_keeps_its_slot() {
+    let worker = TestWorker::start(json!({})).await;
+    worker.lease(60_000).await;
+    let request = worker.request("a", "1.0", json!({"run_ms": 1500}));
+    assert!(actix_rt::time::timeout(Duration::from_millis(300), request).await.is_err());
+    sleep(100).await;
+    assert_eq!(worker.renew(1, None).await["slots_used"], 1);
+    sleep(1700).await;
+    assert_eq!(worker.renew(1, None).await["slots_used"], 0);
+}
+
+/// A caller's check of its answer is tested only if good answers pass and bad ones differ.
+#[actix_web::test]
+async fn answers_and_their_faults() {
+    let worker = TestWorker::start(json!({})).await;
+    worker.lease(60_000).await;
+    let body = json!({"answer_bytes": 1000});
+    let mut good = worker.request("good", "1.0", body.clone()).await;
+    let bytes = good.body().await.unwrap();
+    assert_eq!((bytes.len(), &bytes[..5]), (1000, &b"good."[..]));
+    let digest = model::object::key_digest(std::str::from_utf8(&bytes).unwrap());
+    assert_eq!(good.headers().get("x-answer-digest").unwrap(), digest.as_str());
+    assert_eq!(good.headers().get("x-request-id").unwrap(), "good");
+    worker.post("/admin/fault", json!({"swap_ids": true})).await;
+    let swapped = worker.request("other", "1.0", body.clone()).await;
+    assert_eq!(swapped.headers().get("x-request-id").unwrap(), "good");
+    worker.post("/admin/fault", json!({"truncate_answers": true})).await;
+    let mut cut = worker.request("cut", "1.0", body).await;
+    // awc reports the early end of the connection as the end of the body.
+    assert_eq!(cut.headers().get("content-length").unwrap(), "1000");
+    assert_eq!(cut.body().await.unwrap().len(), 500);
+}
