Add the fault-injecting proxy

Where several rules apply to a direction, the strongest holds, so the order of rules does not matter. A connection that lost bytes is reset when its rule ends, since TCP never delivers a stream with a gap.

--- a/standins/proxy/src/lib.rs
+++ b/standins/proxy/src/lib.rs
@@ -1,1 +1,452 @@
-//! Not built yet.
+//! TCP proxy that injects network faults by rules.
+//!
+//! Settings, rules and effects are described in `docs/standins.md`.
+
+use std::cell::Cell;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::dev::ServerHandle;
+use actix_web::{App, HttpResponse, HttpServer, web};
+use serde::Deserialize;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+/// Longer than callers keep idle connections, so that the stand-in never closes one first.
+const KEEP_ALIVE: Duration = Duration::from_mins(2);
+
+/// Bytes read at once.
+const CHUNK_BYTES: usize = 8 << 10;
+
+/// Chunks a direction holds while they are delayed or frozen; further bytes
+/// stay with the sender, as in a full network buffer.
+const CHUNKS_HELD: usize = 64;
+
+/// Settings of one proxy.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ProxySettings {
+    /// Address of the admin API.
+    pub admin: SocketAddr,
+    /// Links to forward.
+    pub links: Vec<LinkSettings>,
+}
+
+/// One forwarded link.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LinkSettings {
+    /// Name that rules refer to.
+    pub name: String,
+    /// Address to accept connections on.
+    pub listen: SocketAddr,
+    /// Address to forward them to.
+    pub target: SocketAddr,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum RuleEffect {
+    Cut,
+    Freeze,
+    Delay,
+    Reset,
+    DropReplies,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum RuleWay {
+    #[default]
+    Both,
+    ToTarget,
+    ToClient,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FaultRule {
+    from: Option<Vec<IpAddr>>,
+    links: Option<Vec<String>>,
+    effect: RuleEffect,
+    #[serde(default)]
+    way: RuleWay,
+    #[serde(default)]
+    delay_ms: u64,
+}
+
+/// A direction of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Direction {
+    ToTarget,
+    ToClient,
+}
+
+impl Direction {
+    const fn opposite(self) -> Self {
+        match self {
+            Self::ToTarget => Self::ToClient,
+            Self::ToClient => Self::ToTarget,
+        }
+    }
+}
+
+/// What happens to the bytes of one direction.
+///
+/// In ascending order of strength: where several rules apply, the strongest holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Treatment {
+    Pass,
+    Delay(Duration),
+    Hold,
+    Discard,
+    Reset,
+}
+
+impl FaultRule {
+    fn applies(&self, link: &str, client: IpAddr) -> bool {
+        self.from.as_ref().is_none_or(|from| from.contains(&client))
+            && self.links.as_ref().is_none_or(|links| links.iter().any(|name| name == link))
+    }
+
+    fn treatment(&self, direction: Direction) -> Treatment {
+        let in_way = match self.way {
+            RuleWay::Both => true,
+            RuleWay::ToTarget => direction == Direction::ToTarget,
+            RuleWay::ToClient => direction == Direction::ToClient,
+        };
+        match self.effect {
+            RuleEffect::Reset => Treatment::Reset,
+            RuleEffect::DropReplies if direction == Direction::ToClient => Treatment::Discard,
+            RuleEffect::Cut if in_way => Treatment::Discard,
+            RuleEffect::Freeze if in_way => Treatment::Hold,
+            RuleEffect::Delay if in_way => Treatment::Delay(Duration::from_millis(self.delay_ms)),
+            _ => Treatment::Pass,
+        }
+    }
+}
+
+type RuleReceiver = watch::Receiver<Vec<FaultRule>>;
+
+/// One proxied connection as the rules see it.
+#[derive(Debug)]
+struct Connection {
+    link: Arc<LinkSettings>,
+    client: IpAddr,
+    rules: RuleReceiver,
+    /// Whether bytes of a direction, in the order of [`Direction`], were discarded.
+    lost: [Cell<bool>; 2],
+}
+
+impl Connection {
+    fn treatment(&self, direction: Direction) -> Treatment {
+        self.rules
+            .borrow()
+            .iter()
+            .filter(|rule| rule.applies(&self.link.name, self.client))
+            .map(|rule| rule.treatment(direction))
+            .max()
+            .unwrap_or(Treatment::Pass)
+    }
+
+    fn set_lost(&self, direction: Direction) {
+        self.lost[direction as usize].set(true);
+    }
+
+    /// Tells whether the connection has to be reset under the present rules.
+    ///
+    /// A connection that lost bytes must not go on without them, as TCP never
+    /// delivers a stream with a gap.
+    fn must_reset(&self) -> bool {
+        [Direction::ToTarget, Direction::ToClient].into_iter().any(|direction| {
+            match self.treatment(direction) {
+                Treatment::Reset => true,
+                Treatment::Discard => false,
+                _ => self.lost[direction as usize].get(),
+            }
+        })
+    }
+
+    /// Waits until bytes of a direction are no longer held, and tells whether they pass.
+    async fn released(&self, direction: Direction) -> bool {
+        let mut rules = self.rules.clone();
+        loop {
+            rules.mark_unchanged();
+            match self.treatment(direction) {
+                Treatment::Pass | Treatment::Delay(_) => return true,
+                Treatment::Discard => return false,
+                Treatment::Hold | Treatment::Reset => {
+                    if rules.changed().await.is_err() {
+                        return false;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns once the connection has to be reset.
+    async fn reset_ordered(&self) {
+        let mut rules = self.rules.clone();
+        loop {
+            rules.mark_unchanged();
+            if self.must_reset() {
+                return;
+            }
+            if rules.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Waits until bytes to the target pass, discarding or holding what arrives before.
+    ///
+    /// The target must not see a connection from behind a cut.
+    async fn wait_until_passable(&self, client: &mut TcpStream) {
+        let mut rules = self.rules.clone();
+        let mut buffer = [0; 1024];
+        loop {
+            rules.mark_unchanged();
+            let changed = match self.treatment(Direction::ToTarget) {
+                Treatment::Hold | Treatment::Reset => rules.changed().await,
+                Treatment::Discard => tokio::select! {
+                    changed = rules.changed() => changed,
+                    count = client.read(&mut buffer) => {
+                        self.set_lost(Direction::ToTarget);
+                        match count {
+                            Ok(1..) => Ok(()),
+                            _ => rules.changed().await,
+                        }
+                    }
+                },
+                Treatment::Pass | Treatment::Delay(_) => return,
+            };
+            if changed.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// What a reader passes to the writer of its direction.
+#[derive(Debug)]
+enum ChunkContent {
+    Bytes(Vec<u8>),
+    End,
+    Failure,
+}
+
+async fn read_chunks(
+    connection: &Connection,
+    direction: Direction,
+    mut source: ReadHalf<'_>,
+    chunks: mpsc::Sender<(Instant, ChunkContent)>,
+) {
+    let mut buffer = vec![0; CHUNK_BYTES];
+    loop {
+        let content = match source.read(&mut buffer).await {
+            Ok(0) => ChunkContent::End,
+            Ok(count) => ChunkContent::Bytes(buffer[..count].to_vec()),
+            Err(_) => ChunkContent::Failure,
+        };
+        let is_last = !matches!(content, ChunkContent::Bytes(_));
+        let delay = match connection.treatment(direction) {
+            Treatment::Delay(delay) => delay,
+            _ => Duration::ZERO,
+        };
+        if chunks.send((Instant::now() + delay, content)).await.is_err() || is_last {
+            return;
+        }
+    }
+}
+
+/// Writes chunks as the rules allow; an error means that the connection has failed.
+async fn write_chunks(
+    connection: &Connection,
+    direction: Direction,
+    mut sink: WriteHalf<'_>,
+    mut chunks: mpsc::Receiver<(Instant, ChunkContent)>,
+) -> std::io::Result<()> {
+    while let Some((due, content)) = chunks.recv().await {
+        tokio::time::sleep_until(due).await;
+        if !connection.released(direction).await {
+            connection.set_lost(direction);
+            continue;
+        }
+        let written = match content {
+            ChunkContent::Bytes(bytes) => sink.write_all(&bytes).await,
+            ChunkContent::End => sink.shutdown().await,
+            ChunkContent::Failure => return Err(std::io::ErrorKind::ConnectionReset.into()),
+        };
+        if written.is_err() {
+            // The receiver's reset travels against this direction and may be cut off there.
+            if connection.released(direction.opposite()).await {
+                return written;
+            }
+            connection.set_lost(direction.opposite());
+            std::future::pending::<()>().await;
+        }
+    }
+    if connection.lost[direction as usize].get() {
+        // The end was lost too: nothing more happens until the rule ends.
+        std::future::pending::<()>().await;
+    }
+    Ok(())
+}
+
+async fn forward_direction(
+    connection: &Connection,
+    direction: Direction,
+    source: ReadHalf<'_>,
+    sink: WriteHalf<'_>,
+) -> std::io::Result<()> {
+    let (sender, receiver) = mpsc::channel(CHUNKS_HELD);
+    let ((), written) = tokio::join!(
+        read_chunks(connection, direction, source, sender),
+        write_chunks(connection, direction, sink, receiver),
+    );
+    written
+}
+
+/// Forwards both directions until both have ended or one has failed.
+async fn forward(
+    connection: &Connection,
+    client: &mut TcpStream,
+    target: &mut Option<TcpStream>,
+) -> std::io::Result<()> {
+    connection.wait_until_passable(client).await;
+    if connection.must_reset() {
+        return Err(std::io::ErrorKind::ConnectionReset.into());
+    }
+    let target = target.insert(TcpStream::connect(connection.link.target).await?);
+    target.set_nodelay(true)?;
+    let (client_read, client_write) = client.split();
+    let (target_read, target_write) = target.split();
+    tokio::try_join!(
+        forward_direction(connection, Direction::ToTarget, client_read, target_write),
+        forward_direction(connection, Direction::ToClient, target_read, client_write),
+    )?;
+    Ok(())
+}
+
+async fn serve_connection(connection: Connection, mut client: TcpStream) {
+    let mut target = None;
+    let ended = tokio::select! {
+        biased;
+        () = connection.reset_ordered() => false,
+        result = forward(&connection, &mut client, &mut target) => result.is_ok(),
+    };
+    if !ended {
+        // With a linger time of zero, the close sends a reset.
+        let _ = client.set_zero_linger();
+        if let Some(target) = target {
+            let _ = target.set_zero_linger();
+        }
+    }
+}
+
+async fn accept_connections(
+    link: Arc<LinkSettings>,
+    listener: TcpListener,
+    rules: RuleReceiver,
+    stopping: CancellationToken,
+) {
+    loop {
+        let Ok((client, address)) = listener.accept().await else {
+            // Out of descriptors; the pause lets connections end.
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let _ = client.set_nodelay(true);
+        let connection = Connection {
+            link: link.clone(),
+            client: address.ip(),
+            rules: rules.clone(),
+            lost: [Cell::new(false), Cell::new(false)],
+        };
+        let stopping = stopping.clone();
+        actix_rt::spawn(async move {
+            stopping.run_until_cancelled(serve_connection(connection, client)).await;
+        });
+    }
+}
+
+#[derive(Debug)]
+struct ProxyAdmin {
+    links: Vec<Arc<LinkSettings>>,
+    rules: watch::Sender<Vec<FaultRule>>,
+}
+
+async fn set_rules(admin: web::Data<ProxyAdmin>, rules: web::Json<Vec<FaultRule>>) -> HttpResponse {
+    let mut names = rules.iter().flat_map(|rule| rule.links.iter().flatten());
+    if let Some(name) = names.find(|name| admin.links.iter().all(|link| link.name != **name)) {
+        return HttpResponse::BadRequest().body(format!("no link has the name {name:?}"));
+    }
+    admin.rules.send_replace(rules.into_inner());
+    HttpResponse::Ok().finish()
+}
+
+/// A proxy that serves until it is stopped.
+#[derive(Debug)]
+pub struct RunningStandin {
+    address: SocketAddr,
+    handle: ServerHandle,
+    stopping: CancellationToken,
+}
+
+impl RunningStandin {
+    /// Returns the address of the admin API.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes all listeners and connections at once.
+    pub async fn stop(self) {
+        self.stopping.cancel();
+        self.handle.stop(false).await;
+    }
+}
+
+/// Starts a proxy without rules; must be called inside an actix system.
+///
+/// # Errors
+/// Returns the error of binding an address.
+pub fn start(settings: ProxySettings) -> std::io::Result<RunningStandin> {
+    let (rules, receiver) = watch::channel(Vec::new());
+    let stopping = CancellationToken::new();
+    let links: Vec<_> = settings.links.into_iter().map(Arc::new).collect();
+    let mut listeners = Vec::new();
+    for link in &links {
+        let named = |error| std::io::Error::other(format!("link {:?}: {error}", link.name));
+        let listener = std::net::TcpListener::bind(link.listen).map_err(named)?;
+        listener.set_nonblocking(true)?;
+        listeners.push((link.clone(), TcpListener::from_std(listener)?));
+    }
+    let admin = web::Data::new(ProxyAdmin { links, rules });
+    let server = HttpServer::new(move || {
+        App::new().app_data(admin.clone()).route("/admin/rules", web::post().to(set_rules))
+    })
+    .workers(1)
+    .worker_max_blocking_threads(1)
+    .keep_alive(KEEP_ALIVE)
+    .client_request_timeout(Duration::ZERO)
+    .disable_signals()
+    .bind(settings.admin)?;
+    let address = server.addrs()[0];
+    let server = server.run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    for (link, listener) in listeners {
+        let (rules, stopping) = (receiver.clone(), stopping.clone());
+        actix_rt::spawn(async move {
+            let accept = accept_connections(link, listener, rules, stopping.clone());
+            stopping.run_until_cancelled(accept).await;
+        });
+    }
+    Ok(RunningStandin { address, handle, stopping })
+}
