--- a/crates/model/src/setting/parse.rs
+++ b/crates/model/src/setting/parse.rs
@@ -30,11 +30,7 @@
             }
         };
         let template = template_fields();
-        for field in fields.keys().filter(|field| !template.contains_key(*field)) {
-            let known: Vec<&str> = template.keys().map(String::as_str).collect();
-            let message = format!("is not a setting; accepted are {}", known.join(", "));
-            problems.add(OBJECT, field, message);
-        }
+        check_unknown(&template, &fields, &mut problems);
         let settings = from_fields(&template, &fields, &mut problems);
         check_settings(&settings, &mut problems);
         if !problems.is_empty() {
@@ -76,6 +72,20 @@
     }
 }
 
+/// Lists the fields that are no settings; the first one states those that are.
+fn check_unknown(
+    template: &Map<String, Value>,
+    fields: &Map<String, Value>,
+    problems: &mut ProblemList,
+) {
+    let known: Vec<&str> = template.keys().map(String::as_str).collect();
+    let mut accepted = known.join(", ");
+    for field in fields.keys().filter(|field| !template.contains_key(*field)) {
+        problems.add(OBJECT, field, format_args!("is not a setting; accepted are {accepted}"));
+        "those listed above".clone_into(&mut accepted);
+    }
+}
+
 /// Puts one field after the other into the template, so that each is judged by itself.
 fn from_fields(
     template: &Map<String, Value>,
--- a/crates/saddle/src/command/request.rs
+++ b/crates/saddle/src/command/request.rs
@@ -5,6 +5,7 @@
 use awc::http::Method;
 use getopts::Options;
 use model::check::{NAME_RULE, is_name};
+use model::kind::ErrorKind;
 use wire::api;
 
 use super::{CommandContext, CommandSpec, usage_error};
@@ -54,13 +55,13 @@
     let call = build_call(context, queue, id.as_deref(), deadline);
     let answer = client.send(&call).await.map_err(|failure| {
         let error = CommandError::from(failure);
-        if error.status == ExitStatus::Unknown {
-            unknown_request(error, id.as_deref())
-        } else {
-            error
+        match (error.status, error.kind) {
+            (_, Some(ErrorKind::DuplicateRequest)) => error,
+            (ExitStatus::Unknown, _) => unknown_request(error, &call),
+            _ => error,
         }
     })?;
-    check_id(&answer, id.as_deref())?;
+    check_id(&answer, &call, id.as_deref())?;
     if context.options.json {
         output.print_json(&serde_json::json!({
             "id": answer.request_id,
@@ -95,23 +96,25 @@
     call
 }
 
-fn unknown_request(error: CommandError, id: Option<&str>) -> CommandError {
-    error.with_next(match id {
-        Some(id) => format!(
-            "the request may have run; sending it again with `--id {id} --non-idempotent` cannot \
-             run it twice"
-        ),
-        None => "the request may have run; send it again only if running it twice does no harm"
-            .to_owned(),
+/// States whether a request with an unknown outcome may be sent again.
+///
+/// Entries keep the ids of requests that were marked non-idempotent only.
+fn unknown_request(error: CommandError, call: &ApiCall) -> CommandError {
+    let has_id = call.headers.iter().any(|(name, _)| *name == api::REQUEST_ID_HEADER);
+    error.with_next(if has_id && call.resend == ResendRule::Never {
+        "the request may have run; the same command cannot run it twice, and answers \
+         `duplicate-request` if it was dispatched"
+    } else {
+        "the request may have run; send it again only if running it twice does no harm"
     })
 }
 
 /// Refuses an answer that states another request's id.
-fn check_id(answer: &ApiAnswer, id: Option<&str>) -> CommandResult<()> {
+fn check_id(answer: &ApiAnswer, call: &ApiCall, id: Option<&str>) -> CommandResult<()> {
     match (id, &answer.request_id) {
         (Some(id), Some(found)) if id != found => {
             let message = format!("the answer belongs to request `{found}`, not to `{id}`");
-            Err(unknown_request(CommandError::unknown(message, ""), Some(id)).into())
+            Err(unknown_request(CommandError::unknown(message, ""), call).into())
         }
         _ => Ok(()),
     }
--- a/crates/saddle/src/error.rs
+++ b/crates/saddle/src/error.rs
@@ -63,7 +63,7 @@
     pub(crate) fn problems(subject: &str, problems: Vec<CheckProblem>) -> Self {
         let count = problems.len();
         let noun = if count == 1 { "problem" } else { "problems" };
-        let next = "correct each line above and run `saddle check` before publishing";
+        let next = "correct each line above and check the file again with `saddle check`";
         Self { problems, ..Self::refused(format!("{subject} has {count} {noun}"), next) }
     }
 
@@ -92,7 +92,7 @@
         match failure {
             CallFailure::Unreachable(failures) => Self::new(
                 ExitStatus::Unreachable,
-                format!("no entry could be reached: {}", failures.join("; ")),
+                format!("every connection failed: {}", failures.join("; ")),
                 "check the addresses given with `--entry` or in SADDLE_ENTRY, or name an entry \
                  of another failure domain",
             ),
--- a/crates/saddle/src/publish.rs
+++ b/crates/saddle/src/publish.rs
@@ -6,6 +6,7 @@
 use error_stack::Report;
 use model::check;
 use model::kind::{ErrorKind, RequestOutcome};
+use model::name::DomainName;
 use model::object::ObjectSet;
 use wire::api::{self, ApplyReply, ConfigDocument, StatusReply};
 
@@ -129,7 +130,7 @@
     for _ in 0..EDIT_ATTEMPTS {
         let document = fetch_config(client).await?;
         if document.change_id == change_id {
-            return confirmed_reply(client, document).await;
+            return Ok(confirmed_reply(client, document).await);
         }
         if document.version >= least {
             // Versions have no gaps: where the next version is another change, the own
@@ -193,7 +194,7 @@
         base = document.version;
         let mut objects = document.objects.clone();
         if edit(&mut objects, maybe_applied)? == EditStep::AlreadyDone {
-            return confirmed_reply(client, document).await;
+            return Ok(confirmed_reply(client, document).await);
         }
         let problems = check::check_set(&objects);
         if !problems.is_empty() {
@@ -233,7 +234,7 @@
     };
     let mut objects = document.objects.clone();
     match edit(&mut objects, true) {
-        Ok(EditStep::AlreadyDone) => confirmed_reply(client, document).await,
+        Ok(EditStep::AlreadyDone) => Ok(confirmed_reply(client, document).await),
         _ => Err(unknown.into()),
     }
 }
@@ -249,22 +250,16 @@
 }
 
 /// Builds the reply for a version that is published already, from what owners confirmed.
-async fn confirmed_reply(
-    client: &EntryClient,
-    document: ConfigDocument,
-) -> CommandResult<ApplyReply> {
-    let status = fetch_status(client).await?;
-    let (in_force, not_confirmed) = status
-        .domains
-        .into_iter()
-        .partition::<Vec<_>, _>(|domain| domain.confirmed >= document.version);
-    let names = |domains: Vec<api::DomainStatus>| domains.into_iter().map(|domain| domain.name);
-    Ok(ApplyReply {
-        version: document.version,
-        change_id: document.change_id,
-        in_force: names(in_force).collect(),
-        not_confirmed: names(not_confirmed).collect(),
-    })
+///
+/// Without a status nothing is known to be confirmed; the change is committed all the same.
+async fn confirmed_reply(client: &EntryClient, document: ConfigDocument) -> ApplyReply {
+    let domains = fetch_status(client).await.map(|status| status.domains).unwrap_or_default();
+    let is_confirmed = |name: &DomainName| {
+        domains.iter().any(|found| found.name == *name && found.confirmed >= document.version)
+    };
+    let names = document.objects.domains.iter().map(|domain| domain.name.clone());
+    let (in_force, not_confirmed) = names.partition(is_confirmed);
+    ApplyReply { version: document.version, change_id: document.change_id, in_force, not_confirmed }
 }
 
 /// Reads the status of the first entry that can be reached.
@@ -291,8 +286,8 @@
     if reply.not_confirmed.is_empty() {
         return format!("version {} is in force everywhere", reply.version);
     }
-    let join = |names: &[model::name::DomainName]| {
-        let names: Vec<&str> = names.iter().map(model::name::DomainName::as_str).collect();
+    let join = |names: &[DomainName]| {
+        let names: Vec<&str> = names.iter().map(DomainName::as_str).collect();
         if names.is_empty() { "none".to_owned() } else { names.join(", ") }
     };
     format!(
--- /dev/null
+++ b/crates/saddle/tests/publish.rs
@@ -0,0 +1,146 @@
+//! A change must be published once or not at all, whatever happens to replies.
+
+mod support;
+
+use std::fmt::Write;
+
+use support::{TestEntry, closed_address, closing_address, run, stdout, transcript};
+
+const MESKEL: &str = include_str!("../../../examples/meskel.json");
+const FILE: &str = "../../examples/meskel.json";
+
+/// A retry with a new change id would be refused as a conflict with itself, or applied twice.
+#[actix_rt::test]
+async fn lost_reply_is_retried_with_the_same_change_id() {
+    let entry = TestEntry::start(MESKEL);
+    entry.with(|state| state.lose_puts = 2);
+    let output = run(&[entry.address], &format!("apply {FILE} --base 1")).await;
+    insta::assert_snapshot!(transcript(&output, &[entry.address]));
+    entry.with(|state| {
+        assert_eq!(state.commits, 1);
+        assert_eq!(state.changes.len(), 3);
+        assert!(state.changes.iter().all(|change| *change == state.changes[0]));
+    });
+}
+
+/// When every reply is lost, the published change id tells that the change is committed.
+#[actix_rt::test]
+async fn change_is_found_by_its_id_when_no_reply_arrives() {
+    let entry = TestEntry::start(MESKEL);
+    entry.with(|state| state.lose_puts = 100);
+    let output = run(&[entry.address], &format!("apply {FILE}")).await;
+    assert_eq!(
+        (output.status.code(), stdout(&output).as_str()),
+        (0, "version 2 is in force everywhere\n")
+    );
+    entry.with(|state| state.lose_puts = 100);
+    let output = run(&[entry.address], "domain out addis-yeka").await;
+    assert_eq!(
+        (output.status.code(), stdout(&output).as_str()),
+        (0, "version 3 is in force everywhere\n")
+    );
+    entry.with(|state| assert_eq!(state.commits, 2));
+}
+
+/// A whole set must not overwrite the change of another operator.
+#[actix_rt::test]
+async fn apply_reports_a_conflict() {
+    let entry = TestEntry::start(MESKEL);
+    entry.with(|state| state.rival_edits = 1);
+    let output = run(&[entry.address], &format!("apply {FILE} --base 1")).await;
+    insta::assert_snapshot!(transcript(&output, &[entry.address]));
+    entry.with(|state| assert_eq!(state.commits, 0));
+}
+
+/// An edit must survive other operators' changes, but not try for ever.
+#[actix_rt::test]
+async fn edits_are_repeated_after_conflicts_within_a_bound() {
+    let entry = TestEntry::start(MESKEL);
+    entry.with(|state| state.rival_edits = 2);
+    let output = run(&[entry.address], "domain out addis-yeka").await;
+    assert_eq!(
+        (output.status.code(), stdout(&output).as_str()),
+        (0, "version 4 is in force everywhere\n")
+    );
+    entry.with(|state| state.rival_edits = 100);
+    let output = run(&[entry.address], "domain in addis-yeka").await;
+    assert_eq!(output.status.code(), 4);
+    entry.with(|state| assert_eq!((state.commits, state.changes.len()), (1, 9)));
+}
+
+/// A committed change must not be reported as in force where owners have not confirmed it.
+#[actix_rt::test]
+async fn domains_that_have_not_confirmed_are_named() {
+    let entry = TestEntry::start(MESKEL);
+    entry.with(|state| state.not_confirmed = vec!["addis-arada".into()]);
+    let output = run(&[entry.address], "domain out addis-yeka").await;
+    insta::assert_snapshot!(transcript(&output, &[entry.address]));
+}
+
+/// Only the digest of a granted secret may reach the entry, and withdrawal removes it.
+#[actix_rt::test]
+async fn granted_key_is_stored_as_digest_and_withdrawn() {
+    let entry = TestEntry::start(MESKEL);
+    let output = run(&[entry.address], "key grant audit --name audit-2").await;
+    let secret = stdout(&output).trim().to_owned();
+    assert_eq!(secret.len(), 64);
+    let find = |name: &str| {
+        entry.with(|state| {
+            let document = state.document.as_ref().expect("a set is published");
+            document.objects.keys.iter().find(|key| key.name.as_str() == name).cloned()
+        })
+    };
+    let key = find("audit-2").expect("the key is published");
+    assert_eq!(key.digest, model::object::key_digest(&secret));
+    let output = run(&[entry.address], "key grant audit --name audit-2").await;
+    assert_eq!((output.status.code(), output.stdout.len()), (2, 0));
+    let output = run(&[entry.address], "key withdraw audit-2").await;
+    assert_eq!(output.status.code(), 0);
+    assert_eq!(find("audit-2"), None);
+}
+
+/// A person must learn which name is wrong and which names there are.
+#[actix_rt::test]
+async fn unknown_names_are_refused() {
+    let entry = TestEntry::start(MESKEL);
+    let mut texts = String::new();
+    for words in [
+        "domain out addis",
+        "key grant nobody --name k",
+        "key withdraw nothing",
+        "get queue none",
+        "get thing",
+        "status none",
+    ] {
+        let output = run(&[entry.address], words).await;
+        let _ = write!(texts, "$ saddle {words}\n{}\n", transcript(&output, &[entry.address]));
+    }
+    insta::assert_snapshot!(texts);
+    entry.with(|state| assert_eq!(state.changes.len(), 0));
+}
+
+/// The next entry must be used when one refuses connections or drops a repeatable call.
+#[actix_rt::test]
+async fn next_entry_is_tried() {
+    let entry = TestEntry::start(MESKEL);
+    let entries = [closed_address(), closing_address(), entry.address];
+    let output = run(&entries, "get domain").await;
+    assert_eq!(stdout(&output), "addis-bole\naddis-kirkos\naddis-arada\naddis-yeka\n");
+    let output = run(&entries, "domain out addis-yeka").await;
+    assert_eq!(output.status.code(), 0);
+    let closed = [closed_address(), closed_address()];
+    let output = run(&closed, "domain out addis-yeka").await;
+    insta::assert_snapshot!(transcript(&output, &closed));
+}
+
+/// What `get` prints must be accepted by `apply`, or operators cannot edit the set.
+#[actix_rt::test]
+async fn printed_set_can_be_applied() {
+    let entry = TestEntry::start(MESKEL);
+    let output = run(&[entry.address], "get").await;
+    assert_eq!(output.stderr, "version 1\n");
+    let file = tempfile::NamedTempFile::new().expect("a file can be made");
+    std::fs::write(file.path(), &output.stdout).expect("the file can be written");
+    let output = run(&[entry.address], &format!("apply --base 1 {}", file.path().display())).await;
+    assert_eq!(output.status.code(), 0, "{}", output.stderr);
+}
