--- a/crates/model/tests/check.rs
+++ b/crates/model/tests/check.rs
@@ -94,3 +94,25 @@
     // Linear work takes a few milliseconds unoptimised; the bound leaves room for a busy machine.
     assert!(start.elapsed().as_millis() < 500, "{:?}", start.elapsed());
 }
+
+/// The reference must not drift from the parser: its examples together form a valid set.
+#[test]
+fn documented_examples_pass() {
+    let text = include_str!("../../../docs/configuration.md");
+    let mut set = serde_json::Map::new();
+    let mut blocks = text
+        .split("```json\n")
+        .skip(1)
+        .map(|rest| rest.split_once("```").expect("the block ends").0);
+    for section in ["domains", "workers", "teams", "keys", "shares", "limits", "queues", "classes"]
+    {
+        let block = blocks.next().expect("each kind has an example");
+        let object: serde_json::Value = serde_json::from_str(block).expect("the example is JSON");
+        set.insert(section.to_owned(), serde_json::json!([object]));
+    }
+    let set = serde_json::Value::Object(set).to_string();
+    let set = ObjectSet::parse(&set).map_err(|problems| lines(&problems));
+    assert_eq!(lines(&check_set(&set.expect("the examples parse"))), "");
+    let settings = blocks.next().expect("the settings have an example");
+    model::setting::EntrySettings::parse(settings).expect("the settings pass");
+}
--- a/crates/saddle/tests/work.rs
+++ b/crates/saddle/tests/work.rs
@@ -84,7 +84,7 @@
         entry.with(|state| state.refuse_requests = Some(*kind));
         let words = "request answer-sheets --id r1 --non-idempotent";
         let output = run(&[entry.address], words).await;
-        let _ = write!(texts, "{}\n", transcript(&output, &[entry.address]));
+        let _ = writeln!(texts, "{}", transcript(&output, &[entry.address]));
     }
     insta::assert_snapshot!(texts);
     entry.with(|state| assert_eq!(state.requests.len(), ErrorKind::ALL.len()));
