--- a/crates/saddle/tests/publish.rs
+++ b/crates/saddle/tests/publish.rs
@@ -21,6 +21,39 @@
         assert_eq!(state.changes.len(), 3);
         assert!(state.changes.iter().all(|change| *change == state.changes[0]));
     });
+    run(&[entry.address], &format!("apply {FILE} --base 2")).await;
+    entry.with(|state| assert_ne!(state.changes[3], state.changes[0]));
+}
+
+/// A change that was committed and then followed by another must not be reported as refused.
+#[actix_rt::test]
+async fn change_that_was_overtaken_after_a_lost_reply_is_unknown() {
+    let entry = TestEntry::start(MESKEL);
+    entry.with(|state| (state.lose_puts, state.rivals_after_loss) = (1, 1));
+    let output = run(&[entry.address], &format!("apply {FILE} --base 1")).await;
+    insta::assert_snapshot!(transcript(&output, &[entry.address]));
+    entry.with(|state| assert_eq!(state.commits, 1));
+}
+
+/// Where the next version is another operator's, a lost change is known not to be committed.
+#[actix_rt::test]
+async fn lost_change_is_a_conflict_when_another_took_its_version() {
+    let entry = TestEntry::start(MESKEL);
+    entry.with(|state| state.rival_edits = 1);
+    let entries = [closing_address(), entry.address];
+    let output = run(&entries, &format!("apply {FILE} --base 1")).await;
+    assert_eq!(output.status.code(), 4, "{}", output.stderr);
+    entry.with(|state| assert_eq!(state.commits, 0));
+}
+
+/// An entry that has not read the new head must not use up the attempts with hopeless writes.
+#[actix_rt::test]
+async fn lagging_entry_is_read_again_after_a_conflict() {
+    let entry = TestEntry::start(MESKEL);
+    entry.with(|state| (state.rival_edits, state.stale_reads) = (1, 2));
+    let output = run(&[entry.address], "domain out addis-yeka").await;
+    assert_eq!(output.status.code(), 0, "{}", output.stderr);
+    entry.with(|state| assert_eq!((state.commits, state.changes.len()), (1, 2)));
 }
 
 /// When every reply is lost, the published change id tells that the change is committed.
--- a/crates/saddle/tests/support/mod.rs
+++ b/crates/saddle/tests/support/mod.rs
@@ -25,6 +25,10 @@
     pub commits: u32,
     /// `PUT`s that are committed but not answered.
     pub lose_puts: u32,
+    /// Versions that another operator commits after each lost `PUT`.
+    pub rivals_after_loss: u64,
+    /// Reads of the configuration that are answered with version 1, as by a lagging entry.
+    pub stale_reads: u32,
     /// Edits by another operator that come before the next `PUT`s.
     pub rival_edits: u32,
     pub not_confirmed: Vec<DomainName>,
@@ -139,7 +143,14 @@
 }
 
 async fn get_config(state: SharedState) -> HttpResponse {
-    HttpResponse::Ok().json(&state.lock().expect("no handler panicked").document)
+    let mut state = state.lock().expect("no handler panicked");
+    let mut document = state.document.clone().expect("a set is published");
+    if document.version > 1 && state.stale_reads > 0 {
+        state.stale_reads -= 1;
+        document.version = 1;
+        "first".clone_into(&mut document.change_id);
+    }
+    HttpResponse::Ok().json(document)
 }
 
 async fn put_config(request: HttpRequest, body: Bytes, state: SharedState) -> HttpResponse {
@@ -167,6 +178,11 @@
     }
     if state.lose_puts > 0 {
         state.lose_puts -= 1;
+        let rivals = state.rivals_after_loss;
+        if let Some(document) = state.document.as_mut().filter(|_| rivals > 0) {
+            document.version += rivals;
+            "rival".clone_into(&mut document.change_id);
+        }
         return lose_reply();
     }
     let document = state.document.as_ref().expect("a set is published");
