--- a/crates/coord/src/owner/holder.rs
+++ b/crates/coord/src/owner/holder.rs
@@ -22,6 +22,14 @@
 /// lease by promises would end with the write.
 const PROMOTE_LEASE_MS: u64 = 1_000;
 
+/// Milliseconds without platform contact after which a holder hands over to a
+/// voter that refuses to promise. The holder's last answer may be older than
+/// the voter's by one renewal period; if both lost the platform at once, the
+/// voter has none to promise after `PROMISE_CONTACT_MS` more.
+const HANDOVER_CONTACT_MS: u64 = 1_100;
+/// Milliseconds between requests while a promise is still missing.
+const PROMISE_RETRY_MS: u64 = PROMISE_ASK_MS / 2;
+
 /// A request for a promise.
 #[derive(Debug)]
 struct PromiseAsk {
@@ -125,6 +133,13 @@
         Some(promise_end.map_or(start + OWNER_TTL_MS, |end| end.max(start + OWNER_TTL_MS)))
     }
 
+    fn has_promises(&self, required: &[&EntryMember], asked_after: ClockMillis) -> bool {
+        let held = |voter: &&EntryMember| {
+            instant_of(&self.promises, &voter.entry).is_some_and(|asked| asked >= asked_after)
+        };
+        required.iter().all(held)
+    }
+
     /// Tells whether candidates may become voters by a write asked for now.
     fn may_promote(&self, now: ClockMillis) -> bool {
         self.base.is_some_and(|base| now + PROMOTE_LEASE_MS < base + OWNER_TTL_MS)
@@ -238,11 +253,12 @@
         actions: &mut Vec<OwnerAction>,
     ) {
         self.note_alive(now, voter);
+        let is_cut_off = now.since(self.contact) >= HANDOVER_CONTACT_MS;
         let OwnerRole::Holder(state) = &mut self.role else { return };
         let Some(asked) = state.take_ask(token, voter) else { return };
         if given {
             set_instant(&mut state.promises, voter, asked);
-        } else if state.failures >= AWAY_FAILURES && state.acquired && state.offer.is_none() {
+        } else if is_cut_off && state.acquired && state.offer.is_none() {
             let target = self.other_voters().find(|known| known.entry == *voter).cloned();
             if let Some(target) = target.filter(|_| self.lease(now).is_some()) {
                 self.offer_to(now, target, actions);
@@ -318,7 +334,10 @@
             return;
         }
         let authority = state.authority;
-        let voters: Vec<EntryMember> = self.required_voters(state).into_iter().cloned().collect();
+        let required = self.required_voters(state);
+        let has_all = state.has_promises(&required, now - PROMISE_TTL_MS / 2);
+        let pause = if has_all { PROMISE_ASK_MS } else { PROMISE_RETRY_MS };
+        let voters: Vec<EntryMember> = required.into_iter().cloned().collect();
         for voter in voters {
             let token = self.token();
             let ask = PromiseAsk { token, voter: voter.entry.clone(), asked: now };
@@ -329,7 +348,7 @@
             actions.push(OwnerAction::AskPromise { token, voter, authority, ttl_ms });
         }
         if let OwnerRole::Holder(state) = &mut self.role {
-            state.next_ask = now + PROMISE_ASK_MS;
+            state.next_ask = now + pause;
             state.asks.retain(|ask| now.since(ask.asked) < PROMISE_TTL_MS);
         }
     }
--- a/crates/coord/src/owner/machine.rs
+++ b/crates/coord/src/owner/machine.rs
@@ -61,7 +61,7 @@
     /// Highest authority seen in the row, in a promise or held.
     pub(super) highest: OwnerAuthority,
     /// When the platform last answered.
-    contact: ClockMillis,
+    pub(super) contact: ClockMillis,
     pub(super) next_call: ClockMillis,
     next_token: CallToken,
     renewal: u64,
--- /dev/null
+++ b/crates/coord/tests/allotment.rs
@@ -0,0 +1,363 @@
+//! Guards against teams that run more than their limit across domains.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use coord::allotment::{self, AllotmentBook, AllotmentNeed, AllotmentView, RowResult, RowWrite};
+use coord::row::AllotmentRow;
+use model::name::{DomainName, TeamName};
+use model::resource::ResourceAmounts;
+use proptest::collection;
+use proptest::prelude::*;
+use proptest::test_runner::Config;
+
+fn cpu(cpu_millis: u64) -> ResourceAmounts {
+    ResourceAmounts { cpu_millis, ..ResourceAmounts::ZERO }
+}
+
+fn amounts(entries: &[(&str, u64)]) -> BTreeMap<DomainName, ResourceAmounts> {
+    entries.iter().map(|(name, amount)| (DomainName::from(*name), cpu(*amount))).collect()
+}
+
+/// Runs one step of domain `a`; checks that a second step changes nothing.
+fn step(
+    limit: u64,
+    capacities: &[(&str, u64)],
+    (used, wanted): (u64, u64),
+    row: Option<(&[(&str, u64)], &[(&str, u64)])>,
+) -> (u64, Option<AllotmentRow>, bool) {
+    let (domain, capacities) = (DomainName::from("a"), amounts(capacities));
+    let row = row.map(|(domains, wanted)| AllotmentRow {
+        domains: amounts(domains),
+        wanted: amounts(wanted),
+        limit: None,
+    });
+    let view = AllotmentView {
+        domain: &domain,
+        limit: cpu(limit),
+        capacities: &capacities,
+        used: cpu(used),
+        wanted: cpu(wanted),
+        row: row.as_ref(),
+    };
+    let first = allotment::next_step(&view);
+    if let Some(written) = &first.write {
+        let again = allotment::next_step(&AllotmentView { row: Some(written), ..view });
+        assert_eq!(again.write, None, "not idempotent");
+    }
+    (first.usable.cpu_millis, first.write, first.in_force)
+}
+
+fn row(domains: &[(&str, u64)], wanted: &[(&str, u64)]) -> AllotmentRow {
+    AllotmentRow { domains: amounts(domains), wanted: amounts(wanted), limit: None }
+}
+
+/// Guards against a first split above the limit and against use before it is written.
+#[test]
+fn first_split_follows_capacity() {
+    let capacities = [("a", 300), ("b", 200), ("c", 200)];
+    let split = row(&[("a", 42), ("b", 28), ("c", 28)], &[]);
+    assert_eq!(step(100, &capacities, (0, 0), None), (0, Some(split), true));
+}
+
+/// Guards against moves that exceed the sum, the chunk or what the giver needs.
+#[test]
+fn demand_moves_chunks() {
+    let capacities = [("a", 1), ("b", 1)];
+    let take = step(160, &capacities, (50, 3), Some((&[("a", 50), ("b", 60)], &[])));
+    assert_eq!(take, (50, Some(row(&[("a", 60), ("b", 60)], &[])), true));
+    let mark = step(160, &capacities, (80, 30), Some((&[("a", 80), ("b", 70)], &[])));
+    assert_eq!(mark, (80, Some(row(&[("a", 90), ("b", 70)], &[("a", 10)])), true));
+    let give = step(160, &capacities, (50, 0), Some((&[("a", 90), ("b", 70)], &[("b", 10)])));
+    assert_eq!(give, (80, Some(row(&[("a", 80), ("b", 70)], &[("b", 10)])), true));
+    let short = step(160, &capacities, (80, 6), Some((&[("a", 90), ("b", 70)], &[("b", 10)])));
+    assert_eq!(short, (86, Some(row(&[("a", 86), ("b", 70)], &[("b", 10)])), true));
+    let enough = step(160, &capacities, (50, 0), Some((&[("a", 80), ("b", 70)], &[("b", 10)])));
+    assert_eq!(enough, (80, None, true));
+}
+
+/// Guards against a lowered limit that is reported in force while work above it
+/// runs, or whose row falls before the use.
+#[test]
+fn lowered_limit_waits_for_the_use() {
+    let capacities = [("a", 1), ("b", 1)];
+    let entries: &[(&str, u64)] = &[("a", 60), ("b", 40)];
+    assert_eq!(step(50, &capacities, (60, 0), Some((entries, &[]))), (25, None, false));
+    let lowered = Some(row(&[("a", 25), ("b", 40)], &[]));
+    assert_eq!(step(50, &capacities, (25, 0), Some((entries, &[]))), (25, lowered, false));
+    let fits: &[(&str, u64)] = &[("a", 25), ("b", 25)];
+    assert!(!step(50, &capacities, (26, 0), Some((fits, &[]))).2);
+    assert!(step(50, &capacities, (25, 0), Some((fits, &[]))).2);
+}
+
+/// Guards against reuse of the entry of a domain that is out.
+#[test]
+fn absent_domain_keeps_its_entry() {
+    let entries: &[(&str, u64)] = &[("a", 50), ("b", 50)];
+    let marked = Some(row(entries, &[("a", 6)]));
+    assert_eq!(step(100, &[("a", 1)], (50, 9), Some((entries, &[]))), (50, marked, true));
+    assert_eq!(step(100, &[("b", 1)], (9, 0), Some((entries, &[]))), (0, None, true));
+    let left = Some(row(&[("b", 50)], &[]));
+    assert_eq!(step(100, &[("b", 1)], (0, 0), Some((entries, &[]))), (0, left, true));
+}
+
+/// Guards against a bound on teams that have no limit.
+#[test]
+fn team_without_limit_needs_no_row() {
+    let (team, capacities) = (TeamName::from("t"), amounts(&[("a", 1)]));
+    let mut book = AllotmentBook::new(DomainName::from("a"));
+    let limit = ResourceAmounts::UNLIMITED;
+    let need = AllotmentNeed { limit, capacities: &capacities, used: cpu(5), wanted: cpu(5) };
+    assert_eq!(book.plan(&team, &need), None);
+    assert_eq!((book.usable(&team), book.needs_read(&team)), (limit, false));
+    assert_eq!(book.plan(&team, &AllotmentNeed { limit: cpu(9), ..need }), None);
+    assert_eq!((book.usable(&team), book.needs_read(&team)), (cpu(0), true));
+}
+
+/// One thing that happens to one domain.
+#[derive(Clone, Debug)]
+enum DomainStep {
+    Want(u64),
+    Start(u64),
+    End(u64),
+    Plan,
+    Read,
+    /// Lets a write under way reach the platform; the reply may be lost.
+    Deliver {
+        pick: usize,
+        replied: bool,
+    },
+    /// Reports no reply while the write may still be under way.
+    GiveUp,
+    NewOwner,
+    HandOver,
+    Adopt,
+}
+
+/// A step of the whole cell.
+#[derive(Clone, Debug)]
+enum CellStep {
+    Domain(usize, DomainStep),
+    Configure { limit: u64, out: Option<usize> },
+}
+
+struct Owner {
+    book: AllotmentBook,
+    config: usize,
+    confirmed: usize,
+    used: u64,
+    wanted: u64,
+    /// Number of the write that the book waits for.
+    sent: Option<u64>,
+}
+
+struct WriteUnderWay {
+    domain: usize,
+    number: u64,
+    write: RowWrite,
+}
+
+/// Several domains, the row, and writes under way.
+struct Cell {
+    team: TeamName,
+    names: Vec<DomainName>,
+    owners: Vec<Owner>,
+    configs: Vec<(u64, BTreeMap<DomainName, ResourceAmounts>)>,
+    version: u64,
+    row: Option<AllotmentRow>,
+    writes: Vec<WriteUnderWay>,
+    number: u64,
+}
+
+impl Cell {
+    fn new(size: usize, limit: u64) -> Self {
+        let names: Vec<_> = (0..size).map(|index| DomainName::from(format!("d{index}"))).collect();
+        let owner = |name: &DomainName| Owner {
+            book: AllotmentBook::new(name.clone()),
+            config: 0,
+            confirmed: 0,
+            used: 0,
+            wanted: 0,
+            sent: None,
+        };
+        let owners = names.iter().map(owner).collect();
+        let capacities = names.iter().zip(1..).map(|(name, part)| (name.clone(), cpu(part)));
+        let configs = vec![(limit, capacities.collect())];
+        let team = TeamName::from("t");
+        Self { team, names, owners, configs, version: 0, row: None, writes: Vec::new(), number: 0 }
+    }
+
+    fn apply(&mut self, step: &CellStep) {
+        match step {
+            CellStep::Configure { limit, out } => {
+                let mut capacities = self.configs[0].1.clone();
+                capacities
+                    .retain(|name, _| out.is_none_or(|out| self.names.get(out) != Some(name)));
+                self.configs.push((*limit, capacities));
+            }
+            CellStep::Domain(index, step) => self.apply_to(index % self.names.len(), step),
+        }
+    }
+
+    fn apply_to(&mut self, index: usize, step: &DomainStep) {
+        let (team, newest) = (self.team.clone(), self.configs.len() - 1);
+        let owner = &mut self.owners[index];
+        match *step {
+            DomainStep::Want(wanted) => owner.wanted = wanted,
+            DomainStep::Start(amount) => {
+                let free = owner.book.usable(&team).cpu_millis.saturating_sub(owner.used);
+                let started = amount.min(free).min(owner.wanted);
+                owner.used += started;
+                owner.wanted -= started;
+            }
+            DomainStep::End(amount) => owner.used = owner.used.saturating_sub(amount),
+            DomainStep::Plan => self.plan(index),
+            DomainStep::Read => owner.book.read(&team, self.version, self.row.clone()),
+            DomainStep::Deliver { pick, replied } => self.deliver(pick, replied),
+            DomainStep::GiveUp if owner.sent.is_some() => {
+                owner.sent = None;
+                owner.book.written(&team, RowResult::Unknown);
+            }
+            DomainStep::GiveUp => {}
+            DomainStep::NewOwner | DomainStep::HandOver => {
+                owner.sent = None;
+                let empty = AllotmentBook::new(self.names[index].clone());
+                let is_new = matches!(step, DomainStep::NewOwner);
+                owner.book = if is_new { empty } else { owner.book.handed_over() };
+            }
+            DomainStep::Adopt => {
+                owner.config = newest;
+                self.plan(index);
+            }
+        }
+    }
+
+    fn plan(&mut self, index: usize) {
+        let owner = &mut self.owners[index];
+        let (limit, capacities) = &self.configs[owner.config];
+        let (used, wanted) = (cpu(owner.used), cpu(owner.wanted));
+        let need = AllotmentNeed { limit: cpu(*limit), capacities, used, wanted };
+        if let Some(write) = owner.book.plan(&self.team, &need) {
+            self.number += 1;
+            owner.sent = Some(self.number);
+            self.writes.push(WriteUnderWay { domain: index, number: self.number, write });
+        }
+        if owner.book.in_force(&self.team) {
+            owner.confirmed = owner.config;
+        }
+    }
+
+    fn deliver(&mut self, pick: usize, replied: bool) {
+        if self.writes.is_empty() {
+            return;
+        }
+        let WriteUnderWay { domain, number, write } = self.writes.remove(pick % self.writes.len());
+        let result = if write.version == self.version {
+            self.version += 1;
+            self.row = Some(write.row);
+            RowResult::Committed { version: self.version }
+        } else {
+            RowResult::Conflict { version: self.version, row: self.row.clone() }
+        };
+        let owner = &mut self.owners[domain];
+        if owner.sent == Some(number) {
+            owner.sent = None;
+            owner.book.written(&self.team, if replied { result } else { RowResult::Unknown });
+        }
+    }
+
+    /// Checks that what domains run or may run fits the limits that may be in force.
+    fn check(&self) -> Result<(), String> {
+        let accepted = self.owners.iter().map(|owner| owner.confirmed).min().unwrap_or(0);
+        let limit = self.configs[accepted..].iter().map(|config| config.0).max().unwrap_or(0);
+        let may_use = |owner: &Owner| owner.used.max(owner.book.usable(&self.team).cpu_millis);
+        let sum: u64 = self.owners.iter().map(may_use).sum();
+        if sum > limit {
+            Err(format!("{sum} in use of {limit}, row {:?}", self.row))
+        } else {
+            Ok(())
+        }
+    }
+
+    /// Runs without faults until nothing changes; checks that no demand waits beside free limit.
+    fn settle(&mut self) -> Result<(), String> {
+        for _ in 0..40 * self.names.len() {
+            for index in 0..self.names.len() {
+                while !self.writes.is_empty() {
+                    self.deliver(0, true);
+                }
+                self.apply_to(index, &DomainStep::GiveUp);
+                self.apply_to(index, &DomainStep::Read);
+                self.apply_to(index, &DomainStep::Adopt);
+                let owner = &mut self.owners[index];
+                if owner.book.is_settled(&self.team) {
+                    owner.used = owner.used.min(owner.book.usable(&self.team).cpu_millis);
+                }
+                self.check()?;
+            }
+        }
+        let newest = self.configs.len() - 1;
+        let (limit, capacities) = &self.configs[newest];
+        let entry =
+            |index: usize| allotment::entry_of(self.row.as_ref(), &self.names[index]).cpu_millis;
+        let present: BTreeSet<usize> = (0..self.names.len())
+            .filter(|index| capacities.contains_key(&self.names[*index]))
+            .collect();
+        let sum: u64 = (0..self.names.len()).map(entry).sum();
+        let spare = |index: &usize| {
+            entry(*index).saturating_sub(self.owners[*index].used + self.owners[*index].wanted)
+        };
+        let waits =
+            present.iter().any(|i| self.owners[*i].used + self.owners[*i].wanted > entry(*i));
+        let is_free = sum < *limit || present.iter().any(|index| spare(index) > 0);
+        if self.owners.iter().any(|owner| owner.confirmed != newest) {
+            return Err("the last limit did not come into force".to_owned());
+        }
+        if waits && is_free { Err(format!("demand waits: {:?}", self.row)) } else { Ok(()) }
+    }
+}
+
+fn any_step() -> impl Strategy<Value = CellStep> {
+    let step = prop_oneof![
+        2 => (0_u64..200).prop_map(DomainStep::Want),
+        3 => (1_u64..80).prop_map(DomainStep::Start),
+        2 => (1_u64..80).prop_map(DomainStep::End),
+        6 => Just(DomainStep::Plan),
+        4 => Just(DomainStep::Read),
+        6 => (0_usize..8, any::<bool>())
+            .prop_map(|(pick, replied)| DomainStep::Deliver { pick, replied }),
+        2 => Just(DomainStep::GiveUp),
+        1 => Just(DomainStep::NewOwner),
+        1 => Just(DomainStep::HandOver),
+        2 => Just(DomainStep::Adopt),
+    ];
+    prop_oneof![
+        24 => (0_usize..4, step).prop_map(|(domain, step)| CellStep::Domain(domain, step)),
+        1 => (0_u64..300, proptest::option::of(0_usize..4))
+            .prop_map(|(limit, out)| CellStep::Configure { limit, out }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(Config { cases: cases(), failure_persistence: None, ..Config::default() })]
+
+    /// Guards against use above the limit under any interleaving of domains,
+    /// owners, lost replies and limit changes.
+    #[test]
+    fn use_fits_the_limit(
+        size in 1_usize..5,
+        limit in 0_u64..300,
+        steps in collection::vec(any_step(), 0..300),
+    ) {
+        let mut cell = Cell::new(size, limit);
+        for step in &steps {
+            cell.apply(step);
+            cell.check().map_err(TestCaseError::fail)?;
+        }
+        cell.settle().map_err(TestCaseError::fail)?;
+    }
+}
+
+/// Number of cases; `COORD_CASES` raises it for long runs.
+fn cases() -> u32 {
+    std::env::var("COORD_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(512)
+}
--- a/crates/coord/tests/owner_property.rs
+++ b/crates/coord/tests/owner_property.rs
@@ -71,6 +71,45 @@
     }
 }
 
+/// Returns the milliseconds without a lease within 20 s after some faults hit the holder.
+fn gap_after(seed: u64, faults: impl Fn(usize) -> Vec<ClusterFault>) -> u64 {
+    let mut cluster = Cluster::new(seed, 3);
+    cluster.run(8_000).expect("healthy");
+    let holder = cluster.holder_slot().expect("a holder");
+    let held = cluster.held_ms;
+    for fault in faults(holder) {
+        cluster.apply(&fault);
+    }
+    cluster.run(20_000).unwrap_or_else(|fault| panic!("{fault}\n{}", cluster.trace.join("\n")));
+    20_000 - (cluster.held_ms - held)
+}
+
+/// Guards against a killed owner that is replaced too late for the 5 s target.
+#[test]
+fn killed_owner_is_replaced_in_time() {
+    let gap = |seed| gap_after(seed, |slot| vec![ClusterFault::Kill { slot, pause: 60_000 }]);
+    let worst = (0..100).map(gap).max();
+    println!("longest gap after a kill: {worst:?} ms");
+    assert!(worst <= Some(2_800), "{worst:?}");
+}
+
+/// Guards against gaps while the holder or the whole domain is cut off, or drains.
+#[test]
+fn cut_off_domain_keeps_its_lease() {
+    let millis = 18_000;
+    let cases: [fn(usize) -> ClusterFault; 4] = [
+        |slot| ClusterFault::CutOne { slot, millis: 18_000 },
+        |_| ClusterFault::CutAll { millis: 18_000 },
+        |slot| ClusterFault::Isolate { slot, millis: 18_000 },
+        |slot| ClusterFault::Drain { slot, pause: 500 },
+    ];
+    for case in cases {
+        let worst = (0..50).map(|seed| gap_after(seed, |slot| vec![case(slot)])).max();
+        println!("longest gap after {:?}: {worst:?} ms, cut for {millis} ms", case(0));
+        assert!(worst <= Some(100), "{:?}: {worst:?}", case(0));
+    }
+}
+
 /// Number of cases; `COORD_CASES` raises it for long runs.
 fn cases() -> u32 {
     std::env::var("COORD_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(192)
