--- a/testing/scenario/src/check/answer.rs
+++ b/testing/scenario/src/check/answer.rs
@@ -9,7 +9,7 @@
 use super::Violation;
 use super::timeline::{ConfigChange, ConfigTimeline};
 use super::work::{WorkId, WorkRun};
-use crate::record::RunHistory;
+use crate::record::{RunHistory, RunnerEvent, RunnerRecord};
 
 /// The records of one request or job in the callers' history.
 #[derive(Default)]
@@ -34,28 +34,47 @@
     traces
 }
 
-/// Returns the team for which a sending could be accepted under one configuration.
-fn permitted_team<'a>(change: &'a ConfigChange<'_>, event: &CallerEvent) -> Option<&'a TeamName> {
-    let CallerEvent::Sent { key, queue, .. } = event else { return None };
-    let (team, open) = change.queue_team(queue)?;
-    let key_team = key.as_ref().and_then(|key| change.key_team(key));
-    (open || key_team == Some(team)).then_some(team)
+/// Decides which sendings could be accepted under the configurations of their time.
+struct KeyRules<'a> {
+    timeline: &'a ConfigTimeline<'a>,
+    /// Queues of jobs, which the callers' history does not have.
+    job_queues: BTreeMap<&'a str, &'a str>,
 }
 
-/// Tells whether a sending could be accepted, for `team` if that is given.
-fn is_permitted(
-    timeline: &ConfigTimeline<'_>,
-    record: &CallerRecord,
-    team: Option<&TeamName>,
-) -> bool {
-    timeline.possible(record.at_us).iter().any(|change| match &record.event {
-        CallerEvent::JobSent { key, .. } => team
-            .is_some_and(|team| change.key_team(key) == Some(team) || change.has_open_queue(team)),
-        event => {
-            let permitted = permitted_team(change, event);
+impl<'a> KeyRules<'a> {
+    fn new(history: &'a RunHistory, timeline: &'a ConfigTimeline<'a>) -> Self {
+        let job_queue = |record: &'a RunnerRecord| match &record.event {
+            RunnerEvent::JobVia { job, queue, .. } => Some((job.as_str(), queue.as_str())),
+            _ => None,
+        };
+        Self { timeline, job_queues: history.runner.iter().filter_map(job_queue).collect() }
+    }
+
+    /// Returns the team for which a sending could be accepted under one configuration.
+    fn permitted_team<'b>(
+        &self,
+        change: &'b ConfigChange<'_>,
+        event: &CallerEvent,
+    ) -> Option<&'b TeamName> {
+        let (key, queue) = match event {
+            CallerEvent::Sent { key, queue, .. } => (key.as_deref(), queue.as_str()),
+            CallerEvent::JobSent { key, job, .. } => {
+                (Some(key.as_str()), *self.job_queues.get(job.as_str())?)
+            }
+            _ => return None,
+        };
+        let (team, open) = change.queue_team(queue)?;
+        let key_team = key.and_then(|key| change.key_team(key));
+        (open || key_team == Some(team)).then_some(team)
+    }
+
+    /// Tells whether a sending could be accepted, for `team` if that is given.
+    fn is_permitted(&self, record: &CallerRecord, team: Option<&TeamName>) -> bool {
+        self.timeline.possible(record.at_us).iter().any(|change| {
+            let permitted = self.permitted_team(change, &record.event);
             permitted.is_some() && (team.is_none() || permitted == team)
-        }
-    })
+        })
+    }
 }
 
 /// Promise 3: work is accepted only for the team whose key came with it.
@@ -65,6 +84,7 @@
     runs: &[WorkRun<'_>],
 ) -> Vec<Violation> {
     let traces = collect_traces(&history.callers);
+    let rules = KeyRules::new(history, timeline);
     let mut violations = Vec::new();
     for run in runs {
         let id = match &run.id {
@@ -72,7 +92,7 @@
             WorkId::Request(request) => request.as_str(),
         };
         let sent = traces.get(id).map(|trace| trace.sent.as_slice()).unwrap_or_default();
-        if !sent.iter().any(|record| is_permitted(timeline, record, Some(run.team))) {
+        if !sent.iter().any(|record| rules.is_permitted(record, Some(run.team))) {
             let message = format!("{id} ran for team {} without a valid key", run.team);
             let violation = Violation::new(3, run.start, message).with_record(run.record);
             let add = |violation: Violation, record: &&CallerRecord| violation.with_record(*record);
@@ -82,7 +102,7 @@
     for (id, trace) in &traces {
         let answers = trace.received.iter().filter(|record| is_answered(record));
         for answer in answers {
-            if !trace.sent.iter().any(|record| is_permitted(timeline, record, None)) {
+            if !trace.sent.iter().any(|record| rules.is_permitted(record, None)) {
                 let message = format!("request {id} was answered without a valid key");
                 violations.push(Violation::new(3, answer.at_us, message).with_record(*answer));
             }
--- a/testing/scenario/src/check/timeline.rs
+++ b/testing/scenario/src/check/timeline.rs
@@ -42,11 +42,6 @@
         found.map(|object| (&object.team, object.open))
     }
 
-    /// Tells whether a team has a queue that needs no key.
-    pub fn has_open_queue(&self, team: &TeamName) -> bool {
-        self.objects.queues.iter().any(|queue| queue.open && queue.team == *team)
-    }
-
     fn is_out(&self, domain: &DomainName) -> bool {
         let found = self.objects.domains.iter().find(|object| object.name == *domain);
         found.is_some_and(|object| object.state == DomainState::Out)
--- a/testing/scenario/src/parse.rs
+++ b/testing/scenario/src/parse.rs
@@ -3,7 +3,7 @@
 //! The grammar is in `script.pest`. Names are resolved here, so that a
 //! misspelt domain or team is reported with its line before anything is run.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::str::FromStr;
 use std::time::Duration;
@@ -59,7 +59,12 @@
         let (line, column) = match error.line_col {
             LineColLocation::Pos(place) | LineColLocation::Span(place, _) => place,
         };
-        let error = error.renamed_rules(|rule| format!("{rule:?}").replace('_', " "));
+        let error = error.renamed_rules(|rule| match rule {
+            Rule::unit => "the unit `ms` or `s`".to_owned(),
+            Rule::bound_kind => "`least` or `most`".to_owned(),
+            Rule::ready => "`ready`".to_owned(),
+            _ => format!("{rule:?}").replace('_', " "),
+        });
         Self { line, column, text: error.to_string() }
     }
 }
@@ -142,7 +147,7 @@
     processes: BTreeSet<String>,
     faults: BTreeSet<String>,
     changes: BTreeSet<String>,
-    granted: BTreeSet<KeyName>,
+    granted: BTreeMap<KeyName, TeamName>,
 }
 
 impl ScriptBuilder {
@@ -284,8 +289,13 @@
         Ok(match pair.as_rule() {
             Rule::load => StepAction::Load(self.read_load(pair)?),
             Rule::job => StepAction::Job(self.read_job(pair)?),
-            Rule::wait_ready => StepAction::WaitReady(read_duration(only(pair))?),
+            Rule::wait_ready => {
+                let mut inner = pair.into_inner();
+                take(&mut inner);
+                StepAction::WaitReady(read_duration(take(&mut inner))?)
+            }
             Rule::wait => StepAction::Wait(read_duration(only(pair))?),
+            Rule::name_step => self.read_name(pair)?,
             Rule::signal => self.read_signal(pair)?,
             Rule::fault => StepAction::Fault(self.read_fault(pair)?),
             Rule::heal => self.read_heal(pair)?,
@@ -326,7 +336,7 @@
         };
         for part in inner {
             match part.as_rule() {
-                Rule::key_option => plan.key = Some(self.key(&only(part))?),
+                Rule::key_option => plan.key = Some(self.key_of(&plan.team, &only(part))?),
                 Rule::no_key => plan.key = None,
                 Rule::load_rate => plan.rate = read_positive(&only(only(part)))?,
                 Rule::run_option => plan.run = read_duration(only(part))?,
@@ -358,7 +368,7 @@
         };
         for part in inner {
             match part.as_rule() {
-                Rule::key_option => plan.key = self.key(&only(part))?,
+                Rule::key_option => plan.key = self.key_of(&plan.team, &only(part))?,
                 Rule::tasks => plan.tasks = read_positive(&only(part))?,
                 Rule::amount => read_amounts(&mut plan.amounts, part)?,
                 Rule::run_option => plan.run = read_duration(only(part))?,
@@ -368,6 +378,14 @@
         Ok(plan)
     }
 
+    fn read_name(&mut self, pair: Pair<'_, Rule>) -> ParseResult<StepAction> {
+        let mut inner = pair.into_inner();
+        let process = self.process(take(&mut inner))?;
+        let alias = only(take(&mut inner)).as_str().to_owned();
+        self.processes.insert(alias.clone());
+        Ok(StepAction::Name(process, alias))
+    }
+
     fn read_signal(&mut self, pair: Pair<'_, Rule>) -> ParseResult<StepAction> {
         let mut inner = pair.into_inner();
         let kind = match take(&mut inner).as_str() {
@@ -442,8 +460,9 @@
             Rule::withdraw => ConfigChange::Withdraw(self.key(&name)?),
             Rule::grant => {
                 let key = KeyName::from(name.as_str());
-                self.granted.insert(key.clone());
-                ConfigChange::Grant(key, self.team(&take(&mut inner))?)
+                let team = self.team(&take(&mut inner))?;
+                self.granted.insert(key.clone(), team.clone());
+                ConfigChange::Grant(key, team)
             }
             Rule::limit_change => ConfigChange::Limit(self.team(&name)?, read_limit(inner)?),
             Rule::share_change => {
@@ -581,10 +600,21 @@
     fn key(&self, pair: &Pair<'_, Rule>) -> ParseResult<KeyName> {
         let name = KeyName::from(pair.as_str());
         let known = self.cell().teams.iter().any(|team| team.keys.contains(&name))
-            || self.granted.contains(&name);
+            || self.granted.contains_key(&name);
         if known { Ok(name) } else { Err(fail(pair, "no team has a key of this name")) }
     }
 
+    fn key_of(&self, team: &TeamName, pair: &Pair<'_, Rule>) -> ParseResult<KeyName> {
+        let key = self.key(pair)?;
+        let mut layouts = self.cell().teams.iter();
+        let declared = layouts.any(|layout| layout.name == *team && layout.keys.contains(&key));
+        if declared || self.granted.get(&key) == Some(team) {
+            Ok(key)
+        } else {
+            Err(fail(pair, "the key belongs to another team"))
+        }
+    }
+
     fn first_key(&self, name: &TeamName) -> KeyName {
         let team = self.cell().teams.iter().find(|team| team.name == *name);
         team.and_then(|team| team.keys.first().cloned()).unwrap_or_default()
--- a/testing/scenario/src/record.rs
+++ b/testing/scenario/src/record.rs
@@ -79,6 +79,15 @@
         /// Name of the entry.
         entry: String,
     },
+    /// A job is about to be submitted through an entry.
+    JobVia {
+        /// The job.
+        job: String,
+        /// Name of the entry.
+        entry: String,
+        /// Queue that it is submitted to.
+        queue: String,
+    },
     /// A load began.
     LoadBegan {
         /// Number of the load.
--- a/testing/scenario/src/run/caller.rs
+++ b/testing/scenario/src/run/caller.rs
@@ -187,6 +187,11 @@
         run_ms: u64::try_from(plan.run.as_millis()).unwrap_or(u64::MAX),
         payload: json!({"run_ms": plan.run.as_millis()}),
     };
+    state.journal.runner(RunnerEvent::JobVia {
+        job: job.clone(),
+        entry: entry.name.clone(),
+        queue: plan.queue.to_string(),
+    });
     state.journal.caller(CallerEvent::JobSent {
         job: job.clone(),
         team: plan.team.clone(),
--- a/testing/scenario/src/run/step.rs
+++ b/testing/scenario/src/run/step.rs
@@ -28,6 +28,10 @@
         StepAction::Job(plan) => caller::spawn_job(state, plan.clone()),
         StepAction::Wait(duration) => time::sleep(*duration).await,
         StepAction::WaitReady(bound) => wait_ready(state, *bound).await?,
+        StepAction::Name(process, alias) => {
+            let name = state.resolve_process(process).await?;
+            state.aliases.borrow_mut().insert(alias.clone(), name);
+        }
         StepAction::Signal { kind, process, alias } => {
             let name = state.resolve_process(process).await?;
             let aliases = alias.iter().map(|alias| (alias.clone(), name.clone()));
--- a/testing/scenario/src/script.rs
+++ b/testing/scenario/src/script.rs
@@ -134,6 +134,8 @@
         /// Name by which later steps refer to the process.
         alias: Option<String>,
     },
+    /// Gives a name to the process that a place stands for now.
+    Name(ProcessRef, String),
     /// Makes the network misbehave.
     Fault(FaultPlan),
     /// Ends one named network fault, or all.
--- /dev/null
+++ b/testing/scenario/tests/checker.rs
@@ -0,0 +1,525 @@
+//! Shows that the checker finds each broken promise, and nothing in histories
+//! that only come close.
+
+mod story;
+
+use model::name::DomainName;
+use model::object::DomainState;
+use scenario::check;
+use story::{Story, accept, slots, task};
+use wire::history::WorkerEvent;
+use wire::worker::RefusalReason;
+
+/// Guards against a checker that finds fault with a faultless run.
+#[test]
+fn clean_history() {
+    let mut story = Story::new();
+    story.request(1000, "r1", "w1").request(1000, "r2", "w3");
+    story.job(2000, "j").task(2100, "j", 0, 1, "w1").task_end(2600, "j", 0, 1, "w1");
+    story.task(2700, "j", 0, 2, "w3").task_end(3000, "j", 0, 2, "w3");
+    story.started(500, "a-e1").observed(1000, "a-e1", 1).observed(9000, "a-e1", 1);
+    story.assert_broken(&[]);
+}
+
+/// Guards against a history that cannot be read and passes as a clean one.
+#[test]
+fn unreadable_history() {
+    let dir = Story::new().write();
+    std::fs::write(dir.path().join("worker-w9.jsonl"), "{}\n").expect("the file can be written");
+    let error = check::check_histories(dir.path()).expect_err("the record is not complete");
+    assert!(error.to_string().contains("worker-w9.jsonl:1:"), "{error}");
+}
+
+/// Guards against violations that do not show where they come from.
+#[test]
+fn violation_names_its_records() {
+    let mut story = Story::new();
+    story.job(1000, "j").task(1100, "j", 0, 1, "w1").task(1200, "j", 0, 2, "w2");
+    let violations = story.violations();
+    let text = violations[0].to_string();
+    assert!(text.starts_with("promise 2 broken at 1200000 us"), "{text}");
+    assert!(text.contains(r#""at_us":1100000"#) && text.contains(r#""at_us":1200000"#), "{text}");
+}
+
+mod promise_1 {
+    use super::*;
+
+    /// Guards against reserved amounts above a worker's capacity.
+    #[test]
+    fn amounts_above_capacity() {
+        let mut story = Story::new();
+        story.unlimited().job(1000, "j");
+        for index in 0..5 {
+            story.task(1100, "j", index, 1, "w1");
+        }
+        story.assert_broken(&[1]);
+    }
+
+    /// Guards against a check that counts tasks that have ended.
+    #[test]
+    fn ended_tasks_hold_nothing() {
+        let mut story = Story::new();
+        story.unlimited().job(1000, "j");
+        for index in 0..8 {
+            let at = 1100 + u64::from(index) * 100;
+            story.task(at, "j", index, 1, "w1").task_end(at + 50, "j", index, 1, "w1");
+        }
+        story.assert_broken(&[]);
+    }
+
+    /// Guards against more requests at once than a worker has slots.
+    #[test]
+    fn slots_above_capacity() {
+        let mut story = Story::new();
+        story.unlimited();
+        for request in ["r1", "r2", "r3", "r4", "r5"] {
+            story.sent(1000, request).run(1100, request, 1, "w1").end(1200, request, 1, "w1");
+            story.answered(1300, request);
+        }
+        story.assert_broken(&[1]);
+    }
+
+    /// Guards against more connections than a worker accepts.
+    #[test]
+    fn connections_above_bound() {
+        let mut story = Story::new();
+        story.sent(1000, "r1");
+        story.worker(
+            1100,
+            "w1",
+            WorkerEvent::RequestStarted {
+                request: "r1".to_owned(),
+                attempt: 1,
+                team: "north".into(),
+                connections: 9,
+                slots_used: 1,
+            },
+        );
+        story.end(1200, "r1", 1, "w1").answered(1300, "r1");
+        story.assert_broken(&[1]);
+    }
+}
+
+mod promise_2 {
+    use super::*;
+
+    /// Guards against a task that is started elsewhere while it still runs.
+    #[test]
+    fn overlapping_attempts() {
+        let mut story = Story::new();
+        story.job(1000, "j").task(1100, "j", 0, 1, "w1").task(1500, "j", 0, 2, "w2");
+        story.task_end(1600, "j", 0, 1, "w1").task_end(1700, "j", 0, 2, "w2");
+        story.assert_broken(&[2]);
+    }
+
+    /// Guards against a check that compares only neighbouring runs.
+    #[test]
+    fn long_run_overlaps_a_later_one() {
+        let mut story = Story::new();
+        story.unlimited().job(1000, "j").task(1100, "j", 0, 1, "w1");
+        story.task(1200, "j", 0, 2, "w2").task_end(1300, "j", 0, 2, "w2");
+        story.task(1400, "j", 0, 3, "w3").task_end(1500, "j", 0, 3, "w3");
+        story.task_end(1600, "j", 0, 1, "w1");
+        assert_eq!(story.violations().len(), 2);
+        story.assert_broken(&[2]);
+    }
+
+    /// Guards against a check that takes tasks of a killed worker for running ones.
+    #[test]
+    fn killed_worker_runs_nothing() {
+        let mut story = Story::new();
+        story.job(1000, "j").task(1100, "j", 0, 1, "w1").kill(1200, "w1");
+        story.task(9700, "j", 0, 2, "w2");
+        story.assert_broken(&[]);
+    }
+
+    /// Guards against a check that takes tasks of a stopped process for running
+    /// ones, and against one that lets them run on after it is resumed.
+    #[test]
+    fn paused_worker_runs_nothing() {
+        for (end, broken) in [(12_100, &[][..]), (13_000, &[2][..])] {
+            let mut story = Story::new();
+            story.job(1000, "j").task(1100, "j", 0, 1, "w1").pause(2000, "w1");
+            story.task(11_000, "j", 0, 2, "w2").resume(12_000, "w1");
+            story.task_end(end, "j", 0, 1, "w1").task_end(14_000, "j", 0, 2, "w2");
+            story.assert_broken(broken);
+        }
+    }
+}
+
+mod promise_3 {
+    use super::*;
+
+    /// Guards against a request that runs with a key of another team.
+    #[test]
+    fn key_of_another_team() {
+        let mut story = Story::new();
+        story.sent_with(1000, "r1", Some("south-key"), "sheets", true);
+        story.run(1100, "r1", 1, "w1").end(1200, "r1", 1, "w1").status(1300, "r1", 502);
+        story.assert_broken(&[3]);
+    }
+
+    /// Guards against a request without a key that runs and is answered.
+    #[test]
+    fn no_key() {
+        let mut story = Story::new();
+        story.sent_with(1000, "r1", None, "sheets", true);
+        story.run(1100, "r1", 1, "w1").end(1200, "r1", 1, "w1").answered(1300, "r1");
+        assert_eq!(story.violations().len(), 2);
+        story.assert_broken(&[3]);
+    }
+
+    /// Guards against a check that finds fault with queues open to all.
+    #[test]
+    fn open_queue_needs_no_key() {
+        let mut story = Story::new();
+        story.sent_with(1000, "r1", None, "open", true);
+        story.run(1100, "r1", 1, "w1").end(1200, "r1", 1, "w1").answered(1300, "r1");
+        story.assert_broken(&[]);
+    }
+
+    /// Guards against a key that works more than 5 s after its withdrawal was
+    /// accepted, and against a check that finds fault before that.
+    #[test]
+    fn withdrawn_key() {
+        for (sent, broken) in [(7000, &[][..]), (7200, &[3][..])] {
+            let mut story = Story::new();
+            story.change(2000, "c2", |set| set.keys.retain(|key| key.name.as_str() != "north-key"));
+            accept(&mut story, 2100, "c2", 2);
+            story.request(sent, "r1", "w1");
+            story.assert_broken(broken);
+        }
+    }
+
+    /// Guards against a check that takes a pending withdrawal for an accepted one.
+    #[test]
+    fn pending_withdrawal() {
+        let mut story = Story::new();
+        story.change(2000, "c2", |set| set.keys.clear()).reply(2100, "c2", 202, 2);
+        story.request(60_000, "r1", "w1");
+        story.assert_broken(&[]);
+    }
+
+    /// Guards against a job that runs with a withdrawn key.
+    #[test]
+    fn job_with_withdrawn_key() {
+        let mut story = Story::new();
+        story.change(2000, "c2", |set| set.keys.clear());
+        accept(&mut story, 2100, "c2", 2);
+        story.job(8000, "j").task(8100, "j", 0, 1, "w1");
+        story.assert_broken(&[3]);
+    }
+
+    /// Guards against work that nobody sent.
+    #[test]
+    fn work_of_nobody() {
+        let mut story = Story::new();
+        story.run(1000, "r1", 1, "w1").end(1100, "r1", 1, "w1");
+        story.assert_broken(&[3]);
+    }
+}
+
+mod promise_4 {
+    use super::*;
+
+    /// Guards against a team that is above its limit over all workers though not
+    /// on any single one.
+    #[test]
+    fn above_limit_over_all_workers() {
+        let mut story = Story::new();
+        story.job(1000, "j").task(1100, "j", 0, 1, "w1").task(1100, "j", 1, 1, "w2");
+        story.task(1100, "j", 2, 1, "w3").task(1200, "j", 3, 1, "w3");
+        story.assert_broken(&[4]);
+    }
+
+    /// Guards against a check that leaves out the slots of requests.
+    #[test]
+    fn slots_above_limit() {
+        let mut story = Story::new();
+        for (request, worker) in [("r1", "w1"), ("r2", "w2"), ("r3", "w3"), ("r4", "w3")] {
+            story.sent(1000, request).run(1100, request, 1, worker).end(1200, request, 1, worker);
+            story.answered(1300, request);
+        }
+        story.assert_broken(&[4]);
+    }
+
+    /// Guards against work above a lowered limit that goes on more than 5 s after
+    /// its acceptance, and against a check that finds fault before that.
+    #[test]
+    fn lowered_limit() {
+        for (end, broken) in [(7000, &[][..]), (9000, &[4][..])] {
+            let mut story = Story::new();
+            story.job(1000, "j").task(1100, "j", 0, 1, "w1").task(1100, "j", 1, 1, "w2");
+            story.change(2000, "c2", |set| set.limits[0].amounts = slots(1, 1000));
+            accept(&mut story, 2100, "c2", 2);
+            story.task_end(1500, "j", 0, 1, "w1").task_end(end, "j", 1, 1, "w2");
+            story.task(1600, "j", 2, 1, "w1").task_end(end, "j", 2, 1, "w1");
+            story.assert_broken(broken);
+        }
+    }
+
+    /// Guards against a check that finds fault with work under a limit that was
+    /// raised but not yet accepted, and with one that was refused.
+    #[test]
+    fn raised_limit() {
+        for (status, broken) in [(202, &[][..]), (409, &[4][..])] {
+            let mut story = Story::new();
+            story.change(2000, "c2", |set| set.limits[0].amounts = slots(9, 9000));
+            story.reply(2100, "c2", status, if status == 202 { 2 } else { 0 });
+            story.job(2200, "j");
+            for (index, worker) in [(0, "w1"), (1, "w2"), (2, "w3"), (3, "w3")] {
+                story.task(2300, "j", index, 1, worker);
+            }
+            story.assert_broken(broken);
+        }
+    }
+}
+
+mod promise_5 {
+    use super::*;
+
+    fn set_state(set: &mut model::object::ObjectSet, state: DomainState) {
+        let domain = set.domains.iter_mut().find(|it| it.name == DomainName::from("a"));
+        domain.expect("the set has domain a").state = state;
+    }
+
+    /// Guards against starts in a domain more than 5 s after it was taken out,
+    /// and against a check that finds fault before that or in other domains.
+    #[test]
+    fn start_in_domain_that_is_out() {
+        let cases = [(7000, "w1", &[][..]), (7200, "w1", &[5][..]), (7200, "w3", &[][..])];
+        for (at, worker, broken) in cases {
+            let mut story = Story::new();
+            story.change(2000, "c2", |set| set_state(set, DomainState::Out));
+            accept(&mut story, 2100, "c2", 2);
+            story.job(1000, "j").task(at, "j", 0, 1, worker);
+            story.assert_broken(broken);
+        }
+    }
+
+    /// Guards against requests in a domain that is out, and against a check that
+    /// is misled by a later change that leaves the domain out.
+    #[test]
+    fn request_in_domain_that_is_out() {
+        let mut story = Story::new();
+        story.change(2000, "c2", |set| set_state(set, DomainState::Out));
+        accept(&mut story, 2100, "c2", 2);
+        story.change(3000, "c3", |set| set_state(set, DomainState::Out)).reply(3100, "c3", 202, 3);
+        story.request(7200, "r1", "w1");
+        story.assert_broken(&[5]);
+    }
+
+    /// Guards against a check that finds fault after the domain was sent back in.
+    #[test]
+    fn start_after_domain_is_back() {
+        let mut story = Story::new();
+        story.change(2000, "c2", |set| set_state(set, DomainState::Out));
+        accept(&mut story, 2100, "c2", 2);
+        story.change(9000, "c3", |set| set_state(set, DomainState::In));
+        story.request(9100, "r1", "w1");
+        story.assert_broken(&[]);
+    }
+}
+
+mod promise_6 {
+    use super::*;
+
+    /// Guards against an answer that differs from what the worker gave.
+    #[test]
+    fn other_digest() {
+        let mut story = Story::new();
+        story.sent(1000, "r1").run(1100, "r1", 1, "w1").end(1200, "r1", 1, "w1");
+        story.digest(1300, "r1", "digest of r2");
+        story.assert_broken(&[6]);
+    }
+
+    /// Guards against an answer of another request, which the caller marks.
+    #[test]
+    fn body_of_another_request() {
+        let mut story = Story::new();
+        story.sent(1000, "r1").run(1100, "r1", 1, "w1").end(1200, "r1", 1, "w1");
+        story.digest(1300, "r1", "");
+        story.assert_broken(&[6]);
+    }
+
+    /// Guards against an answer to a request that never ended on a worker.
+    #[test]
+    fn answer_from_nowhere() {
+        let mut story = Story::new();
+        story.sent(1000, "r1").answered(1300, "r1");
+        story.assert_broken(&[6]);
+    }
+}
+
+mod promise_7 {
+    use super::*;
+
+    /// Guards against a refusal as not run of a request that ran.
+    #[test]
+    fn refused_but_run() {
+        let mut story = Story::new();
+        story.request_run(1000, "r1", "w1").status(1300, "r1", 503);
+        story.assert_broken(&[7]);
+    }
+
+    /// Guards against a check that finds fault with a refusal of a second sending
+    /// whose first one ran, and with refusals of what did not run.
+    #[test]
+    fn refused_after_a_run() {
+        let mut story = Story::new();
+        story.request_run(1000, "r1", "w1").status(1300, "r1", 0);
+        story.sent(1500, "r1").status(1600, "r1", 503);
+        story.sent(2000, "r2").status(2100, "r2", 503);
+        story.assert_broken(&[]);
+    }
+}
+
+mod promise_8 {
+    use super::*;
+
+    /// Guards against a non-idempotent request that runs twice, and against a
+    /// check that finds fault with an idempotent one.
+    #[test]
+    fn run_twice() {
+        for (idempotent, broken) in [(true, &[][..]), (false, &[8][..])] {
+            let mut story = Story::new();
+            story.sent_with(1000, "r1", Some("north-key"), "sheets", idempotent);
+            story.run(1100, "r1", 1, "w1").end(1200, "r1", 1, "w1");
+            story.run(1300, "r1", 2, "w3").end(1400, "r1", 2, "w3").answered(1500, "r1");
+            story.assert_broken(broken);
+        }
+    }
+}
+
+mod promise_9 {
+    use super::*;
+
+    /// Guards against work on a worker more than 5 s after it announced that it
+    /// leaves, and against a check that finds fault before that.
+    #[test]
+    fn work_on_leaving_worker() {
+        for (at, broken) in [(6900, &[][..]), (7100, &[9][..])] {
+            let mut story = Story::new();
+            story.worker(2000, "w1", WorkerEvent::Leaving).request(at, "r1", "w1");
+            story.job(at, "j").task(at, "j", 0, 1, "w1");
+            story.assert_broken(broken);
+        }
+    }
+
+    /// Guards against a check that misses work because the worker refused it.
+    #[test]
+    fn refused_by_leaving_worker() {
+        let mut story = Story::new();
+        let refused =
+            WorkerEvent::StartRefused { task: task("j", 0), reason: RefusalReason::Leaving };
+        story.worker(2000, "w1", WorkerEvent::Leaving).worker(8000, "w1", refused);
+        story.assert_broken(&[9]);
+    }
+}
+
+mod promise_10 {
+    use super::*;
+
+    /// Guards against a request that is interrupted by a planned stop of its entry.
+    #[test]
+    fn interrupted_by_stop() {
+        let mut story = Story::new();
+        story.via(1900, "r1", "a-e1").terminate(2000, "a-e1").status(2500, "r1", 0);
+        story.exit(3000, "a-e1", Some(0));
+        story.assert_broken(&[10]);
+    }
+
+    /// Guards against a request that is refused a connection before the process ended.
+    #[test]
+    fn refused_during_stop() {
+        let mut story = Story::new();
+        story.terminate(2000, "a-e1").via(2500, "r1", "a-e1").status(2600, "r1", 0);
+        story.exit(3000, "a-e1", Some(0));
+        story.assert_broken(&[10]);
+    }
+
+    /// Guards against a planned stop that ends as a crash.
+    #[test]
+    fn stop_with_other_code() {
+        let mut story = Story::new();
+        story.request(1000, "r1", "w1").terminate(2000, "a-e1").exit(3000, "a-e1", Some(101));
+        story.assert_broken(&[10]);
+    }
+
+    /// Guards against a check that finds fault with connections that were lost
+    /// through another entry, before or after the stop, or to a fault.
+    #[test]
+    fn other_interruptions() {
+        let mut story = Story::new();
+        story.via(1000, "r1", "a-e1").status(1100, "r1", 0);
+        story.via(1900, "r2", "a-e2").terminate(2000, "a-e1").status(2500, "r2", 0);
+        story.via(2600, "r3", "a-e1").pause(2650, "a-e2").status(2700, "r3", 0);
+        story.resume(2800, "a-e2").exit(3000, "a-e1", Some(0));
+        story.via(3100, "r4", "a-e1").status(3200, "r4", 0);
+        story.via(5000, "r5", "a-e2").terminate(5100, "a-e2").kill(5200, "a-e2");
+        story.status(5300, "r5", 0);
+        story.assert_broken(&[]);
+    }
+}
+
+mod promise_11 {
+    use super::*;
+
+    /// Guards against an entry that goes back to an earlier version.
+    #[test]
+    fn version_goes_down() {
+        let mut story = Story::new();
+        story.started(500, "a-e1").observed(1000, "a-e1", 3).observed(1500, "a-e1", 2);
+        story.assert_broken(&[11]);
+    }
+
+    /// Guards against a check that compares versions of two processes.
+    #[test]
+    fn restarted_entry_begins_again() {
+        let mut story = Story::new();
+        story.started(500, "a-e1").observed(1000, "a-e1", 1).kill(1100, "a-e1");
+        story.started(1200, "a-e1").observed(1500, "a-e1", 0).observed(3000, "a-e1", 1);
+        story.assert_broken(&[]);
+    }
+
+    fn behind(at: u64) -> Story {
+        let mut story = Story::new();
+        story.started(500, "a-e1").change(2000, "c2", |set| set.shares.clear());
+        accept(&mut story, 2100, "c2", 2);
+        story.observed(at, "a-e1", 1);
+        story
+    }
+
+    /// Guards against an entry that has not got an accepted version after 5 s, and
+    /// against a check that finds fault before that.
+    #[test]
+    fn version_too_old() {
+        behind(7000).assert_broken(&[]);
+        behind(7200).assert_broken(&[11]);
+    }
+
+    /// Guards against a check that finds fault with an entry that is cut off from
+    /// the platform, paused or new, and against one that excuses too much.
+    #[test]
+    fn excused_entries() {
+        let mut story = behind(9000);
+        story.cut(1000, "f", "a-e1", true);
+        story.assert_broken(&[]);
+        story.heal(3000, "f");
+        story.assert_broken(&[11]);
+
+        let mut story = behind(9000);
+        story.cut(1000, "f", "a-e1", false);
+        story.assert_broken(&[11]);
+        story.platform(2500, r#"{"down":true}"#);
+        story.assert_broken(&[]);
+
+        let mut story = behind(9000);
+        story.pause(2000, "a-e1").resume(5000, "a-e1");
+        story.assert_broken(&[]);
+
+        let mut story = behind(9000);
+        story.kill(5000, "a-e1").started(5100, "a-e1");
+        story.assert_broken(&[]);
+    }
+}
--- /dev/null
+++ b/testing/scenario/tests/scenarios.rs
@@ -0,0 +1,75 @@
+//! Runs every scenario file of the repository with real processes.
+//!
+//! The first comment of each file says which failure it guards against.
+
+use std::collections::BTreeSet;
+use std::env;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use scenario::run::{self, RunOptions};
+
+fn scenario_dir() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../tests/scenarios")
+}
+
+/// Returns the directory into which cargo puts programs, two levels above this test.
+fn binary_dir() -> PathBuf {
+    let program = env::current_exe().expect("the test knows its own path");
+    program.ancestors().nth(2).expect("tests are in target/PROFILE/deps").to_owned()
+}
+
+fn run_scenario(name: &str) {
+    let path = scenario_dir().join(format!("{name}.scenario"));
+    let options = RunOptions { binaries: binary_dir(), keep: false };
+    let report = run::run_file(&path, &options).expect("the scenario can be run");
+    println!("{report}");
+    assert!(report.is_clean(), "scenario {name} failed:\n{report}");
+}
+
+macro_rules! scenarios {
+    ($($test:ident $file:literal;)*) => {
+        const FILES: &[&str] = &[$($file,)*];
+
+        $(#[test]
+        fn $test() {
+            run_scenario($file);
+        })*
+    };
+}
+
+scenarios! {
+    answers_truncated_late_swapped "answers-truncated-late-swapped";
+    connection_reset_during_requests "connection-reset-during-requests";
+    domain_cut_from_platform "domain-cut-from-platform";
+    domain_out_and_in "domain-out-and-in";
+    domain_out_with_frozen_owner "domain-out-with-frozen-owner";
+    domains_cut_from_each_other_limits "domains-cut-from-each-other-limits";
+    entry_cut_off_then_back "entry-cut-off-then-back";
+    insert_reply_lost "insert-reply-lost";
+    key_withdrawn "key-withdrawn";
+    key_withdrawn_while_domain_cut_off "key-withdrawn-while-domain-cut-off";
+    limit_lowered_under_load "limit-lowered-under-load";
+    non_idempotent_entry_killed "non-idempotent-entry-killed";
+    non_idempotent_platform_down "non-idempotent-platform-down";
+    operators_racing "operators-racing";
+    owner_cut_from_worker_start_reply_lost "owner-cut-from-worker-start-reply-lost";
+    owner_frozen_standby_takes_over "owner-frozen-standby-takes-over";
+    owner_killed_mid_burst "owner-killed-mid-burst";
+    owner_killed_under_load "owner-killed-under-load";
+    platform_down_and_back "platform-down-and-back";
+    rolling_restart_platform_down "rolling-restart-platform-down";
+    rolling_restart_under_load "rolling-restart-under-load";
+    worker_leaving "worker-leaving";
+}
+
+/// Guards against a scenario file that no test runs.
+#[test]
+fn every_file_has_a_test() {
+    let files = fs::read_dir(scenario_dir()).expect("the scenarios are in the repository");
+    let names: BTreeSet<String> = files
+        .map(|file| file.expect("a directory entry can be read").path())
+        .map(|path| path.file_stem().unwrap_or_default().to_string_lossy().into_owned())
+        .collect();
+    assert_eq!(names, FILES.iter().map(ToString::to_string).collect());
+}
--- /dev/null
+++ b/testing/scenario/tests/story/mod.rs
@@ -0,0 +1,388 @@
+//! Builds histories for tests of the checker; times are in milliseconds.
+
+use std::fs;
+
+use model::kind::RequestOutcome;
+use model::name::TaskId;
+use model::object::{
+    self, ClassKind, ClassObject, DomainObject, DomainState, KeyObject, LimitObject, ObjectSet,
+    QueueObject, ShareObject, TeamObject, UrgencyLevel,
+};
+use model::resource::ResourceAmounts;
+use scenario::check::{self, Violation};
+use scenario::record::{
+    CALLER_FILE, OPERATOR_FILE, RUNNER_FILE, RunHistory, RunnerEvent, RunnerRecord, SignalName,
+};
+use serde::Serialize;
+use tempfile::TempDir;
+use wire::history::{
+    CallerEvent, CallerRecord, OperatorEvent, OperatorRecord, WorkerEvent, WorkerRecord,
+};
+use wire::worker::TaskEnd;
+
+/// Histories of a run of a cell with domains `a` (workers `w1` and `w2`) and `b` (`w3`).
+///
+/// The first configuration is accepted at 0 ms. Each worker has 4 slots and
+/// 4 cores; team `north` may use 3 of each.
+pub struct Story {
+    history: RunHistory,
+    objects: ObjectSet,
+}
+
+/// Amounts of slots and thousandths of a core.
+pub fn slots(slots: u64, cpu_millis: u64) -> ResourceAmounts {
+    ResourceAmounts { slots, cpu_millis, ..ResourceAmounts::ZERO }
+}
+
+/// A task of a job.
+pub fn task(job: &str, index: u32) -> TaskId {
+    TaskId { job: job.into(), index }
+}
+
+/// Records that a change is in force everywhere.
+pub fn accept(story: &mut Story, at: u64, change: &str, version: u64) {
+    story.reply(at, change, 200, version);
+}
+
+fn first_objects() -> ObjectSet {
+    let domain = |name: &str| DomainObject {
+        name: name.into(),
+        region: String::new(),
+        state: DomainState::In,
+    };
+    let team = |name: &str| TeamObject { name: name.into(), parent: None };
+    let key = |name: &str, team: &str| KeyObject {
+        name: name.into(),
+        team: team.into(),
+        digest: object::key_digest(name),
+    };
+    let queue = |name: &str, open| QueueObject {
+        name: name.into(),
+        team: "north".into(),
+        open,
+        class: "request".into(),
+        bound: 10,
+    };
+    ObjectSet {
+        domains: vec![domain("a"), domain("b")],
+        teams: vec![team("north"), team("south")],
+        keys: vec![key("north-key", "north"), key("south-key", "south")],
+        shares: vec![ShareObject { name: "north".into(), team: "north".into(), weight: 1 }],
+        limits: vec![LimitObject {
+            name: "north".into(),
+            team: "north".into(),
+            amounts: slots(3, 3000),
+        }],
+        queues: vec![queue("sheets", false), queue("open", true)],
+        classes: vec![ClassObject {
+            name: "request".into(),
+            kind: ClassKind::Request,
+            urgency: UrgencyLevel::Normal,
+            amounts: ResourceAmounts::ZERO,
+            preemptible: false,
+        }],
+        ..ObjectSet::default()
+    }
+}
+
+impl Story {
+    pub fn new() -> Self {
+        let mut story = Self { history: RunHistory::default(), objects: first_objects() };
+        for worker in ["w1", "w2", "w3"] {
+            let booted = WorkerEvent::Booted { capacity: slots(4, 4000), connections: 8 };
+            story.worker(0, worker, booted);
+        }
+        story.change(0, "c1", |_| {}).reply(0, "c1", 200, 1);
+        story
+    }
+
+    /// Checks the histories from files, as after a run.
+    pub fn violations(&self) -> Vec<Violation> {
+        let dir = self.write();
+        check::check_histories(dir.path()).expect("the histories can be read")
+    }
+
+    /// Requires that exactly these promises are found to be broken.
+    #[track_caller]
+    pub fn assert_broken(&self, promises: &[u8]) {
+        let violations = self.violations();
+        let mut broken: Vec<u8> = violations.iter().map(|violation| violation.promise).collect();
+        broken.dedup();
+        let text: Vec<String> = violations.iter().map(ToString::to_string).collect();
+        assert_eq!(broken, promises, "{}", text.join("\n"));
+    }
+
+    pub fn write(&self) -> TempDir {
+        let mut history = self.history.clone();
+        history.sort();
+        let dir = tempfile::tempdir().expect("a directory can be created");
+        let write = |name: &str, text: String| {
+            fs::write(dir.path().join(name), text).expect("a history can be written");
+        };
+        write("worker-all.1.jsonl", lines(&history.workers));
+        write(CALLER_FILE, lines(&history.callers));
+        write(OPERATOR_FILE, lines(&history.operators));
+        write(RUNNER_FILE, lines(&history.runner));
+        dir
+    }
+
+    pub fn worker(&mut self, at: u64, worker: &str, event: WorkerEvent) -> &mut Self {
+        let domain = if worker == "w3" { "b" } else { "a" };
+        self.history.workers.push(WorkerRecord {
+            at_us: at * 1000,
+            worker: worker.into(),
+            domain: domain.into(),
+            boot: "boot".into(),
+            event,
+        });
+        self
+    }
+
+    fn caller(&mut self, at: u64, event: CallerEvent) -> &mut Self {
+        self.history.callers.push(CallerRecord { at_us: at * 1000, event });
+        self
+    }
+
+    fn operator(&mut self, at: u64, event: OperatorEvent) -> &mut Self {
+        self.history.operators.push(OperatorRecord { at_us: at * 1000, event });
+        self
+    }
+
+    fn runner(&mut self, at: u64, event: RunnerEvent) -> &mut Self {
+        self.history.runner.push(RunnerRecord { at_us: at * 1000, event });
+        self
+    }
+
+    /// Removes the limit of `north` from the first configuration.
+    pub fn unlimited(&mut self) -> &mut Self {
+        self.objects.limits.clear();
+        for record in &mut self.history.operators {
+            if let OperatorEvent::Sent { objects, .. } = &mut record.event {
+                objects.limits.clear();
+            }
+        }
+        self
+    }
+
+    /// Sends the first configuration with an edit.
+    pub fn change(&mut self, at: u64, id: &str, edit: impl FnOnce(&mut ObjectSet)) -> &mut Self {
+        let mut objects = self.objects.clone();
+        edit(&mut objects);
+        self.operator(at, OperatorEvent::Sent { change_id: id.to_owned(), objects })
+    }
+
+    pub fn reply(&mut self, at: u64, id: &str, status: u16, version: u64) -> &mut Self {
+        self.operator(
+            at,
+            OperatorEvent::Received {
+                change_id: id.to_owned(),
+                status,
+                version,
+                in_force: Vec::new(),
+                not_confirmed: Vec::new(),
+            },
+        )
+    }
+
+    pub fn observed(&mut self, at: u64, entry: &str, version: u64) -> &mut Self {
+        let entry = entry.to_owned();
+        self.operator(at, OperatorEvent::Observed { entry, domain: "a".into(), version })
+    }
+
+    /// A request with north's key through `a-e1`.
+    pub fn sent(&mut self, at: u64, request: &str) -> &mut Self {
+        self.via(at, request, "a-e1")
+    }
+
+    pub fn via(&mut self, at: u64, request: &str, entry: &str) -> &mut Self {
+        self.record_sent(at, request, entry, Some("north-key"), "sheets", true)
+    }
+
+    pub fn sent_with(
+        &mut self,
+        at: u64,
+        request: &str,
+        key: Option<&str>,
+        queue: &str,
+        idempotent: bool,
+    ) -> &mut Self {
+        self.record_sent(at, request, "a-e1", key, queue, idempotent)
+    }
+
+    fn record_sent(
+        &mut self,
+        at: u64,
+        request: &str,
+        entry: &str,
+        key: Option<&str>,
+        queue: &str,
+        idempotent: bool,
+    ) -> &mut Self {
+        let (request, entry) = (request.to_owned(), entry.to_owned());
+        self.runner(at, RunnerEvent::RequestVia { request: request.clone(), entry });
+        let team = key.and_then(|key| key.strip_suffix("-key")).map(Into::into);
+        self.caller(
+            at,
+            CallerEvent::Sent {
+                request,
+                team,
+                key: key.map(str::to_owned),
+                queue: queue.to_owned(),
+                domain: "a".into(),
+                idempotent,
+            },
+        )
+    }
+
+    fn received(
+        &mut self,
+        at: u64,
+        request: &str,
+        status: u16,
+        outcome: RequestOutcome,
+        digest: String,
+    ) -> &mut Self {
+        let request = request.to_owned();
+        self.caller(at, CallerEvent::Received { request, status, outcome, digest })
+    }
+
+    pub fn answered(&mut self, at: u64, request: &str) -> &mut Self {
+        self.digest(at, request, &format!("digest of {request}"))
+    }
+
+    pub fn digest(&mut self, at: u64, request: &str, digest: &str) -> &mut Self {
+        self.received(at, request, 200, RequestOutcome::Answered, digest.to_owned())
+    }
+
+    /// An answer other than 200; 503 means not run.
+    pub fn status(&mut self, at: u64, request: &str, status: u16) -> &mut Self {
+        let outcome = if status == 503 { RequestOutcome::NotRun } else { RequestOutcome::Unknown };
+        self.received(at, request, status, outcome, String::new())
+    }
+
+    pub fn run(&mut self, at: u64, request: &str, attempt: u32, worker: &str) -> &mut Self {
+        let started = WorkerEvent::RequestStarted {
+            request: request.to_owned(),
+            attempt,
+            team: "north".into(),
+            connections: 1,
+            slots_used: 1,
+        };
+        self.worker(at, worker, started)
+    }
+
+    pub fn end(&mut self, at: u64, request: &str, attempt: u32, worker: &str) -> &mut Self {
+        let ended = WorkerEvent::RequestEnded {
+            request: request.to_owned(),
+            attempt,
+            digest: format!("digest of {request}"),
+        };
+        self.worker(at, worker, ended)
+    }
+
+    /// A request that is sent and runs but is not answered yet.
+    pub fn request_run(&mut self, at: u64, request: &str, worker: &str) -> &mut Self {
+        self.sent(at, request).run(at + 1, request, 1, worker).end(at + 20, request, 1, worker)
+    }
+
+    /// A whole request.
+    pub fn request(&mut self, at: u64, request: &str, worker: &str) -> &mut Self {
+        self.request_run(at, request, worker).answered(at + 30, request)
+    }
+
+    pub fn job(&mut self, at: u64, job: &str) -> &mut Self {
+        let via = RunnerEvent::JobVia {
+            job: job.to_owned(),
+            entry: "a-e1".to_owned(),
+            queue: "sheets".to_owned(),
+        };
+        self.runner(at, via);
+        let (team, key) = ("north".into(), "north-key".to_owned());
+        self.caller(at, CallerEvent::JobSent { job: job.to_owned(), team, key });
+        self.caller(at + 10, CallerEvent::JobReceived { job: job.to_owned(), status: 200 })
+    }
+
+    /// Starts a task of one core.
+    pub fn task(
+        &mut self,
+        at: u64,
+        job: &str,
+        index: u32,
+        attempt: u32,
+        worker: &str,
+    ) -> &mut Self {
+        let started = WorkerEvent::TaskStarted {
+            task: task(job, index),
+            attempt,
+            team: "north".into(),
+            amounts: slots(0, 1000),
+            authority: "1.0".parse().expect("a valid authority"),
+        };
+        self.worker(at, worker, started)
+    }
+
+    pub fn task_end(
+        &mut self,
+        at: u64,
+        job: &str,
+        index: u32,
+        attempt: u32,
+        worker: &str,
+    ) -> &mut Self {
+        let task = task(job, index);
+        self.worker(at, worker, WorkerEvent::TaskEnded { task, attempt, end: TaskEnd::Done })
+    }
+
+    pub fn started(&mut self, at: u64, process: &str) -> &mut Self {
+        self.runner(at, RunnerEvent::Started { process: process.to_owned() })
+    }
+
+    fn signal(&mut self, at: u64, process: &str, signal: SignalName) -> &mut Self {
+        self.runner(at, RunnerEvent::Signalled { process: process.to_owned(), signal })
+    }
+
+    pub fn terminate(&mut self, at: u64, process: &str) -> &mut Self {
+        self.signal(at, process, SignalName::Terminate)
+    }
+
+    pub fn pause(&mut self, at: u64, process: &str) -> &mut Self {
+        self.signal(at, process, SignalName::Stop)
+    }
+
+    pub fn resume(&mut self, at: u64, process: &str) -> &mut Self {
+        self.signal(at, process, SignalName::Continue)
+    }
+
+    pub fn exit(&mut self, at: u64, process: &str, code: Option<i32>) -> &mut Self {
+        self.runner(at, RunnerEvent::Exited { process: process.to_owned(), code })
+    }
+
+    pub fn kill(&mut self, at: u64, process: &str) -> &mut Self {
+        self.signal(at, process, SignalName::Kill).exit(at + 1, process, None)
+    }
+
+    pub fn cut(&mut self, at: u64, fault: &str, entry: &str, platform: bool) -> &mut Self {
+        self.runner(
+            at,
+            RunnerEvent::FaultBegan {
+                fault: fault.to_owned(),
+                effect: "cut".to_owned(),
+                entries: vec![entry.to_owned()],
+                platform,
+            },
+        )
+    }
+
+    pub fn heal(&mut self, at: u64, fault: &str) -> &mut Self {
+        self.runner(at, RunnerEvent::FaultEnded { fault: fault.to_owned() })
+    }
+
+    pub fn platform(&mut self, at: u64, fault: &str) -> &mut Self {
+        self.runner(at, RunnerEvent::PlatformChanged { fault: fault.to_owned() })
+    }
+}
+
+fn lines(records: &[impl Serialize]) -> String {
+    let line = |record| serde_json::to_string(record).expect("a record can be written") + "\n";
+    records.iter().map(line).collect()
+}
