Read unknown allotment rows as soon as a configuration is in force

Cause: a new configuration was confirmed a second late, since allotment rows were read by the periodic loop only. They are now read at once, and the confirmation follows the write that settles them.

--- a/crates/entry/src/control/allot.rs
+++ b/crates/entry/src/control/allot.rs
@@ -12,7 +12,7 @@
 use policy::event::CellEvent;
 use wire::platform::{RowCheck, RowPut, TableRead, TableTxn};
 
-use crate::control::{Control, ControlState, cells, domain};
+use crate::control::{Control, ControlState, cells, config, domain};
 
 /// Time between two reads of all rows.
 const ROW_POLL: Duration = Duration::from_secs(1);
@@ -102,12 +102,27 @@
     review(control, team);
 }
 
-/// Looks at all teams again, after a change of the configuration.
+/// Looks at all teams again, after a change of the configuration, and reads
+/// the rows that are not known yet.
 pub fn review_all(control: &Control) {
     let objects = control.state().config.objects().clone();
     for team in &objects.teams {
         review(control, &team.name);
     }
+    let unread: Vec<_> = {
+        let state = control.state();
+        let Some(domain) = state.domain.as_ref() else { return };
+        let teams = objects.teams.iter().filter(|team| domain.allotments.needs_read(&team.name));
+        teams.map(|team| row::allotment_key(&team.name)).collect()
+    };
+    if !unread.is_empty() {
+        let caller = Rc::clone(control);
+        control.spawn(async move {
+            if let Err(reason) = read_rows(&caller, unread).await {
+                log::debug!("allotments cannot be read: {reason}");
+            }
+        });
+    }
 }
 
 /// Plans the next step for a team and tells the cell what it may run.
@@ -168,6 +183,7 @@
         domain.allotments.written(team, outcome);
     }
     review(control, team);
+    config::confirm(control).await;
 }
 
 /// Tells whether the limits of the version in force hold in this domain.
