--- a/crates/saddle/tests/support/mod.rs
+++ b/crates/saddle/tests/support/mod.rs
@@ -64,6 +64,7 @@
                 .route("/v1/status", web::get().to(get_status))
                 .route("/v1/jobs", web::post().to(post_job))
                 .route("/v1/jobs/{id}", web::get().to(get_job))
+                .route("/v1/jobs/{id}", web::delete().to(get_job))
                 .route("/v1/queues/{queue}/request", web::post().to(post_request))
         })
         .workers(1)
--- a/crates/saddle/tests/work.rs
+++ b/crates/saddle/tests/work.rs
@@ -103,6 +103,19 @@
     insta::assert_snapshot!("job_status", transcript(&output, &entries));
 }
 
+/// `status` and `cancel` must reach the paths of the API and print what the entry knows.
+#[actix_rt::test]
+async fn status_and_cancel_print_the_answer() {
+    let entry = TestEntry::start(MESKEL);
+    run(&[entry.address], "submit ../../examples/job.json").await;
+    let mut texts = String::new();
+    for words in ["status", "cancel weekly-summary-2026-49", "cancel none"] {
+        let output = run(&[entry.address], words).await;
+        let _ = writeln!(texts, "$ saddle {words}\n{}", transcript(&output, &[entry.address]));
+    }
+    insta::assert_snapshot!(texts);
+}
+
 /// Without a record of the job, neither *accepted* nor *not accepted* may be claimed.
 #[actix_rt::test]
 async fn job_that_cannot_be_found_is_unknown() {
