Treat a connection closed after sending as an unknown outcome

Cause: awc reports a connection that the server closes after the request was sent as Connect(Disconnected), and link counted every Connect error as not run. A request could be reported as not run after it had run. Ruled out: a reused connection; every attempt has its own. Conclusion: only errors that precede the connection prove that nothing ran.

--- a/crates/entry/src/control/config.rs
+++ b/crates/entry/src/control/config.rs
@@ -101,9 +101,17 @@
         adopt(control, head.version, objects);
     }
     note_contact(control, sent_at, head.version);
+    note_head(control, head);
     Ok(())
 }
 
+fn note_head(control: &Control, head: &ConfigHead) {
+    let known = &mut control.state_mut().head;
+    if head.version > known.version {
+        known.clone_from(head);
+    }
+}
+
 fn note_contact(control: &Control, sent_at: ClockMillis, version: u64) {
     let now = control.now();
     let mut state = control.state_mut();
@@ -253,6 +261,7 @@
         commit_head(&control, row_version, &head).await?;
         log::info!("configuration committed version={} change={change_id}", head.version);
         adopt(&control, head.version, objects.clone());
+        note_head(&control, &head);
         head.version
     };
     offer_to_owners(&control, published);
--- a/crates/entry/src/control/handle.rs
+++ b/crates/entry/src/control/handle.rs
@@ -63,6 +63,8 @@
     Cancel(JobId, TeamName, Reply<Result<(), PeerRefusal>>),
     /// Publish a checked set on top of a version, under a change identifier.
     Apply(u64, String, Box<ObjectSet>, Reply<Result<ApplyReply, ApplyRefusal>>),
+    /// Return the identifier of the change that published a version; empty if not known.
+    ChangeId(u64, Reply<String>),
     /// Report to operators.
     Status(Reply<StatusReply>),
     /// Tell whether the balancer may send requests here.
@@ -112,6 +114,12 @@
                 let apply = config::apply(control, base, change, *objects);
                 answer_by(&self.control, apply, reply);
             }
+            ControlCall::ChangeId(version, reply) => {
+                let state = control.state();
+                let known = state.head.version == version;
+                let change = if known { state.head.change_id.clone() } else { String::new() };
+                let _ = reply.send(change);
+            }
             ControlCall::Status(reply) => {
                 let _ = reply.send(status::report(&control));
             }
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -27,7 +27,7 @@
 use arcstr::ArcStr;
 use coord::config::ConfigTracker;
 use coord::owner::{OwnerEvent, Ownership};
-use coord::row::EntryMember;
+use coord::row::{ConfigHead, EntryMember};
 use link::peer::PeerPool;
 use link::platform::PlatformClient;
 use link::worker::WorkerClient;
@@ -61,6 +61,8 @@
     pub ownership: Ownership,
     /// The configuration in force.
     pub config: ConfigTracker,
+    /// Head of the configuration as last read or written.
+    pub head: ConfigHead,
     /// Control state of the domain, while this entry owns it.
     pub domain: Option<domain::DomainState>,
     /// Owners of all domains as last heard.
@@ -129,6 +131,7 @@
         let state = ControlState {
             ownership: Ownership::new(settings.domain.clone(), member.clone(), clock.now()),
             config: ConfigTracker::new(settings.config_contact_bound_s * 1000),
+            head: ConfigHead::default(),
             domain: None,
             owners: HashMap::new(),
             confirmed: BTreeMap::new(),
--- a/crates/entry/src/http/config.rs
+++ b/crates/entry/src/http/config.rs
@@ -12,9 +12,11 @@
 /// Answers the configuration in force at this entry.
 pub async fn get(traffic: Traffic) -> HttpResponse {
     let snapshot = traffic.snapshot();
+    let call = |reply| ControlCall::ChangeId(snapshot.version, reply);
+    let change_id = traffic.shared.control.ask(call).await.unwrap_or_default();
     HttpResponse::Ok().json(ConfigDocument {
         version: snapshot.version,
-        change_id: String::new(),
+        change_id,
         objects: (*snapshot.objects).clone(),
     })
 }
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -54,7 +54,7 @@
 pub struct TestCell {
     pub entries: Vec<TestProcess>,
     pub workers: Vec<TestProcess>,
-    pub platform: TestProcess,
+    pub _platform: TestProcess,
     pub directory: tempfile::TempDir,
     domains: u8,
     workers_each: u8,
@@ -101,7 +101,7 @@
         let mut cell = Self {
             entries: Vec::new(),
             workers: Vec::new(),
-            platform,
+            _platform: platform,
             directory,
             domains,
             workers_each,
--- a/crates/link/src/endpoint.rs
+++ b/crates/link/src/endpoint.rs
@@ -9,12 +9,14 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use awc::error::SendRequestError;
 use model::authority::OwnerAuthority;
 use model::name::{RequestId, TeamName};
 use sha2::Digest;
 use wire::worker;
 
+use crate::failure::CallFailure;
+use crate::http;
+
 /// Largest answer in bytes that is passed on.
 pub const ANSWER_LIMIT: usize = 64 << 20;
 
@@ -66,7 +68,7 @@
     /// Creates a client whose connections leave from `source`, if given.
     #[must_use]
     pub fn new(source: Option<IpAddr>) -> Self {
-        Self { client: crate::http::build_client(source) }
+        Self { client: http::build_client(source) }
     }
 
     /// Makes one attempt, for at most `timeout`.
@@ -91,7 +93,7 @@
             .await;
         let mut answer = match reply {
             Ok(answer) => answer,
-            Err(error @ (SendRequestError::Connect(_) | SendRequestError::Url(_))) => {
+            Err(error) if http::classify(&error) == CallFailure::NotDone => {
                 return AttemptResult::NotRun(error.to_string());
             }
             Err(error) => return AttemptResult::Lost(error.to_string()),
--- a/crates/link/src/http.rs
+++ b/crates/link/src/http.rs
@@ -3,7 +3,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
 use error_stack::Report;
 use serde::Serialize;
@@ -82,9 +82,15 @@
 }
 
 /// Tells a failed connection from a failure after the request was sent.
+///
+/// awc reports a connection that was closed after the request was sent as
+/// `Connect(Disconnected)`, so that this one must not count as unsent.
 #[must_use]
 pub fn classify(error: &SendRequestError) -> CallFailure {
     match error {
+        SendRequestError::Connect(ConnectError::Disconnected | ConnectError::H2(_)) => {
+            CallFailure::Unknown
+        }
         SendRequestError::Connect(_) | SendRequestError::Url(_) => CallFailure::NotDone,
         _ => CallFailure::Unknown,
     }
