--- a/standins/proxy/tests/proxy.rs
+++ b/standins/proxy/tests/proxy.rs
@@ -1,6 +1,8 @@
 //! The proxy behaviour on which the failure tests rely.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -19,6 +21,7 @@
     running: RunningStandin,
     listen: SocketAddr,
     seen: mpsc::UnboundedReceiver<u8>,
+    accepted: Rc<Cell<u32>>,
 }
 
 impl TestProxy {
@@ -31,8 +34,11 @@
         let settings = json!({"admin": "127.0.0.1:0", "links": links});
         let running = standin_proxy::start(serde_json::from_value(settings).unwrap()).unwrap();
         let (sender, seen) = mpsc::unbounded_channel();
+        let accepted = Rc::new(Cell::new(0));
+        let counter = accepted.clone();
         actix_rt::spawn(async move {
             while let Ok((mut stream, _)) = target.accept().await {
+                counter.set(counter.get() + 1);
                 let sender = sender.clone();
                 actix_rt::spawn(async move {
                     while let Ok(byte) = stream.read_u8().await {
@@ -42,7 +48,7 @@
                 });
             }
         });
-        Self { running, listen, seen }
+        Self { running, listen, seen, accepted }
     }
 
     async fn connect(&self, host: u8) -> TcpStream {
@@ -99,6 +105,7 @@
     late.write_u8(5).await.unwrap();
     assert!(is_silent(&mut cut).await && is_silent(&mut late).await);
     assert!(echoes(&mut other, 6).await);
+    assert_eq!(proxy.accepted.get(), 3, "the target saw a connection from behind the cut");
     proxy.set_rules(json!([])).await;
     assert!(is_reset(&mut cut).await && is_reset(&mut late).await);
     assert!(echoes(&mut idle, 7).await && echoes(&mut other, 8).await);
--- a/standins/worker/tests/worker.rs
+++ b/standins/worker/tests/worker.rs
@@ -178,6 +178,10 @@
     };
     let (only, ()) = tokio::join!(narrow.request("a", "1.0", json!({"run_ms": 1500})), refusal);
     assert_eq!(only.status(), 200);
+    drop(only);
+    sleep(300).await;
+    let next = narrow.request("b", "1.0", json!({})).await;
+    assert_eq!(next.status(), 200, "a closed connection still counts");
 }
 
 /// Work that goes on after its caller has gone must keep its slot, or the VM is overcommitted.
