--- a/testing/scenario/src/check/stop.rs
+++ b/testing/scenario/src/check/stop.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use wire::history::CallerEvent;
+use wire::history::{CallerEvent, OperatorEvent};
 
 use super::Violation;
 use crate::record::{RunHistory, RunnerEvent, RunnerRecord, SignalName};
@@ -73,7 +73,12 @@
 pub fn check_stops(history: &RunHistory) -> Vec<Violation> {
     let sendings = collect_sendings(history);
     let faults = collect_faults(&history.runner);
-    let entries: BTreeSet<&str> = sendings.iter().map(|sending| sending.entry).collect();
+    let observed = history.operators.iter().filter_map(|record| match &record.event {
+        OperatorEvent::Observed { entry, .. } => Some(entry.as_str()),
+        _ => None,
+    });
+    let entries: BTreeSet<&str> =
+        sendings.iter().map(|sending| sending.entry).chain(observed).collect();
     let mut violations = Vec::new();
     for (index, record) in history.runner.iter().enumerate() {
         let RunnerEvent::Signalled { process, signal: SignalName::Terminate } = &record.event
--- a/testing/scenario/src/check/timeline.rs
+++ b/testing/scenario/src/check/timeline.rs
@@ -84,7 +84,8 @@
                             change.version = Some(*version);
                         }
                         202 => change.version = Some(*version),
-                        400..500 => change.rejections += 1,
+                        // Every error kind with these statuses says that nothing was done.
+                        400..500 | 503 => change.rejections += 1,
                         _ => {}
                     }
                 }
--- a/testing/scenario/src/run/expect.rs
+++ b/testing/scenario/src/run/expect.rs
@@ -49,7 +49,10 @@
         RunExpectation::Apply { alias, state: wanted, within } => {
             let found = || find_change(state, alias.as_deref()).and_then(|change| change.state);
             let holds = state.wait_until(*within, || found() == Some(*wanted)).await;
-            require(holds, || format!("found {:?}", found()))
+            require(holds, || {
+                let answer = find_change(state, alias.as_deref()).map(|change| change.answer);
+                format!("found {:?}, answer {answer:?}", found())
+            })
         }
         RunExpectation::Status { entry, version, within } => {
             let place = state.resolve_entry(entry).await?;
--- a/testing/scenario/src/run/mod.rs
+++ b/testing/scenario/src/run/mod.rs
@@ -176,7 +176,12 @@
     }
     let expected = state.places.entries.len();
     let all_answer = || state.statuses.borrow().len() == expected;
-    if !state.wait_until(START_BOUND, all_answer).await {
+    let all_run = || {
+        let children = state.children.borrow();
+        state.places.entries.iter().all(|entry| children.is_running(&entry.name))
+    };
+    state.wait_until(START_BOUND, || all_answer() || !all_run()).await;
+    if !all_answer() {
         let answered: Vec<String> = state.statuses.borrow().keys().cloned().collect();
         return Err(format!("only these entries answer: {answered:?}"));
     }
@@ -196,11 +201,9 @@
 
 async fn wait_listening(state: &RunState, name: &str) -> Result<(), String> {
     let listens = || state.children.borrow().is_listening(name);
-    if state.wait_until(START_BOUND, listens).await {
-        Ok(())
-    } else {
-        Err(format!("{name} did not say that it listens"))
-    }
+    let runs = || state.children.borrow().is_running(name);
+    state.wait_until(START_BOUND, || listens() || !runs()).await;
+    if listens() { Ok(()) } else { Err(format!("{name} did not say that it listens")) }
 }
 
 fn add_processes(state: &RunState) {
--- a/testing/scenario/src/run/operator.rs
+++ b/testing/scenario/src/run/operator.rs
@@ -29,6 +29,8 @@
     pub alias: Option<String>,
     /// Where it stands; absent while it is not answered or its result is unknown.
     pub state: Option<ApplyState>,
+    /// Status and body of the last answer, or why there is none.
+    pub answer: String,
     id: String,
     version: u64,
 }
@@ -76,7 +78,13 @@
 fn register_change(state: &RunState, alias: Option<String>) -> (usize, String) {
     let id = format!("change-{}", state.next_number());
     let mut changes = state.changes.borrow_mut();
-    changes.push(AppliedChange { alias, state: None, id: id.clone(), version: 0 });
+    changes.push(AppliedChange {
+        alias,
+        state: None,
+        answer: "not answered".to_owned(),
+        id: id.clone(),
+        version: 0,
+    });
     (changes.len() - 1, id)
 }
 
@@ -121,6 +129,10 @@
     let mut changes = state.changes.borrow_mut();
     let Some(applied) = changes.get_mut(change.index) else { return };
     applied.version = version;
+    applied.answer = match &answer {
+        Ok(answer) => format!("{status} {}", String::from_utf8_lossy(&answer.body)),
+        Err(error) => error.clone(),
+    };
     applied.state = match status {
         200 => Some(ApplyState::Accepted),
         202 => Some(ApplyState::Pending),
@@ -168,14 +180,17 @@
         let change =
             PreparedChange { index, id: id.clone(), base: 0, objects: objects.clone(), entry };
         send_change(state, &change).await;
-        let reached = state.changes.borrow().get(index).and_then(|change| change.state);
+        let (reached, answer) = {
+            let changes = state.changes.borrow();
+            (changes[index].state, changes[index].answer.clone())
+        };
         match reached {
             Some(ApplyState::Accepted | ApplyState::Pending) => break,
             Some(ApplyState::Conflict) => {
-                return Err("the first configuration met a conflict".to_owned());
+                return Err(format!("the first configuration met a conflict: {answer}"));
             }
-            _ if Instant::now() >= end => {
-                return Err("the first configuration was not committed".to_owned());
+            _ if Instant::now() >= end || answer.starts_with("422") => {
+                return Err(format!("the first configuration was not committed: {answer}"));
             }
             _ => time::sleep(FIRST_PAUSE).await,
         }
--- a/testing/scenario/src/run/process.rs
+++ b/testing/scenario/src/run/process.rs
@@ -135,6 +135,11 @@
         self.slots.get(name).is_some_and(|slot| slot.child.is_some())
     }
 
+    /// Tells whether a process was told to end but has not ended yet.
+    pub fn is_stopping(&self, name: &str) -> bool {
+        self.slots.get(name).is_some_and(|slot| slot.child.is_some() && slot.stopping)
+    }
+
     /// Returns how a process ended, if it has since its last start.
     pub fn exit(&self, name: &str) -> Option<ExitStatus> {
         self.slots.get(name).and_then(|slot| slot.exit)
--- a/testing/scenario/src/run/state.rs
+++ b/testing/scenario/src/run/state.rs
@@ -19,6 +19,7 @@
 use super::operator::AppliedChange;
 use super::place::{CellPlaces, EntryPlace, WorkerPlace};
 use super::process::ChildTable;
+use crate::record::RunnerEvent;
 use crate::script::{CellLayout, EntryRef, PlaceKind, PlaceRef, ProcessRef};
 
 /// Time between two looks at something that is waited for.
@@ -286,11 +287,21 @@
         self.client.post_admin(&self.places.platform, "/admin/vms", &list).await
     }
 
-    /// Replaces the fault of the platform.
-    pub async fn set_platform_fault(&self, fault: serde_json::Value) -> Result<(), String> {
-        let event = crate::record::RunnerEvent::PlatformChanged { fault: fault.to_string() };
-        self.journal.runner(event);
-        self.client.post_admin(&self.places.platform, "/admin/fault", &json!(fault)).await
+    /// Replaces the fault of the platform; an empty object ends it.
+    ///
+    /// The record covers the time in which the fault may hold, so it is written
+    /// before a fault begins and after it has ended.
+    pub async fn set_platform_fault(&self, fault: &serde_json::Value) -> Result<(), String> {
+        let event = RunnerEvent::PlatformChanged { fault: fault.to_string() };
+        let ends = *fault == json!({});
+        if !ends {
+            self.journal.runner(event.clone());
+        }
+        let posted = self.client.post_admin(&self.places.platform, "/admin/fault", fault).await;
+        if ends {
+            self.journal.runner(event);
+        }
+        posted
     }
 }
 
--- a/testing/scenario/src/run/step.rs
+++ b/testing/scenario/src/run/step.rs
@@ -36,11 +36,15 @@
             let name = state.resolve_process(process).await?;
             let aliases = alias.iter().map(|alias| (alias.clone(), name.clone()));
             state.aliases.borrow_mut().extend(aliases);
-            send_signal(state, &name, *kind)?;
+            if *kind == SignalKind::Start {
+                start_again(state, &name).await?;
+            } else {
+                send_signal(state, &name, *kind)?;
+            }
         }
         StepAction::Fault(plan) => network::begin_fault(state, plan, &step.text).await?,
         StepAction::Heal(name) => network::end_faults(state, name.as_deref()).await?,
-        StepAction::Platform(fault) => state.set_platform_fault(platform_body(fault)).await?,
+        StepAction::Platform(fault) => state.set_platform_fault(&platform_body(fault)).await?,
         StepAction::Apply(plan) => {
             operator::apply_changes(state, std::slice::from_ref(plan)).await?;
         }
@@ -70,6 +74,16 @@
     done.map_err(|error| error.to_string())
 }
 
+/// Starts a process once the process that had its addresses has ended.
+async fn start_again(state: &RunState, name: &str) -> Result<(), String> {
+    let has_ended = || !state.children.borrow().is_stopping(name);
+    if state.wait_until(STOP_BOUND, has_ended).await {
+        send_signal(state, name, SignalKind::Start)
+    } else {
+        Err(format!("{name} did not stop"))
+    }
+}
+
 async fn wait_ready(state: &RunState, bound: Duration) -> Result<(), String> {
     let unready = || -> Vec<&str> {
         let ready = state.ready.borrow();
@@ -134,12 +148,8 @@
     for entry in state.places.entries.iter().filter(|entry| is_wanted(&entry.domain)) {
         let name = &entry.name;
         send_signal(state, name, SignalKind::Terminate)?;
-        let stopped = || !state.children.borrow().is_running(name);
-        if !state.wait_until(STOP_BOUND, stopped).await {
-            return Err(format!("{name} did not stop"));
-        }
+        start_again(state, name).await?;
         state.mark_unready(name);
-        send_signal(state, name, SignalKind::Start)?;
         wait_ready(state, READY_BOUND).await?;
     }
     Ok(())
