--- a/testing/scenario/src/main.rs
+++ b/testing/scenario/src/main.rs
@@ -6,13 +6,15 @@
 use std::process::ExitCode;
 
 use scenario::check;
+use scenario::record::RunHistory;
+use scenario::report::RunFigures;
 use scenario::run::{self, RunOptions};
 
 const USAGE: &str = "Usage: scenario run [--keep] [--binaries DIR] FILE...
        scenario check DIR
 
 `run` runs scenario files with the programs of DIR (default: next to this
-program). `check` reads the histories of an earlier run.";
+program, or target/debug). `check` reads the histories of an earlier run.";
 
 fn main() -> ExitCode {
     let mut options = getopts::Options::new();
@@ -50,11 +52,12 @@
     ExitCode::from(2)
 }
 
-/// Returns the directory of this program.
+/// Returns the directory of this program if it has the stand-ins, otherwise cargo's.
 fn default_binaries() -> PathBuf {
     let program = env::current_exe().ok();
     let dir = program.as_deref().and_then(Path::parent).map(Path::to_owned);
-    dir.unwrap_or_else(|| PathBuf::from("target/debug"))
+    dir.filter(|dir| dir.join("standin-platform").exists())
+        .unwrap_or_else(|| PathBuf::from("target/debug"))
 }
 
 fn run_files(files: &[String], options: &RunOptions) -> io::Result<bool> {
@@ -69,7 +72,9 @@
 }
 
 fn check_dir(dir: &Path) -> io::Result<bool> {
-    let violations = check::check_histories(dir)?;
+    let history = RunHistory::read(dir)?;
+    let violations = check::check_history(&history);
+    println!("{}", RunFigures::collect(&history));
     for violation in &violations {
         println!("{violation}");
     }
--- /dev/null
+++ b/testing/scenario/src/parse/cell.rs
@@ -0,0 +1,143 @@
+//! Reads the declarations of domains, teams, queues and options.
+
+use model::name::{DomainName, KeyName, QueueName, TeamName};
+use model::object::{ClassKind, UrgencyLevel};
+use pest::iterators::Pair;
+
+use super::grammar::Rule;
+use super::{
+    MAX_VMS, ParseResult, ScriptBuilder, fail, only, read_duration, read_limit, read_number,
+    read_positive, take,
+};
+use crate::script::{DomainLayout, QueueLayout, TeamLayout};
+
+impl ScriptBuilder {
+    pub(super) fn read_domain(&mut self, pair: Pair<'_, Rule>) -> ParseResult<()> {
+        let whole = pair.clone();
+        let mut inner = pair.into_inner();
+        let name = take(&mut inner);
+        let mut domain = DomainLayout {
+            name: DomainName::from(name.as_str()),
+            entries: 1,
+            workers: 1,
+            slots: 8,
+            cores: 32,
+            memory: 65_536,
+            connections: 64,
+            racks: 1,
+        };
+        if self.cell().domains.iter().any(|known| known.name == domain.name) {
+            return Err(fail(&name, "domain is declared twice"));
+        }
+        for option in inner {
+            let mut parts = option.into_inner();
+            let key = take(&mut parts);
+            let number = take(&mut parts);
+            match key.as_str() {
+                "entries" => domain.entries = read_positive(&number)?,
+                "workers" => domain.workers = read_number(&number)?,
+                "slots" => domain.slots = read_number(&number)?,
+                "cores" => domain.cores = read_number(&number)?,
+                "memory" => domain.memory = read_number(&number)?,
+                "connections" => domain.connections = read_positive(&number)?,
+                _ => domain.racks = read_positive(&number)?,
+            }
+        }
+        self.script.cell.domains.push(domain);
+        let count = |domain: &DomainLayout| domain.entries.saturating_add(domain.workers);
+        let vms = self.cell().domains.iter().map(count).fold(0, u32::saturating_add);
+        if vms > MAX_VMS {
+            return Err(fail(
+                &whole,
+                format!("the cell has more than {MAX_VMS} entries and workers"),
+            ));
+        }
+        Ok(())
+    }
+
+    pub(super) fn read_team(&mut self, pair: Pair<'_, Rule>) -> ParseResult<()> {
+        let mut inner = pair.into_inner();
+        let name = take(&mut inner);
+        let mut team = TeamLayout {
+            name: TeamName::from(name.as_str()),
+            keys: Vec::new(),
+            share: None,
+            limit: None,
+        };
+        if self.cell().teams.iter().any(|known| known.name == team.name) {
+            return Err(fail(&name, "team is declared twice"));
+        }
+        for part in inner {
+            match part.as_rule() {
+                Rule::key_option => team.keys.push(KeyName::from(only(part).as_str())),
+                Rule::share_option => team.share = Some(read_positive(&only(part))?),
+                _ => team.limit = Some(read_limit(part.into_inner())?),
+            }
+        }
+        if team.keys.is_empty() {
+            team.keys.push(KeyName::from(name.as_str()));
+        }
+        let known = |key| self.cell().teams.iter().any(|other| other.keys.contains(key));
+        if team.keys.iter().any(known) {
+            return Err(fail(&name, "a key of this team is declared twice"));
+        }
+        self.script.cell.teams.push(team);
+        Ok(())
+    }
+
+    pub(super) fn read_queue(&mut self, pair: Pair<'_, Rule>) -> ParseResult<()> {
+        let mut inner = pair.into_inner();
+        let name = take(&mut inner);
+        let mut queue = QueueLayout {
+            name: QueueName::from(name.as_str()),
+            team: self.team(&take(&mut inner))?,
+            open: false,
+            class: ClassKind::Request,
+            urgency: UrgencyLevel::Normal,
+            bound: None,
+        };
+        if self.cell().queues.iter().any(|known| known.name == queue.name) {
+            return Err(fail(&name, "queue is declared twice"));
+        }
+        for part in inner {
+            match part.as_rule() {
+                Rule::open => queue.open = true,
+                Rule::class => queue.class = class_kind(only(part).as_str()),
+                Rule::urgency => queue.urgency = urgency_level(only(part).as_str()),
+                _ => queue.bound = Some(read_positive(&only(part))?),
+            }
+        }
+        self.script.cell.queues.push(queue);
+        Ok(())
+    }
+
+    pub(super) fn read_option(&mut self, pair: Pair<'_, Rule>) -> ParseResult<()> {
+        let mut inner = pair.into_inner();
+        let key = take(&mut inner);
+        let duration = Some(read_duration(take(&mut inner))?);
+        let options = &mut self.script.cell.options;
+        match key.as_str() {
+            "contact-bound" => options.contact_bound = duration,
+            "drain" => options.drain = duration,
+            _ => options.balancer_delay = duration,
+        }
+        Ok(())
+    }
+}
+
+fn class_kind(text: &str) -> ClassKind {
+    match text {
+        "request" => ClassKind::Request,
+        "service" => ClassKind::Service,
+        "gang" => ClassKind::Gang,
+        _ => ClassKind::Batch,
+    }
+}
+
+fn urgency_level(text: &str) -> UrgencyLevel {
+    match text {
+        "urgent" => UrgencyLevel::Urgent,
+        "normal" => UrgencyLevel::Normal,
+        _ => UrgencyLevel::Batch,
+    }
+}
--- /dev/null
+++ b/testing/scenario/src/parse/mod.rs
@@ -0,0 +1,164 @@
+//! Reads scenario files.
+//!
+//! The grammar is in `script.pest`. Names are resolved here, so that a
+//! misspelt domain or team is reported with its line before anything is run.
+
+mod cell;
+mod expect;
+mod lookup;
+mod step;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use model::name::{KeyName, TeamName};
+use pest::Parser;
+use pest::error::{Error, ErrorVariant, LineColLocation};
+use pest::iterators::{Pair, Pairs};
+
+use crate::script::{AmountPatch, CellLayout, ScenarioScript};
+
+use grammar::{Rule, ScriptParser};
+
+mod grammar {
+    #[derive(pest_derive::Parser)]
+    #[grammar = "script.pest"]
+    pub struct ScriptParser;
+}
+
+/// Deadline of requests whose load names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(5);
+/// Most VMs of a cell: each takes two hosts of one loopback network of 254.
+const MAX_VMS: u32 = 120;
+
+/// Says where and why a scenario file cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ScriptError {
+    /// Line, from 1.
+    pub line: usize,
+    /// Column, from 1.
+    pub column: usize,
+    text: String,
+}
+
+impl fmt::Display for ScriptError {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str(&self.text)
+    }
+}
+
+impl std::error::Error for ScriptError {}
+
+impl From<Error<Rule>> for ScriptError {
+    fn from(error: Error<Rule>) -> Self {
+        let (line, column) = match error.line_col {
+            LineColLocation::Pos(place) | LineColLocation::Span(place, _) => place,
+        };
+        let error = error.renamed_rules(|rule| match rule {
+            Rule::unit => "the unit `ms` or `s`".to_owned(),
+            Rule::bound_kind => "`least` or `most`".to_owned(),
+            Rule::ready => "`ready`".to_owned(),
+            _ => format!("{rule:?}").replace('_', " "),
+        });
+        Self { line, column, text: error.to_string() }
+    }
+}
+
+type ParseResult<T> = Result<T, ScriptError>;
+
+/// Reads a scenario.
+///
+/// # Errors
+/// Returns the place and a message if the text does not follow the grammar or
+/// names a domain, team, queue, key or VM that the scenario does not have.
+pub fn parse_script(text: &str) -> ParseResult<ScenarioScript> {
+    let mut pairs = ScriptParser::parse(Rule::script, text)?;
+    let mut builder = ScriptBuilder::default();
+    let script = pairs.next().map(Pair::into_inner).into_iter().flatten();
+    for pair in script.filter(|pair| pair.as_rule() != Rule::EOI) {
+        builder.read_statement(pair)?;
+    }
+    Ok(builder.script)
+}
+
+fn fail(pair: &Pair<'_, Rule>, message: impl Into<String>) -> ScriptError {
+    let variant = ErrorVariant::CustomError { message: message.into() };
+    Error::new_from_span(variant, pair.as_span()).into()
+}
+
+fn read_number<T: FromStr>(pair: &Pair<'_, Rule>) -> ParseResult<T> {
+    pair.as_str().parse().map_err(|_| fail(pair, "number is out of range"))
+}
+
+fn read_positive<T: FromStr + Default + PartialEq>(pair: &Pair<'_, Rule>) -> ParseResult<T> {
+    let number = read_number(pair)?;
+    if number == T::default() { Err(fail(pair, "number must not be 0")) } else { Ok(number) }
+}
+
+fn read_duration(pair: Pair<'_, Rule>) -> ParseResult<Duration> {
+    let mut inner = pair.into_inner();
+    let number: u64 = read_number(&take(&mut inner))?;
+    let duration = match take(&mut inner).as_str() {
+        "ms" => Duration::from_millis(number),
+        _ => Duration::from_secs(number),
+    };
+    Ok(duration)
+}
+
+fn take<'i>(pairs: &mut Pairs<'i, Rule>) -> Pair<'i, Rule> {
+    pairs.next().expect("the grammar requires this part")
+}
+
+fn only(pair: Pair<'_, Rule>) -> Pair<'_, Rule> {
+    take(&mut pair.into_inner())
+}
+
+fn read_amounts(patch: &mut AmountPatch, pair: Pair<'_, Rule>) -> ParseResult<()> {
+    let mut inner = pair.into_inner();
+    let key = take(&mut inner);
+    let number = read_number(&take(&mut inner))?;
+    let field = match key.as_str() {
+        "slots" => &mut patch.slots,
+        "cpu" => &mut patch.cpu,
+        "memory" => &mut patch.memory,
+        _ => &mut patch.accelerators,
+    };
+    *field = Some(number);
+    Ok(())
+}
+
+fn read_limit(pairs: Pairs<'_, Rule>) -> ParseResult<AmountPatch> {
+    let mut patch = AmountPatch::default();
+    for pair in pairs {
+        read_amounts(&mut patch, pair)?;
+    }
+    Ok(patch)
+}
+
+/// Collects the statements of one file and knows the names declared so far.
+#[derive(Default)]
+struct ScriptBuilder {
+    script: ScenarioScript,
+    processes: BTreeSet<String>,
+    faults: BTreeSet<String>,
+    changes: BTreeSet<String>,
+    granted: BTreeMap<KeyName, TeamName>,
+}
+
+impl ScriptBuilder {
+    fn cell(&self) -> &CellLayout {
+        &self.script.cell
+    }
+
+    fn read_statement(&mut self, pair: Pair<'_, Rule>) -> ParseResult<()> {
+        match pair.as_rule() {
+            Rule::domain => self.read_domain(pair),
+            Rule::team => self.read_team(pair),
+            Rule::queue => self.read_queue(pair),
+            Rule::option => self.read_option(pair),
+            _ => self.read_step(pair),
+        }
+    }
+}
--- a/testing/scenario/src/run/expect.rs
+++ b/testing/scenario/src/run/expect.rs
@@ -1,11 +1,14 @@
 //! Comparison of what happened with what a scenario expects.
 
+use std::path::Path;
 use std::time::Duration;
 
+use model::name::DomainName;
 use tokio::time::{self, Instant};
 
 use super::caller;
 use super::operator::AppliedChange;
+use super::place::EntryPlace;
 use super::state::{POLL, RunState};
 use crate::record::RunHistory;
 use crate::report::RunFigures;
@@ -26,7 +29,7 @@
 /// Checks one expectation; the error says what was found instead.
 pub async fn check_expectation(
     state: &RunState,
-    dir: &std::path::Path,
+    dir: &Path,
     expectation: &RunExpectation,
 ) -> Result<(), String> {
     match expectation {
@@ -55,33 +58,12 @@
             })
         }
         RunExpectation::Status { entry, version, within } => {
-            let place = state.resolve_entry(entry).await?;
-            let end = Instant::now() + *within;
-            loop {
-                let status = state.fetch_status(place).await;
-                if status.as_ref().is_ok_and(|status| status.config_version >= *version) {
-                    return Ok(());
-                }
-                if Instant::now() >= end {
-                    let found = status.map(|status| status.config_version);
-                    return Err(format!("found {found:?}"));
-                }
-                time::sleep(POLL).await;
-            }
+            let entry = state.resolve_entry(entry).await?;
+            expect_version(state, entry, *version, *within).await
         }
         RunExpectation::Owner { domain, negated, entry, within } => {
-            let wanted = state.resolve_entry(entry).await?;
-            let end = Instant::now() + *within;
-            loop {
-                let owner = state.find_owner(domain).await.map(|owner| &owner.name);
-                if owner.is_some_and(|owner| (*owner == wanted.name) != *negated) {
-                    return Ok(());
-                }
-                if Instant::now() >= end {
-                    return Err(format!("found owner {owner:?}"));
-                }
-                time::sleep(POLL).await;
-            }
+            let entry = state.resolve_entry(entry).await?;
+            expect_owner(state, domain, entry, *negated, *within).await
         }
         RunExpectation::Stopped { process, within, code } => {
             let name = state.resolve_process(process).await?;
@@ -98,7 +80,7 @@
     if holds { Ok(()) } else { Err(message()) }
 }
 
-async fn read_figures(state: &RunState, dir: &std::path::Path) -> Result<RunFigures, String> {
+async fn read_figures(state: &RunState, dir: &Path) -> Result<RunFigures, String> {
     wait_pending(state).await?;
     let history = RunHistory::read(dir).map_err(|error| error.to_string())?;
     Ok(RunFigures::collect(&history))
@@ -112,6 +94,45 @@
     }
 }
 
+async fn expect_version(
+    state: &RunState,
+    entry: &EntryPlace,
+    version: u64,
+    within: Duration,
+) -> Result<(), String> {
+    let end = Instant::now() + within;
+    loop {
+        let found = state.fetch_status(entry).await.map(|status| status.config_version);
+        if found.as_ref().is_ok_and(|found| *found >= version) {
+            return Ok(());
+        }
+        if Instant::now() >= end {
+            return Err(format!("found {found:?}"));
+        }
+        time::sleep(POLL).await;
+    }
+}
+
+async fn expect_owner(
+    state: &RunState,
+    domain: &DomainName,
+    entry: &EntryPlace,
+    negated: bool,
+    within: Duration,
+) -> Result<(), String> {
+    let end = Instant::now() + within;
+    loop {
+        let owner = state.find_owner(domain).await.map(|owner| &owner.name);
+        if owner.is_some_and(|owner| (*owner == entry.name) != negated) {
+            return Ok(());
+        }
+        if Instant::now() >= end {
+            return Err(format!("found owner {owner:?}"));
+        }
+        time::sleep(POLL).await;
+    }
+}
+
 async fn expect_race(state: &RunState, within: Duration) -> Result<(), String> {
     let states = || -> Vec<Option<ApplyState>> {
         let changes = state.changes.borrow();
--- a/testing/scenario/tests/checker.rs
+++ b/testing/scenario/tests/checker.rs
@@ -1,5 +1,5 @@
 //! Shows that the checker finds each broken promise, and nothing in histories
-//! that only come close.
+//! that only come close, and that figures are computed from the histories.
 
 mod story;
 
@@ -523,3 +523,45 @@
         story.assert_broken(&[]);
     }
 }
+
+mod figures {
+    use std::time::Duration;
+
+    use super::*;
+
+    fn gap_of(story: &Story) -> Duration {
+        story.figures().domains[&DomainName::from("a")].gap
+    }
+
+    /// Guards against gaps that leave out the time before the first and after the
+    /// last answer, and against counting time without load.
+    #[test]
+    fn gap_includes_both_ends() {
+        let mut story = Story::new();
+        story.load(1, 1000, 5000).request(1970, "r1", "w1").request(2970, "r2", "w1");
+        assert_eq!(gap_of(&story), Duration::from_secs(2));
+        story.request(4000, "r3", "w1");
+        assert_eq!(gap_of(&story), Duration::from_millis(1030));
+        story.load(2, 20_000, 20_500).request(20_100, "r4", "w1");
+        assert_eq!(gap_of(&story), Duration::from_millis(1030));
+    }
+
+    /// Guards against a gap that is missed because only refusals were received.
+    #[test]
+    fn refusals_do_not_end_a_gap() {
+        let mut story = Story::new();
+        story.load(1, 1000, 5000).load(2, 3000, 7000);
+        story.sent(2000, "r1").status(2010, "r1", 503);
+        assert_eq!(gap_of(&story), Duration::from_secs(6));
+    }
+
+    /// Guards against a request that is counted for each of its sendings.
+    #[test]
+    fn last_outcome_counts() {
+        let mut story = Story::new();
+        story.sent(1000, "r1").status(1100, "r1", 0).sent(1200, "r1").status(1300, "r1", 503);
+        story.request(1000, "r2", "w1").sent(1000, "r3");
+        let counts = story.figures().domains[&DomainName::from("a")].counts;
+        assert_eq!((counts.answered, counts.not_run, counts.unknown), (1, 1, 1));
+    }
+}
--- a/testing/scenario/tests/story/mod.rs
+++ b/testing/scenario/tests/story/mod.rs
@@ -13,6 +13,7 @@
 use scenario::record::{
     CALLER_FILE, OPERATOR_FILE, RUNNER_FILE, RunHistory, RunnerEvent, RunnerRecord, SignalName,
 };
+use scenario::report::RunFigures;
 use serde::Serialize;
 use tempfile::TempDir;
 use wire::history::{
@@ -112,6 +113,11 @@
         assert_eq!(broken, promises, "{}", text.join("\n"));
     }
 
+    pub fn figures(&self) -> RunFigures {
+        let dir = self.write();
+        RunFigures::collect(&RunHistory::read(dir.path()).expect("the histories can be read"))
+    }
+
     pub fn write(&self) -> TempDir {
         let mut history = self.history.clone();
         history.sort();
@@ -333,6 +339,12 @@
         self.worker(at, worker, WorkerEvent::TaskEnded { task, attempt, end: TaskEnd::Done })
     }
 
+    /// A load to domain `a`.
+    pub fn load(&mut self, load: u64, from: u64, to: u64) -> &mut Self {
+        self.runner(from, RunnerEvent::LoadBegan { load, domain: "a".into() });
+        self.runner(to, RunnerEvent::LoadEnded { load })
+    }
+
     pub fn started(&mut self, at: u64, process: &str) -> &mut Self {
         self.runner(at, RunnerEvent::Started { process: process.to_owned() })
     }
