Give every team of a scenario a share and a limit

The check of the object set wants both for a team with a queue. Without a limit in the scenario the whole fleet is the limit.

--- a/testing/scenario/src/run/config.rs
+++ b/testing/scenario/src/run/config.rs
@@ -63,12 +63,10 @@
     for team in &layout.teams {
         set.teams.push(TeamObject { name: team.name.clone(), parent: None });
         set.keys.extend(team.keys.iter().map(|key| key_object(key, &team.name)));
-        if let Some(weight) = team.share {
-            set_share(&mut set, &team.name, weight);
-        }
-        if let Some(patch) = team.limit {
-            set_limit(&mut set, &team.name, patch, places.capacity());
-        }
+        // The check wants both for a team with a queue: an equal share, and the
+        // whole fleet where the scenario sets no limit.
+        set_share(&mut set, &team.name, team.share.unwrap_or(1));
+        set_limit(&mut set, &team.name, team.limit.unwrap_or_default(), places.capacity());
     }
     set
 }
