--- a/crates/policy/src/config.rs
+++ b/crates/policy/src/config.rs
@@ -206,7 +206,7 @@
     fn stop_excluded(&mut self) {
         let mut tasks: Vec<HoldId> = Vec::new();
         for team in self.teams.teams.iter().filter(|team| !team.configured) {
-            tasks.extend(team.running.iter().map(|(_, _, id)| *id));
+            tasks.extend(team.running.iter().map(|(_, _, id)| id.0));
         }
         for index in self.pool.indices() {
             let entry = self.pool.get(index);
@@ -233,7 +233,7 @@
         if kept.fits_in(allotment) {
             return;
         }
-        let victims: Vec<HoldId> = team.running.iter().map(|(_, _, id)| *id).collect();
+        let victims: Vec<HoldId> = team.running.iter().map(|(_, _, id)| id.0).collect();
         for id in victims {
             let Some(hold) = self.holds.get(id) else { continue };
             let excess = kept.minus(allotment);
--- a/crates/policy/src/due.rs
+++ b/crates/policy/src/due.rs
@@ -46,7 +46,7 @@
                 self.probe_ended(worker, Some(true));
             } else {
                 // A start that is not confirmed says nothing yet.
-                let next = quarantine::probe_verdict(self.now);
+                let next = quarantine::verdict_at(self.now);
                 self.timers.set(next, TimerKind::Verdict(worker, id));
             }
         }
@@ -80,6 +80,6 @@
     /// share and urgent tasks last.
     pub(crate) fn running_tasks(&self) -> Vec<HoldId> {
         let running = self.teams.teams.iter().flat_map(|team| &team.running);
-        running.map(|(_, _, id)| *id).collect()
+        running.map(|(_, _, id)| id.0).collect()
     }
 }
--- a/crates/policy/src/hold.rs
+++ b/crates/policy/src/hold.rs
@@ -59,11 +59,11 @@
 }
 
 /// Sorts the tasks that are stopped first to the front: lowest urgency, then youngest.
-pub(crate) type VictimKey = (Reverse<UrgencyLevel>, Reverse<ClockMillis>, HoldId);
+pub(crate) type VictimKey = (Reverse<UrgencyLevel>, Reverse<ClockMillis>, Reverse<HoldId>);
 
 impl TaskHold {
     pub(crate) fn victim_key(&self, id: HoldId) -> VictimKey {
-        (Reverse(self.class.urgency), Reverse(self.started_at), id)
+        (Reverse(self.class.urgency), Reverse(self.started_at), Reverse(id))
     }
 }
 
--- a/crates/policy/src/life.rs
+++ b/crates/policy/src/life.rs
@@ -135,13 +135,12 @@
         }
         self.jobs.refresh(job_id);
         self.pool.edit(worker, |entry| {
-            entry.history.add_start(id, job_id.clone());
             if let Some(state) = &mut entry.quarantine {
                 state.probe = WorkerProbe::Task(id);
             }
         });
         if self.pool.get(worker).quarantine.is_some() {
-            let verdict = quarantine::probe_verdict(self.now);
+            let verdict = quarantine::verdict_at(self.now);
             self.timers.set(verdict, TimerKind::Verdict(worker, id));
         }
         self.starts_left = self.starts_left.saturating_sub(1);
@@ -169,7 +168,6 @@
         let Some(worker) = self.holds.get(id).map(|hold| hold.worker) else { return };
         let until = self.now + rules::REFUSAL_PAUSE_MS;
         self.pool.edit(worker, |entry| {
-            entry.history.forget_start(id);
             entry.paused_until = Some(until);
         });
         self.timers.set(until, TimerKind::Pause(worker));
@@ -318,19 +316,26 @@
         if !self.rules.quarantine {
             return;
         }
-        let ran = self.now.since(hold.started_at);
+        let now = self.now;
         let worker = hold.worker;
-        let quick = end == EndKind::Failed
-            && self.pool.edit(worker, |entry| entry.history.note_failure(id, ran));
+        let quick = quarantine::is_quick(now.since(hold.started_at));
+        let failed = quick && end == EndKind::Failed;
+        if failed {
+            let job = hold.task.job.clone();
+            self.pool.edit(worker, |entry| entry.history.add_failure(job, now));
+        } else if !quick || end == EndKind::Done {
+            let known_at = now.min(quarantine::verdict_at(hold.started_at));
+            self.pool.edit(worker, |entry| entry.history.note_success(known_at));
+        }
         let probe = self.pool.get(worker).quarantine.map(|state| state.probe);
         if probe == Some(WorkerProbe::Task(id)) {
             let healthy = match end {
                 EndKind::Done => Some(true),
-                EndKind::Failed => Some(!quick),
+                EndKind::Failed => Some(!failed),
                 EndKind::Stopped | EndKind::Checkpointed => None,
             };
             self.probe_ended(worker, healthy);
-        } else if quick {
+        } else if failed {
             self.quarantine_if_failing(worker);
         }
     }
@@ -340,6 +345,17 @@
         if !self.rules.quarantine || entry.quarantine.is_some() || !entry.history.is_failing() {
             return;
         }
+        // Starts that are still running and have passed the limit went well.
+        let tasks = entry.tasks.values().filter_map(|id| self.holds.get(*id));
+        let confirmed = tasks.filter(|hold| hold.confirmed_at.is_some());
+        let verdicts = confirmed.map(|hold| quarantine::verdict_at(hold.started_at));
+        let last_good = verdicts.filter(|at| *at <= self.now).max();
+        if let Some(at) = last_good {
+            self.pool.edit(worker, |entry| entry.history.note_success(at));
+        }
+        if !self.pool.get(worker).history.is_failing() {
+            return;
+        }
         let (state, probe_at) = WorkerQuarantine::start(self.now);
         self.pool.edit(worker, |entry| entry.quarantine = Some(state));
         self.timers.set(probe_at, TimerKind::Probe(worker));
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -53,10 +53,16 @@
     const SPREADS: bool = true;
 
     fn cost(&self, demand: ResourceAmounts, room: &WorkerRoom) -> f64 {
+        // Slots are left out, since batch work uses none of them.
+        let relevant = ResourceAmounts { slots: 0, ..room.capacity };
+        let relevant = match demand.accelerators {
+            0 => ResourceAmounts { accelerators: 0, ..relevant },
+            _ => relevant,
+        };
         let left = room.free.minus(demand);
         // The rack counts half as much as the worker: a whole free rack is worth
         // keeping, but not at the price of many half-used workers.
-        left.dominant_share(room.capacity) + (1.0 - room.rack_load) / 2.0
+        left.dominant_share(relevant) + (1.0 - room.rack_load) / 2.0
     }
 }
 
--- a/crates/policy/src/preempt.rs
+++ b/crates/policy/src/preempt.rs
@@ -1,5 +1,7 @@
 //! Room for waiting work by checkpointing running tasks.
 
+use std::cmp::Reverse;
+
 use model::object::UrgencyLevel;
 use model::resource::ResourceAmounts;
 use smallvec::SmallVec;
@@ -186,7 +188,8 @@
                 if seen.len() >= rules::VICTIM_SCAN {
                     return None;
                 }
-                let Some(hold) = self.holds.get(*id) else { continue };
+                let id = id.0;
+                let Some(hold) = self.holds.get(id) else { continue };
                 // The least urgent come first, so that no later one may be taken either.
                 if !may_yield(hold, room, cause) {
                     break;
@@ -228,7 +231,7 @@
         tasks.sort_unstable();
         let mut victims = VictimList::new();
         let mut freed = ResourceAmounts::ZERO;
-        for (_, _, id) in tasks {
+        for (_, _, Reverse(id)) in tasks {
             if !victims.is_empty() && self.is_enough(worker, room, cause, freed) {
                 break;
             }
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -14,40 +14,36 @@
 const FIRST_PROBE_MS: u64 = 1_000;
 const LAST_PROBE_MS: u64 = 60_000;
 
+/// A start that failed quickly.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct StartOutcome {
-    hold: HoldId,
+struct QuickFailure {
     job: JobId,
-    failed: bool,
+    at: ClockMillis,
 }
 
-/// Outcomes of the last starts and requests of a worker.
+/// Failed starts and requests of a worker since the last that went well.
+///
+/// Starts count in the order in which their outcome is known: a worker that
+/// fails everything always has further starts under way.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StartHistory {
-    starts: VecDeque<StartOutcome>,
+    failures: VecDeque<QuickFailure>,
     failed_requests: usize,
 }
 
 impl StartHistory {
-    pub(crate) fn add_start(&mut self, hold: HoldId, job: JobId) {
-        if self.starts.len() == FAILED_STARTS {
-            self.starts.pop_front();
+    pub(crate) fn add_failure(&mut self, job: JobId, at: ClockMillis) {
+        if self.failures.len() == FAILED_STARTS {
+            self.failures.pop_front();
         }
-        self.starts.push_back(StartOutcome { hold, job, failed: false });
+        self.failures.push_back(QuickFailure { job, at });
     }
 
-    /// Notes that a start failed, and tells whether it failed quickly.
-    pub(crate) fn note_failure(&mut self, hold: HoldId, ran_ms: u64) -> bool {
-        let quick = ran_ms <= QUICK_FAILURE_MS;
-        if let Some(start) = self.starts.iter_mut().find(|start| start.hold == hold) {
-            start.failed = quick;
+    /// Forgets the failures before a start that went well.
+    pub(crate) fn note_success(&mut self, known_at: ClockMillis) {
+        while self.failures.front().is_some_and(|failure| failure.at < known_at) {
+            self.failures.pop_front();
         }
-        quick
-    }
-
-    /// Removes a start that was refused before it ran.
-    pub(crate) fn forget_start(&mut self, hold: HoldId) {
-        self.starts.retain(|start| start.hold != hold);
     }
 
     pub(crate) fn note_request(&mut self, healthy: bool) {
@@ -55,22 +51,26 @@
     }
 
     pub(crate) fn is_failing(&self) -> bool {
-        let starts_failed =
-            self.starts.len() == FAILED_STARTS && self.starts.iter().all(|start| start.failed);
-        starts_failed || self.failed_requests >= FAILED_STARTS
+        self.failures.len() == FAILED_STARTS || self.failed_requests >= FAILED_STARTS
     }
 
     /// Tells whether nothing but the job speaks against the worker.
     pub(crate) fn blames_only(&self, job: &JobId) -> bool {
-        self.failed_requests < FAILED_STARTS && self.starts.iter().all(|start| start.job == *job)
+        let same_job = self.failures.iter().all(|failure| failure.job == *job);
+        self.failed_requests < FAILED_STARTS && same_job
     }
 
     pub(crate) fn clear(&mut self) {
-        self.starts.clear();
+        self.failures.clear();
         self.failed_requests = 0;
     }
 }
 
+/// Tells whether a failure after so long counts against the worker.
+pub(crate) const fn is_quick(ran_ms: u64) -> bool {
+    ran_ms <= QUICK_FAILURE_MS
+}
+
 /// The probe of a quarantined worker that is under way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WorkerProbe {
@@ -111,7 +111,7 @@
     }
 }
 
-/// Returns the instant at which a probe that is still running counts as healthy.
-pub(crate) fn probe_verdict(started: ClockMillis) -> ClockMillis {
+/// Returns the instant at which a start that still runs counts as good.
+pub(crate) fn verdict_at(started: ClockMillis) -> ClockMillis {
     started + (QUICK_FAILURE_MS + 1)
 }
--- /dev/null
+++ b/crates/policy/tests/task.rs
@@ -0,0 +1,575 @@
+//! Jobs: placement, attempts, failures, stops and what survives an owner change.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use model::job::JobState;
+use model::name::DomainName;
+use model::object::DomainState;
+use model::resource::ResourceAmounts;
+use model::time::ClockMillis;
+use policy::cell::Cell;
+use policy::event::{CellDecision, CellEvent, EndKind};
+use policy::placement::{BestFit, FirstFit, LeastLoaded};
+use policy::rules::PolicyRules;
+use policy::status::WorkerState;
+use support::{
+    Start, TestCell, amounts, object_set, record, running, starts, stops, task, with_weight,
+};
+
+fn changes(decisions: &[CellDecision]) -> Vec<(JobState, Vec<u32>)> {
+    let change = |decision: &CellDecision| match decision {
+        CellDecision::JobChanged { state, done, .. } => Some((*state, done.clone())),
+        _ => None,
+    };
+    decisions.iter().filter_map(change).collect()
+}
+
+fn worker_names(starts: &[Start]) -> BTreeSet<&str> {
+    starts.iter().map(|start| start.worker.as_str()).collect()
+}
+
+fn state_of(cell: &TestCell, worker: &str) -> Option<WorkerState> {
+    cell.cell.workers().find(|status| status.worker.as_str() == worker).map(|status| status.state)
+}
+
+/// Takes a new owner's cell through its configuration, without any report.
+fn new_owner(set: &model::object::ObjectSet) -> TestCell {
+    let cell = Cell::new(DomainName::from("d"), 7, 1_000_000);
+    let mut cell = TestCell { cell, now: 50_000 };
+    cell.event(CellEvent::Config(Arc::new(set.clone())));
+    for team in ["a", "b", "c"] {
+        cell.allot(team, ResourceAmounts::UNLIMITED);
+    }
+    cell
+}
+
+/// Guards against work on workers about which nothing is known.
+#[test]
+fn only_reported_workers_get_work() {
+    let set = object_set(2, amounts(8, 32, 0, 4));
+    let mut cell = new_owner(&set);
+    assert!(starts(&cell.submit("j", "a-batch", 4, amounts(2, 8, 0, 0))).is_empty());
+    let partial = cell.update("w0", None);
+    assert!(cell.event(CellEvent::WorkerReported(partial)).is_empty());
+    assert_eq!(state_of(&cell, "w0"), Some(WorkerState::Unreported));
+    assert!(cell.report("w0", Vec::new()).is_empty(), "the job may run on w1");
+    assert_eq!(cell.team_use("a"), amounts(8, 32, 0, 4), "w1 may run anything");
+    let started = starts(&cell.event(CellEvent::WorkerLost("w1".into())));
+    assert_eq!(started.len(), 4);
+    assert_eq!(worker_names(&started), BTreeSet::from(["w0"]));
+    assert!(started.iter().all(|start| start.attempt == 1_000_001));
+}
+
+/// Guards against work on workers that are silent, leaving or restarted.
+#[test]
+fn unavailable_workers_get_no_work() {
+    let mut cell = TestCell::with_workers(3);
+    cell.event(CellEvent::WorkerSilent("w0".into()));
+    cell.event(CellEvent::WorkerLeaving("w1".into()));
+    let restarted = policy::event::WorkerUpdate { boot: "next".into(), ..cell.update("w2", None) };
+    cell.event(CellEvent::WorkerReported(restarted));
+    assert!(cell.submit("j", "a-batch", 1, amounts(1, 1, 0, 0)).is_empty());
+    let states: Vec<_> = cell.cell.workers().map(|status| status.state).collect();
+    assert_eq!(states, [WorkerState::Silent, WorkerState::Leaving, WorkerState::Unreported]);
+    assert_eq!(starts(&cell.report("w1", Vec::new())).len(), 0, "a report does not end a leave");
+    assert_eq!(starts(&cell.report("w0", Vec::new())).len(), 1, "a silent worker is back");
+}
+
+/// Guards against tasks that are started again although they still run, in
+/// whichever order the job and the reports come.
+#[test]
+fn running_tasks_survive_an_owner_change() {
+    let set = object_set(1, amounts(8, 32, 0, 4));
+    let mut first = TestCell::with_set(set.clone());
+    let started = starts(&first.submit("j", "a-batch", 2, amounts(2, 8, 0, 0)));
+    let report = vec![running(&started[0], "a")];
+    let job = Arc::new(record("j", "a-batch", 2, amounts(2, 8, 0, 0)));
+    for job_first in [true, false] {
+        let mut cell = new_owner(&set);
+        let mut decisions = Vec::new();
+        if job_first {
+            decisions.extend(cell.event(CellEvent::JobSubmitted(job.clone())));
+            decisions.extend(cell.report("w0", report.clone()));
+        } else {
+            decisions.extend(cell.report("w0", report.clone()));
+            assert_eq!(cell.team_use("a"), amounts(2, 8, 0, 0), "counted before its job is known");
+            decisions.extend(cell.event(CellEvent::JobSubmitted(job.clone())));
+        }
+        let restarted = starts(&decisions);
+        assert_eq!(restarted.len(), 1, "job first: {job_first}");
+        assert_eq!(restarted[0].task, task("j", started[1].task.index));
+        let ended = cell.end(&started[0], EndKind::Done);
+        assert_eq!(changes(&ended), [(JobState::Accepted, vec![started[0].task.index])]);
+    }
+}
+
+/// Guards against a second copy of a task that two workers report.
+#[test]
+fn duplicates_are_stopped_before_a_restart() {
+    let set = object_set(2, amounts(8, 32, 0, 4));
+    let mut cell = new_owner(&set);
+    let start = |worker: &str, attempt| Start {
+        task: task("j", 0),
+        attempt,
+        worker: worker.into(),
+        amounts: amounts(1, 1, 0, 0),
+    };
+    let (old, new) = (start("w0", 1), start("w1", 2));
+    cell.submit("j", "a-firm", 1, amounts(1, 1, 0, 0));
+    cell.report("w0", vec![running(&old, "a")]);
+    let decisions = cell.report("w1", vec![running(&new, "a")]);
+    assert_eq!(stops(&decisions), [(task("j", 0), false, "duplicate")]);
+    assert!(starts(&cell.end(&old, EndKind::Stopped)).is_empty(), "the duplicate still runs");
+    let restarted = starts(&cell.end(&new, EndKind::Stopped));
+    assert_eq!(restarted[0].attempt, 1_000_001);
+}
+
+/// Guards against capacity and tasks that are given up because a report was
+/// written before a start.
+#[test]
+fn older_report_ends_no_task() {
+    let mut cell = TestCell::with_workers(1);
+    let old = cell.update("w0", Some(Vec::new()));
+    cell.now += 10;
+    let started = starts(&cell.submit("j", "a-batch", 1, amounts(8, 32, 0, 0)));
+    cell.event(CellEvent::WorkerReported(old));
+    assert_eq!(cell.team_use("a"), amounts(8, 32, 0, 0));
+    // A start that was never confirmed is void after the lease; then it counts as gone.
+    cell.now += 8_000;
+    assert!(starts(&cell.report("w0", Vec::new())).is_empty());
+    cell.now += 1_000;
+    let again = starts(&cell.report("w0", Vec::new()));
+    assert_eq!((again.len(), again[0].attempt), (1, started[0].attempt + 1));
+    // A confirmed one ends only when two reports leave it out.
+    cell.event(CellEvent::StartConfirmed { task: task("j", 0), attempt: 2 });
+    cell.now += 1_000;
+    assert!(starts(&cell.report("w0", Vec::new())).is_empty());
+    cell.now += 1_000;
+    assert_eq!(starts(&cell.report("w0", Vec::new())).len(), 1);
+}
+
+/// Guards against a refused start that is lost or repeated in a tight loop.
+#[test]
+fn refused_start_is_tried_elsewhere() {
+    let mut cell = TestCell::with_workers(2);
+    let first = starts(&cell.submit("j", "a-batch", 1, amounts(1, 1, 0, 0)));
+    let refused = |start: &Start| CellEvent::StartRefused {
+        task: start.task.clone(),
+        attempt: start.attempt,
+    };
+    let second = starts(&cell.event(refused(&first[0])));
+    assert_eq!(second[0].attempt, 2);
+    assert_ne!(second[0].worker, first[0].worker);
+    assert!(cell.event(refused(&second[0])).is_empty(), "both workers are paused");
+    assert_eq!(starts(&cell.after(500))[0].attempt, 3);
+}
+
+/// Guards against batch work that spreads out, and services that do not.
+#[test]
+fn batch_packs_and_services_spread() {
+    let mut cell = TestCell::with_workers(6);
+    let batch = starts(&cell.submit("j", "a-batch", 4, amounts(2, 8, 0, 0)));
+    assert_eq!(worker_names(&batch).len(), 1);
+    let service = starts(&cell.submit("s", "a-service", 3, amounts(1, 1, 0, 0)));
+    let racks: BTreeSet<_> = service
+        .iter()
+        .map(|start| start.worker.as_str()[1..].parse::<u32>().unwrap_or(0) / 2)
+        .collect();
+    assert_eq!(racks.len(), 3, "one task on each rack");
+}
+
+/// Guards against accelerators that are blocked by work which needs none.
+#[test]
+fn accelerators_are_kept_free() {
+    for (accelerator_keeping, expected) in [(true, "w1"), (false, "w0")] {
+        let mut set = object_set(2, amounts(8, 32, 0, 4));
+        // The worker with accelerators is the tighter fit.
+        set.workers[0].capacity = amounts(4, 16, 2, 4);
+        let rules = PolicyRules { accelerator_keeping, ..PolicyRules::ALL };
+        let mut cell = TestCell::with_rules(set, rules);
+        let started = starts(&cell.submit("j", "a-batch", 1, amounts(4, 16, 0, 0)));
+        assert_eq!(started[0].worker.as_str(), expected);
+        let started = starts(&cell.submit("k", "a-batch", 1, amounts(0, 0, 1, 0)));
+        assert_eq!(started[0].worker.as_str(), "w0");
+    }
+}
+
+/// Guards against a rule that is ignored; the benchmark compares them.
+#[test]
+fn placement_rules_differ() {
+    fn place<R: policy::placement::PlacementRule>(rule: R) -> Vec<String> {
+        let mut set = object_set(3, amounts(8, 32, 0, 4));
+        set.workers[1].capacity = amounts(4, 16, 0, 4);
+        let cell = Cell::with_rule(DomainName::from("d"), 7, 0, rule, PolicyRules::ALL);
+        let mut cell = TestCell { cell, now: 1_000 };
+        cell.event(CellEvent::Config(Arc::new(set)));
+        cell.allot("a", ResourceAmounts::UNLIMITED);
+        for worker in ["w0", "w1", "w2"] {
+            cell.report(worker, Vec::new());
+        }
+        let started = starts(&cell.submit("j", "a-batch", 2, amounts(2, 8, 0, 0)));
+        started.iter().map(|start| start.worker.to_string()).collect()
+    }
+    assert_eq!(place(BestFit), ["w1", "w1"]);
+    assert_eq!(place(FirstFit), ["w0", "w0"]);
+    let spread = place(LeastLoaded);
+    assert_ne!(spread[0], spread[1]);
+    assert!(!spread.contains(&"w1".to_owned()));
+}
+
+/// Guards against a team that takes more than its share while others wait.
+#[test]
+fn shares_decide_who_starts() {
+    for (fair_share, expected) in [(true, [2, 6]), (false, [8, 0])] {
+        let set = with_weight(object_set(1, amounts(8, 32, 0, 4)), "b", 3);
+        let rules = PolicyRules { fair_share, preemption: false, ..PolicyRules::ALL };
+        let mut cell = TestCell::with_rules(set, rules);
+        cell.event(CellEvent::WorkerSilent("w0".into()));
+        cell.submit("j", "a-firm", 20, amounts(1, 1, 0, 0));
+        cell.submit("k", "b-firm", 20, amounts(1, 1, 0, 0));
+        let started = starts(&cell.report("w0", Vec::new()));
+        let of =
+            |job| started.iter().filter(|start| start.task == task(job, start.task.index)).count();
+        assert_eq!([of("j"), of("k")], expected, "fair share: {fair_share}");
+    }
+}
+
+/// Guards against urgent work that waits behind other classes.
+#[test]
+fn urgent_work_preempts_batch() {
+    for preemption in [true, false] {
+        let rules = PolicyRules { preemption, ..PolicyRules::ALL };
+        let mut cell = TestCell::with_rules(object_set(1, amounts(8, 32, 0, 4)), rules);
+        cell.submit("firm", "a-firm", 4, amounts(1, 1, 0, 0));
+        let batch = starts(&cell.submit("batch", "a-batch", 4, amounts(1, 1, 0, 0)));
+        let decisions = cell.submit("urgent", "b-urgent", 1, amounts(1, 1, 0, 0));
+        if !preemption {
+            assert!(decisions.is_empty());
+            continue;
+        }
+        let stopped = stops(&decisions);
+        assert_eq!(stopped.len(), 1, "only as much as needed");
+        assert_eq!((stopped[0].1, stopped[0].2), (true, "preempted-by-urgent"));
+        assert!(stops(&cell.ticks(500)).is_empty(), "one is on its way");
+        let victim = batch.iter().find(|start| start.task == stopped[0].0).expect("a batch task");
+        let started = starts(&cell.end(victim, EndKind::Checkpointed));
+        assert_eq!(started[0].task, task("urgent", 0));
+    }
+}
+
+/// Guards against urgent work that waits because its own team is at its limit.
+#[test]
+fn urgent_work_preempts_its_own_team() {
+    let mut cell = TestCell::with_workers(1);
+    cell.allot("a", amounts(4, 32, 0, 4));
+    cell.submit("batch", "a-batch", 4, amounts(1, 1, 0, 0));
+    let decisions = cell.submit("urgent", "a-urgent", 1, amounts(1, 1, 0, 0));
+    assert_eq!(stops(&decisions).len(), 1);
+}
+
+/// Guards against lent share that never comes back, and against tasks that are
+/// preempted again and again.
+#[test]
+fn lent_share_comes_back_slowly() {
+    let mut cell = TestCell::with_workers(1);
+    let lent = starts(&cell.submit("j", "a-batch", 8, amounts(1, 4, 0, 0)));
+    assert_eq!(lent.len(), 8);
+    let mut decisions = cell.submit("k", "b-batch", 8, amounts(1, 4, 0, 0));
+    assert_eq!(stops(&decisions).len(), 1, "one at a time");
+    decisions.extend(cell.ticks(2_000));
+    let stopped = stops(&decisions);
+    assert_eq!(stopped.len(), 4, "half of the worker");
+    assert!(stopped.iter().all(|stop| stop.1 && stop.2 == "share-reclaimed"));
+    let mut started = Vec::new();
+    for start in &lent {
+        if stopped.iter().any(|stop| stop.0 == start.task) {
+            started.extend(starts(&cell.end(start, EndKind::Checkpointed)));
+        }
+    }
+    assert_eq!(started.len(), 4);
+    assert!(started.iter().all(|start| start.task == task("k", start.task.index)));
+    assert!(stops(&cell.ticks(15_000)).is_empty(), "both teams have their share");
+}
+
+/// Guards against a task that is preempted twice within 10 s.
+#[test]
+fn preempted_task_is_protected() {
+    let mut cell = TestCell::with_workers(1);
+    let batch = starts(&cell.submit("j", "a-batch", 1, amounts(8, 32, 0, 0)));
+    let urgent =
+        |cell: &mut TestCell, job: &str| cell.submit(job, "b-urgent", 1, amounts(1, 1, 0, 0));
+    assert_eq!(stops(&urgent(&mut cell, "u1")).len(), 1);
+    let first = starts(&cell.end(&batch[0], EndKind::Checkpointed));
+    let again = starts(&cell.end(&first[0], EndKind::Done));
+    assert_eq!(again[0].task, batch[0].task);
+    assert!(stops(&urgent(&mut cell, "u2")).is_empty());
+    assert!(stops(&cell.ticks(9_900)).is_empty());
+    assert_eq!(stops(&cell.ticks(200)).len(), 1);
+}
+
+/// Guards against gangs that start in part or wait for ever behind small tasks.
+#[test]
+fn gang_starts_as_a_whole() {
+    for (backfill, expected) in [(true, ["short"].as_slice()), (false, [].as_slice())] {
+        let rules = PolicyRules { backfill, ..PolicyRules::ALL };
+        let mut cell = TestCell::with_rules(object_set(2, amounts(8, 32, 0, 4)), rules);
+        let blockers = starts(&cell.submit_run("j", "a-firm", 2, amounts(5, 8, 0, 0), 10_000));
+        assert_eq!(worker_names(&blockers).len(), 2);
+        assert!(cell.submit("gang", "b-gang", 2, amounts(8, 8, 0, 0)).is_empty());
+        cell.ticks(200);
+        // Both workers are reserved until the blockers end.
+        let mut started =
+            starts(&cell.submit_run("long", "c-firm", 1, amounts(1, 1, 0, 0), 60_000));
+        started.extend(starts(&cell.submit("unknown", "c-firm", 1, amounts(1, 1, 0, 0))));
+        started.extend(starts(&cell.submit_run("short", "c-firm", 1, amounts(1, 1, 0, 0), 1_000)));
+        let jobs: Vec<_> = started.iter().map(|start| start.task.job.as_str()).collect();
+        assert_eq!(jobs, expected);
+        for start in started.iter().chain(&blockers) {
+            assert!(starts(&cell.end(start, EndKind::Done)).is_empty());
+        }
+        let gang = starts(&cell.ticks(200));
+        assert_eq!(gang.iter().filter(|start| start.task.job.as_str() == "gang").count(), 2);
+    }
+}
+
+/// Guards against two gangs that each hold a part of the domain.
+#[test]
+fn one_gang_reserves_at_a_time() {
+    let mut cell = TestCell::with_workers(2);
+    let blockers = starts(&cell.submit("j", "a-firm", 2, amounts(5, 8, 0, 0)));
+    cell.submit("g1", "b-gang", 2, amounts(8, 8, 0, 0));
+    cell.submit("g2", "c-gang", 1, amounts(8, 8, 0, 0));
+    cell.end(&blockers[0], EndKind::Done);
+    assert!(starts(&cell.ticks(1_000)).is_empty(), "the free worker is kept for g1");
+    cell.end(&blockers[1], EndKind::Done);
+    let started = starts(&cell.ticks(200));
+    assert_eq!(started.len(), 2);
+    assert!(started.iter().all(|start| start.task.job.as_str() == "g1"));
+}
+
+/// Guards against a gang that goes on with a member missing.
+#[test]
+fn incomplete_gang_stops() {
+    let mut cell = TestCell::with_workers(2);
+    let gang = starts(&cell.submit("g", "a-gang", 2, amounts(8, 8, 0, 0)));
+    assert_eq!(gang.len(), 2);
+    let lost = gang[0].worker.clone();
+    let mut decisions = cell.event(CellEvent::WorkerLost(lost.clone()));
+    decisions.extend(cell.ticks(200));
+    assert_eq!(stops(&decisions), [(gang[1].task.clone(), true, "gang-incomplete")]);
+    cell.end(&gang[1], EndKind::Checkpointed);
+    assert!(starts(&cell.ticks(500)).is_empty(), "one worker does not hold the gang");
+    cell.report(lost.as_str(), Vec::new());
+    assert_eq!(starts(&cell.ticks(500)).len(), 2);
+}
+
+/// Guards against a job that is retried for ever, and tasks of it that go on.
+#[test]
+fn third_failure_fails_the_job() {
+    let mut cell = TestCell::with_workers(1);
+    let mut started = starts(&cell.submit("j", "a-firm", 2, amounts(4, 4, 0, 0)));
+    let (mut bad, good) = (started.remove(0), started.remove(0));
+    for attempt in 2..=3 {
+        cell.now += 5_000;
+        bad = starts(&cell.end(&bad, EndKind::Failed)).remove(0);
+        assert_eq!(bad.attempt, attempt);
+    }
+    let last = cell.end(&bad, EndKind::Failed);
+    assert_eq!(changes(&last), [(JobState::Failed, Vec::new())]);
+    let mut decisions = last;
+    decisions.extend(cell.after(50));
+    assert_eq!(stops(&decisions), [(good.task.clone(), false, "job-failed")]);
+    assert!(cell.submit("j", "a-firm", 2, amounts(4, 4, 0, 0)).is_empty(), "a late notice");
+}
+
+/// Guards against a worker that fails everything and draws in all tasks, and
+/// against jobs that fail because of it.
+#[test]
+fn failing_worker_is_quarantined_and_probed() {
+    let mut cell = TestCell::with_workers(2);
+    cell.event(CellEvent::WorkerSilent("w1".into()));
+    let mut started = starts(&cell.submit("j", "a-firm", 3, amounts(2, 2, 0, 0)));
+    let mut failures = 0;
+    while state_of(&cell, "w0") != Some(WorkerState::Quarantined) {
+        let start = started.remove(0);
+        cell.now += 100;
+        started.extend(starts(&cell.end(&start, EndKind::Failed)));
+        failures += 1;
+        assert!(failures <= 5, "five failed starts are enough");
+    }
+    for start in std::mem::take(&mut started) {
+        cell.end(&start, EndKind::Failed);
+    }
+    // Probes at growing intervals: 1 s, then 2 s, then 4 s.
+    for wait in [1_000, 2_000, 4_000] {
+        assert!(starts(&cell.ticks(wait - 50)).is_empty());
+        let probe = starts(&cell.ticks(50));
+        assert_eq!(probe.len(), 1, "one probe after {wait} ms");
+        if wait < 4_000 {
+            assert!(changes(&cell.end(&probe[0], EndKind::Failed)).is_empty());
+        } else {
+            cell.end(&probe[0], EndKind::Done);
+        }
+    }
+    assert_eq!(state_of(&cell, "w0"), Some(WorkerState::Reported));
+}
+
+/// Guards against sizes that are corrected below what was measured, too early
+/// or not at all.
+#[test]
+fn sizes_follow_measured_use() {
+    for (usage_correction, expected) in [(true, amounts(2, 5, 0, 0)), (false, amounts(8, 16, 0, 0))]
+    {
+        let rules = PolicyRules { usage_correction, ..PolicyRules::ALL };
+        let mut cell = TestCell::with_rules(object_set(1, amounts(8, 64, 0, 4)), rules);
+        let first = starts(&cell.submit("j", "a-firm", 9, amounts(8, 16, 0, 0)));
+        assert_eq!(first.len(), 1);
+        cell.event(CellEvent::StartConfirmed { task: first[0].task.clone(), attempt: 1 });
+        for _ in 0..3 {
+            cell.now += 31_000;
+            let mut task = running(&first[0], "a");
+            task.usage = ResourceAmounts { cpu_millis: 1_600, ..amounts(0, 4, 0, 0) };
+            cell.report("w0", vec![task]);
+        }
+        let next = starts(&cell.end(&first[0], EndKind::Done));
+        assert_eq!(next[0].amounts, expected);
+    }
+}
+
+/// Guards against more than one progress record a second, and a late final one.
+#[test]
+fn progress_is_recorded_once_a_second() {
+    let mut cell = TestCell::with_workers(1);
+    let started = starts(&cell.submit("j", "a-firm", 4, amounts(1, 1, 0, 0)));
+    assert_eq!(changes(&cell.end(&started[0], EndKind::Done)).len(), 1);
+    assert!(changes(&cell.end(&started[1], EndKind::Done)).is_empty());
+    assert!(changes(&cell.ticks(950)).is_empty());
+    assert_eq!(changes(&cell.ticks(50)), [(JobState::Accepted, vec![0, 1])]);
+    assert!(changes(&cell.end(&started[2], EndKind::Done)).is_empty());
+    assert_eq!(
+        changes(&cell.end(&started[3], EndKind::Done)),
+        [(JobState::Done, vec![0, 1, 2, 3])]
+    );
+    assert_eq!(cell.cell.job_record(&"j".into()), None);
+}
+
+/// Guards against cancelled jobs that start or go on, also when the notice
+/// comes before the job.
+#[test]
+fn cancelled_jobs_stop() {
+    let mut cell = TestCell::with_workers(1);
+    let started = starts(&cell.submit("j", "a-firm", 20, amounts(1, 1, 0, 0)));
+    let mut decisions = cell.event(CellEvent::JobCancelled("j".into()));
+    assert_eq!(changes(&decisions), [(JobState::Cancelled, Vec::new())]);
+    decisions.extend(cell.after(50));
+    assert_eq!(stops(&decisions).len(), 8);
+    for start in &started {
+        assert!(starts(&cell.end(start, EndKind::Stopped)).is_empty());
+    }
+    assert!(cell.team_use("a").is_zero());
+    cell.event(CellEvent::JobCancelled("k".into()));
+    assert!(cell.submit("k", "a-firm", 1, amounts(1, 1, 0, 0)).is_empty());
+}
+
+/// Guards against excess that goes on after an allotment was lowered, and
+/// against stopping the wrong tasks.
+#[test]
+fn lowered_allotment_stops_the_excess() {
+    let mut cell = TestCell::with_workers(1);
+    cell.submit("firm", "a-firm", 1, amounts(1, 1, 0, 0));
+    cell.submit("urgent", "a-urgent", 1, amounts(1, 1, 0, 0));
+    cell.submit("old", "a-batch", 1, amounts(1, 1, 0, 0));
+    cell.now += 10;
+    cell.submit("young", "a-batch", 1, amounts(1, 1, 0, 0));
+    let stopped = stops(&cell.allot("a", amounts(3, 32, 0, 4)));
+    assert_eq!(stopped, [(task("young", 0), true, "allotment-lowered")]);
+    let stopped = stops(&cell.allot("a", amounts(1, 32, 0, 4)));
+    let expected = [
+        (task("old", 0), true, "allotment-lowered"),
+        (task("firm", 0), false, "allotment-lowered"),
+    ];
+    assert_eq!(stopped, expected);
+}
+
+/// Guards against work that goes on for removed teams and on removed workers.
+#[test]
+fn removed_teams_and_workers_are_emptied() {
+    let mut cell = TestCell::with_workers(2);
+    cell.submit("j", "a-batch", 1, amounts(8, 8, 0, 0));
+    cell.submit("k", "b-firm", 1, amounts(8, 8, 0, 0));
+    let mut set = object_set(2, amounts(8, 32, 0, 4));
+    set.teams.retain(|team| team.name.as_str() != "b");
+    set.queues.retain(|queue| queue.team.as_str() != "b");
+    let stopped = stops(&cell.event(CellEvent::Config(Arc::new(set.clone()))));
+    assert_eq!(stopped, [(task("k", 0), false, "team-removed")]);
+    set.workers.clear();
+    let stopped = stops(&cell.event(CellEvent::Config(Arc::new(set))));
+    assert_eq!(stopped, [(task("j", 0), true, "worker-removed")]);
+    assert_eq!(state_of(&cell, "w0").or(state_of(&cell, "w1")), Some(WorkerState::Removed));
+}
+
+/// Guards against a domain that is out and still runs work, or keeps its jobs.
+#[test]
+fn domain_out_empties_the_domain() {
+    let mut cell = TestCell::with_workers(1);
+    let batch = starts(&cell.submit("batch", "a-batch", 1, amounts(1, 1, 0, 0)));
+    let service = starts(&cell.submit("service", "a-service", 1, amounts(1, 1, 0, 0)));
+    cell.submit("waiting", "a-batch", 1, amounts(20, 1, 0, 0));
+    let mut set = object_set(1, amounts(8, 32, 0, 4));
+    set.domains[0].state = DomainState::Out;
+    let decisions = cell.event(CellEvent::Config(Arc::new(set)));
+    assert_eq!(stops(&decisions), [(task("batch", 0), true, "domain-out")]);
+    let moved = |decisions: &[CellDecision], job: &str| {
+        decisions.contains(&CellDecision::MoveJob(job.into()))
+    };
+    assert!(moved(&decisions, "waiting") && !moved(&decisions, "batch"));
+    assert!(moved(&cell.end(&batch[0], EndKind::Checkpointed), "batch"));
+    assert!(stops(&cell.ticks(29_900)).is_empty(), "the service has its grace");
+    assert_eq!(stops(&cell.ticks(200)), [(task("service", 0), false, "domain-out")]);
+    assert!(moved(&cell.end(&service[0], EndKind::Stopped), "service"));
+    let late = cell.submit("late", "a-batch", 1, amounts(1, 1, 0, 0));
+    assert!(starts(&late).is_empty() && moved(&late, "late"));
+}
+
+/// Guards against a stop that got lost, and a checkpoint that never ends.
+#[test]
+fn stops_are_repeated() {
+    let mut cell = TestCell::with_workers(1);
+    cell.submit("j", "a-batch", 1, amounts(1, 1, 0, 0));
+    assert_eq!(stops(&cell.allot("a", ResourceAmounts::ZERO)).len(), 1);
+    assert!(stops(&cell.ticks(4_950)).is_empty());
+    assert!(stops(&cell.ticks(50))[0].1);
+    assert!(!stops(&cell.ticks(25_000)).last().expect("repeated").1, "now without a checkpoint");
+}
+
+/// Guards against state that a handover loses or doubles.
+#[test]
+fn handover_keeps_waiting_and_running_work() {
+    let set = object_set(1, amounts(8, 32, 0, 1));
+    let mut first = TestCell::with_set(set.clone());
+    first.allot("a", amounts(8, 32, 0, 4));
+    let started = starts(&first.submit("j", "a-firm", 3, amounts(3, 4, 0, 0)));
+    assert_eq!(started.len(), 2);
+    first.ask(1, "a-ask", 5_000);
+    first.ask(2, "a-ask", 5_000);
+    first.event(CellEvent::JobCancelled("gone".into()));
+    let snapshot = first.cell.export();
+    let now = ClockMillis(900_000);
+    let rules = PolicyRules::ALL;
+    let imported = Cell::import(DomainName::from("d"), 7, now, snapshot.clone(), BestFit, rules);
+    let mut cell = TestCell { cell: imported, now: now.0 };
+    cell.event(CellEvent::Config(Arc::new(set)));
+    let mut update =
+        cell.update("w0", Some(started.iter().map(|start| running(start, "a")).collect()));
+    update.slots_used = 1;
+    assert!(cell.event(CellEvent::WorkerReported(update)).is_empty());
+    assert_eq!(cell.team_use("a"), first.team_use("a"));
+    assert_eq!(cell.cell.export().requests, snapshot.requests);
+    let next = starts(&cell.end(&started[0], EndKind::Done));
+    assert_eq!((next.len(), next[0].attempt), (1, 2));
+    assert_eq!(support::grants(&cell.answered(1)), [(2, "w0".into())]);
+    assert!(cell.submit("gone", "a-firm", 1, amounts(1, 1, 0, 0)).is_empty());
+}
