--- a/testing/scenario/src/main.rs
+++ b/testing/scenario/src/main.rs
@@ -1,7 +1,7 @@
 //! Command line of the scenario runner.
 
 use std::env;
-use std::io;
+use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -61,11 +61,12 @@
 }
 
 fn run_files(files: &[String], options: &RunOptions) -> io::Result<bool> {
+    let mut out = io::stdout();
     let mut all_clean = true;
     for file in files {
         let report = run::run_file(Path::new(file), options)?;
         let verdict = if report.is_clean() { "passed" } else { "FAILED" };
-        print!("{file}: {verdict}\n{report}");
+        write!(out, "{file}: {verdict}\n{report}")?;
         all_clean &= report.is_clean();
     }
     Ok(all_clean)
@@ -74,10 +75,11 @@
 fn check_dir(dir: &Path) -> io::Result<bool> {
     let history = RunHistory::read(dir)?;
     let violations = check::check_history(&history);
-    println!("{}", RunFigures::collect(&history));
+    let mut out = io::stdout();
+    writeln!(out, "{}", RunFigures::collect(&history))?;
     for violation in &violations {
-        println!("{violation}");
+        writeln!(out, "{violation}")?;
     }
-    println!("{} violations", violations.len());
+    writeln!(out, "{} violations", violations.len())?;
     Ok(violations.is_empty())
 }
--- a/testing/scenario/src/record.rs
+++ b/testing/scenario/src/record.rs
@@ -133,24 +133,23 @@
     /// Reads all histories of a directory.
     ///
     /// # Errors
-    /// Returns an error that names the file and line of a record that cannot be
-    /// read. A last line without its end is left out, because a killed process
+    /// Returns an error that names the file if the history of callers, operators
+    /// or the runner is missing, and the line if a record cannot be read. A last line without its end is left out, because a killed process
     /// may have been writing it.
     pub fn read(dir: &Path) -> io::Result<Self> {
-        let mut history = Self::default();
+        let mut history = Self {
+            workers: Vec::new(),
+            callers: read_lines(&dir.join(CALLER_FILE))?,
+            operators: read_lines(&dir.join(OPERATOR_FILE))?,
+            runner: read_lines(&dir.join(RUNNER_FILE))?,
+        };
         let mut files = fs::read_dir(dir)?.collect::<io::Result<Vec<_>>>()?;
         files.sort_by_key(fs::DirEntry::file_name);
         for file in files {
-            let name = file.file_name().to_string_lossy().into_owned();
-            let path = file.path();
+            let (name, path) = (file.file_name(), file.path());
             let has_lines = path.extension().is_some_and(|extension| extension == "jsonl");
-            let is_worker = has_lines && name.starts_with(WORKER_PREFIX);
-            match name.as_str() {
-                CALLER_FILE => history.callers = read_lines(&path)?,
-                OPERATOR_FILE => history.operators = read_lines(&path)?,
-                RUNNER_FILE => history.runner = read_lines(&path)?,
-                _ if is_worker => history.workers.extend(read_lines(&path)?),
-                _ => {}
+            if has_lines && name.to_string_lossy().starts_with(WORKER_PREFIX) {
+                history.workers.extend(read_lines(&path)?);
             }
         }
         history.sort();
@@ -170,7 +169,8 @@
 }
 
 fn read_lines<T: DeserializeOwned>(path: &Path) -> io::Result<Vec<T>> {
-    let text = fs::read_to_string(path)?;
+    let text = fs::read_to_string(path)
+        .map_err(|error| io::Error::new(error.kind(), format!("{}: {error}", path.display())))?;
     let complete = text.rfind('\n').map_or("", |end| &text[..end]);
     let lines = complete.lines().enumerate().filter(|(_, line)| !line.is_empty());
     let parse = |(index, line): (usize, &str)| {
--- a/testing/scenario/tests/checker.rs
+++ b/testing/scenario/tests/checker.rs
@@ -30,6 +30,15 @@
     assert!(error.to_string().contains("worker-w9.jsonl:1:"), "{error}");
 }
 
+/// Guards against a directory without histories that passes as a clean run.
+#[test]
+fn missing_history() {
+    let dir = Story::new().write();
+    std::fs::remove_file(dir.path().join("callers.jsonl")).expect("the file can be deleted");
+    let error = check::check_histories(dir.path()).expect_err("a history is missing");
+    assert!(error.to_string().contains("callers.jsonl"), "{error}");
+}
+
 /// Guards against violations that do not show where they come from.
 #[test]
 fn violation_names_its_records() {
