--- a/testing/scenario/src/run/operator.rs
+++ b/testing/scenario/src/run/operator.rs
@@ -66,15 +66,34 @@
         Some(entry) => state.resolve_entry(entry).await?,
         None => state.any_entry()?,
     };
-    let read: Result<ConfigDocument, _> =
-        state.client.get(&entry.http, api::CONFIG_PATH, READ_BOUND).await;
-    let document = read.map_err(|error| format!("configuration of {}: {error}", entry.name))?;
+    let document = read_config(state, entry).await?;
     let mut objects = document.objects;
     config::edit_objects(&mut objects, &plan.change, state.places.capacity());
     let (index, id) = register_change(state, plan.alias.clone());
     Ok(PreparedChange { index, id, base: document.version, objects, entry })
 }
 
+/// Reads the configuration of an entry once it is not older than the last change.
+///
+/// Entries may lag behind a change that was made through another one, and a
+/// change based on an older version would only meet a conflict.
+async fn read_config(state: &RunState, entry: &EntryPlace) -> Result<ConfigDocument, String> {
+    let known = state.changes.borrow().iter().map(|change| change.version).max().unwrap_or(0);
+    let end = Instant::now() + READ_BOUND;
+    loop {
+        let read: Result<ConfigDocument, _> =
+            state.client.get(&entry.http, api::CONFIG_PATH, READ_BOUND).await;
+        let document = read.map_err(|error| format!("configuration of {}: {error}", entry.name))?;
+        if document.version >= known {
+            return Ok(document);
+        }
+        if Instant::now() >= end {
+            return Err(format!("{} has version {}, not {known}", entry.name, document.version));
+        }
+        time::sleep(POLL).await;
+    }
+}
+
 fn register_change(state: &RunState, alias: Option<String>) -> (usize, String) {
     let id = format!("change-{}", state.next_number());
     let mut changes = state.changes.borrow_mut();
