--- a/crates/entry/src/control/jobs.rs
+++ b/crates/entry/src/control/jobs.rs
@@ -68,7 +68,7 @@
     }
 
     /// Forgets a job that ended here or was moved away.
-    fn remove(&mut self, job: &JobId) {
+    pub fn forget(&mut self, job: &JobId) {
         self.dirty.remove(job);
         if self.records.remove(job).is_some() && self.gone_set.insert(job.clone()) {
             self.gone.push_back(job.clone());
@@ -388,7 +388,7 @@
         if same {
             domain.jobs.dirty.remove(&job);
             if progress.state.is_final() {
-                domain.jobs.remove(&job);
+                domain.jobs.forget(&job);
             }
         }
         if let Some(record) = domain.jobs.records.get_mut(&job) {
@@ -482,7 +482,7 @@
     }
     log::info!("job moved job={job} from={} to={target}", control.settings.domain);
     if let Some(domain) = control.state_mut().domain.as_mut() {
-        domain.jobs.remove(job);
+        domain.jobs.forget(job);
     }
     notify_owner(control, moved);
     Ok(())
--- a/crates/entry/tests/whole_path.rs
+++ b/crates/entry/tests/whole_path.rs
@@ -102,3 +102,24 @@
     cell = cell_back;
     assert_eq!(cell.entries[0].exit_code().await, Some(0));
 }
+
+/// Guards slots: a caller that disconnects must not keep its slot past the end
+/// of its request at the worker.
+#[actix_rt::test]
+async fn slots_of_lost_callers_come_back() {
+    let cell = TestCell::start(1, 1, 1).await;
+    for turn in 0..8 {
+        let call = client()
+            .post(cell.url(0, "/v1/queues/sheets/request"))
+            .bearer_auth(NORTH)
+            .insert_header(("x-request-id", format!("lost-{turn}")))
+            .send_json(&json!({ "run_ms": 400 }));
+        let given_up = tokio::time::timeout(Duration::from_millis(150), call).await;
+        assert!(given_up.is_err(), "the request runs longer than its caller waits");
+    }
+    let start = Instant::now();
+    let (status, outcome, _) = cell.request(0, NORTH, "next").await;
+    assert_eq!((status, outcome.as_str()), (200, "answered"));
+    // The worker's next report, at most 1 s later, shows that the slots are free.
+    assert!(start.elapsed() < Duration::from_secs(4), "waited {:?}", start.elapsed());
+}
