--- a/crates/coord/src/owner/holder.rs
+++ b/crates/coord/src/owner/holder.rs
@@ -41,7 +41,7 @@
 /// A handover without an answer yet.
 #[derive(Debug)]
 pub(super) struct HandoverOffer {
-    to: EntryId,
+    to: EntryMember,
     authority: OwnerAuthority,
     since: ClockMillis,
 }
@@ -278,8 +278,9 @@
             return;
         };
         if accepted == Some(false) {
-            state.refused.push(offer.to);
+            state.refused.push(offer.to.entry);
         } else {
+            self.successor = Some((authority, offer.to));
             // Without an answer the successor may act: this entry never does
             // again under its authority, and must not release the row either,
             // because an entry that promised nothing could claim it at once.
@@ -431,7 +432,7 @@
         let authority = OwnerAuthority { term: state.authority.term, handover: number };
         if let OwnerRole::Holder(state) = &mut self.role {
             state.last_offer = number;
-            state.offer = Some(HandoverOffer { to: to.entry.clone(), authority, since: now });
+            state.offer = Some(HandoverOffer { to: to.clone(), authority, since: now });
         }
         actions.push(OwnerAction::HandOver { to, authority, version, row });
     }
--- a/crates/coord/src/owner/machine.rs
+++ b/crates/coord/src/owner/machine.rs
@@ -58,6 +58,8 @@
     pub(super) promised: Option<GivenPromise>,
     /// Authority under which this entry has to release the row.
     pub(super) releasing: Option<OwnerAuthority>,
+    /// Holder by a handover that the row may not show yet.
+    pub(super) successor: Option<(OwnerAuthority, EntryMember)>,
     /// Highest authority seen in the row, in a promise or held.
     pub(super) highest: OwnerAuthority,
     /// When the platform last answered.
@@ -87,6 +89,7 @@
             pending: None,
             promised: None,
             releasing: None,
+            successor: None,
             highest: OwnerAuthority::default(),
             contact: now,
             next_call: now,
@@ -146,7 +149,14 @@
     pub fn known_holder(&self) -> Option<&EntryMember> {
         match &self.role {
             OwnerRole::Holder(_) => Some(&self.member),
-            OwnerRole::Standby => self.view.row.as_ref()?.holder.as_ref(),
+            OwnerRole::Standby => {
+                let row = self.view.row.as_deref();
+                let shown = row.map_or(OwnerAuthority::default(), |row| row.authority);
+                match &self.successor {
+                    Some((authority, member)) if *authority > shown => Some(member),
+                    _ => row?.holder.as_ref(),
+                }
+            }
         }
     }
 
@@ -164,6 +174,9 @@
 
     /// Decides on a holder's request for a promise not to claim for `ttl_ms`.
     ///
+    /// Also tells this entry who holds the domain, so that it can forward to a
+    /// successor that cannot write the row.
+    ///
     /// An entry with platform contact refuses, so that the holder hands over
     /// to it. A draining entry promises in any case: it never claims again and
     /// could not take a handover.
@@ -174,6 +187,7 @@
         authority: OwnerAuthority,
         ttl_ms: u64,
     ) -> bool {
+        self.note_successor(holder, authority);
         let connected = now.since(self.contact) < PROMISE_CONTACT_MS && !self.draining;
         let is_holder = matches!(self.role, OwnerRole::Holder(_));
         // A claim without a reply may still take effect after the promise.
@@ -223,6 +237,18 @@
         actions
     }
 
+    fn note_successor(&mut self, holder: &EntryId, authority: OwnerAuthority) {
+        let row = self.view.row.as_deref();
+        let mut members = row.into_iter().flat_map(|row| row.voters.iter().chain(&row.candidates));
+        let known = self.successor.as_ref().map(|(known, _)| *known);
+        if authority >= self.highest
+            && known <= Some(authority)
+            && let Some(member) = members.find(|member| member.entry == *holder)
+        {
+            self.successor = Some((authority, member.clone()));
+        }
+    }
+
     fn may_take_over(&self, authority: OwnerAuthority, row: &OwnerRow) -> bool {
         !self.draining
             && matches!(self.role, OwnerRole::Standby)
--- a/crates/coord/tests/allotment.rs
+++ b/crates/coord/tests/allotment.rs
@@ -18,12 +18,15 @@
     entries.iter().map(|(name, amount)| (DomainName::from(*name), cpu(*amount))).collect()
 }
 
+/// Amounts by domain name.
+type Entries<'a> = &'a [(&'a str, u64)];
+
 /// Runs one step of domain `a`; checks that a second step changes nothing.
 fn step(
     limit: u64,
-    capacities: &[(&str, u64)],
+    capacities: Entries<'_>,
     (used, wanted): (u64, u64),
-    row: Option<(&[(&str, u64)], &[(&str, u64)])>,
+    row: Option<(Entries<'_>, Entries<'_>)>,
 ) -> (u64, Option<AllotmentRow>, bool) {
     let (domain, capacities) = (DomainName::from("a"), amounts(capacities));
     let row = row.map(|(domains, wanted)| AllotmentRow {
@@ -47,7 +50,7 @@
     (first.usable.cpu_millis, first.write, first.in_force)
 }
 
-fn row(domains: &[(&str, u64)], wanted: &[(&str, u64)]) -> AllotmentRow {
+fn row(domains: Entries<'_>, wanted: Entries<'_>) -> AllotmentRow {
     AllotmentRow { domains: amounts(domains), wanted: amounts(wanted), limit: None }
 }
 
--- a/crates/coord/tests/cluster/mod.rs
+++ b/crates/coord/tests/cluster/mod.rs
@@ -158,7 +158,7 @@
             }
             ClusterFault::CutAll { millis } => self.platform_cut.fill(self.now + millis),
             ClusterFault::Isolate { slot, millis } => {
-                self.peer_cut[slot % count] = self.now + millis
+                self.peer_cut[slot % count] = self.now + millis;
             }
             ClusterFault::Lose { permille, millis } => self.loss = (permille, self.now + millis),
             ClusterFault::Slow { delay, millis } => self.slow = (delay, self.now + millis),
--- a/crates/coord/tests/owner_table.rs
+++ b/crates/coord/tests/owner_table.rs
@@ -383,6 +383,7 @@
         bench.carry(actions);
         bench.on(OwnerEvent::VmGone { vm: "vm-c".to_owned() });
         let mut asked = bench.take();
+        assert_eq!(asked.len(), 3, "{asked:?}");
         asked.sort_by_key(|action| {
             matches!(action, OwnerAction::AskPromise { voter, .. } if voter.entry.as_str() == last)
         });
@@ -431,8 +432,8 @@
     bench.run(1_000);
     assert!(!bench.promise("b", 1));
     let (given, authority) =
-        (row(1, 5, "b", &["a", "b"], &[]), OwnerAuthority { term: 1, handover: 1 });
-    let actions = bench.machine.take_over(ClockMillis(bench.now), authority, 1, Box::new(given));
+        (row(1, 6, "b", &["a", "b"], &[]), OwnerAuthority { term: 1, handover: 1 });
+    let actions = bench.machine.take_over(ClockMillis(bench.now), authority, 2, Box::new(given));
     assert!(actions.is_empty(), "the claim may still replace the row");
 }
 
@@ -448,3 +449,22 @@
     let voters = bench.row.expect("row").voters;
     assert_eq!(voters.as_slice(), [member("a"), member("b")]);
 }
+
+/// Guards against requests that are forwarded to a holder which handed over
+/// while the platform, and so the row, is out of reach.
+#[test]
+fn forwarding_follows_a_handover() {
+    let mut bench = Bench::new("a", Some(row(1, 5, "b", &["a", "b", "c"], &[])));
+    bench.run(500);
+    bench.away = true;
+    bench.run(800);
+    let authority = OwnerAuthority { term: 1, handover: 1 };
+    let (now, successor) = (ClockMillis(bench.now), EntryId::from("c"));
+    assert!(bench.machine.promise(now, &successor, authority, PROMISE_TTL_MS));
+    assert_eq!(bench.machine.known_holder(), Some(&member("c")));
+    bench.away = false;
+    bench.row = Some(row(2, 6, "b", &["b"], &[]));
+    bench.version += 1;
+    bench.run(1_000);
+    assert_eq!(bench.machine.known_holder(), Some(&member("b")));
+}
