--- a/crates/coord/tests/cluster/mod.rs
+++ b/crates/coord/tests/cluster/mod.rs
@@ -16,6 +16,9 @@
 const TICK_MS: u64 = 50;
 const SEEN_MS: u64 = 1_000;
 
+/// From this number on, a slot stands for that of the present holder.
+pub const HOLDER_SLOT: usize = 6;
+
 /// A fault or an operation.
 #[derive(Clone, Debug)]
 pub enum ClusterFault {
@@ -139,32 +142,45 @@
 
     pub fn apply(&mut self, fault: &ClusterFault) {
         self.note(&format!("{fault:?}"));
-        let count = self.slots.len();
         match *fault {
             ClusterFault::Kill { slot, pause } => {
-                self.kill(slot % count);
-                self.schedule(pause, Happening::Start { slot: slot % count });
+                let slot = self.resolve(slot);
+                self.kill(slot);
+                self.schedule(pause, Happening::Start { slot });
+            }
+            ClusterFault::Replace { slot, pause } => {
+                let slot = self.resolve(slot);
+                self.replace(slot, pause);
             }
-            ClusterFault::Replace { slot, pause } => self.replace(slot % count, pause),
             ClusterFault::Freeze { slot, millis } => {
-                let until = self.now + millis;
-                if let Some(process) = self.current(slot % count) {
+                let (slot, until) = (self.resolve(slot), self.now + millis);
+                if let Some(process) = self.current(slot) {
                     process.frozen_until = process.frozen_until.max(until);
                 }
             }
-            ClusterFault::Drain { slot, pause } => self.drain(slot % count, pause),
+            ClusterFault::Drain { slot, pause } => {
+                let slot = self.resolve(slot);
+                self.drain(slot, pause);
+            }
             ClusterFault::CutOne { slot, millis } => {
-                self.platform_cut[slot % count] = self.now + millis;
+                let slot = self.resolve(slot);
+                self.platform_cut[slot] = self.now + millis;
             }
             ClusterFault::CutAll { millis } => self.platform_cut.fill(self.now + millis),
             ClusterFault::Isolate { slot, millis } => {
-                self.peer_cut[slot % count] = self.now + millis;
+                let slot = self.resolve(slot);
+                self.peer_cut[slot] = self.now + millis;
             }
             ClusterFault::Lose { permille, millis } => self.loss = (permille, self.now + millis),
             ClusterFault::Slow { delay, millis } => self.slow = (delay, self.now + millis),
         }
     }
 
+    fn resolve(&self, slot: usize) -> usize {
+        let holder = self.holder_slot().filter(|_| slot >= HOLDER_SLOT);
+        holder.unwrap_or(slot % self.slots.len())
+    }
+
     /// Ends all faults; messages under way stay under way.
     pub fn heal(&mut self) {
         self.note("heal");
--- a/crates/coord/tests/owner_property.rs
+++ b/crates/coord/tests/owner_property.rs
@@ -3,13 +3,13 @@
 
 mod cluster;
 
-use cluster::{Cluster, ClusterFault};
+use cluster::{Cluster, ClusterFault, HOLDER_SLOT};
 use proptest::collection;
 use proptest::prelude::*;
 use proptest::test_runner::Config;
 
 fn any_fault() -> impl Strategy<Value = ClusterFault> {
-    let slot = 0_usize..6;
+    let slot = 0_usize..2 * HOLDER_SLOT;
     let pause = prop_oneof![0_u64..300, 300_u64..6_000];
     prop_oneof![
         1 => (slot.clone(), pause.clone()).prop_map(|(slot, pause)| ClusterFault::Kill { slot, pause }),
@@ -21,7 +21,7 @@
 }
 
 fn link_fault() -> impl Strategy<Value = ClusterFault> {
-    let slot = 0_usize..6;
+    let slot = 0_usize..2 * HOLDER_SLOT;
     let span = prop_oneof![200_u64..3_000, 2_000_u64..15_000];
     prop_oneof![
         1 => (slot.clone(), span.clone())
