--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -4,6 +4,7 @@
 
 use crate::cell::Cell;
 use crate::event::{CellDecision, RequestAsk, TicketNumber};
+use crate::index::WorkerIndex;
 use crate::placement::PlacementRule;
 use crate::quarantine::WorkerProbe;
 
@@ -49,10 +50,14 @@
         }
         let Some(grant) = self.requests.grants.get(&ticket) else { return };
         let worker = grant.worker;
-        self.release_grant(ticket);
-        if !self.rules.quarantine {
-            return;
+        if self.rules.quarantine {
+            self.judge_request(worker, ticket, healthy);
         }
+        self.release_grant(ticket);
+    }
+
+    /// Draws conclusions about the worker from the end of a request.
+    fn judge_request(&mut self, worker: WorkerIndex, ticket: TicketNumber, healthy: bool) {
         self.pool.edit(worker, |entry| entry.history.note_request(healthy));
         let probe = self.pool.get(worker).quarantine.map(|state| state.probe);
         if probe == Some(WorkerProbe::Request(ticket)) {
@@ -71,6 +76,11 @@
             entry.grants.remove(&ticket);
             entry.note_end(None, now);
         });
+        let probe = self.pool.get(grant.worker).quarantine.map(|state| state.probe);
+        if probe == Some(WorkerProbe::Request(ticket)) {
+            // The probe was given up without an answer.
+            self.probe_ended(grant.worker, None);
+        }
         let team = self.teams.get_mut(grant.team);
         team.used = team.used.minus(grant.amounts);
         self.stale = true;
--- a/crates/policy/src/due.rs
+++ b/crates/policy/src/due.rs
@@ -18,6 +18,7 @@
                 TimerKind::Stop(id) => self.repeat_stop(id),
                 TimerKind::Progress(job) => self.save_progress(&job),
                 TimerKind::Probe(worker) => self.probe_due(worker),
+                TimerKind::Unprobed(worker) => self.unprobed(worker),
                 TimerKind::Verdict(worker, id) => self.verdict_due(worker, id),
                 TimerKind::Pause(worker) => self.pause_over(worker),
                 TimerKind::Foreign(worker) => self.foreign_over(worker),
@@ -28,16 +29,33 @@
     }
 
     fn probe_due(&mut self, worker: WorkerIndex) {
+        let now = self.now;
         self.pool.edit(worker, |entry| {
             if let Some(state) = &mut entry.quarantine
                 && state.probe == WorkerProbe::Waiting
             {
                 state.probe = WorkerProbe::Due;
+                state.due_at = now;
             }
         });
+        self.timers.set(now + quarantine::LAST_PROBE_MS, TimerKind::Unprobed(worker));
         self.stale = true;
     }
 
+    /// Lets a worker take work again that could not be probed. Otherwise a gang
+    /// that needs it, which no single probe can stand for, would wait for ever.
+    fn unprobed(&mut self, worker: WorkerIndex) {
+        let Some(state) = self.pool.get(worker).quarantine else { return };
+        let waited = self.now.since(state.due_at) >= quarantine::LAST_PROBE_MS;
+        if state.probe == WorkerProbe::Due && waited {
+            self.pool.edit(worker, |entry| {
+                entry.quarantine = None;
+                entry.history.keep_suspicion();
+            });
+            self.stale = true;
+        }
+    }
+
     fn verdict_due(&mut self, worker: WorkerIndex, id: HoldId) {
         let probe = self.pool.get(worker).quarantine.map(|state| state.probe);
         if probe == Some(WorkerProbe::Task(id)) {
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -88,7 +88,8 @@
         /// What the domain may run at most.
         amounts: ResourceAmounts,
     },
-    /// A worker reported under the present authority.
+    /// A worker reported under the present authority. Ends of tasks that came with
+    /// the report are told before it, so that no ended task is started again.
     WorkerReported(WorkerUpdate),
     /// A worker has not reported for a while; nothing new is placed on it.
     WorkerSilent(WorkerName),
--- a/crates/policy/src/job.rs
+++ b/crates/policy/src/job.rs
@@ -159,6 +159,9 @@
     }
 
     pub(crate) fn done_indices(&self) -> Vec<u32> {
+        if self.done == 0 {
+            return Vec::new();
+        }
         let slots = self.slots.iter().enumerate();
         slots
             .filter(|(_, slot)| slot.stage == TaskStage::Done)
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -254,23 +254,13 @@
         if self.is_missed(ask) {
             return None;
         }
-        let count = self.racks.len();
-        let shift = usize::try_from(turn % (count.max(1) as u64)).unwrap_or(0);
-        let mut order: Vec<(u32, usize, RackIndex)> = (0..count)
-            .map(|position| {
-                let rack = RackIndex::try_from(position).unwrap_or(RackIndex::MAX);
-                let tasks = on_rack.get(&rack).copied().unwrap_or(0);
-                (tasks, (position + count - shift) % count, rack)
-            })
-            .collect();
-        order.sort_unstable();
         let mut search = CandidateSearch::new(self, ask);
-        for (_, _, rack) in order {
-            let open = &self.racks[rack as usize].open;
-            search.walk(open, WalkOrder::Roomiest, R::CANDIDATES);
-            if !search.found.is_empty() {
-                break;
-            }
+        // Most racks are full when the fleet is; one look at the whole pool
+        // saves a look at each of them.
+        search.walk(&self.open, WalkOrder::Roomiest, 1);
+        if !search.found.is_empty() {
+            search.found.clear();
+            search.walk_racks(on_rack, turn, R::CANDIDATES);
         }
         if search.found.is_empty() && ask.with_reserved {
             search.walk(&self.reserved, WalkOrder::Roomiest, R::CANDIDATES);
@@ -406,6 +396,27 @@
         index.walk(amounts, order, visit, || keep && done.get());
     }
 
+    /// Looks at racks without a task of the job first, then at those with the fewest.
+    fn walk_racks(&mut self, on_rack: &HashMap<RackIndex, u32>, turn: u64, limit: usize) {
+        let pool = self.pool;
+        let count = u32::try_from(pool.racks.len()).unwrap_or(RackIndex::MAX).max(1);
+        let first = u32::try_from(turn % u64::from(count)).unwrap_or(0);
+        let unused = (0..count)
+            .map(|step| (first + step) % count)
+            .filter(|rack| !on_rack.contains_key(rack));
+        let mut used: Vec<(u32, RackIndex)> =
+            on_rack.iter().map(|(rack, tasks)| (*tasks, *rack)).collect();
+        used.sort_unstable();
+        for rack in unused.chain(used.into_iter().map(|(_, rack)| rack)) {
+            if let Some(entry) = pool.racks.get(rack as usize) {
+                self.walk(&entry.open, WalkOrder::Roomiest, limit);
+            }
+            if !self.found.is_empty() {
+                return;
+            }
+        }
+    }
+
     fn scan_listed(&mut self, limit: usize) {
         for worker in self.pool.indices() {
             let entry = self.pool.get(worker);
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -12,7 +12,7 @@
 /// A failure later than this counts against the job alone.
 const QUICK_FAILURE_MS: u64 = 2_000;
 const FIRST_PROBE_MS: u64 = 1_000;
-const LAST_PROBE_MS: u64 = 60_000;
+pub(crate) const LAST_PROBE_MS: u64 = 60_000;
 
 /// A start that failed quickly.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,6 +60,12 @@
         self.failed_requests < FAILED_STARTS && same_job
     }
 
+    /// Keeps one failure less than a quarantine takes, so that the next one starts it again.
+    pub(crate) fn keep_suspicion(&mut self) {
+        self.failures.truncate(FAILED_STARTS - 1);
+        self.failed_requests = self.failed_requests.min(FAILED_STARTS - 1);
+    }
+
     pub(crate) fn clear(&mut self) {
         self.failures.clear();
         self.failed_requests = 0;
@@ -88,13 +94,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct WorkerQuarantine {
     pub(crate) probe: WorkerProbe,
+    /// When the last probe became due.
+    pub(crate) due_at: ClockMillis,
     interval: u64,
 }
 
 impl WorkerQuarantine {
     /// Starts a quarantine and returns it with the instant of the first probe.
     pub(crate) fn start(now: ClockMillis) -> (Self, ClockMillis) {
-        (Self { probe: WorkerProbe::Waiting, interval: FIRST_PROBE_MS }, now + FIRST_PROBE_MS)
+        let due_at = now + FIRST_PROBE_MS;
+        (Self { probe: WorkerProbe::Waiting, due_at, interval: FIRST_PROBE_MS }, due_at)
     }
 
     /// Returns the instant of the next probe after a failed one.
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -28,6 +28,7 @@
         if restarted {
             self.end_all_tasks(index);
         }
+        let was_silent = self.pool.get(index).silent;
         let first = self.pool.get(index).contact != WorkerContact::Reported || restarted;
         let (boot, sent_at, leaving) = (update.boot.clone(), update.sent_at, update.leaving);
         let full = update.tasks.is_some();
@@ -53,7 +54,8 @@
         if first {
             self.settled_changed();
         }
-        self.stale = true;
+        // Most reports change nothing for the work that waits.
+        self.stale |= was_silent;
     }
 
     /// Brings the tasks of a worker in line with its full list.
--- a/crates/policy/src/snapshot.rs
+++ b/crates/policy/src/snapshot.rs
@@ -26,6 +26,9 @@
 pub struct CellSnapshot {
     /// Allotments in force, by team.
     pub allotments: Vec<(TeamName, ResourceAmounts)>,
+    /// Workers that are not in the configuration any more but may still run
+    /// something, with what they offered.
+    pub removed: Vec<(WorkerName, ResourceAmounts)>,
     /// Jobs in order of arrival.
     pub jobs: Vec<JobSnapshot>,
     /// Waiting requests in order of arrival.
@@ -107,6 +110,7 @@
             allotments: allotted
                 .filter_map(|team| Some((team.name.clone(), team.allotment?)))
                 .collect(),
+            removed: self.export_removed().collect(),
             jobs: self.export_jobs(),
             requests: self.export_requests(),
             grants,
@@ -115,6 +119,17 @@
         }
     }
 
+    fn export_removed(&self) -> impl Iterator<Item = (WorkerName, ResourceAmounts)> + '_ {
+        let removed = self
+            .pool
+            .indices()
+            .filter(|index| !self.pool.get(*index).configured && !self.is_retired(*index));
+        removed.map(|index| {
+            let entry = self.pool.get(index);
+            (entry.name.clone(), entry.capacity)
+        })
+    }
+
     fn export_jobs(&self) -> Vec<JobSnapshot> {
         let mut jobs: Vec<_> = self.jobs.jobs.values().collect();
         jobs.sort_unstable_by_key(|job| job.arrival);
@@ -178,6 +193,10 @@
             let index = cell.teams.intern(&team);
             cell.teams.get_mut(index).allotment = Some(amounts);
         }
+        for (name, capacity) in snapshot.removed {
+            let index = cell.pool.intern(&name);
+            cell.pool.edit(index, |entry| entry.capacity = capacity);
+        }
         for job in snapshot.ended {
             cell.jobs.note_ended(&job);
         }
--- a/crates/policy/src/timer.rs
+++ b/crates/policy/src/timer.rs
@@ -17,6 +17,8 @@
     Progress(JobId),
     /// A quarantined worker is probed.
     Probe(WorkerIndex),
+    /// A probe was due for long, but no work fitted.
+    Unprobed(WorkerIndex),
     /// A probe has run long enough to count as healthy.
     Verdict(WorkerIndex, HoldId),
     /// A worker that refused a start may get tasks again.
--- a/crates/policy/tests/machine.rs
+++ b/crates/policy/tests/machine.rs
@@ -48,7 +48,7 @@
 #[derive(Clone, Debug)]
 struct Sent {
     owner: u32,
-    sent_at: u64,
+    at: u64,
     /// Boot that the sender knew; starts for another boot are refused.
     boot: u32,
     message: Message,
@@ -68,6 +68,7 @@
     // What the cell was told.
     known_boot: u32,
     usable: bool,
+    removed: bool,
 }
 
 /// The cell with everything around it.
@@ -160,7 +161,7 @@
                 let start_by = self.open.get(&ticket).copied().unwrap_or(self.now);
                 self.decide(ticket);
                 let index = Self::index(&worker);
-                assert!(self.workers[index].usable, "grant on unusable {worker}");
+                assert!(self.workers[index].takes_work(), "grant on unusable {worker}");
                 self.granted.insert((self.owner, ticket), (index, team.clone()));
                 let until = start_by + GRANT_MARGIN_MS;
                 self.post(&worker, Message::Request { ticket, team: team.clone(), until });
@@ -187,7 +188,7 @@
     fn check_start(&self, task: &TaskId, worker: &WorkerName) {
         assert!(!self.out, "task {task} started while the domain was out");
         assert!(
-            self.workers[Self::index(worker)].usable,
+            self.workers[Self::index(worker)].takes_work(),
             "task {task} started on unusable {worker}"
         );
         for (index, other) in self.workers.iter().enumerate() {
@@ -212,8 +213,8 @@
 
     fn post(&mut self, worker: &WorkerName, message: Message) {
         let worker = &mut self.workers[Self::index(worker)];
-        let (owner, sent_at, boot) = (self.owner, self.now, worker.known_boot);
-        worker.inbox.push(Sent { owner, sent_at, boot, message });
+        let (owner, at, boot) = (self.owner, self.now, worker.known_boot);
+        worker.inbox.push(Sent { owner, at, boot, message });
     }
 
     fn allot(&mut self, team: &str, amounts: ResourceAmounts) {
@@ -233,7 +234,7 @@
         worker.owner_seen = worker.owner_seen.max(sent.owner);
         match sent.message {
             Message::Start { task, attempt, team, amounts } => {
-                let expired = self.now - sent.sent_at > 8_000;
+                let expired = self.now - sent.at > 8_000;
                 let boot = sent.boot != worker.boot;
                 let refused = !valid || expired || boot || worker.tasks.contains_key(&task);
                 if !refused {
@@ -418,6 +419,20 @@
         self.send(CellEvent::Config(Arc::new(self.set.clone())));
     }
 
+    /// Removes a worker from the configuration, or brings it back.
+    fn toggle_worker(&mut self, index: usize) {
+        self.workers[index].removed = !self.workers[index].removed;
+        let name = Self::name(index);
+        if self.workers[index].removed {
+            self.set.workers.retain(|object| object.name != name);
+        } else {
+            let (cores, gb, accelerators, slots) = CAPACITY;
+            let all = support::object_set(WORKERS, amounts(cores, gb, accelerators, slots));
+            self.set.workers.extend(all.workers.into_iter().filter(|object| object.name == name));
+        }
+        self.send(CellEvent::Config(Arc::new(self.set.clone())));
+    }
+
     /// Replaces the owner, with or without a handover; jobs come from their rows.
     fn change_owner(&mut self, handover: bool) {
         self.owner += 1;
@@ -433,6 +448,13 @@
         } else {
             self.cell = Cell::new(domain, 1, self.owner * 1_000_000);
             self.open.clear();
+            // A new owner does not know of workers that were removed before;
+            // their leases have lapsed here (see `Cell::new`).
+            for worker in self.workers.iter_mut().filter(|worker| worker.removed) {
+                worker.tasks.clear();
+                worker.requests.clear();
+                worker.inbox.clear();
+            }
         }
         // Grants of the earlier owner end without the new one hearing of it,
         // except after a handover.
@@ -475,7 +497,7 @@
             26 if second.is_multiple_of(3) => self.lose(index),
             27 if second.is_multiple_of(3) => self.restart(index),
             28 => {
-                self.allot(TEAMS[first % 3], amounts(second as u64 % 32, 96, 4, second as u64 % 9))
+                self.allot(TEAMS[first % 3], amounts(second as u64 % 32, 96, 4, second as u64 % 9));
             }
             29 if second.is_multiple_of(3) => self.set_out(!self.out),
             30 if second.is_multiple_of(4) => self.change_owner(first.is_multiple_of(2)),
@@ -483,6 +505,7 @@
                 self.now += 1_000;
                 self.send(CellEvent::Tick);
             }
+            33 if second.is_multiple_of(3) => self.toggle_worker(index),
             32 if second.is_multiple_of(8) => {
                 (self.workers[index].leaving, self.workers[index].usable) = (true, false);
                 self.send(CellEvent::WorkerLeaving(Self::name(index)));
@@ -496,6 +519,11 @@
         if self.out {
             self.set_out(false);
         }
+        for index in 0..WORKERS {
+            if self.workers[index].removed {
+                self.toggle_worker(index);
+            }
+        }
         for team in TEAMS {
             self.allot(team, ResourceAmounts::UNLIMITED);
         }
@@ -533,11 +561,15 @@
 }
 
 impl ModelWorker {
+    fn takes_work(&self) -> bool {
+        self.usable && !self.removed
+    }
+
     /// Tells whether a message can still take effect.
     fn is_valid(&self, sent: &Sent, now: u64) -> bool {
         let for_boot = sent.boot == self.boot || !matches!(sent.message, Message::Start { .. });
         let in_time = match sent.message {
-            Message::Start { .. } => now - sent.sent_at <= 8_000,
+            Message::Start { .. } => now - sent.at <= 8_000,
             Message::Request { until, .. } => now <= until,
             Message::Stop { .. } => true,
         };
@@ -611,7 +643,7 @@
     let config =
         Config { cases: cases.unwrap_or(200), failure_persistence: None, ..Config::default() };
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let step = (0..34_u8, 0..64_usize, 0..256_usize);
+    let step = (0..36_u8, 0..64_usize, 0..256_usize);
     let steps = proptest::collection::vec(step, 0..400);
     let result = runner.run(&steps, |steps| {
         let mut machine = Machine::new();
--- a/crates/policy/tests/support/mod.rs
+++ b/crates/policy/tests/support/mod.rs
@@ -85,6 +85,7 @@
     set
 }
 
+#[expect(clippy::default_trait_access, reason = "the payload's type is not a dependency here")]
 pub fn record(id: &str, queue: &str, tasks: u32, amounts: ResourceAmounts) -> JobRecord {
     let team = queue.split('-').next().unwrap_or_default();
     JobRecord {
