Bound lost grants by the worker's clock and keep time for the answer

A grant whose reply was lost in the cut kept its slot until the request's deadline plus a grace. The head of a full queue got its slot just before its deadline, so that its answer came too late. The entry now keeps back the time that answers take. Ruled out: an ownership change (none in the logs).

--- a/crates/entry/src/control/cells.rs
+++ b/crates/entry/src/control/cells.rs
@@ -9,7 +9,7 @@
 use wire::worker::StopMode;
 
 use crate::control::requests::GrantRecord;
-use crate::control::{Control, allot, jobs, workers};
+use crate::control::{Control, allot, jobs, requests, workers};
 use crate::metrics::label;
 
 /// Tells the cell something and carries out what it decides.
@@ -98,7 +98,7 @@
     let mut state = control.state_mut();
     let Some(domain) = state.domain.as_mut() else { return };
     let Some(waiting) = domain.tickets.remove(&ticket) else { return };
-    let address = domain.links.get(&worker).map(|link| link.address.clone());
+    let place = domain.links.get(&worker).and_then(|link| link.place(now));
     log::info!(
         target: "placement",
         "slot grant request={} team={team} domain={} worker={worker} wait_ms={} {}",
@@ -109,18 +109,25 @@
     );
     #[expect(clippy::cast_precision_loss, reason = "waits stay far below 2^52 ms")]
     control.metrics.slot_wait.record(now.since(waiting.arrived_at) as f64, &[]);
-    let sent = match (authority, address) {
-        (Some(authority), Some(address)) if authority == domain.authority => {
-            domain.grants.insert(
-                ticket,
-                GrantRecord {
-                    worker: worker.clone(),
-                    granted_at: now,
-                    expires_at: waiting.start_by + super::requests::GRANT_GRACE_MS,
-                },
-            );
-            let domain = control.settings.domain.clone();
-            waiting.grant(SlotGrant { id: ticket, worker, address, authority, domain })
+    let sent = match (authority, place) {
+        (Some(authority), Some(place)) if authority == domain.authority => {
+            let not_after = place.clock + requests::GRANT_WINDOW_MS;
+            let record = GrantRecord {
+                worker: worker.clone(),
+                team: team.clone(),
+                not_after,
+                healthy: true,
+            };
+            domain.grants.insert(ticket, record);
+            waiting.grant(SlotGrant {
+                id: ticket,
+                worker,
+                address: place.address,
+                authority,
+                domain: control.settings.domain.clone(),
+                boot: place.boot,
+                not_after,
+            })
         }
         _ => {
             waiting.refuse_no_owner();
@@ -130,7 +137,7 @@
     drop(state);
     if !sent {
         // The asker is gone, so that nobody else would give the slot back.
-        super::requests::end_ticket(control, ticket, true);
+        requests::end_ticket(control, ticket, true);
     }
 }
 
--- a/crates/entry/src/control/requests.rs
+++ b/crates/entry/src/control/requests.rs
@@ -1,24 +1,31 @@
 //! Slots for requests: asking for them, here or at another owner, and giving them back.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use arcstr::ArcStr;
 use model::authority::OwnerAuthority;
 use model::kind::ErrorKind;
-use model::name::{DomainName, RequestId, WorkerName};
+use model::name::{DomainName, RequestId, TeamName, WorkerName};
 use model::object::DomainState as ServiceState;
 use model::time::ClockMillis;
 use policy::event::{CellEvent, RequestAsk, TicketNumber};
 use tokio::sync::oneshot;
 use wire::peer::{PeerRefusal, SlotGrant, SlotPlacement};
+use wire::worker::SlotReport;
 
 use crate::control::{Control, KnownOwner, cells};
 
-/// Milliseconds after a request's deadline at which its slot may be taken back.
-pub const GRANT_GRACE_MS: u64 = 1_000;
-/// Pause before owners are asked again after all refused or none was known.
+/// Milliseconds of the worker's clock within which a granted request must reach it.
+///
+/// A grant whose reply is lost keeps its slot for this time and one report;
+/// within a domain a request needs a few milliseconds.
+pub const GRANT_WINDOW_MS: u64 = 700;
+/// First pause before owners are asked again; doubled each time.
 const OWNER_RETRY: Duration = Duration::from_millis(25);
+/// Longest pause before owners are asked again.
+const OWNER_RETRY_BOUND: Duration = Duration::from_millis(200);
 /// Milliseconds without an answer after which a peer counts as unreachable.
 ///
 /// Peers are called every 250 ms; the availability target for a cut-off domain
@@ -34,10 +41,12 @@
 pub struct GrantRecord {
     /// Worker that has the slot.
     pub worker: WorkerName,
-    /// When it was granted.
-    pub granted_at: ClockMillis,
-    /// When it may be taken back if the worker reports fewer slots in use.
-    pub expires_at: ClockMillis,
+    /// Team that it counts to.
+    pub team: TeamName,
+    /// Instant of the worker's clock at which the grant is void if not used.
+    pub not_after: ClockMillis,
+    /// Whether nothing speaks against the worker so far.
+    pub healthy: bool,
 }
 
 /// A request that waits for a slot.
@@ -90,8 +99,11 @@
 ) -> Result<PlacedGrant, PeerRefusal> {
     let give_up = control.now() + u64::from(placement.wait_ms);
     let mut refusal = PeerRefusal::new(ErrorKind::NoOwner, "no owner of a failure domain is known");
+    let mut pause = OWNER_RETRY;
     loop {
-        let mut final_refusal = true;
+        // Only an owner that cannot be reached now may be reached later; a
+        // refusal by the own domain's owner holds, whatever the others are.
+        let mut own_refused = false;
         for (domain, owner) in candidates(&control) {
             let left = give_up.since(control.now());
             if left == 0 {
@@ -101,7 +113,7 @@
             match ask_owner(&control, &domain, owner, &placement).await {
                 Ok(grant) => return Ok(grant),
                 Err(found) => {
-                    final_refusal &= is_final(found.kind);
+                    own_refused |= is_final(found.kind) && domain == control.settings.domain;
                     if refusal.kind == ErrorKind::NoOwner || found.kind != ErrorKind::NoOwner {
                         refusal = found;
                     }
@@ -111,13 +123,11 @@
                 return Err(refusal);
             }
         }
-        if final_refusal && refusal.kind != ErrorKind::NoOwner {
-            return Err(refusal);
-        }
-        if give_up.since(control.now()) == 0 {
+        if own_refused || give_up.since(control.now()) == 0 {
             return Err(refusal);
         }
-        tokio::time::sleep(OWNER_RETRY).await;
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(OWNER_RETRY_BOUND);
     }
 }
 
@@ -138,7 +148,18 @@
         .map(|domain| domain.name.clone())
         .collect();
     names.sort_by_key(|name| name != own);
-    names.into_iter().map(|name| (name.clone(), state.owners.get(&name).cloned())).collect()
+    let mut found: Vec<_> =
+        names.into_iter().map(|name| (name.clone(), state.owners.get(&name).cloned())).collect();
+    // The ownership machine also knows of a handover that no row shows yet.
+    if let Some(holder) = state.ownership.known_holder()
+        && let Some((name, Some(known))) = found.first()
+        && name == own
+        && known.address != holder.address
+    {
+        let owner = KnownOwner { authority: known.authority, address: holder.address.clone() };
+        found.insert(1, (own.clone(), Some(owner)));
+    }
+    found
 }
 
 async fn ask_owner(
@@ -265,7 +286,6 @@
     authority: OwnerAuthority,
     ended: bool,
 ) {
-    let now = control.now();
     {
         let mut state = control.state_mut();
         let Some(domain) = state.domain.as_mut() else { return };
@@ -274,7 +294,7 @@
         }
         if !ended {
             if let Some(grant) = domain.grants.get_mut(&ticket) {
-                grant.expires_at = now;
+                grant.healthy = false;
             }
             return;
         }
@@ -293,34 +313,43 @@
     cells::feed(control, CellEvent::RequestEnded { ticket, healthy });
 }
 
-/// Takes expired slots back as far as a worker reports fewer in use than granted.
+/// Takes slots back whose requests are surely not running, by a worker's report.
 ///
-/// Only grants made before the report was asked for are counted: a later one
-/// may not have reached the worker.
-pub fn reclaim(control: &Control, worker: &WorkerName, slots_used: u32, sent_at: ClockMillis) {
-    let now = control.now();
-    let expired = {
+/// A grant that is void by the worker's clock either runs, and is counted in
+/// the report, or never will. Teams are told apart, so that no team's use is
+/// counted lower than it is.
+pub fn reclaim(
+    control: &Control,
+    worker: &WorkerName,
+    clock: ClockMillis,
+    slots_by_team: &[SlotReport],
+) {
+    let mut void: BTreeMap<TeamName, Vec<TicketNumber>> = BTreeMap::new();
+    {
         let state = control.state();
         let Some(domain) = state.domain.as_ref() else { return };
-        let mut granted = 0_usize;
-        let mut expired = Vec::new();
         for (ticket, grant) in &domain.grants {
-            if grant.worker == *worker {
-                granted += 1;
-                if grant.expires_at <= now && grant.granted_at < sent_at {
-                    expired.push((grant.expires_at, *ticket));
-                }
+            if grant.worker == *worker && grant.not_after <= clock {
+                void.entry(grant.team.clone()).or_default().push(*ticket);
             }
         }
-        let free = granted.saturating_sub(slots_used as usize);
-        expired.sort_unstable();
-        expired.truncate(free);
-        expired
-    };
-    for (_, ticket) in expired {
-        log::debug!("slot {ticket} on {worker} taken back after the worker's report");
-        end_ticket(control, ticket, false);
     }
+    for (team, mut tickets) in void {
+        let running = slots_by_team.iter().find(|slots| slots.team == team);
+        let running = running.map_or(0, |slots| slots.slots as usize);
+        tickets.sort_unstable();
+        tickets.truncate(tickets.len().saturating_sub(running));
+        for ticket in tickets {
+            log::debug!("slot {ticket} on {worker} taken back after the worker's report");
+            end_ticket(control, ticket, grant_health(control, ticket));
+        }
+    }
+}
+
+fn grant_health(control: &Control, ticket: TicketNumber) -> bool {
+    let state = control.state();
+    let grant = state.domain.as_ref().and_then(|domain| domain.grants.get(&ticket));
+    grant.is_none_or(|grant| grant.healthy)
 }
 
 /// Drops all grants on a worker on which nothing runs any more.
--- a/crates/entry/src/control/workers.rs
+++ b/crates/entry/src/control/workers.rs
@@ -55,6 +55,17 @@
     Lost,
 }
 
+/// Where and to which boot of a worker a request is sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerPlace {
+    /// Address of the endpoint.
+    pub address: String,
+    /// The worker's boot.
+    pub boot: BootId,
+    /// The worker's clock now, as far as its last report tells.
+    pub clock: ClockMillis,
+}
+
 /// The connection to one worker.
 #[derive(Debug)]
 pub struct WorkerLink {
@@ -100,6 +111,16 @@
         self.unrecorded.retain(|(_, ended, index)| ended != job || !is_done(*index));
     }
 
+    /// Returns where a request is to be sent, if the worker has reported.
+    #[must_use]
+    pub fn place(&self, now: ClockMillis) -> Option<WorkerPlace> {
+        Some(WorkerPlace {
+            address: self.address.clone(),
+            boot: self.boot.clone()?,
+            clock: self.clock(now)?,
+        })
+    }
+
     /// Estimates the worker's clock now; late by the time that the report travelled.
     fn clock(&self, now: ClockMillis) -> Option<ClockMillis> {
         self.report.map(|(clock, received)| clock + now.since(received))
@@ -211,7 +232,7 @@
     sent_at: ClockMillis,
 ) {
     let now = control.now();
-    let slots_used = report.slots_used;
+    let (clock, slots) = (report.clock, report.slots_by_team.clone());
     let news = with_link(control, name, |link| {
         link.calling = false;
         let rebooted = link.boot.as_ref().is_some_and(|boot| *boot != report.boot);
@@ -248,7 +269,7 @@
     for event in news.events {
         cells::feed(control, event);
     }
-    requests::reclaim(control, name, slots_used, sent_at);
+    requests::reclaim(control, name, clock, &slots);
 }
 
 /// Returns the events for ended tasks that were not seen before.
--- /dev/null
+++ b/crates/entry/src/http/estimate.rs
@@ -0,0 +1,51 @@
+//! How long requests of a queue run, as this thread has seen.
+//!
+//! A request that gets its slot just before its deadline cannot be answered in
+//! time. When a queue is overloaded its head is always such a request, so that
+//! without this estimate every slot is spent on answers that come too late.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use model::name::QueueName;
+
+/// Weight of a new sample in the mean.
+const MEAN_WEIGHT: f64 = 1.0 / 8.0;
+/// Weight of a new sample in the mean deviation.
+const DEVIATION_WEIGHT: f64 = 1.0 / 4.0;
+
+#[derive(Clone, Copy, Debug)]
+struct QueueTime {
+    mean: f64,
+    deviation: f64,
+}
+
+/// Smoothed run times by queue, in the manner of TCP's round-trip estimate (RFC 6298).
+#[derive(Clone, Debug, Default)]
+pub struct RunEstimate {
+    queues: HashMap<QueueName, QueueTime>,
+}
+
+impl RunEstimate {
+    /// Notes how long an answered attempt took.
+    pub fn note(&mut self, queue: &QueueName, took: Duration) {
+        let sample = took.as_secs_f64();
+        if let Some(time) = self.queues.get_mut(queue) {
+            let error = (sample - time.mean).abs();
+            time.deviation += DEVIATION_WEIGHT * (error - time.deviation);
+            time.mean += MEAN_WEIGHT * (sample - time.mean);
+        } else {
+            let time = QueueTime { mean: sample, deviation: sample / 2.0 };
+            self.queues.insert(queue.clone(), time);
+        }
+    }
+
+    /// Returns the time within which most requests of the queue are answered; zero if not known.
+    #[must_use]
+    pub fn expected(&self, queue: &QueueName) -> Duration {
+        let time = self.queues.get(queue);
+        time.map_or(Duration::ZERO, |time| {
+            Duration::from_secs_f64(2.0_f64.mul_add(time.deviation, time.mean))
+        })
+    }
+}
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod config;
+pub mod estimate;
 pub mod jobs;
 pub mod request;
 
@@ -18,6 +19,7 @@
 use tokio::sync::watch;
 
 use crate::control::handle::{ControlCall, ControlHandle};
+use crate::http::estimate::RunEstimate;
 use crate::metrics::EntryMetrics;
 use crate::snapshot::ConfigSnapshot;
 
@@ -47,6 +49,8 @@
     pub endpoints: EndpointClient,
     /// Retry budget of the thread.
     pub budget: RefCell<RetryBudget>,
+    /// How long requests of each queue run.
+    pub estimate: RefCell<RunEstimate>,
 }
 
 /// State of a traffic thread as handlers get it.
@@ -57,7 +61,7 @@
     #[must_use]
     pub fn new(shared: SharedTraffic) -> Self {
         let endpoints = EndpointClient::new(shared.source);
-        Self { shared, endpoints, budget: RefCell::default() }
+        Self { shared, endpoints, budget: RefCell::default(), estimate: RefCell::default() }
     }
 
     /// Returns the configuration in force.
--- a/crates/entry/src/http/request.rs
+++ b/crates/entry/src/http/request.rs
@@ -189,7 +189,11 @@
         let worker = placed.grant.worker.clone();
         let domain = placed.grant.domain.clone();
         let mut slot = HeldSlot::new(&traffic.shared.control, placed);
+        let sent = Instant::now();
         let result = attempt(traffic, request, slot.grant(), number).await;
+        if matches!(result, AttemptResult::Answered(_)) {
+            traffic.estimate.borrow_mut().note(&request.access.queue.name, sent.elapsed());
+        }
         let (label_value, ended) = match &result {
             AttemptResult::Answered(_) => ("answered", true),
             AttemptResult::NotRun(_) => ("not-run", true),
@@ -242,6 +246,8 @@
     avoid: &SmallVec<[WorkerName; 4]>,
 ) -> Result<PlacedGrant, PeerRefusal> {
     let left = request.deadline.saturating_duration_since(Instant::now());
+    // A slot that comes later than this is of no use: the answer would be late.
+    let left = left.saturating_sub(traffic.estimate.borrow().expected(&request.access.queue.name));
     let placement = SlotPlacement {
         team: request.access.team.clone(),
         queue: request.access.queue.name.clone(),
@@ -271,6 +277,8 @@
         attempt: number,
         team: request.access.team.clone(),
         authority: grant.authority,
+        boot: grant.boot.clone(),
+        not_after: grant.not_after,
         body: request.body.clone(),
     };
     traffic.endpoints.send(&attempt, left).await
--- a/crates/link/src/endpoint.rs
+++ b/crates/link/src/endpoint.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use model::authority::OwnerAuthority;
-use model::name::{RequestId, TeamName};
+use model::name::{BootId, RequestId, TeamName};
+use model::time::ClockMillis;
 use sha2::Digest;
 use wire::worker;
 
@@ -33,6 +34,10 @@
     pub team: TeamName,
     /// Authority under which the slot was granted.
     pub authority: OwnerAuthority,
+    /// Boot of the worker that the grant is for.
+    pub boot: BootId,
+    /// Instant of the worker's clock at which the grant is void.
+    pub not_after: ClockMillis,
     /// Body of the request.
     pub body: bytes::Bytes,
 }
@@ -89,6 +94,8 @@
             .insert_header((worker::ATTEMPT_HEADER, number.as_str()))
             .insert_header((worker::TEAM_HEADER, attempt.team.as_str()))
             .insert_header((worker::AUTHORITY_HEADER, attempt.authority.to_string()))
+            .insert_header((worker::BOOT_HEADER, attempt.boot.as_str()))
+            .insert_header((worker::NOT_AFTER_HEADER, attempt.not_after.0.to_string()))
             .send_body(attempt.body.clone())
             .await;
         let mut answer = match reply {
--- a/crates/link/tests/endpoint.rs
+++ b/crates/link/tests/endpoint.rs
@@ -4,6 +4,7 @@
 
 use link::endpoint::{AttemptResult, EndpointAttempt, EndpointClient};
 use model::authority::OwnerAuthority;
+use model::time::ClockMillis;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
@@ -26,6 +27,8 @@
         attempt: 1,
         team: "north".into(),
         authority: OwnerAuthority { term: 1, handover: 0 },
+        boot: "b1".into(),
+        not_after: ClockMillis(1_000),
         body: "{}".into(),
     };
     EndpointClient::new(None).send(&attempt, Duration::from_secs(5)).await
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -26,6 +26,8 @@
   address @2 :Text;
   authority @3 :Authority;
   domain @4 :Text;
+  boot @5 :Text;            # boot of the worker that the grant is for
+  notAfter @6 :UInt64;      # milliseconds of the worker's clock
 }
 
 struct Refusal {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -5,8 +5,9 @@
 use model::authority::OwnerAuthority;
 use model::job::JobRecord;
 use model::kind::ErrorKind;
-use model::name::{DomainName, EntryId, QueueName, RequestId, TeamName, WorkerName};
+use model::name::{BootId, DomainName, EntryId, QueueName, RequestId, TeamName, WorkerName};
 use model::object::ObjectSet;
+use model::time::ClockMillis;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -46,6 +47,10 @@
     pub authority: OwnerAuthority,
     /// Domain of the worker.
     pub domain: DomainName,
+    /// Boot of the worker that the grant is for.
+    pub boot: BootId,
+    /// Instant of the worker's clock at which the grant is void.
+    pub not_after: ClockMillis,
 }
 
 /// A refusal by an owner; nothing was run.
@@ -173,6 +178,8 @@
     builder.set_worker(grant.worker.as_str());
     builder.set_address(grant.address.as_str());
     builder.set_domain(grant.domain.as_str());
+    builder.set_boot(grant.boot.as_str());
+    builder.set_not_after(grant.not_after.0);
     write_authority(builder.init_authority(), grant.authority);
 }
 
@@ -187,6 +194,8 @@
         address: text(reader.get_address())?.to_owned(),
         authority: read_authority(reader.get_authority()?),
         domain: text(reader.get_domain())?.into(),
+        boot: text(reader.get_boot())?.into(),
+        not_after: ClockMillis(reader.get_not_after()),
     })
 }
 
--- a/crates/wire/src/peer_capnp.rs
+++ b/crates/wire/src/peer_capnp.rs
@@ -796,11 +796,23 @@
         pub fn has_domain(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_boot(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_boot(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_not_after(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 4 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 5 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -922,6 +934,30 @@
         pub fn has_domain(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_boot(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_boot(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_boot(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(4).init_text(size)
+        }
+        #[inline]
+        pub fn has_boot(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_not_after(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_not_after(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -936,59 +972,73 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 124] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(174, 94, 146, 214, 250, 143, 253, 243),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(21, 66, 233, 184, 240, 195, 167, 209),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 71, 114, 97, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1030,6 +1080,23 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 111, 116, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 111, 116, 65, 102, 116, 101, 114),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1038,6 +1105,8 @@
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <crate::peer_capnp::authority::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1051,9 +1120,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,4,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,5,4,0,6,1];
         pub(crate) const TYPE_ID: u64 = 0xf3fd_8ffa_d692_5eae;
     }
 }
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -26,6 +26,13 @@
 pub const ATTEMPT_HEADER: &str = "x-attempt";
 /// Header with the authority `TERM.HANDOVER` under which the request was placed.
 pub const AUTHORITY_HEADER: &str = "x-authority";
+/// Header with the boot of the worker that the request was placed on.
+pub const BOOT_HEADER: &str = "x-boot";
+/// Header with the milliseconds of the worker's clock at which the grant is void.
+///
+/// A grant that was held up must not run after its owner has given the slot to
+/// another request.
+pub const NOT_AFTER_HEADER: &str = "x-not-after";
 /// Header with the team that the request counts to.
 pub const TEAM_HEADER: &str = "x-team";
 /// Header of an answer with the SHA-256 of its body, in hexadecimal digits.
@@ -67,10 +74,23 @@
     pub ended: Vec<EndReport>,
     /// Request slots in use.
     pub slots_used: u32,
+    /// Of those, the slots of each team, so that an owner takes lost grants back
+    /// from the right team.
+    pub slots_by_team: Vec<SlotReport>,
     /// Whether the VM is about to leave.
     pub leaving: bool,
 }
 
+/// Request slots of one team as their worker reports them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SlotReport {
+    /// The team.
+    pub team: TeamName,
+    /// Slots in use.
+    pub slots: u32,
+}
+
 /// A running task as its worker reports it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/standins/worker/src/lib.rs
+++ b/standins/worker/src/lib.rs
@@ -29,8 +29,8 @@
 use tokio_util::sync::CancellationToken;
 use wire::history::{self, WorkerEvent, WorkerRecord};
 use wire::worker::{
-    self, EndReport, RefusalReason, RenewCall, StartCall, StartReply, StopCall, StopMode,
-    StopReply, TaskEnd, TaskReport, WorkerReport,
+    self, EndReport, RefusalReason, RenewCall, SlotReport, StartCall, StartReply, StopCall,
+    StopMode, StopReply, TaskEnd, TaskReport, WorkerReport,
 };
 
 /// Longer than callers keep idle connections, so that the stand-in never closes one first.
@@ -122,6 +122,8 @@
     request: String,
     attempt: u32,
     authority: OwnerAuthority,
+    boot: BootId,
+    not_after: ClockMillis,
     team: TeamName,
 }
 
@@ -132,6 +134,8 @@
             request: text(worker::REQUEST_ID_HEADER)?.to_owned(),
             attempt: text(worker::ATTEMPT_HEADER)?.parse().ok()?,
             authority: text(worker::AUTHORITY_HEADER)?.parse().ok()?,
+            boot: text(worker::BOOT_HEADER)?.into(),
+            not_after: ClockMillis(text(worker::NOT_AFTER_HEADER)?.parse().ok()?),
             team: text(worker::TEAM_HEADER)?.into(),
         })
     }
@@ -145,7 +149,8 @@
     tasks: BTreeMap<TaskId, RunningTask>,
     ended: Vec<EndReport>,
     next_end: u64,
-    slots_used: u32,
+    /// Request slots in use by team.
+    slots: BTreeMap<TeamName, u32>,
     connections: u32,
     leaving: bool,
     fault: WorkerFault,
@@ -154,6 +159,23 @@
     history: Option<File>,
 }
 
+fn slots_used(state: &WorkerState) -> u32 {
+    state.slots.values().sum()
+}
+
+fn free_slot(state: &mut WorkerState, team: &TeamName) {
+    if let Some(slots) = state.slots.get_mut(team) {
+        *slots -= 1;
+        if *slots == 0 {
+            state.slots.remove(team);
+        }
+    }
+}
+
+fn report_slots((team, slots): (&TeamName, &u32)) -> SlotReport {
+    SlotReport { team: team.clone(), slots: *slots }
+}
+
 #[derive(Debug)]
 struct Worker {
     settings: WorkerSettings,
@@ -243,7 +265,7 @@
 
     fn reserved(state: &WorkerState) -> ResourceAmounts {
         let requests =
-            ResourceAmounts { slots: u64::from(state.slots_used), ..ResourceAmounts::ZERO };
+            ResourceAmounts { slots: u64::from(slots_used(state)), ..ResourceAmounts::ZERO };
         state.tasks.values().fold(requests, |sum, running| sum.plus(running.amounts))
     }
 
@@ -365,7 +387,8 @@
             tasks: call.full.then(|| state.tasks.iter().map(report_task).collect()),
             running: u32::try_from(state.tasks.len()).unwrap_or(u32::MAX),
             ended: state.ended.clone(),
-            slots_used: state.slots_used,
+            slots_used: slots_used(state),
+            slots_by_team: state.slots.iter().map(report_slots).collect(),
             leaving: state.leaving,
         }
     }
@@ -373,10 +396,17 @@
     fn check_request(
         &self,
         state: &mut WorkerState,
+        now: ClockMillis,
         head: &RequestHead,
         connection: &ConnectionSlot,
     ) -> Result<(), RefusalReason> {
         Self::accept_authority(state, head.authority).ok_or(RefusalReason::StaleAuthority)?;
+        if head.boot != state.boot {
+            return Err(RefusalReason::WrongBoot);
+        }
+        if head.not_after <= now {
+            return Err(RefusalReason::Expired);
+        }
         if state.lease.is_none() {
             return Err(RefusalReason::NoLease);
         }
@@ -396,18 +426,18 @@
         head: &RequestHead,
         connection: &ConnectionSlot,
     ) -> Result<(), RefusalReason> {
-        let (mut state, _) = self.state();
+        let (mut state, now) = self.state();
         let state = &mut *state;
         let RequestHead { request, attempt, team, .. } = head.clone();
-        if let Err(reason) = self.check_request(state, head, connection) {
+        if let Err(reason) = self.check_request(state, now, head, connection) {
             self.record(state, WorkerEvent::RequestRefused { request, attempt, reason });
             return Err(reason);
         }
         if !connection.counted.replace(true) {
             state.connections += 1;
         }
-        state.slots_used += 1;
-        let (connections, slots_used) = (state.connections, state.slots_used);
+        *state.slots.entry(team.clone()).or_default() += 1;
+        let (connections, slots_used) = (state.connections, slots_used(state));
         self.record(
             state,
             WorkerEvent::RequestStarted { request, attempt, team, connections, slots_used },
@@ -436,7 +466,7 @@
                 state,
                 WorkerEvent::RequestEnded { request, attempt, digest: digest(&body) },
             );
-            state.slots_used -= 1;
+            free_slot(state, &head.team);
             let last = std::mem::replace(&mut state.last_request, head.request.clone());
             let answered = if !state.fault.swap_ids {
                 head.request.clone()
@@ -621,7 +651,7 @@
         tasks: BTreeMap::new(),
         ended: Vec::new(),
         next_end: 1,
-        slots_used: 0,
+        slots: BTreeMap::new(),
         connections: 0,
         leaving: false,
         fault: WorkerFault::default(),
--- a/standins/worker/tests/worker.rs
+++ b/standins/worker/tests/worker.rs
@@ -65,11 +65,24 @@
 
     /// Sends a request on a connection of its own.
     async fn request(&self, id: &str, authority: &str, body: Value) -> ClientResponse {
+        self.request_until(60_000, id, authority, body).await
+    }
+
+    /// Sends a request whose grant is void at an instant of the worker's clock.
+    async fn request_until(
+        &self,
+        not_after: u64,
+        id: &str,
+        authority: &str,
+        body: Value,
+    ) -> ClientResponse {
         awc::Client::new()
             .post(self.url("/v1/request"))
             .insert_header(("x-request-id", id))
             .insert_header(("x-attempt", "1"))
             .insert_header(("x-authority", authority))
+            .insert_header(("x-boot", self.boot.as_str().unwrap()))
+            .insert_header(("x-not-after", not_after.to_string()))
             .insert_header(("x-team", "t"))
             .send_json(&body)
             .await
@@ -218,3 +231,21 @@
     assert_eq!(cut.headers().get("content-length").unwrap(), "1000");
     assert_eq!(cut.body().await.unwrap().len(), 500);
 }
+
+/// Guards lost grants: a request that comes late must not run after its owner
+/// has given the slot away, and the report must show whose slots are in use.
+#[actix_rt::test]
+async fn late_request_is_refused_and_slots_are_told_by_team() {
+    let worker = TestWorker::start(json!({})).await;
+    let clock = worker.lease(30_000).await;
+    let mut late = worker.request_until(clock, "late", "1.0", json!({})).await;
+    assert_eq!(late.json::<Value>().await.unwrap(), json!({"reason": "expired"}));
+    let run = worker.request("r", "1.0", json!({"run_ms": 600}));
+    let look = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        worker.renew(1, None).await["slots_by_team"].clone()
+    };
+    let (_, slots) = tokio::join!(run, look);
+    assert_eq!(slots, json!([{"team": "t", "slots": 1}]));
+    assert_eq!(worker.renew(1, None).await["slots_by_team"], json!([]));
+}
