--- a/crates/coord/src/owner/machine.rs
+++ b/crates/coord/src/owner/machine.rs
@@ -368,8 +368,11 @@
         let shown = shown.map(|attempt| (attempt.kind, attempt.asked, attempt.row.authority));
         self.attempts.settle(version);
         match (&self.role, shown) {
-            (OwnerRole::Holder(_), _) => {
-                self.observe_as_holder(now, shown.map(|(_, asked, _)| asked), actions);
+            (OwnerRole::Holder(state), _) => {
+                // A write of an earlier tenure says nothing about this one.
+                let held = state.authority;
+                let renewed = shown.filter(|(_, _, authority)| *authority == held);
+                self.observe_as_holder(now, renewed.map(|(_, asked, _)| asked), actions);
             }
             (OwnerRole::Standby, Some((WriteKind::Claim, asked, authority)))
                 if now < asked + OWNER_TTL_MS =>
