--- a/crates/policy/src/catalog.rs
+++ b/crates/policy/src/catalog.rs
@@ -1,6 +1,5 @@
 //! Look-ups in the configuration in force.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use model::name::{DomainName, QueueName, TeamName};
@@ -8,6 +7,7 @@
 use model::resource::ResourceAmounts;
 
 use crate::hold::TaskClass;
+use crate::map::FixedMap;
 
 /// What the configuration says of a queue.
 #[derive(Clone, Debug)]
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Catalog {
     pub(crate) set: Option<Arc<ObjectSet>>,
-    pub(crate) queues: HashMap<QueueName, QueueEntry>,
+    pub(crate) queues: FixedMap<QueueName, QueueEntry>,
     /// At least as much as any request uses.
     pub(crate) largest_request: ResourceAmounts,
     pub(crate) out: bool,
@@ -59,8 +59,8 @@
     }
 }
 
-fn queue_entries(set: &ObjectSet) -> HashMap<QueueName, QueueEntry> {
-    let classes: HashMap<_, _> = set.classes.iter().map(|class| (&class.name, class)).collect();
+fn queue_entries(set: &ObjectSet) -> FixedMap<QueueName, QueueEntry> {
+    let classes: FixedMap<_, _> = set.classes.iter().map(|class| (&class.name, class)).collect();
     let entry = |queue: &model::object::QueueObject| {
         let class = classes.get(&queue.class)?;
         let treatment =
--- a/crates/policy/src/cell.rs
+++ b/crates/policy/src/cell.rs
@@ -1,6 +1,6 @@
 //! The cell: workers, queues, jobs and teams of one failure domain.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 
 use model::job::JobRecord;
 use model::name::{DomainName, JobId, TaskId, TeamName};
@@ -14,6 +14,7 @@
 use crate::hold::HoldBook;
 use crate::job::JobBook;
 use crate::life::StopBatch;
+use crate::map::FixedMap;
 use crate::placement::{BestFit, PlacementRule};
 use crate::pool::WorkerPool;
 use crate::request::RequestDesk;
@@ -56,7 +57,7 @@
     /// Requests of an earlier owner that wait for the configuration.
     pub(crate) imported: VecDeque<RequestAsk>,
     /// Milliseconds that tasks of an earlier owner had run.
-    pub(crate) ages: HashMap<(TaskId, u32), u64>,
+    pub(crate) ages: FixedMap<(TaskId, u32), u64>,
     /// Request of this event, for the check of its deadline.
     pub(crate) arrived: Option<TicketNumber>,
     pub(crate) out: Vec<CellDecision>,
@@ -111,7 +112,7 @@
             relief: 0,
             preempt_after: ClockMillis(0),
             imported: VecDeque::new(),
-            ages: HashMap::new(),
+            ages: FixedMap::default(),
             arrived: None,
             out: Vec::new(),
         }
--- a/crates/policy/src/config.rs
+++ b/crates/policy/src/config.rs
@@ -1,7 +1,6 @@
 //! Configurations, allotments and what has to stop because of them.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use model::kind::ErrorKind;
@@ -14,6 +13,7 @@
 use crate::hold::HoldId;
 use crate::index::WorkerIndex;
 use crate::life::{StopBatch, StopList, StopRule};
+use crate::map::FixedMap;
 use crate::placement::PlacementRule;
 use crate::rules;
 use crate::team::TeamIndex;
@@ -50,11 +50,14 @@
 
     fn apply_workers(&mut self, set: &ObjectSet) {
         let mine = set.workers.iter().filter(|object| object.domain == self.domain);
-        let objects: HashMap<&WorkerName, &WorkerObject> =
+        let objects: FixedMap<&WorkerName, &WorkerObject> =
             mine.map(|object| (&object.name, object)).collect();
         for index in self.pool.indices() {
             let entry = self.pool.get(index);
-            if entry.configured && !objects.contains_key(&entry.name) {
+            let old = self.now.since(entry.sent_at) > rules::FORGET_WORKER_MS;
+            if old && !entry.name.as_str().is_empty() && self.is_retired(index) {
+                self.pool.forget(index);
+            } else if entry.configured && !objects.contains_key(&entry.name) {
                 self.pool.edit(index, |entry| entry.configured = false);
             }
         }
--- a/crates/policy/src/desk.rs
+++ b/crates/policy/src/desk.rs
@@ -53,6 +53,7 @@
         if self.rules.quarantine {
             self.judge_request(worker, ticket, healthy);
         }
+        self.swap_slot(ticket);
         self.release_grant(ticket);
     }
 
@@ -67,12 +68,12 @@
         }
     }
 
-    /// Gives the slot of a request back.
+    /// Ends a granted request and gives its slot back.
     pub(crate) fn release_grant(&mut self, ticket: TicketNumber) {
+        self.free_slot(ticket);
         let Some(grant) = self.requests.grants.remove(&ticket) else { return };
         let now = self.now;
         self.pool.edit(grant.worker, |entry| {
-            entry.reserved = entry.reserved.minus(grant.amounts);
             entry.grants.remove(&ticket);
             entry.note_end(None, now);
         });
@@ -81,11 +82,44 @@
             // The probe was given up without an answer.
             self.probe_ended(grant.worker, None);
         }
+    }
+
+    /// Gives the slot of a request back, whose end may still be told.
+    pub(crate) fn free_slot(&mut self, ticket: TicketNumber) {
+        let Some(grant) = self.requests.grants.get_mut(&ticket).filter(|grant| grant.held) else {
+            return;
+        };
+        grant.held = false;
+        let amounts = grant.amounts;
+        self.pool.edit(grant.worker, |entry| entry.reserved = entry.reserved.minus(amounts));
         let team = self.teams.get_mut(grant.team);
-        team.used = team.used.minus(grant.amounts);
+        team.used = team.used.minus(amounts);
         self.stale = true;
     }
 
+    /// Lets a request whose slot was given back hold that of one which has
+    /// ended: the report that freed the slot may have counted the end of this one.
+    fn swap_slot(&mut self, ticket: TicketNumber) {
+        let Some(grant) = self.requests.grants.get(&ticket).filter(|grant| grant.held) else {
+            return;
+        };
+        let entry = self.pool.get(grant.worker);
+        if grant.settled_at >= entry.sent_at {
+            return;
+        }
+        let twin = entry.grants.keys().copied().find(|other| {
+            self.requests.grants.get(other).is_some_and(|other| {
+                !other.held && (other.team, other.amounts) == (grant.team, grant.amounts)
+            })
+        });
+        let Some(twin) = twin else { return };
+        for (ticket, held) in [(ticket, false), (twin, true)] {
+            if let Some(grant) = self.requests.grants.get_mut(&ticket) {
+                grant.held = held;
+            }
+        }
+    }
+
     pub(crate) fn refuse(&mut self, ticket: TicketNumber, kind: ErrorKind) {
         if self.requests.remove(ticket).is_some() {
             self.out.push(CellDecision::RefuseRequest { ticket, kind });
--- a/crates/policy/src/hold.rs
+++ b/crates/policy/src/hold.rs
@@ -1,7 +1,6 @@
 //! Tasks that occupy a worker.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
 
 use model::name::TaskId;
 use model::object::{ClassKind, UrgencyLevel};
@@ -10,6 +9,7 @@
 use smallvec::SmallVec;
 
 use crate::index::WorkerIndex;
+use crate::map::FixedMap;
 use crate::team::TeamIndex;
 
 /// Number of one attempt that occupies a worker.
@@ -70,9 +70,9 @@
 /// All tasks that occupy workers.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct HoldBook {
-    pub(crate) holds: HashMap<HoldId, TaskHold>,
+    pub(crate) holds: FixedMap<HoldId, TaskHold>,
     /// Attempts by task; more than one while a duplicate is being stopped.
-    by_task: HashMap<TaskId, SmallVec<[HoldId; 2]>>,
+    by_task: FixedMap<TaskId, SmallVec<[HoldId; 2]>>,
     next: HoldId,
 }
 
--- a/crates/policy/src/job.rs
+++ b/crates/policy/src/job.rs
@@ -1,6 +1,6 @@
 //! Jobs with the state of their tasks, and the jobs that wait.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 use model::job::JobRecord;
@@ -12,6 +12,7 @@
 use crate::catalog::rank;
 use crate::hold::{HoldId, TaskClass};
 use crate::index::WorkerIndex;
+use crate::map::{FixedMap, FixedSet};
 use crate::team::TeamIndex;
 use crate::usage::UsageEstimate;
 use crate::worker::RackIndex;
@@ -52,9 +53,9 @@
     pub(crate) waiting: u32,
     pub(crate) done: u32,
     pub(crate) running: BTreeMap<u32, HoldId>,
-    pub(crate) failures: HashMap<u32, SmallVec<[WorkerIndex; 6]>>,
-    pub(crate) protected: HashMap<u32, ClockMillis>,
-    pub(crate) racks: HashMap<RackIndex, u32>,
+    pub(crate) failures: FixedMap<u32, SmallVec<[WorkerIndex; 6]>>,
+    pub(crate) protected: FixedMap<u32, ClockMillis>,
+    pub(crate) racks: FixedMap<RackIndex, u32>,
     pub(crate) usage: UsageEstimate,
     pub(crate) unsaved: bool,
     pub(crate) saved_at: Option<ClockMillis>,
@@ -90,9 +91,9 @@
             pending,
             waiting,
             running: BTreeMap::new(),
-            failures: HashMap::new(),
-            protected: HashMap::new(),
-            racks: HashMap::new(),
+            failures: FixedMap::default(),
+            protected: FixedMap::default(),
+            racks: FixedMap::default(),
             usage: UsageEstimate::default(),
             unsaved: false,
             saved_at: None,
@@ -177,18 +178,18 @@
 /// All jobs, and which of them have tasks to start.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct JobBook {
-    pub(crate) jobs: HashMap<JobId, JobEntry>,
+    pub(crate) jobs: FixedMap<JobId, JobEntry>,
     /// Ready jobs by team and urgency, in order of arrival.
     ready: Vec<[BTreeMap<u64, JobId>; 3]>,
     /// Number of ready jobs by urgency.
     ready_count: [usize; 3],
     /// Tasks that workers reported before their job was submitted.
-    pub(crate) orphans: HashMap<JobId, Vec<HoldId>>,
+    pub(crate) orphans: FixedMap<JobId, Vec<HoldId>>,
     /// Tasks that ended well before their job was submitted.
-    pub(crate) early_ends: HashMap<JobId, Vec<u32>>,
+    pub(crate) early_ends: FixedMap<JobId, Vec<u32>>,
     /// Jobs that wait for all workers to report.
     pub(crate) recovered: Vec<JobId>,
-    ended: HashSet<JobId>,
+    ended: FixedSet<JobId>,
     ended_order: VecDeque<JobId>,
     arrivals: u64,
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 mod index;
 mod job;
 mod life;
+mod map;
 mod pool;
 mod preempt;
 mod quarantine;
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -1,6 +1,6 @@
 //! All workers of the domain, indexed by what is free.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 
 use model::name::{RackName, WorkerName};
 use model::resource::ResourceAmounts;
@@ -8,6 +8,7 @@
 
 use crate::event::PlacementReason;
 use crate::index::{FreeIndex, RoomKey, WorkerIndex};
+use crate::map::FixedMap;
 use crate::placement::{PlacementRule, WalkOrder, WorkerRoom};
 use crate::worker::{IndexKeys, RackIndex, WorkerContact, WorkerEntry};
 
@@ -50,9 +51,9 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WorkerPool {
     pub(crate) workers: Vec<WorkerEntry>,
-    by_name: HashMap<WorkerName, WorkerIndex>,
+    by_name: FixedMap<WorkerName, WorkerIndex>,
     racks: Vec<RackEntry>,
-    rack_names: HashMap<RackName, RackIndex>,
+    rack_names: FixedMap<RackName, RackIndex>,
     open: FreeIndex,
     reserved: FreeIndex,
     slots: BTreeSet<(u64, u64, WorkerIndex)>,
@@ -60,6 +61,9 @@
     misses: SmallVec<[ShapeMiss; 8]>,
     stamp: u64,
     available: usize,
+    configured: usize,
+    /// Positions of workers that are gone for good.
+    vacant: Vec<WorkerIndex>,
     /// Capacity of the configured workers.
     pub(crate) total: ResourceAmounts,
     /// Largest amount of each resource that one worker offers.
@@ -88,12 +92,27 @@
         if let Some(index) = self.find(name) {
             return index;
         }
-        let index = WorkerIndex(u32::try_from(self.workers.len()).unwrap_or(u32::MAX));
-        self.workers.push(WorkerEntry { name: name.clone(), ..WorkerEntry::default() });
+        let entry = WorkerEntry { name: name.clone(), ..WorkerEntry::default() };
+        let index = if let Some(index) = self.vacant.pop() {
+            self.workers[index.0 as usize] = entry;
+            index
+        } else {
+            self.workers.push(entry);
+            WorkerIndex(u32::try_from(self.workers.len() - 1).unwrap_or(u32::MAX))
+        };
         self.by_name.insert(name.clone(), index);
         index
     }
 
+    /// Forgets a worker that is not configured and runs nothing, so that replaced
+    /// VMs do not pile up.
+    pub(crate) fn forget(&mut self, index: WorkerIndex) {
+        self.unlink(index);
+        let entry = std::mem::take(&mut self.workers[index.0 as usize]);
+        self.by_name.remove(&entry.name);
+        self.vacant.push(index);
+    }
+
     pub(crate) fn rack(&mut self, name: &RackName) -> RackIndex {
         if let Some(index) = self.rack_names.get(name) {
             return *index;
@@ -132,6 +151,7 @@
         }
         self.foreign = self.foreign.minus(worker.foreign);
         if worker.configured {
+            self.configured -= 1;
             self.total = self.total.minus(worker.capacity);
             if let Some(rack) = self.racks.get_mut(worker.rack as usize) {
                 rack.reserved_cpu = rack.reserved_cpu.saturating_sub(worker.reserved.cpu_millis);
@@ -164,6 +184,7 @@
         }
         self.foreign = self.foreign.plus(worker.foreign);
         if worker.configured {
+            self.configured += 1;
             self.total = self.total.plus(worker.capacity);
             self.largest = self.largest.max(worker.capacity);
             if let Some(rack) = self.racks.get_mut(worker.rack as usize) {
@@ -200,7 +221,7 @@
 
     /// Returns how many configured workers take no work at present.
     fn unavailable(&self) -> u32 {
-        u32::try_from(self.workers.len() - self.available).unwrap_or(u32::MAX)
+        u32::try_from(self.configured - self.available).unwrap_or(u32::MAX)
     }
 
     /// Tells whether a shape was found not to fit and nothing was freed for it since.
@@ -248,7 +269,7 @@
         &mut self,
         rule: &R,
         ask: &SearchAsk<'_>,
-        on_rack: &HashMap<RackIndex, u32>,
+        on_rack: &FixedMap<RackIndex, u32>,
         turn: u64,
     ) -> Option<WorkerChoice> {
         if self.is_missed(ask) {
@@ -397,7 +418,7 @@
     }
 
     /// Looks at racks without a task of the job first, then at those with the fewest.
-    fn walk_racks(&mut self, on_rack: &HashMap<RackIndex, u32>, turn: u64, limit: usize) {
+    fn walk_racks(&mut self, on_rack: &FixedMap<RackIndex, u32>, turn: u64, limit: usize) {
         let pool = self.pool;
         let count = u32::try_from(pool.racks.len()).unwrap_or(RackIndex::MAX).max(1);
         let first = u32::try_from(turn % u64::from(count)).unwrap_or(0);
--- a/crates/policy/src/report.rs
+++ b/crates/policy/src/report.rs
@@ -1,7 +1,5 @@
 //! What workers report, and what the platform says of them.
 
-use std::collections::{HashMap, HashSet};
-
 use model::name::{TaskId, WorkerName};
 use model::resource::ResourceAmounts;
 use model::time::{self, ClockMillis};
@@ -11,6 +9,7 @@
 use crate::hold::{HoldId, TaskClass, TaskHold};
 use crate::index::WorkerIndex;
 use crate::job::TaskStage;
+use crate::map::{FixedMap, FixedSet};
 use crate::placement::PlacementRule;
 use crate::rules;
 use crate::team::TeamIndex;
@@ -60,7 +59,7 @@
 
     /// Brings the tasks of a worker in line with its full list.
     fn match_tasks(&mut self, worker: WorkerIndex, tasks: Vec<RunningTask>, sent_at: ClockMillis) {
-        let mut listed: HashSet<TaskId> = HashSet::with_capacity(tasks.len());
+        let mut listed: FixedSet<TaskId> = FixedSet::default();
         for task in tasks {
             listed.insert(task.task.clone());
             let known = self.pool.get(worker).tasks.get(&task.task).copied();
@@ -189,19 +188,31 @@
         let entry = self.pool.get(worker);
         // Requests that were granted before the report and surely reached the
         // worker by then; if one team has more of them than run, some have ended.
-        let mut settled: HashMap<(TeamIndex, ResourceAmounts), Vec<TicketNumber>> = HashMap::new();
-        for (ticket, settled_at) in &entry.grants {
-            let Some(grant) = self.requests.grants.get(ticket) else { continue };
-            if *settled_at < sent_at {
-                settled.entry((grant.team, grant.amounts)).or_default().push(*ticket);
+        let settled = entry.grants.iter().filter(|(_, settled_at)| **settled_at < sent_at);
+        let settled: Vec<TicketNumber> = settled.map(|(ticket, _)| *ticket).collect();
+        if used == 0 {
+            for ticket in settled {
+                self.release_grant(ticket);
             }
+        } else {
+            self.free_excess(&settled, used);
         }
-        for tickets in settled.values() {
-            for ticket in tickets.iter().take(tickets.len().saturating_sub(used)) {
-                self.release_grant(*ticket);
+        self.match_foreign(worker, used, sent_at, first);
+    }
+
+    /// Gives back slots of requests of which only `used` still run.
+    fn free_excess(&mut self, tickets: &[TicketNumber], used: usize) {
+        let mut held: FixedMap<(TeamIndex, ResourceAmounts), usize> = FixedMap::default();
+        for ticket in tickets.iter().rev() {
+            let Some(grant) = self.requests.grants.get(ticket).filter(|grant| grant.held) else {
+                continue;
+            };
+            let count = held.entry((grant.team, grant.amounts)).or_default();
+            *count += 1;
+            if *count > used {
+                self.free_slot(*ticket);
             }
         }
-        self.match_foreign(worker, used, sent_at, first);
     }
 
     /// Counts requests that an earlier owner granted. After the first report
--- a/crates/policy/src/request.rs
+++ b/crates/policy/src/request.rs
@@ -1,6 +1,6 @@
 //! Requests that wait for a slot, and those that hold one.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use model::name::QueueName;
 use model::object::UrgencyLevel;
@@ -10,6 +10,7 @@
 use crate::catalog::rank;
 use crate::event::{RequestAsk, TicketNumber};
 use crate::index::WorkerIndex;
+use crate::map::FixedMap;
 use crate::team::TeamIndex;
 
 /// Grants from which the service rate of a queue is measured.
@@ -32,6 +33,10 @@
     pub(crate) amounts: ResourceAmounts,
     /// After it, the request has reached the worker or never will.
     pub(crate) settled_at: ClockMillis,
+    /// Whether its slot is reserved. A report may show that one of several
+    /// requests has ended, but not which; one of them then gives its slot back,
+    /// and the end of another takes its place.
+    pub(crate) held: bool,
 }
 
 /// The requests of one queue that wait.
@@ -64,12 +69,12 @@
 /// All requests of the domain.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct RequestDesk {
-    pub(crate) waiting: HashMap<TicketNumber, WaitingRequest>,
-    pub(crate) queues: HashMap<QueueName, WaitingQueue>,
+    pub(crate) waiting: FixedMap<TicketNumber, WaitingRequest>,
+    pub(crate) queues: FixedMap<QueueName, WaitingQueue>,
     /// Queues in which requests wait, by urgency.
     active: [BTreeSet<QueueName>; 3],
     deadlines: BTreeSet<(ClockMillis, TicketNumber)>,
-    pub(crate) grants: HashMap<TicketNumber, RequestGrant>,
+    pub(crate) grants: FixedMap<TicketNumber, RequestGrant>,
     arrivals: u64,
 }
 
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -101,3 +101,6 @@
 pub const FOREIGN_LIMIT_MS: u64 = 60_000;
 /// Milliseconds between two preemptions on behalf of teams below their share.
 pub const RECLAIM_INTERVAL_MS: u64 = 20;
+/// Milliseconds after which a worker that was removed and runs nothing is
+/// forgotten; longer than any timer that names a worker.
+pub const FORGET_WORKER_MS: u64 = 600_000;
--- a/crates/policy/src/schedule.rs
+++ b/crates/policy/src/schedule.rs
@@ -134,7 +134,9 @@
             self.requests.note_grant(&ask.queue, self.now);
         }
         let settled_at = ask.start_by.max(self.now) + rules::GRANT_MARGIN_MS;
-        self.requests.grants.insert(ticket, RequestGrant { worker, team, amounts, settled_at });
+        self.requests
+            .grants
+            .insert(ticket, RequestGrant { worker, team, amounts, settled_at, held: true });
         self.pool.edit(worker, |entry| {
             entry.reserved = entry.reserved.plus(amounts);
             entry.grants.insert(ticket, settled_at);
--- a/crates/policy/src/snapshot.rs
+++ b/crates/policy/src/snapshot.rs
@@ -79,6 +79,8 @@
     pub team: TeamName,
     /// What it uses, its slot included.
     pub amounts: ResourceAmounts,
+    /// Whether its slot is reserved.
+    pub held: bool,
     /// Milliseconds until it has reached the worker or never will.
     pub settle_ms: u64,
 }
@@ -161,6 +163,7 @@
             worker: self.pool.get(grant.worker).name.clone(),
             team: self.teams.get(grant.team).name.clone(),
             amounts: grant.amounts,
+            held: grant.held,
             settle_ms: grant.settled_at.since(self.now),
         })
     }
@@ -232,16 +235,17 @@
         let worker = self.pool.intern(&grant.worker);
         let team = self.teams.intern(&grant.team);
         let settled_at = self.now + grant.settle_ms;
-        let amounts = grant.amounts;
+        let (amounts, held) = (grant.amounts, grant.held);
+        let reserved = if held { amounts } else { ResourceAmounts::ZERO };
         self.pool.edit(worker, |entry| {
-            entry.reserved = entry.reserved.plus(amounts);
+            entry.reserved = entry.reserved.plus(reserved);
             entry.grants.insert(grant.ticket, settled_at);
         });
         let account = self.teams.get_mut(team);
-        account.used = account.used.plus(amounts);
+        account.used = account.used.plus(reserved);
         self.requests
             .grants
-            .insert(grant.ticket, RequestGrant { worker, team, amounts, settled_at });
+            .insert(grant.ticket, RequestGrant { worker, team, amounts, settled_at, held });
     }
 
     /// Queues the requests of the earlier owner once the configuration is known.
--- a/crates/policy/src/team.rs
+++ b/crates/policy/src/team.rs
@@ -1,12 +1,13 @@
 //! What teams use and may use.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::BTreeSet;
 
 use model::name::TeamName;
 use model::resource::ResourceAmounts;
 use model::time::ClockMillis;
 
 use crate::hold::{HoldId, TaskHold, VictimKey};
+use crate::map::FixedMap;
 
 /// Position of a team in the ledger.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -36,7 +37,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TeamLedger {
     pub(crate) teams: Vec<TeamAccount>,
-    by_name: HashMap<TeamName, TeamIndex>,
+    by_name: FixedMap<TeamName, TeamIndex>,
 }
 
 impl TeamLedger {
--- a/crates/policy/src/worker.rs
+++ b/crates/policy/src/worker.rs
@@ -1,6 +1,6 @@
 //! One worker as the cell knows it.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use model::name::{BootId, RackName, TaskId, WorkerName};
 use model::resource::ResourceAmounts;
@@ -9,6 +9,7 @@
 use crate::event::TicketNumber;
 use crate::hold::HoldId;
 use crate::index::RoomKey;
+use crate::map::FixedMap;
 use crate::quarantine::{StartHistory, WorkerProbe, WorkerQuarantine};
 
 /// Position of a rack in the pool.
@@ -69,7 +70,7 @@
     pub(crate) lasting: ResourceAmounts,
     /// What requests may use that were granted by an earlier owner.
     pub(crate) foreign: ResourceAmounts,
-    pub(crate) tasks: HashMap<TaskId, HoldId>,
+    pub(crate) tasks: FixedMap<TaskId, HoldId>,
     pub(crate) grants: BTreeMap<TicketNumber, ClockMillis>,
     pub(crate) ends: VecDeque<RecentEnd>,
     pub(crate) history: StartHistory,
