--- a/crates/policy/src/config.rs
+++ b/crates/policy/src/config.rs
@@ -1,7 +1,6 @@
 //! Configurations, allotments and what has to stop because of them.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use model::kind::ErrorKind;
@@ -14,6 +13,7 @@
 use crate::hold::HoldId;
 use crate::index::WorkerIndex;
 use crate::life::{StopBatch, StopList, StopRule};
+use crate::map::FixedMap;
 use crate::placement::PlacementRule;
 use crate::rules;
 use crate::team::TeamIndex;
@@ -50,15 +50,19 @@
 
     fn apply_workers(&mut self, set: &ObjectSet) {
         let mine = set.workers.iter().filter(|object| object.domain == self.domain);
-        let objects: HashMap<&WorkerName, &WorkerObject> =
+        let objects: FixedMap<&WorkerName, &WorkerObject> =
             mine.map(|object| (&object.name, object)).collect();
         for index in self.pool.indices() {
             let entry = self.pool.get(index);
-            if entry.configured && !objects.contains_key(&entry.name) {
+            let old = self.now.since(entry.sent_at) > rules::FORGET_WORKER_MS;
+            if old && !entry.name.as_str().is_empty() && self.is_retired(index) {
+                self.pool.forget(index);
+            } else if entry.configured && !objects.contains_key(&entry.name) {
                 self.pool.edit(index, |entry| entry.configured = false);
             }
         }
-        let mut sorted: Vec<_> = objects.into_values().collect();
+        let changed = objects.into_values().filter(|object| !self.is_current(object));
+        let mut sorted: Vec<_> = changed.collect();
         // Workers of a rack are neighbours, so that ties fill rack after rack.
         sorted.sort_by(|left, right| (&left.rack, &left.name).cmp(&(&right.rack, &right.name)));
         for object in sorted {
@@ -66,14 +70,15 @@
         }
     }
 
+    /// Tells whether a worker is known as the configuration has it.
+    fn is_current(&self, object: &WorkerObject) -> bool {
+        let Some(index) = self.pool.find(&object.name) else { return false };
+        let entry = self.pool.get(index);
+        entry.configured && entry.capacity == object.capacity && entry.rack_name == object.rack
+    }
+
     fn apply_worker(&mut self, object: &WorkerObject) {
         let index = self.pool.intern(&object.name);
-        let entry = self.pool.get(index);
-        let same =
-            entry.configured && entry.capacity == object.capacity && entry.rack_name == object.rack;
-        if same {
-            return;
-        }
         let rack = self.pool.rack(&object.rack);
         self.pool.edit(index, |entry| {
             entry.configured = true;
