--- a/crates/entry/tests/whole_path.rs
+++ b/crates/entry/tests/whole_path.rs
@@ -1,12 +1,10 @@
 //! The whole path with real processes: callers, entries in two domains, a
 //! platform and four workers.
 
-mod common;
-
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use common::{NORTH, PATIENCE, TestCell, client};
+use cell::{NORTH, PATIENCE, TestCell, client};
 use serde_json::{Value, json};
 use wire::history::WorkerEvent;
 
--- a/crates/entry/tests/common/mod.rs
+++ b/testing/cell/src/lib.rs
@@ -1,4 +1,10 @@
-//! Starts real processes on loopback addresses of their own and talks to them.
+//! A cell of real processes for integration tests.
+//!
+//! Every process has a loopback address of its own, so that tests that run in
+//! parallel share no port. The programs are taken from the directory of the
+//! test's build, where `cargo build --workspace --bins` puts them.
+
+#![expect(clippy::missing_panics_doc, reason = "a panic is how a step of a test fails")]
 
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
@@ -6,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use model::object::ObjectSet;
+use nix::sys::signal::{self, Signal};
 use serde_json::{Value, json};
 
 /// Secret of the key of team `north`.
@@ -14,6 +21,7 @@
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
 /// A process that is killed by its own id when the test ends.
+#[derive(Debug)]
 pub struct TestProcess {
     child: Child,
 }
@@ -21,8 +29,22 @@
 impl TestProcess {
     /// Sends SIGTERM.
     pub fn terminate(&self) {
+        self.send(Signal::SIGTERM);
+    }
+
+    /// Stops the process until [`Self::resume`] is called.
+    pub fn pause(&self) {
+        self.send(Signal::SIGSTOP);
+    }
+
+    /// Lets a paused process run again.
+    pub fn resume(&self) {
+        self.send(Signal::SIGCONT);
+    }
+
+    fn send(&self, signal: Signal) {
         let pid = nix::unistd::Pid::from_raw(i32::try_from(self.child.id()).expect("a pid"));
-        nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGTERM).expect("the process runs");
+        signal::kill(pid, signal).expect("the process runs");
     }
 
     /// Kills the process at once.
@@ -51,10 +73,15 @@
 }
 
 /// A cell of processes: a platform, and entries and workers in each domain.
+#[derive(Debug)]
 pub struct TestCell {
+    /// Entries, those of the first domain first.
     pub entries: Vec<TestProcess>,
+    /// Workers, those of the first domain first.
     pub workers: Vec<TestProcess>,
-    pub _platform: TestProcess,
+    /// The platform.
+    pub platform: TestProcess,
+    /// Settings, logs and histories of all processes.
     pub directory: tempfile::TempDir,
     domains: u8,
     workers_each: u8,
@@ -101,7 +128,7 @@
         let mut cell = Self {
             entries: Vec::new(),
             workers: Vec::new(),
-            _platform: platform,
+            platform,
             directory,
             domains,
             workers_each,
@@ -134,6 +161,7 @@
     }
 
     /// Starts the entry of an index, again if it ran before.
+    #[must_use]
     pub fn spawn_entry(&self, index: u8) -> TestProcess {
         let name = format!("entry-{index}");
         let peers: Vec<_> = (0..self.domains * self.entries_each)
@@ -157,6 +185,7 @@
     }
 
     /// Returns the object set that the cell starts with.
+    #[must_use]
     pub fn objects(&self) -> ObjectSet {
         let domains: Vec<_> =
             (0..self.domains).map(|index| json!({ "name": self.domain(index) })).collect();
@@ -193,14 +222,14 @@
     }
 
     async fn publish(&self) {
-        let set = self.objects();
+        let objects = self.objects();
         let start = Instant::now();
         loop {
             let sent = client()
                 .put(self.url(0, "/v1/config"))
                 .insert_header(("x-base-version", "0"))
                 .insert_header(("x-change-id", "first"))
-                .send_json(&set)
+                .send_json(&objects)
                 .await;
             match sent {
                 Ok(answer) if answer.status().is_success() => return,
@@ -210,10 +239,17 @@
         }
     }
 
+    /// Returns the address of an entry for callers and operators.
+    #[must_use]
+    pub fn address(&self, index: usize) -> String {
+        assert!(index < self.entries.len(), "there are {} entries", self.entries.len());
+        http_address(u8::try_from(index).expect("few entries"))
+    }
+
     /// Returns a URL of an entry.
+    #[must_use]
     pub fn url(&self, index: usize, path: &str) -> String {
-        let index = u8::try_from(index).expect("few entries");
-        format!("http://{}{path}", http_address(index))
+        format!("http://{}{path}", self.address(index))
     }
 
     /// Waits until the balancer would send requests to an entry.
@@ -252,6 +288,7 @@
     }
 
     /// Reads the histories of all workers.
+    #[must_use]
     pub fn history(&self) -> Vec<wire::history::WorkerRecord> {
         let count = self.domains * self.workers_each;
         let files =
@@ -284,6 +321,7 @@
 }
 
 /// Returns a client whose every request has its own connection.
+#[must_use]
 pub fn client() -> awc::Client {
     awc::Client::builder().timeout(PATIENCE).finish()
 }
