Answer the record of a cancelled job

Cause: DELETE /v1/jobs/{id} answered 204 without a body, also for a job that had ended by itself, and the command line printed "cancelled" for any answer. Change: the entry answers 200 with the job's record, and the command line prints its state. Before: `saddle cancel` of a job that is done printed "job short: cancelled". After: it prints "job short: done, 3 of 3 tasks done (...)", which real_cell::jobs_are_run_and_cancelled checks.

--- a/crates/entry/src/control/handle.rs
+++ b/crates/entry/src/control/handle.rs
@@ -60,7 +60,7 @@
     /// Read a job's record.
     JobStatus(JobId, Reply<Result<JobRecord, PeerRefusal>>),
     /// Cancel a job of a team.
-    Cancel(JobId, TeamName, Reply<Result<(), PeerRefusal>>),
+    Cancel(JobId, TeamName, Reply<Result<JobRecord, PeerRefusal>>),
     /// Publish a checked set on top of a version, under a change identifier.
     Apply(u64, String, Box<ObjectSet>, Reply<Result<ApplyReply, ApplyRefusal>>),
     /// Return the identifier of the change that published a version; empty if not known.
--- a/crates/entry/src/control/jobs.rs
+++ b/crates/entry/src/control/jobs.rs
@@ -492,27 +492,36 @@
     serde_json::from_value(row.value).map_err(|_| down())
 }
 
-/// Cancels a job of a team, at the owner of its domain.
+/// Cancels a job of a team, at the owner of its domain, and returns its record.
+///
+/// A job that is over stays as it is, and its record tells so.
 ///
 /// # Errors
 /// A refusal; asking again is harmless.
-pub async fn cancel(control: Control, job: JobId, team: TeamName) -> Result<(), PeerRefusal> {
+pub async fn cancel(
+    control: Control,
+    job: JobId,
+    team: TeamName,
+) -> Result<JobRecord, PeerRefusal> {
     let record = status(Rc::clone(&control), job.clone()).await?;
     if record.team != team {
         return Err(PeerRefusal::new(ErrorKind::WrongTeam, "the job belongs to another team"));
     }
     if record.state.is_final() {
-        return Ok(());
+        return Ok(record);
     }
     if record.domain == control.settings.domain && control.lease().is_some() {
-        return cancel_local(&control, &job, &team);
-    }
-    let owner = control.state().owners.get(&record.domain).cloned();
-    let owner = owner.ok_or_else(|| PeerRefusal::new(ErrorKind::NoOwner, "no owner is known"))?;
-    match control.peers.cancel(&owner.address, job.as_str(), team.as_str(), PEER_TIMEOUT).await {
-        Ok(reply) => reply,
-        Err(_) => Err(link::peer::unreachable(&owner.address)),
-    }
+        cancel_local(&control, &job, &team)?;
+    } else {
+        let owner = control.state().owners.get(&record.domain).cloned();
+        let missing = || PeerRefusal::new(ErrorKind::NoOwner, "no owner is known");
+        let address = owner.ok_or_else(missing)?.address;
+        let call = control.peers.cancel(&address, job.as_str(), team.as_str(), PEER_TIMEOUT);
+        call.await.map_err(|_| link::peer::unreachable(&address))??;
+    }
+    // The job may have ended by itself in between; without an answer it counts as cancelled.
+    let cancelled = JobRecord { state: JobState::Cancelled, ..record };
+    Ok(status(control, job).await.unwrap_or(cancelled))
 }
 
 /// Cancels a job that this owner runs.
--- a/crates/entry/src/http/jobs.rs
+++ b/crates/entry/src/http/jobs.rs
@@ -46,7 +46,7 @@
     }
 }
 
-/// Cancels a job of the caller's team.
+/// Cancels a job of the caller's team and answers its record.
 pub async fn cancel(
     request: HttpRequest,
     job: web::Path<String>,
@@ -56,7 +56,7 @@
     let job = JobId::from(job.into_inner());
     let call = |reply| ControlCall::Cancel(job, team, reply);
     match traffic.shared.control.request(call).await {
-        Ok(()) => answer::start(204, RequestOutcome::Answered).finish(),
+        Ok(record) => answer::start(200, RequestOutcome::Answered).json(record),
         Err(refusal) => answer::refusal(&refusal),
     }
 }
--- a/crates/saddle/src/command/cancel.rs
+++ b/crates/saddle/src/command/cancel.rs
@@ -23,7 +23,7 @@
     let [job] = context.expect("cancel")?;
     let path = format!("{}/{}", api::JOB_PATH, path_segment(job));
     let answer = context.client()?.send(&ApiCall::new(Method::DELETE, path)).await;
-    let answer = answer.map_err(|failure| {
+    let record: JobRecord = answer.and_then(|answer| answer.parse()).map_err(|failure| {
         let error = CommandError::from(failure);
         if error.status == crate::status::ExitStatus::Unknown {
             error.with_next(format!(
@@ -33,13 +33,10 @@
             error
         }
     })?;
-    match answer.parse::<JobRecord>() {
-        Ok(record) if context.options.json => output.print_json(&record),
-        Ok(record) => output.print(&status::describe_job(&record)),
-        Err(_) if context.options.json => {
-            output.print_json(&serde_json::json!({ "job": job, "cancelled": true }));
-        }
-        Err(_) => output.print(&format!("job {job}: cancelled")),
+    if context.options.json {
+        output.print_json(&record);
+    } else {
+        output.print(&status::describe_job(&record));
     }
     Ok(())
 }
