Show confirmations in the status as soon as a change saw them

Cause: the status took confirmed versions from a read every 2 s only, while a change waits for the same rows itself. Change: the confirmations that a change reads are noted for the status, and a late read never lowers a noted version. Before: `saddle status` right after `saddle apply` (exit code 0, in force everywhere) printed version 0 as confirmed in both domains. After: it prints the version that was applied.

--- a/crates/entry/src/control/config.rs
+++ b/crates/entry/src/control/config.rs
@@ -192,12 +192,19 @@
         } else if let Some(name) = found.key.strip_prefix("confirm/") {
             let row: ConfirmRow =
                 serde_json::from_value(found.value).map_err(|error| error.to_string())?;
-            control.state_mut().confirmed.insert(DomainName::from(name), row.version);
+            note_confirmed(control, DomainName::from(name), row.version);
         }
     }
     Ok(())
 }
 
+/// Notes a confirmation for the status; reads may end in another order than they were sent.
+fn note_confirmed(control: &Control, name: DomainName, version: u64) {
+    let mut state = control.state_mut();
+    let known = state.confirmed.entry(name).or_default();
+    *known = (*known).max(version);
+}
+
 /// Notes the owner of a domain, unless one with a higher authority is known.
 pub fn learn_owner(control: &Control, name: DomainName, owner: KnownOwner) {
     let mut state = control.state_mut();
@@ -359,7 +366,8 @@
         if let Ok(reply) = control.platform.read(&read, CALL_TIMEOUT).await {
             for found in reply.rows {
                 let name = found.key.strip_prefix("confirm/").unwrap_or_default();
-                if let Ok(row) = serde_json::from_value(found.value) {
+                if let Ok(row) = serde_json::from_value::<ConfirmRow>(found.value) {
+                    note_confirmed(control, DomainName::from(name), row.version);
                     rows.insert(DomainName::from(name), row);
                 }
             }
