Wait for confirmations of a change that is published already

Cause: `domain in` and `domain out` that found the domain in the wanted state took the confirmations from one read of an entry's status, which is up to 2 s old. Change: the status is read again for up to 5 s, as long as an entry waits for the confirmations of its own change. Before: `saddle domain out domain-1` repeated right after one that ended with code 0 ended with code 6 and named both domains as not confirmed. After: it ends with code 0.

--- a/crates/saddle/src/publish.rs
+++ b/crates/saddle/src/publish.rs
@@ -1,6 +1,6 @@
 //! Publication of changes by compare-and-swap on the version.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use awc::http::Method;
 use error_stack::Report;
@@ -23,6 +23,12 @@
 /// attempts together outlast several reads.
 const CONFLICT_MS: u64 = 300;
 
+/// Longest wait for the confirmations of a version that is published already.
+///
+/// An entry waits as long for those of a change that it publishes, and reads
+/// the confirmations for its status every 2 s only.
+const CONFIRM_WAIT: Duration = Duration::from_secs(5);
+
 /// What an edit found in the set that it was given.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum EditStep {
@@ -253,13 +259,21 @@
 ///
 /// Without a status nothing is known to be confirmed; the change is committed all the same.
 async fn confirmed_reply(client: &EntryClient, document: ConfigDocument) -> ApplyReply {
-    let domains = fetch_status(client).await.map(|status| status.domains).unwrap_or_default();
-    let is_confirmed = |name: &DomainName| {
-        domains.iter().any(|found| found.name == *name && found.confirmed >= document.version)
-    };
-    let names = document.objects.domains.iter().map(|domain| domain.name.clone());
-    let (in_force, not_confirmed) = names.partition(is_confirmed);
-    ApplyReply { version: document.version, change_id: document.change_id, in_force, not_confirmed }
+    let start = Instant::now();
+    let (version, change_id) = (document.version, document.change_id);
+    loop {
+        let status = fetch_status(client).await.ok();
+        let is_confirmed = |name: &DomainName| {
+            let mut domains = status.iter().flat_map(|status| &status.domains);
+            domains.any(|found| found.name == *name && found.confirmed >= version)
+        };
+        let names = document.objects.domains.iter().map(|domain| domain.name.clone());
+        let (in_force, not_confirmed): (_, Vec<_>) = names.partition(is_confirmed);
+        if not_confirmed.is_empty() || status.is_none() || start.elapsed() >= CONFIRM_WAIT {
+            return ApplyReply { version, change_id, in_force, not_confirmed };
+        }
+        actix_rt::time::sleep(Duration::from_millis(CONFLICT_MS)).await;
+    }
 }
 
 /// Reads the status of the first entry that can be reached.
