Never take a change without a known id for another operator's

Cause: an entry that got a version pushed by a peer answered GET /v1/config with an empty change id until it had read the head, and the command line took any other id than its own for another operator's change. Change: the entry reads the head when the id of the version in force is not known, and the command line reads again instead of deciding by an empty id.

--- a/crates/entry/src/control/config.rs
+++ b/crates/entry/src/control/config.rs
@@ -105,6 +105,23 @@
     Ok(())
 }
 
+/// Returns the change id of a version in force, reading the head where it is not known.
+///
+/// A version that a peer pushed comes without its change id, by which an
+/// operator who got no reply tells an own change from another one.
+pub async fn change_id(control: Control, version: u64) -> Option<String> {
+    let known = |control: &Control| {
+        let head = &control.state().head;
+        (head.version == version).then(|| head.change_id.clone())
+    };
+    if known(&control).is_none()
+        && let Err(reason) = poll_head(&control).await
+    {
+        log::debug!("change id of version {version} cannot be read: {reason}");
+    }
+    known(&control)
+}
+
 fn note_head(control: &Control, head: &ConfigHead) {
     let known = &mut control.state_mut().head;
     if head.version > known.version {
--- a/crates/entry/src/control/handle.rs
+++ b/crates/entry/src/control/handle.rs
@@ -63,8 +63,8 @@
     Cancel(JobId, TeamName, Reply<Result<JobRecord, PeerRefusal>>),
     /// Publish a checked set on top of a version, under a change identifier.
     Apply(u64, String, Box<ObjectSet>, Reply<Result<ApplyReply, ApplyRefusal>>),
-    /// Return the identifier of the change that published a version; empty if not known.
-    ChangeId(u64, Reply<String>),
+    /// Return the identifier of the change that published a version, if it is known.
+    ChangeId(u64, Reply<Option<String>>),
     /// Report to operators.
     Status(Reply<StatusReply>),
     /// Tell whether the balancer may send requests here.
@@ -115,10 +115,7 @@
                 answer_by(&self.control, apply, reply);
             }
             ControlCall::ChangeId(version, reply) => {
-                let state = control.state();
-                let known = state.head.version == version;
-                let change = if known { state.head.change_id.clone() } else { String::new() };
-                let _ = reply.send(change);
+                answer_by(&self.control, config::change_id(control, version), reply);
             }
             ControlCall::Status(reply) => {
                 let _ = reply.send(status::report(&control));
--- a/crates/entry/src/http/config.rs
+++ b/crates/entry/src/http/config.rs
@@ -9,14 +9,28 @@
 use crate::control::handle::ControlCall;
 use crate::http::{Traffic, answer, header};
 
+/// Times that a newer version is taken where one comes while the change id is read.
+const GET_TRIES: u32 = 3;
+
 /// Answers the configuration in force at this entry.
+///
+/// The change id is empty before the first version, and while the platform
+/// does not tell it.
 pub async fn get(traffic: Traffic) -> HttpResponse {
-    let snapshot = traffic.snapshot();
-    let call = |reply| ControlCall::ChangeId(snapshot.version, reply);
-    let change_id = traffic.shared.control.ask(call).await.unwrap_or_default();
+    let mut snapshot = traffic.snapshot();
+    let mut change_id = None;
+    for _ in 0..GET_TRIES {
+        let call = |reply| ControlCall::ChangeId(snapshot.version, reply);
+        change_id = traffic.shared.control.ask(call).await.flatten();
+        let newest = traffic.snapshot();
+        if change_id.is_some() || newest.version == snapshot.version {
+            break;
+        }
+        snapshot = newest;
+    }
     HttpResponse::Ok().json(ConfigDocument {
         version: snapshot.version,
-        change_id,
+        change_id: change_id.unwrap_or_default(),
         objects: (*snapshot.objects).clone(),
     })
 }
--- a/crates/saddle/src/publish.rs
+++ b/crates/saddle/src/publish.rs
@@ -138,7 +138,8 @@
         if document.change_id == change_id {
             return Ok(confirmed_reply(client, document).await);
         }
-        if document.version >= least {
+        // An entry that has not read whose change the version is answers an empty change id.
+        if document.version >= least && !document.change_id.is_empty() {
             // Versions have no gaps: where the next version is another change, the own
             // one cannot be committed any more. Beyond it, its fate cannot be read.
             return Err(if document.version == base + 1 {
--- a/crates/saddle/tests/publish.rs
+++ b/crates/saddle/tests/publish.rs
@@ -75,6 +75,17 @@
     entry.with(|state| assert_eq!(state.commits, 2));
 }
 
+/// An entry that cannot tell whose change a version is must not make it another's.
+#[actix_rt::test]
+async fn change_without_a_known_id_is_not_called_a_conflict() {
+    for (reads, code) in [(2, 0), (100, 5)] {
+        let entry = TestEntry::start(MESKEL);
+        entry.with(|state| (state.lose_puts, state.nameless_reads) = (100, reads));
+        let output = run(&[entry.address], &format!("apply {FILE} --base 1")).await;
+        assert_eq!(output.status.code(), code, "{reads} reads: {}", output.stderr);
+    }
+}
+
 /// A whole set must not overwrite the change of another operator.
 #[actix_rt::test]
 async fn apply_reports_a_conflict() {
--- a/crates/saddle/tests/support/mod.rs
+++ b/crates/saddle/tests/support/mod.rs
@@ -29,6 +29,8 @@
     pub rivals_after_loss: u64,
     /// Reads of the configuration that are answered with version 1, as by a lagging entry.
     pub stale_reads: u32,
+    /// Reads that are answered without a change id, as before an entry has read the head.
+    pub nameless_reads: u32,
     /// Edits by another operator that come before the next `PUT`s.
     pub rival_edits: u32,
     pub not_confirmed: Vec<DomainName>,
@@ -151,6 +153,10 @@
         document.version = 1;
         "first".clone_into(&mut document.change_id);
     }
+    if document.version > 1 && state.nameless_reads > 0 {
+        state.nameless_reads -= 1;
+        document.change_id.clear();
+    }
     HttpResponse::Ok().json(document)
 }
 
