Find a job whose row moves while its record is read

Cause: a job that ends moves from the rows of its domain to those of ended jobs. A reader that looked at the latter first and at the former after the move took the job for missing. Change: a job whose index row exists is looked for again, up to three times. Before: `saddle status` of a job cancelled a moment ago answered `not-found` with code 2 in 1 of 4 runs of real_cell::jobs_are_run_and_cancelled. After: 9 of 9 runs found it, the last 3 of them with 20 reads right after the cancellation.

--- a/crates/entry/src/control/jobs.rs
+++ b/crates/entry/src/control/jobs.rs
@@ -29,6 +29,9 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Deadline of calls to owners about jobs.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Looks for a job's record before it counts as missing; a job ends once, and changes its domain
+/// at most as often as operators take domains out.
+const STATUS_TRIES: u32 = 3;
 /// Most tasks of one job.
 const TASKS_BOUND: u32 = 10_000;
 
@@ -466,16 +469,39 @@
     if let Some(record) = own {
         return Ok(record);
     }
+    for _ in 0..STATUS_TRIES {
+        match find_record(&control, &job).await? {
+            JobSearch::Found(record) => return Ok(*record),
+            JobSearch::Missing => break,
+            JobSearch::Moved => {}
+        }
+    }
+    Err(PeerRefusal::new(ErrorKind::NotFound, format!("there is no job `{job}`")))
+}
+
+/// What one look for a job's record brought.
+enum JobSearch {
+    Found(Box<JobRecord>),
+    /// No job has this identifier.
+    Missing,
+    /// Its row was written under another key between two reads: it ended, or changed its domain.
+    Moved,
+}
+
+async fn find_record(control: &Control, job: &JobId) -> Result<JobSearch, PeerRefusal> {
+    let down = || PeerRefusal::new(ErrorKind::PlatformDown, "the platform did not answer");
+    let found = |value| match serde_json::from_value(value) {
+        Ok(record) => Ok(JobSearch::Found(Box::new(record))),
+        Err(_) => Err(down()),
+    };
     let keys = vec![index_key(job.as_str()), done_key(job.as_str())];
     let read = TableRead { keys, prefixes: Vec::new() };
-    let down = || PeerRefusal::new(ErrorKind::PlatformDown, "the platform did not answer");
     let reply = control.platform.read(&read, CALL_TIMEOUT).await.map_err(|_| down())?;
     let find = |key: &str| reply.rows.iter().find(|row| row.key == key);
     if let Some(row) = find(&done_key(job.as_str())) {
-        return serde_json::from_value(row.value.clone()).map_err(|_| down());
+        return found(row.value.clone());
     }
-    let missing = || PeerRefusal::new(ErrorKind::NotFound, format!("there is no job `{job}`"));
-    let index = find(&index_key(job.as_str())).ok_or_else(missing)?;
+    let Some(index) = find(&index_key(job.as_str())) else { return Ok(JobSearch::Missing) };
     let domain = index.value.get("domain").and_then(|name| name.as_str()).unwrap_or_default();
     let domain = DomainName::from(domain);
     let owner = control.state().owners.get(&domain).cloned();
@@ -484,12 +510,14 @@
             control.peers.job_status(&owner.address, job.as_str(), PEER_TIMEOUT).await
         && let Ok(record) = serde_json::from_str(&text)
     {
-        return Ok(record);
+        return Ok(JobSearch::Found(Box::new(record)));
     }
-    let read = TableRead { keys: vec![job_key(&domain, &job)], prefixes: Vec::new() };
+    let read = TableRead { keys: vec![job_key(&domain, job)], prefixes: Vec::new() };
     let reply = control.platform.read(&read, CALL_TIMEOUT).await.map_err(|_| down())?;
-    let row = reply.rows.into_iter().next().ok_or_else(missing)?;
-    serde_json::from_value(row.value).map_err(|_| down())
+    match reply.rows.into_iter().next() {
+        Some(row) => found(row.value),
+        None => Ok(JobSearch::Moved),
+    }
 }
 
 /// Cancels a job of a team, at the owner of its domain, and returns its record.
