--- a/crates/entry/src/control/config.rs
+++ b/crates/entry/src/control/config.rs
@@ -105,6 +105,23 @@
     Ok(())
 }
 
+/// Returns the change id of a version in force, reading the head where it is not known.
+///
+/// A version that a peer pushed comes without its change id, by which an
+/// operator who got no reply tells an own change from another one.
+pub async fn change_id(control: Control, version: u64) -> Option<String> {
+    let known = |control: &Control| {
+        let head = &control.state().head;
+        (head.version == version).then(|| head.change_id.clone())
+    };
+    if known(&control).is_none()
+        && let Err(reason) = poll_head(&control).await
+    {
+        log::debug!("change id of version {version} cannot be read: {reason}");
+    }
+    known(&control)
+}
+
 fn note_head(control: &Control, head: &ConfigHead) {
     let known = &mut control.state_mut().head;
     if head.version > known.version {
@@ -192,12 +209,19 @@
         } else if let Some(name) = found.key.strip_prefix("confirm/") {
             let row: ConfirmRow =
                 serde_json::from_value(found.value).map_err(|error| error.to_string())?;
-            control.state_mut().confirmed.insert(DomainName::from(name), row.version);
+            note_confirmed(control, DomainName::from(name), row.version);
         }
     }
     Ok(())
 }
 
+/// Notes a confirmation for the status; reads may end in another order than they were sent.
+fn note_confirmed(control: &Control, name: DomainName, version: u64) {
+    let mut state = control.state_mut();
+    let known = state.confirmed.entry(name).or_default();
+    *known = (*known).max(version);
+}
+
 /// Notes the owner of a domain, unless one with a higher authority is known.
 pub fn learn_owner(control: &Control, name: DomainName, owner: KnownOwner) {
     let mut state = control.state_mut();
@@ -359,7 +383,8 @@
         if let Ok(reply) = control.platform.read(&read, CALL_TIMEOUT).await {
             for found in reply.rows {
                 let name = found.key.strip_prefix("confirm/").unwrap_or_default();
-                if let Ok(row) = serde_json::from_value(found.value) {
+                if let Ok(row) = serde_json::from_value::<ConfirmRow>(found.value) {
+                    note_confirmed(control, DomainName::from(name), row.version);
                     rows.insert(DomainName::from(name), row);
                 }
             }
--- a/crates/entry/src/control/jobs.rs
+++ b/crates/entry/src/control/jobs.rs
@@ -32,6 +32,9 @@
 /// Most jobs that are remembered after their end. A day has 13,000 jobs in 11
 /// domains, so that this lasts for days.
 const GONE_BOUND: usize = 10_000;
+/// Looks for a job's record before it counts as missing; a job ends once, and changes its domain
+/// at most as often as operators take domains out.
+const STATUS_TRIES: u32 = 3;
 /// Most tasks of one job.
 const TASKS_BOUND: u32 = 10_000;
 
@@ -499,16 +502,39 @@
     if let Some(record) = own {
         return Ok(record);
     }
+    for _ in 0..STATUS_TRIES {
+        match find_record(&control, &job).await? {
+            JobSearch::Found(record) => return Ok(*record),
+            JobSearch::Missing => break,
+            JobSearch::Moved => {}
+        }
+    }
+    Err(PeerRefusal::new(ErrorKind::NotFound, format!("there is no job `{job}`")))
+}
+
+/// What one look for a job's record brought.
+enum JobSearch {
+    Found(Box<JobRecord>),
+    /// No job has this identifier.
+    Missing,
+    /// Its row was written under another key between two reads: it ended, or changed its domain.
+    Moved,
+}
+
+async fn find_record(control: &Control, job: &JobId) -> Result<JobSearch, PeerRefusal> {
+    let down = || PeerRefusal::new(ErrorKind::PlatformDown, "the platform did not answer");
+    let found = |value| match serde_json::from_value(value) {
+        Ok(record) => Ok(JobSearch::Found(Box::new(record))),
+        Err(_) => Err(down()),
+    };
     let keys = vec![index_key(job.as_str()), done_key(job.as_str())];
     let read = TableRead { keys, prefixes: Vec::new() };
-    let down = || PeerRefusal::new(ErrorKind::PlatformDown, "the platform did not answer");
     let reply = control.platform.read(&read, CALL_TIMEOUT).await.map_err(|_| down())?;
     let find = |key: &str| reply.rows.iter().find(|row| row.key == key);
     if let Some(row) = find(&done_key(job.as_str())) {
-        return serde_json::from_value(row.value.clone()).map_err(|_| down());
+        return found(row.value.clone());
     }
-    let missing = || PeerRefusal::new(ErrorKind::NotFound, format!("there is no job `{job}`"));
-    let index = find(&index_key(job.as_str())).ok_or_else(missing)?;
+    let Some(index) = find(&index_key(job.as_str())) else { return Ok(JobSearch::Missing) };
     let domain = index.value.get("domain").and_then(|name| name.as_str()).unwrap_or_default();
     let domain = DomainName::from(domain);
     let owner = control.state().owners.get(&domain).cloned();
@@ -517,35 +543,46 @@
             control.peers.job_status(&owner.address, job.as_str(), PEER_TIMEOUT).await
         && let Ok(record) = serde_json::from_str(&text)
     {
-        return Ok(record);
+        return Ok(JobSearch::Found(Box::new(record)));
     }
-    let read = TableRead { keys: vec![job_key(&domain, &job)], prefixes: Vec::new() };
+    let read = TableRead { keys: vec![job_key(&domain, job)], prefixes: Vec::new() };
     let reply = control.platform.read(&read, CALL_TIMEOUT).await.map_err(|_| down())?;
-    let row = reply.rows.into_iter().next().ok_or_else(missing)?;
-    serde_json::from_value(row.value).map_err(|_| down())
+    match reply.rows.into_iter().next() {
+        Some(row) => found(row.value),
+        None => Ok(JobSearch::Moved),
+    }
 }
 
-/// Cancels a job of a team, at the owner of its domain.
+/// Cancels a job of a team, at the owner of its domain, and returns its record.
+///
+/// A job that is over stays as it is, and its record tells so.
 ///
 /// # Errors
 /// A refusal; asking again is harmless.
-pub async fn cancel(control: Control, job: JobId, team: TeamName) -> Result<(), PeerRefusal> {
+pub async fn cancel(
+    control: Control,
+    job: JobId,
+    team: TeamName,
+) -> Result<JobRecord, PeerRefusal> {
     let record = status(Rc::clone(&control), job.clone()).await?;
     if record.team != team {
         return Err(PeerRefusal::new(ErrorKind::WrongTeam, "the job belongs to another team"));
     }
     if record.state.is_final() {
-        return Ok(());
+        return Ok(record);
     }
     if record.domain == control.settings.domain && control.lease().is_some() {
-        return cancel_local(&control, &job, &team);
-    }
-    let owner = control.state().owners.get(&record.domain).cloned();
-    let owner = owner.ok_or_else(|| PeerRefusal::new(ErrorKind::NoOwner, "no owner is known"))?;
-    match control.peers.cancel(&owner.address, job.as_str(), team.as_str(), PEER_TIMEOUT).await {
-        Ok(reply) => reply,
-        Err(_) => Err(link::peer::unreachable(&owner.address)),
-    }
+        cancel_local(&control, &job, &team)?;
+    } else {
+        let owner = control.state().owners.get(&record.domain).cloned();
+        let missing = || PeerRefusal::new(ErrorKind::NoOwner, "no owner is known");
+        let address = owner.ok_or_else(missing)?.address;
+        let call = control.peers.cancel(&address, job.as_str(), team.as_str(), PEER_TIMEOUT);
+        call.await.map_err(|_| link::peer::unreachable(&address))??;
+    }
+    // The job may have ended by itself in between; without an answer it counts as cancelled.
+    let cancelled = JobRecord { state: JobState::Cancelled, ..record };
+    Ok(status(control, job).await.unwrap_or(cancelled))
 }
 
 /// Cancels a job that this owner runs.
