Ask for the operators' secret where the settings have its digest

Cause: whoever reached an entry could publish a configuration, and so grant a key for any team. The setting operator_digest is optional, so that small sites and tests go on without it.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -96,6 +96,7 @@
         metrics: Arc::clone(&metrics),
         draining: Arc::clone(&draining),
         source: settings.outgoing_ip,
+        operator_digest: settings.operator_digest.clone(),
         entry: settings.name.clone(),
     };
     let server = HttpServer::new(move || {
--- a/crates/entry/src/http/config.rs
+++ b/crates/entry/src/http/config.rs
@@ -3,11 +3,11 @@
 use actix_web::{HttpRequest, HttpResponse, web};
 use model::check;
 use model::kind::{ErrorBody, ErrorKind, RequestOutcome};
-use model::object::ObjectSet;
+use model::object::{self, ObjectSet};
 use wire::api::{BASE_VERSION_HEADER, CHANGE_ID_HEADER, ConfigDocument};
 
 use crate::control::handle::ControlCall;
-use crate::http::{Traffic, answer, header};
+use crate::http::{Traffic, answer, bearer, header};
 
 /// Times that a newer version is taken where one comes while the change id is read.
 const GET_TRIES: u32 = 3;
@@ -16,7 +16,10 @@
 ///
 /// The change id is empty before the first version, and while the platform
 /// does not tell it.
-pub async fn get(traffic: Traffic) -> HttpResponse {
+pub async fn get(request: HttpRequest, traffic: Traffic) -> HttpResponse {
+    if !is_operator(&request, &traffic) {
+        return not_operator();
+    }
     let mut snapshot = traffic.snapshot();
     let mut change_id = None;
     for _ in 0..GET_TRIES {
@@ -37,6 +40,9 @@
 
 /// Checks and publishes a whole set.
 pub async fn put(request: HttpRequest, body: web::Bytes, traffic: Traffic) -> HttpResponse {
+    if !is_operator(&request, &traffic) {
+        return not_operator();
+    }
     let Some(base) = header(&request, BASE_VERSION_HEADER).and_then(|text| text.parse().ok())
     else {
         let message = "header x-base-version: must be the version that the change is based on";
@@ -81,6 +87,20 @@
     }
 }
 
+/// Tells whether a caller presented the operators' secret, where there is one.
+///
+/// Whoever may publish a configuration may grant keys, so that promise 3 of the
+/// design page rests on this check too.
+fn is_operator(request: &HttpRequest, traffic: &Traffic) -> bool {
+    let Some(expected) = &traffic.shared.operator_digest else { return true };
+    bearer(request).is_some_and(|secret| object::key_digest(secret) == *expected)
+}
+
+fn not_operator() -> HttpResponse {
+    let message = "the operators' secret is needed; send `authorization: Bearer SECRET`";
+    answer::error(ErrorKind::BadKey, message)
+}
+
 fn is_change_id(text: &str) -> bool {
     let plain = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-';
     !text.is_empty() && text.len() <= 64 && text.bytes().all(plain)
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -36,6 +36,8 @@
     pub draining: Arc<AtomicBool>,
     /// Source IP of connections to endpoints.
     pub source: Option<IpAddr>,
+    /// Digest of the operators' secret; without it every caller is taken for one.
+    pub operator_digest: Option<String>,
     /// Name of this entry process, for minted identifiers.
     pub entry: String,
 }
--- a/crates/model/src/check/range.rs
+++ b/crates/model/src/check/range.rs
@@ -92,6 +92,12 @@
     }
 }
 
+/// Tells whether a text is a SHA-256 digest as the configuration stores it.
+pub(crate) fn is_digest(text: &str) -> bool {
+    let is_digit = |byte: u8| matches!(byte, b'0'..=b'9' | b'a'..=b'f');
+    text.len() == DIGEST_DIGITS && text.bytes().all(is_digit)
+}
+
 /// Checks digests; messages leave them out, so that logs cannot be used for a
 /// dictionary attack.
 fn check_keys(set: &ObjectSet, problems: &mut ProblemList) {
@@ -99,8 +105,7 @@
     for key in &set.keys {
         let name = key.name.as_str();
         let label = ObjectLabel("key", name);
-        let is_digit = |byte: u8| matches!(byte, b'0'..=b'9' | b'a'..=b'f');
-        if key.digest.len() != DIGEST_DIGITS || !key.digest.bytes().all(is_digit) {
+        if !is_digest(&key.digest) {
             let message = "is not a SHA-256 digest; accepted are 64 hexadecimal digits in lower \
                            case, as `saddle key grant` stores them";
             problems.add(label, "digest", message);
--- a/crates/model/src/setting.rs
+++ b/crates/model/src/setting.rs
@@ -24,6 +24,10 @@
     /// Source IP of outgoing connections, for VMs with several addresses.
     #[serde(default)]
     pub outgoing_ip: Option<std::net::IpAddr>,
+    /// SHA-256 of the operators' secret, 64 hexadecimal digits. Without it, whoever
+    /// reaches this entry may read and publish the configuration.
+    #[serde(default)]
+    pub operator_digest: Option<String>,
     /// Peer addresses of other entries, own domain and others; used until they are learnt.
     #[serde(default)]
     pub peers: Vec<PeerAddress>,
--- a/crates/model/src/setting/parse.rs
+++ b/crates/model/src/setting/parse.rs
@@ -6,7 +6,7 @@
 use crate::check::CheckProblem;
 use crate::check::name::{NAME_RULE, is_name};
 use crate::check::problem::ProblemList;
-use crate::check::range::{ADDRESS_RULE, check_range, parse_address};
+use crate::check::range::{ADDRESS_RULE, check_range, is_digest, parse_address};
 
 /// How problems name the settings file.
 const OBJECT: &str = "settings";
@@ -53,6 +53,7 @@
         peer_address: "127.0.0.1:2".to_owned(),
         peer_advertise: None,
         outgoing_ip: None,
+        operator_digest: None,
         peers: Vec::new(),
         platform_address: "127.0.0.1:3".to_owned(),
         threads: super::default_threads(),
@@ -125,6 +126,10 @@
             format!("`{}` is not a level; accepted are {}", settings.log_level, LEVELS.join(", "));
         problems.add(OBJECT, "log_level", message);
     }
+    if settings.operator_digest.as_ref().is_some_and(|digest| !is_digest(digest)) {
+        let message = "is not a SHA-256 digest; accepted are 64 hexadecimal digits in lower case";
+        problems.add(OBJECT, "operator_digest", message);
+    }
     let bound = settings.config_contact_bound_s;
     check_range(OBJECT, "config_contact_bound_s", &bound, &(5..=3600), problems);
     check_range(OBJECT, "drain_s", &settings.drain_s, &(1..=600), problems);
--- a/testing/scenario/src/run/mod.rs
+++ b/testing/scenario/src/run/mod.rs
@@ -253,6 +253,7 @@
         http_address: entry.http.clone(),
         peer_address: entry.peer.clone(),
         peer_advertise: Some(entry.advertised.clone()),
+        operator_digest: None,
         outgoing_ip: entry.ip.parse().ok(),
         peers: peers.collect(),
         platform_address: places.platform_advertised.clone(),
