--- a/crates/entry/src/control/domain.rs
+++ b/crates/entry/src/control/domain.rs
@@ -127,7 +127,7 @@
     );
     let mut jobs = JobBook::default();
     for record in &state.jobs {
-        jobs.adopt(record);
+        jobs.adopt(record, u64::MAX);
     }
     let attempt_base = attempt_base(state.authority);
     let fresh = DomainState {
@@ -211,7 +211,10 @@
         .filter(|worker| worker.domain == *own)
         .map(|worker| (worker.name.clone(), worker.address.clone()))
         .collect();
-    domain.links.retain(|name, link| present.get(name) == Some(&link.address));
+    for (name, link) in &mut domain.links {
+        // A worker that is removed, or has another VM, may run tasks until its lease lapses.
+        link.removed = present.get(name) != Some(&link.address);
+    }
     for (name, address) in present {
         domain.links.entry(name).or_insert_with(|| WorkerLink::new(address, now));
     }
--- a/crates/entry/src/control/jobs.rs
+++ b/crates/entry/src/control/jobs.rs
@@ -1,6 +1,6 @@
 //! Jobs: accepting, recording their progress, cancelling and moving them.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +25,8 @@
 const FLUSH_BOUND: usize = 64;
 /// Time between two looks for jobs whose notification was lost.
 const SCAN: Duration = Duration::from_secs(3);
+/// Pause until a job that could not be moved is tried again.
+const MOVE_RETRY: Duration = Duration::from_secs(1);
 /// Deadline of calls to the platform about jobs.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Deadline of calls to owners about jobs.
@@ -53,33 +55,36 @@
     writing: bool,
     /// Jobs that ended here or were moved away, the oldest first.
     gone: VecDeque<JobId>,
-    gone_set: HashSet<JobId>,
+    /// Version of the last row of each of them.
+    gone_versions: HashMap<JobId, u64>,
 }
 
 impl JobBook {
-    /// Takes a job up; returns false if it is known already, or was.
+    /// Takes a job up from a row of the given version; returns false if it is known.
     ///
-    /// A row can be read before a job ends and arrive after, and the job must
-    /// not run again.
-    pub fn adopt(&mut self, record: &JobRecord) -> bool {
+    /// A row can be read before a job ends or moves away and arrive after, and
+    /// the job must not run again. A job that comes back has a later row.
+    pub fn adopt(&mut self, record: &JobRecord, version: u64) -> bool {
         let job = &record.spec.id;
-        if self.records.contains_key(job) || self.gone_set.contains(job) {
+        let gone = self.gone_versions.get(job);
+        if self.records.contains_key(job) || gone.is_some_and(|last| version <= *last) {
             return false;
         }
         self.records.insert(record.spec.id.clone(), Arc::new(record.clone()));
         true
     }
 
-    /// Forgets a job that ended here or was moved away.
-    pub fn forget(&mut self, job: &JobId) {
+    /// Forgets a job that ended here or was moved away; `version` is that of its last row here.
+    pub fn forget(&mut self, job: &JobId, version: u64) {
         self.dirty.remove(job);
-        if self.records.remove(job).is_some() && self.gone_set.insert(job.clone()) {
+        self.records.remove(job);
+        if self.gone_versions.insert(job.clone(), version).is_none() {
             self.gone.push_back(job.clone());
         }
         if self.gone.len() > GONE_BOUND
             && let Some(oldest) = self.gone.pop_front()
         {
-            self.gone_set.remove(&oldest);
+            self.gone_versions.remove(&oldest);
         }
     }
 
@@ -147,17 +152,17 @@
         ],
         deletes: Vec::new(),
     };
-    match control.platform.transact(&txn, CALL_TIMEOUT).await {
-        Ok(reply) if reply.committed => {}
+    let version = match control.platform.transact(&txn, CALL_TIMEOUT).await {
+        Ok(reply) if reply.committed => reply.version,
         Ok(reply) => return repeated(&job, &index, &reply.conflicts),
         Err(report) if *report.current_context() == CallFailure::NotDone => {
             let message = "the platform did not take the job; it is not accepted, retry later";
             return Err(PeerRefusal::new(ErrorKind::PlatformDown, message));
         }
         Err(_) => resolve_lost_reply(&control, &job, &index).await?,
-    }
+    };
     log::info!("job accepted job={job} team={} domain={domain}", record.team);
-    notify_owner(&control, record);
+    notify_owner(&control, record, version);
     Ok(SubmitReply { job, domain })
 }
 
@@ -264,13 +269,13 @@
     control: &Control,
     job: &JobId,
     index: &serde_json::Value,
-) -> Result<(), PeerRefusal> {
+) -> Result<u64, PeerRefusal> {
     let read = TableRead { keys: vec![index_key(job.as_str())], prefixes: Vec::new() };
     for _ in 0..5 {
         if let Ok(reply) = control.platform.read(&read, CALL_TIMEOUT).await
-            && reply.rows.first().is_some_and(|row| row.value == *index)
+            && let Some(row) = reply.rows.first().filter(|row| row.value == *index)
         {
-            return Ok(());
+            return Ok(row.version);
         }
         tokio::time::sleep(FLUSH).await;
     }
@@ -279,9 +284,11 @@
 }
 
 /// Tells the owner of a job's domain, who would otherwise find the row a few seconds later.
-fn notify_owner(control: &Control, record: JobRecord) {
+///
+/// `version` is that of the job's row.
+fn notify_owner(control: &Control, record: JobRecord, version: u64) {
     if record.domain == control.settings.domain && control.lease().is_some() {
-        accept(control, record);
+        accept(control, record, version);
         return;
     }
     let owner = control.state().owners.get(&record.domain).cloned();
@@ -297,11 +304,11 @@
     });
 }
 
-/// Takes a durable job of the owned domain up.
-pub fn accept(control: &Control, record: JobRecord) {
+/// Takes a durable job of the owned domain up, from a row of the given version.
+pub fn accept(control: &Control, record: JobRecord, version: u64) {
     let fresh = {
         let mut state = control.state_mut();
-        state.domain.as_mut().is_some_and(|domain| domain.jobs.adopt(&record))
+        state.domain.as_mut().is_some_and(|domain| domain.jobs.adopt(&record, version))
     };
     if fresh && !record.state.is_final() {
         cells::feed(control, CellEvent::JobSubmitted(Arc::new(record)));
@@ -333,7 +340,7 @@
     }
     for row in reply.rows {
         match serde_json::from_value(row.value) {
-            Ok(record) => accept(control, record),
+            Ok(record) => accept(control, record, row.version),
             Err(error) => log::error!("row {} is malformed: {error}", row.key),
         }
     }
@@ -377,9 +384,7 @@
         return;
     }
     domain.jobs.writing = false;
-    if !written {
-        return;
-    }
+    let Some(versions) = written else { return };
     for (job, progress) in batch {
         for link in domain.links.values_mut() {
             let over = progress.state.is_final();
@@ -391,7 +396,9 @@
         if same {
             domain.jobs.dirty.remove(&job);
             if progress.state.is_final() {
-                domain.jobs.forget(&job);
+                // Without a row an earlier write took effect and its reply was lost.
+                let version = versions.get(&job).copied().unwrap_or(u64::MAX);
+                domain.jobs.forget(&job, version);
             }
         }
         if let Some(record) = domain.jobs.records.get_mut(&job) {
@@ -407,11 +414,18 @@
 /// Rows are compared and swapped: a former owner whose write is late must not
 /// undo the progress that this one recorded. Done tasks only ever grow, so
 /// that two writers can be merged.
-async fn write_progress(control: &Control, batch: &[(JobId, JobProgress)]) -> bool {
+///
+/// Returns the versions of the rows that it replaced, or nothing if the write
+/// has to be tried again.
+async fn write_progress(
+    control: &Control,
+    batch: &[(JobId, JobProgress)],
+) -> Option<HashMap<JobId, u64>> {
     let domain = &control.settings.domain;
     let keys = batch.iter().map(|(job, _)| job_key(domain, job)).collect();
     let read = TableRead { keys, prefixes: Vec::new() };
-    let Ok(reply) = control.platform.read(&read, CALL_TIMEOUT).await else { return false };
+    let reply = control.platform.read(&read, CALL_TIMEOUT).await.ok()?;
+    let mut versions = HashMap::new();
     let mut txn = TableTxn::default();
     for (job, progress) in batch {
         let key = job_key(domain, job);
@@ -425,6 +439,7 @@
         record.done = done.into_iter().collect();
         record.state = progress.state;
         let value = serde_json::to_value(&record).unwrap_or_default();
+        versions.insert(job.clone(), row.version);
         txn.checks.push(RowCheck { key: key.clone(), version: row.version });
         if progress.state.is_final() {
             txn.deletes.push(key);
@@ -434,26 +449,60 @@
         }
     }
     if txn.checks.is_empty() {
-        return true;
+        return Some(versions);
     }
-    if control.lease().is_none() {
-        return false;
-    }
-    matches!(control.platform.transact(&txn, CALL_TIMEOUT).await, Ok(reply) if reply.committed)
+    control.lease()?;
+    let reply = control.platform.transact(&txn, CALL_TIMEOUT).await.ok()?;
+    reply.committed.then_some(versions)
 }
 
 /// Hands a job of a domain that is out to another domain.
+///
+/// The cell has given the job up, so that it is submitted again if the domain
+/// comes back before another one could take it.
 pub fn move_job(control: &Control, job: &JobId) {
     let caller = Rc::clone(control);
     let job = job.clone();
     control.spawn(async move {
-        if let Err(reason) = try_move(&caller, &job).await {
-            log::warn!("job {job} was not moved: {reason}");
+        let Some(authority) = caller.lease() else { return };
+        let mut seen = 0;
+        while let Err(reason) = try_move(&caller, &job, &mut seen).await {
+            log::warn!("job {job} was not moved yet: {reason}");
+            tokio::time::sleep(MOVE_RETRY).await;
+            if caller.lease() != Some(authority) {
+                return;
+            }
+            if is_in_service(&caller) {
+                let record = book_record(&caller, &job);
+                if let Some(record) = record {
+                    cells::feed(&caller, CellEvent::JobSubmitted(Arc::new(record)));
+                }
+                return;
+            }
         }
     });
 }
 
-async fn try_move(control: &Control, job: &JobId) -> Result<(), String> {
+fn forget(control: &Control, job: &JobId, version: u64) {
+    if let Some(domain) = control.state_mut().domain.as_mut() {
+        domain.jobs.forget(job, version);
+    }
+}
+
+fn is_in_service(control: &Control) -> bool {
+    let state = control.state();
+    let own = &control.settings.domain;
+    let mut domains = state.config.objects().domains.iter();
+    domains.any(|domain| domain.name == *own && domain.state == ServiceState::In)
+}
+
+fn book_record(control: &Control, job: &JobId) -> Option<JobRecord> {
+    let state = control.state();
+    state.domain.as_ref()?.jobs.record(job.as_str())
+}
+
+/// Tries to move a job once; `seen` keeps the version of its row between tries.
+async fn try_move(control: &Control, job: &JobId, seen: &mut u64) -> Result<(), String> {
     let record = {
         let state = control.state();
         let domain = state.domain.as_ref().ok_or("the ownership ended")?;
@@ -467,7 +516,12 @@
     let read = TableRead { keys: vec![old_key.clone()], prefixes: Vec::new() };
     let reply = control.platform.read(&read, CALL_TIMEOUT).await;
     let reply = reply.map_err(|report| format!("{report:?}"))?;
-    let row = reply.rows.into_iter().next().ok_or("its row is gone")?;
+    let Some(row) = reply.rows.into_iter().next() else {
+        // An earlier try took effect and its reply was lost.
+        forget(control, job, *seen);
+        return Ok(());
+    };
+    *seen = row.version;
     let moved = JobRecord { domain: target.clone(), ..record };
     let value = serde_json::to_value(&moved).map_err(|error| error.to_string())?;
     let index = serde_json::json!({ "domain": target, "spec": moved.spec });
@@ -480,14 +534,14 @@
         deletes: vec![old_key],
     };
     let reply = control.platform.transact(&txn, CALL_TIMEOUT).await;
-    if !reply.map_err(|report| format!("{report:?}"))?.committed {
+    let reply = reply.map_err(|report| format!("{report:?}"))?;
+    if !reply.committed {
         return Err("its row changed".to_owned());
     }
+    let version = reply.version;
     log::info!("job moved job={job} from={} to={target}", control.settings.domain);
-    if let Some(domain) = control.state_mut().domain.as_mut() {
-        domain.jobs.forget(job);
-    }
-    notify_owner(control, moved);
+    forget(control, job, row.version);
+    notify_owner(control, moved, version);
     Ok(())
 }
 
--- a/crates/entry/src/control/workers.rs
+++ b/crates/entry/src/control/workers.rs
@@ -15,7 +15,7 @@
     EndReport, RefusalReason, RenewCall, StartCall, StopCall, StopMode, TaskEnd, WorkerReport,
 };
 
-use crate::control::{Control, cells, requests};
+use crate::control::{Control, cells, domain, requests};
 
 /// Milliseconds that a worker's lease lasts.
 pub const WORKER_TTL_MS: u64 = 8_000;
@@ -71,6 +71,9 @@
 pub struct WorkerLink {
     /// Address of the worker.
     pub address: String,
+    /// Whether the configuration no longer names this worker at this address. Its
+    /// lease is not renewed, and the link ends when the lease has surely lapsed.
+    pub removed: bool,
     boot: Option<BootId>,
     /// The worker's clock in its last report, and when that report was received.
     report: Option<(ClockMillis, ClockMillis)>,
@@ -89,6 +92,7 @@
     pub const fn new(address: String, now: ClockMillis) -> Self {
         Self {
             address,
+            removed: false,
             boot: None,
             report: None,
             calling: false,
@@ -151,7 +155,7 @@
                 link.health = LinkHealth::Silent;
                 events.push(CellEvent::WorkerSilent(name.clone()));
             }
-            if !link.calling && link.next_call <= now {
+            if !link.removed && !link.calling && link.next_call <= now {
                 link.calling = true;
                 due.push((name.clone(), renewal(link, authority), link.address.clone()));
             }
@@ -164,11 +168,26 @@
         }
         cells::feed(control, event);
     }
+    drop_removed(control);
     for (name, call, address) in due {
         control.spawn(renew(Rc::clone(control), name, call, address));
     }
 }
 
+/// Drops the links of removed workers that are lost, so that a VM with the same name can follow.
+fn drop_removed(control: &Control) {
+    let ended = {
+        let mut state = control.state_mut();
+        let Some(domain) = state.domain.as_mut() else { return };
+        let before = domain.links.len();
+        domain.links.retain(|_, link| !link.removed || link.health != LinkHealth::Lost);
+        domain.links.len() != before
+    };
+    if ended {
+        domain::sync_links(control);
+    }
+}
+
 fn renewal(link: &WorkerLink, authority: OwnerAuthority) -> RenewCall {
     RenewCall {
         authority,
--- a/crates/entry/tests/job_book.rs
+++ b/crates/entry/tests/job_book.rs
@@ -27,9 +27,18 @@
 #[test]
 fn finished_job_is_not_taken_up_again() {
     let mut book = JobBook::default();
-    assert!(book.adopt(&record("once")));
-    assert!(!book.adopt(&record("once")), "it is known");
-    book.forget(&"once".into());
-    assert!(!book.adopt(&record("once")), "it has ended");
-    assert!(book.adopt(&record("other")));
+    assert!(book.adopt(&record("once"), 3));
+    assert!(!book.adopt(&record("once"), 3), "it is known");
+    book.forget(&"once".into(), 5);
+    assert!(!book.adopt(&record("once"), 5), "it has ended");
+    assert!(book.adopt(&record("other"), 4));
+}
+
+/// Guards against a job that is stuck: it was moved away and has come back with a later row.
+#[test]
+fn job_that_comes_back_is_taken_up() {
+    let mut book = JobBook::default();
+    assert!(book.adopt(&record("back"), 3));
+    book.forget(&"back".into(), 5);
+    assert!(book.adopt(&record("back"), 8));
 }
