--- /dev/null
+++ b/bench/src/record.rs
@@ -0,0 +1,45 @@
+//! The figures of the last recorded version.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::path::PathBuf;
+
+use serde::{Deserialize, Serialize};
+
+use crate::variant::VariantFigures;
+
+/// Figures of one version, in `bench/recorded.json`.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RecordedFigures {
+    /// Seed of the workloads.
+    pub seed: u64,
+    /// Rows by deployment.
+    pub deployments: BTreeMap<String, Vec<VariantFigures>>,
+}
+
+fn path() -> PathBuf {
+    PathBuf::from(concat!(env!("CARGO_MANIFEST_DIR"), "/recorded.json"))
+}
+
+impl RecordedFigures {
+    /// Reads the recorded figures; none if nothing was recorded.
+    ///
+    /// # Errors
+    /// If the file cannot be read or parsed.
+    pub fn load() -> io::Result<Option<Self>> {
+        match std::fs::read_to_string(path()) {
+            Ok(text) => Ok(Some(serde_json::from_str(&text)?)),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Writes the figures in place of those recorded before.
+    ///
+    /// # Errors
+    /// If the file cannot be written.
+    pub fn save(&self) -> io::Result<()> {
+        std::fs::write(path(), serde_json::to_string_pretty(self)? + "\n")
+    }
+}
