Reserve more workers for a gang and preempt only until it fits

Work more urgent than the gang was kept off the reserved workers, and a gang could reserve ahead of a task whose turn was earlier. Change: four times the workers are reserved, tasks are preempted in victim order until the gang fits, more urgent work may use reserved workers, and a gang reserves only while no task before it waits.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -252,7 +252,9 @@
                 let usage = ResourceAmounts::ZERO;
                 self.start(cell, &worker, RunningTask { task, attempt, team, amounts, usage });
             }
-            CellDecision::StopTask { task, worker, checkpoint, .. } => {
+            CellDecision::StopTask { task, worker, checkpoint, reason } => {
+                let preempted = reason.starts_with("preempted") || reason == "share-reclaimed";
+                self.measure.preempted += u64::from(preempted);
                 self.stop(&worker, task, checkpoint);
             }
             CellDecision::GrantRequest { ticket, worker, .. } => self.grant(ticket, &worker),
@@ -311,17 +313,18 @@
         if self.out[cell].is_some_and(|since| self.now > since + OUT_BOUND_MS) {
             self.measure.breaches.push(format!("{} started in a domain that is out", running.task));
         }
+        let faulty = self.is_faulty(worker);
         let job = self.job_index[&running.task.job];
         let (plan, track) = (&self.list.jobs[job], &mut self.jobs[job]);
         let index = running.task.index as usize;
         if track.running[index].replace(worker).is_some() {
             self.measure.breaches.push(format!("{} runs in two places", running.task));
         }
-        if !std::mem::replace(&mut track.started[index], true) {
+        let left = millis(plan.runs[index]) - track.saved[index];
+        // A start on a worker that fails everything ends no wait.
+        if !faulty && !std::mem::replace(&mut track.started[index], true) {
             self.measure.note_wait(plan.urgency, self.now - plan.at);
         }
-        let left = millis(plan.runs[index]) - track.saved[index];
-        let faulty = self.is_faulty(worker);
         let (end, left) = if faulty { (EndKind::Failed, 500.0) } else { (EndKind::Done, left) };
         let (task, attempt) = (running.task.clone(), running.attempt);
         let started = FakeTask {
@@ -610,14 +613,15 @@
                     self.measure.dated.1 += track.punctual;
                 }
             }
-            if !track.submitted || track.over {
+            if !track.submitted || track.cancelled {
                 continue;
             }
             for index in 0..plan.runs.len() {
+                // What a failed job left undone is never done; it counts as waiting.
                 if !track.started[index] {
                     self.measure.note_wait(plan.urgency, self.now - plan.at);
                 }
-                if !track.done[index] {
+                if !track.done[index] && !track.over {
                     self.measure.note_work(track.saved[index], plan.actual);
                 }
             }
--- a/bench/src/measure.rs
+++ b/bench/src/measure.rs
@@ -12,8 +12,9 @@
 /// Figures of one run.
 #[derive(Clone, Debug)]
 pub struct RunMeasure {
-    /// Waits in milliseconds by urgency, until the first start. Work that has
-    /// not started at the end of the run counts with the time that it has waited.
+    /// Waits in milliseconds by urgency, until the first start on a worker that is
+    /// not failing. Work that has not started at the end of the run, that of failed
+    /// jobs included, counts with the time since it was submitted.
     pub waits: [Histogram<u64>; 3],
     /// Nanoseconds of the calls that decided something.
     pub costs: Histogram<u64>,
@@ -29,6 +30,8 @@
     pub failed: u64,
     /// Tasks that failed because their worker had no memory left.
     pub starved: u64,
+    /// Orders to checkpoint a task for other work.
+    pub preempted: u64,
     /// Dated tasks, and those of them that were done in time.
     pub dated: (u64, u64),
     /// Milliseconds of finished or checkpointed work of tasks.
@@ -74,6 +77,7 @@
             refused: 0,
             failed: 0,
             starved: 0,
+            preempted: 0,
             dated: (0, 0),
             task_work: 0.0,
             core_work: 0.0,
--- a/bench/src/scale.rs
+++ b/bench/src/scale.rs
@@ -328,6 +328,10 @@
         };
         let (task, attempt, worker, _) = self.running.swap_remove(index);
         self.apply(CellEvent::TaskEnded { task, attempt, worker, end: EndKind::Done });
+        // A backlog keeps the fleet full.
+        if self.cell.waiting_len(UrgencyLevel::Batch) < 20 {
+            self.submit("batch", 8);
+        }
         match round % 5 {
             0 => self.submit("rush", 1),
             1 | 2 => self.ask(),
--- a/bench/src/table.rs
+++ b/bench/src/table.rs
@@ -30,9 +30,9 @@
         let _ = write!(text, " {class} wait p50/p99/max s |");
     }
     text.push_str(
-        " refused % | failed jobs | out of memory | reserved | used | share distance | change | work/bound | by morning | decisions/s | cost p50/p99/max us |\n",
+        " refused % | failed jobs | out of memory | preempted | reserved | used | share distance | change | work/bound | by morning | decisions/s | cost p50/p99/max us |\n",
     );
-    text.push_str(&"|---".repeat(15));
+    text.push_str(&"|---".repeat(16));
     text.push_str("|\n");
     for row in rows {
         let _ = write!(text, "| {} |", row.variant);
@@ -41,10 +41,11 @@
         }
         let _ = writeln!(
             text,
-            " {:.2} | {:.0} | {:.0} | {:.3} | {:.3} | {:.4} | {:.3} | {:.3} | {:.3} | {:.0} | {} |",
+            " {:.2} | {:.0} | {:.0} | {:.0} | {:.3} | {:.3} | {:.4} | {:.3} | {:.3} | {:.3} | {:.0} | {} |",
             row.refused,
             row.failed,
             row.starved,
+            row.preempted,
             row.reserved,
             row.used,
             row.share,
--- a/bench/src/variant.rs
+++ b/bench/src/variant.rs
@@ -83,6 +83,8 @@
     pub failed: f64,
     /// Tasks that failed because their worker had no memory left.
     pub starved: f64,
+    /// Orders to checkpoint a task for other work.
+    pub preempted: f64,
     /// Part of the scarcer resource that is reserved while work waits.
     pub reserved: f64,
     /// Part of the scarcer resource that is used while work waits.
@@ -114,6 +116,7 @@
             refused: 100.0 * changed.refused as f64 / changed.requests.max(1) as f64,
             failed: changed.failed as f64,
             starved: changed.starved as f64,
+            preempted: changed.preempted as f64,
             reserved,
             used,
             share: changed.share_distance(),
--- a/crates/policy/src/gang.rs
+++ b/crates/policy/src/gang.rs
@@ -7,7 +7,7 @@
 
 use crate::cell::Cell;
 use crate::event::PlacementReason;
-use crate::hold::HoldId;
+use crate::hold::{HoldId, VictimKey};
 use crate::index::WorkerIndex;
 use crate::job::JobEntry;
 use crate::placement::PlacementRule;
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct GangReservation {
     pub(crate) job: JobId,
-    urgency: UrgencyLevel,
+    pub(crate) urgency: UrgencyLevel,
     workers: Vec<WorkerIndex>,
     /// When the reserved workers are free by the declared run times.
     pub(crate) start_at: ClockMillis,
@@ -42,8 +42,14 @@
 }
 
 impl<R: PlacementRule> Cell<R> {
-    /// Starts all waiting tasks of a gang, or reserves workers for them.
-    pub(crate) fn try_gang(&mut self, id: &JobId, amounts: ResourceAmounts) -> PlaceOutcome {
+    /// Starts all waiting tasks of a gang; `may_reserve` tells whether workers may
+    /// be reserved for them if they do not fit.
+    pub(crate) fn try_gang(
+        &mut self,
+        id: &JobId,
+        amounts: ResourceAmounts,
+        may_reserve: bool,
+    ) -> PlaceOutcome {
         let now = self.now;
         let Some(job) = self.jobs.jobs.get_mut(id) else { return PlaceOutcome::NoRoom };
         if job.gang_tried_at.is_some_and(|at| now.since(at) < rules::GANG_RETRY_MS) {
@@ -66,7 +72,7 @@
         }
         self.timers.set(now + rules::GANG_RETRY_MS, TimerKind::Pass);
         self.stop_rest(id);
-        self.reserve_gang(id, &ask);
+        self.reserve_gang(id, &ask, may_reserve);
         PlaceOutcome::NoRoom
     }
 
@@ -89,7 +95,8 @@
         if !ask.amounts.times(ask.waiting).fits_in(self.pool.free) {
             return None;
         }
-        let holds_workers = self.gang.as_ref().is_none_or(|gang| gang.job == *id);
+        let holds_workers =
+            self.gang.as_ref().is_none_or(|gang| gang.job == *id || ask.urgency < gang.urgency);
         let search = self.search_ask(ask.amounts, holds_workers, &[]);
         let mut choices = Vec::new();
         for _ in 0..ask.waiting {
@@ -127,7 +134,10 @@
         }
     }
 
-    fn reserve_gang(&mut self, id: &JobId, ask: &GangAsk) {
+    fn reserve_gang(&mut self, id: &JobId, ask: &GangAsk, may_reserve: bool) {
+        if !may_reserve && self.gang.as_ref().is_none_or(|gang| gang.job != *id) {
+            return;
+        }
         if let Some(gang) = &self.gang {
             if gang.job != *id && gang.urgency <= ask.urgency {
                 return;
@@ -159,39 +169,63 @@
         self.refresh_gang(ask);
     }
 
-    /// Picks the workers with the most room that hold the whole gang once drained.
+    /// Picks the workers with the most room that hold the gang several times once
+    /// drained, or all if there are not as many.
     fn pick_gang_workers(&self, ask: &GangAsk) -> Option<Vec<WorkerIndex>> {
         let mut workers = Vec::new();
-        let mut tasks = 0;
+        let mut tasks: u64 = 0;
         for worker in self.pool.roomiest(ask.amounts) {
             let entry = self.pool.get(worker);
-            tasks += copies(ask.amounts, entry.capacity.minus(entry.lasting));
+            tasks = tasks.saturating_add(copies(ask.amounts, entry.capacity.minus(entry.lasting)));
             workers.push(worker);
-            if tasks >= ask.waiting {
-                return Some(workers);
+            if tasks >= ask.waiting.saturating_mul(rules::GANG_SPREAD) {
+                break;
             }
         }
-        None
+        (tasks >= ask.waiting).then_some(workers)
     }
 
-    /// Estimates when the reserved workers are free and preempts what may be preempted.
+    /// Preempts on the reserved workers what may be preempted until the gang fits,
+    /// and estimates when it fits by the declared run times.
     fn refresh_gang(&mut self, ask: &GangAsk) {
         let Some(gang) = &self.gang else { return };
         let now = self.now;
-        let workers = gang.workers.iter();
-        let tasks: Vec<HoldId> =
-            workers.flat_map(|worker| self.pool.get(*worker).tasks.values().copied()).collect();
+        let mut room = GangRoom::new(ask);
+        let mut tasks: Vec<(VictimKey, usize, HoldId)> = Vec::new();
+        for (position, worker) in gang.workers.iter().enumerate() {
+            let entry = self.pool.get(*worker);
+            room.add_worker(entry.free());
+            for id in entry.tasks.values() {
+                let Some(hold) = self.holds.get(*id) else { continue };
+                if hold.stop.is_some() {
+                    room.free(position, hold.amounts);
+                } else {
+                    tasks.push((hold.victim_key(*id), position, *id));
+                }
+            }
+        }
+        tasks.sort_unstable();
         let active = self.active_weight();
-        let mut start_at = now;
-        for id in tasks {
-            if self.yields_to_gang(id, ask, active) {
+        let mut rest: Vec<(ClockMillis, usize, ResourceAmounts)> = Vec::new();
+        for (_, position, id) in tasks {
+            let Some(hold) = self.holds.get(id) else { continue };
+            let amounts = hold.amounts;
+            let ends_at = hold.ends_at.unwrap_or(hold.started_at + UNKNOWN_RUN_MS);
+            if !room.is_enough() && self.yields_to_gang(id, ask, active) {
                 self.preempt_task(id, "preempted-by-gang", None);
-            } else if let Some(hold) = self.holds.get(id)
-                && hold.stop.is_none()
-            {
-                let ends_at = hold.ends_at.unwrap_or(hold.started_at + UNKNOWN_RUN_MS);
-                start_at = start_at.max(ends_at);
+                room.free(position, amounts);
+            } else {
+                rest.push((ends_at.max(now), position, amounts));
+            }
+        }
+        rest.sort_unstable_by_key(|(ends_at, position, _)| (*ends_at, *position));
+        let mut start_at = now;
+        for (ends_at, position, amounts) in rest {
+            if room.is_enough() {
+                break;
             }
+            start_at = ends_at;
+            room.free(position, amounts);
         }
         if let Some(gang) = &mut self.gang {
             gang.start_at = start_at;
@@ -231,6 +265,37 @@
     }
 }
 
+/// Room on the reserved workers, counted in tasks of the gang.
+#[derive(Debug)]
+struct GangRoom {
+    amounts: ResourceAmounts,
+    waiting: u64,
+    free: Vec<ResourceAmounts>,
+    tasks: u64,
+}
+
+impl GangRoom {
+    fn new(ask: &GangAsk) -> Self {
+        Self { amounts: ask.amounts, waiting: ask.waiting, free: Vec::new(), tasks: 0 }
+    }
+
+    fn add_worker(&mut self, free: ResourceAmounts) {
+        self.free.push(free);
+        self.tasks = self.tasks.saturating_add(copies(self.amounts, free));
+    }
+
+    fn free(&mut self, position: usize, amounts: ResourceAmounts) {
+        let before = copies(self.amounts, self.free[position]);
+        self.free[position] = self.free[position].plus(amounts);
+        let gained = copies(self.amounts, self.free[position]).saturating_sub(before);
+        self.tasks = self.tasks.saturating_add(gained);
+    }
+
+    fn is_enough(&self) -> bool {
+        self.tasks >= self.waiting
+    }
+}
+
 /// Returns how many times `amounts` fits into `room`.
 fn copies(amounts: ResourceAmounts, room: ResourceAmounts) -> u64 {
     let parts = amounts.as_array().into_iter().zip(room.as_array());
--- a/crates/policy/src/rules.rs
+++ b/crates/policy/src/rules.rs
@@ -90,6 +90,9 @@
 pub const GANG_RETRY_MS: u64 = 100;
 /// Milliseconds after which the workers reserved for a gang are chosen anew.
 pub const GANG_REFRESH_MS: u64 = 1_000;
+/// How many times the workers reserved for a gang hold it once drained. With more
+/// workers enough is freed sooner, so that less stays idle meanwhile.
+pub const GANG_SPREAD: u64 = 4;
 /// Milliseconds until a pass that was cut short or rate-limited is repeated.
 pub const PASS_RETRY_MS: u64 = 100;
 /// Milliseconds after a grant's latest start at which its request has reached
--- a/crates/policy/src/schedule.rs
+++ b/crates/policy/src/schedule.rs
@@ -154,9 +154,11 @@
     fn place_jobs(&mut self, urgency: UrgencyLevel) {
         let level = rank(urgency);
         let mut blocked: SmallVec<[TeamIndex; 16]> = SmallVec::new();
+        // A gang whose turn comes after a task that waits must not take its room.
+        let mut may_reserve = true;
         while self.starts_left > 0 && self.jobs.ready_len(urgency) > 0 {
             let Some(team) = self.next_team(level, &blocked) else { return };
-            if !self.try_team(team, urgency) {
+            if !self.try_team(team, urgency, &mut may_reserve) {
                 blocked.push(team);
             }
         }
@@ -174,17 +176,21 @@
     }
 
     /// Places a task or a gang of the team's first jobs; false if none fits.
-    fn try_team(&mut self, team: TeamIndex, urgency: UrgencyLevel) -> bool {
+    fn try_team(&mut self, team: TeamIndex, urgency: UrgencyLevel, may_reserve: &mut bool) -> bool {
         let ready = self.jobs.ready(team, rank(urgency)).take(rules::JOB_LOOKAHEAD);
         let jobs: JobList = ready.map(|(_, job)| job.clone()).collect();
         let mut first_blocked: Option<(RoomAsk, PlaceOutcome)> = None;
         for id in jobs {
             let Some((amounts, waiting, gang)) = self.job_shape(&id) else { continue };
-            let outcome =
-                if gang { self.try_gang(&id, amounts) } else { self.try_task(&id, amounts) };
+            let outcome = if gang {
+                self.try_gang(&id, amounts, *may_reserve)
+            } else {
+                self.try_task(&id, amounts)
+            };
             if outcome == PlaceOutcome::Placed {
                 return true;
             }
+            *may_reserve &= gang || outcome != PlaceOutcome::NoRoom;
             // Room for a gang is made on the workers that are reserved for it.
             if !gang || outcome == PlaceOutcome::NoAllotment {
                 let together = if gang { waiting as u64 } else { 1 };
@@ -261,6 +267,10 @@
     fn may_backfill(&self, job: &JobEntry) -> bool {
         let run = job.record.spec.run_ms;
         let Some(gang) = &self.gang else { return true };
+        // Workers are kept from work of the same and lower urgency only.
+        if job.class.is_some_and(|class| class.urgency < gang.urgency) {
+            return true;
+        }
         self.rules.backfill && run > 0 && self.now + run <= gang.start_at
     }
 
