Serve teams within their share before others whatever their urgency

Change: after requests and urgent jobs, normal and then batch jobs of teams within their share are placed, and only then those of the other teams.

--- a/crates/policy/src/preempt.rs
+++ b/crates/policy/src/preempt.rs
@@ -144,6 +144,12 @@
         f64::from(self.teams.get(team).weight) / active.max(1.0)
     }
 
+    /// Tells whether a team uses less than its share.
+    pub(crate) fn is_within_share(&self, team: TeamIndex, active: f64) -> bool {
+        let used = self.teams.get(team).used;
+        used.dominant_share(self.pool.total) < self.entitlement(team, active)
+    }
+
     /// Tells whether a team stays within its share with one more piece of work.
     fn is_below_share(&mut self, room: &RoomAsk) -> bool {
         if self.now < self.preempt_after {
--- a/crates/policy/src/schedule.rs
+++ b/crates/policy/src/schedule.rs
@@ -29,6 +29,14 @@
     NoAllotment,
 }
 
+/// The teams that are served in one step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ShareSide {
+    /// Those that use less than their share.
+    Within,
+    Any,
+}
+
 /// The jobs of one team that are tried in one step.
 type JobList = SmallVec<[JobId; rules::JOB_LOOKAHEAD]>;
 
@@ -44,10 +52,20 @@
         self.starts_left = rules::STARTS_PER_EVENT;
         for urgency in URGENCIES {
             self.place_requests(urgency);
-            if !self.starts_held {
-                self.place_jobs(urgency);
+            if urgency == UrgencyLevel::Urgent {
+                self.place_jobs(urgency, ShareSide::Any);
             }
         }
+        // A share bounds what urgency is worth: a team within its share is served
+        // before one that lives on lent capacity, unless a person waits.
+        let sides: &[ShareSide] = match self.rules.fair_share {
+            true => &[ShareSide::Within, ShareSide::Any],
+            false => &[ShareSide::Any],
+        };
+        for side in sides {
+            self.place_jobs(UrgencyLevel::Normal, *side);
+            self.place_jobs(UrgencyLevel::Batch, *side);
+        }
         if self.starts_left == 0 {
             self.stale = true;
         }
@@ -151,21 +169,32 @@
         self.out.push(CellDecision::GrantRequest { ticket, worker, team, reason });
     }
 
-    fn place_jobs(&mut self, urgency: UrgencyLevel) {
+    fn place_jobs(&mut self, urgency: UrgencyLevel, side: ShareSide) {
+        if self.starts_held {
+            return;
+        }
         let level = rank(urgency);
         let mut blocked: SmallVec<[TeamIndex; 16]> = SmallVec::new();
         // A gang whose turn comes after a task that waits must not take its room.
         let mut may_reserve = true;
         while self.starts_left > 0 && self.jobs.ready_len(urgency) > 0 {
-            let Some(team) = self.next_team(level, &blocked) else { return };
+            let Some(team) = self.next_team(level, &blocked, side) else { return };
             if !self.try_team(team, urgency, &mut may_reserve) {
                 blocked.push(team);
             }
         }
     }
 
-    fn next_team(&self, level: usize, blocked: &[TeamIndex]) -> Option<TeamIndex> {
+    fn next_team(
+        &mut self,
+        level: usize,
+        blocked: &[TeamIndex],
+        side: ShareSide,
+    ) -> Option<TeamIndex> {
+        let active = self.active_weight();
         let open = self.teams.indices().filter(|team| !blocked.contains(team));
+        let open =
+            open.filter(|team| side == ShareSide::Any || self.is_within_share(*team, active));
         let keyed = open.filter_map(|team| {
             let (arrival, _) = self.jobs.ready(team, level).next()?;
             Some((self.team_order(team), arrival, team))
