--- /dev/null
+++ b/bench/tests/quick.rs
@@ -0,0 +1,67 @@
+//! A short run of the whole benchmark.
+
+use bench::measure;
+use bench::variant::VARIANTS;
+use bench::workload::{DEPLOYMENTS, WorkloadList};
+use bench::{QUICK_MS, scale, table};
+
+/// Guards against a broken promise of the policy or a baseline, and against a
+/// table that leaves out a variant. Times are not looked at, since they depend on
+/// the machine and the build profile.
+#[test]
+fn promises_hold_and_tables_are_complete() {
+    for spec in &DEPLOYMENTS {
+        let list = WorkloadList::build(spec, 7, QUICK_MS);
+        let (rows, breaches) = bench::compare(&list, 2);
+        assert_eq!(breaches, Vec::<String>::new(), "{}", spec.name);
+        for text in [table::figures(&rows), table::to_baseline(&rows)] {
+            let named =
+                |name: &str| text.lines().any(|line| line.starts_with(&format!("| {name} |")));
+            let missing: Vec<_> = VARIANTS.iter().filter(|variant| !named(variant.name)).collect();
+            assert!(missing.is_empty(), "{missing:?} are missing in\n{text}");
+            let columns: Vec<usize> = text.lines().map(|line| line.matches('|').count()).collect();
+            assert!(columns.iter().all(|count| *count == columns[0]), "ragged table\n{text}");
+        }
+        for row in &rows {
+            assert!(row.work > 0.1, "{} did {} of the work", row.variant, row.work);
+            assert!(row.reserved <= 1.0 && row.used <= 1.0, "{} is overcommitted", row.variant);
+        }
+    }
+}
+
+/// Guards against lists that differ between two builds from one seed, which
+/// would make figures incomparable.
+#[test]
+fn a_seed_fixes_the_workload() {
+    let [first, second] = [0, 1].map(|_| WorkloadList::build(&DEPLOYMENTS[0], 3, QUICK_MS));
+    assert_eq!(format!("{first:?}"), format!("{second:?}"));
+}
+
+/// Guards against runs of one seed that end differently, for instance because a
+/// decision follows the order of a hash map.
+#[test]
+fn a_seed_fixes_the_decisions() {
+    let list = WorkloadList::build(&DEPLOYMENTS[1], 5, QUICK_MS);
+    let [first, second] = [0, 1].map(|_| VARIANTS[0].run(&list, true));
+    assert_eq!(first.decisions, second.decisions);
+    assert_eq!(first.task_work.to_bits(), second.task_work.to_bits());
+    assert_eq!(first.share_distance().to_bits(), second.share_distance().to_bits());
+}
+
+/// Guards against a measure of fairness that blames a team for what it does not
+/// want, or that leaves lent capacity unassigned.
+#[test]
+fn unused_shares_are_split_by_weight() {
+    let shares = measure::fair_shares(&[(400.0, 0.1), (300.0, 1.0), (100.0, 1.0)]);
+    let expected = [0.1, 0.675, 0.225];
+    for (share, expected) in shares.iter().zip(expected) {
+        assert!((share - expected).abs() < 1e-9, "{shares:?}");
+    }
+}
+
+/// Guards against a scale mode that stops on its way or leaves out a size.
+#[test]
+fn scale_table_has_every_size() {
+    let text = scale::table(7, true);
+    assert!(text.lines().count() >= 2 + 5 + 2, "{text}");
+}
