--- a/crates/policy/src/schedule.rs
+++ b/crates/policy/src/schedule.rs
@@ -29,6 +29,14 @@
     NoAllotment,
 }
 
+/// The teams that are served in one step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ShareSide {
+    /// Those that use less than their share.
+    Within,
+    Any,
+}
+
 /// The jobs of one team that are tried in one step.
 type JobList = SmallVec<[JobId; rules::JOB_LOOKAHEAD]>;
 
@@ -44,10 +52,20 @@
         self.starts_left = rules::STARTS_PER_EVENT;
         for urgency in URGENCIES {
             self.place_requests(urgency);
-            if !self.starts_held {
-                self.place_jobs(urgency);
+            if urgency == UrgencyLevel::Urgent {
+                self.place_jobs(urgency, ShareSide::Any);
             }
         }
+        // A share bounds what urgency is worth: a team within its share is served
+        // before one that lives on lent capacity, unless a person waits.
+        let sides: &[ShareSide] = match self.rules.fair_share {
+            true => &[ShareSide::Within, ShareSide::Any],
+            false => &[ShareSide::Any],
+        };
+        for side in sides {
+            self.place_jobs(UrgencyLevel::Normal, *side);
+            self.place_jobs(UrgencyLevel::Batch, *side);
+        }
         if self.starts_left == 0 {
             self.stale = true;
         }
@@ -153,19 +171,32 @@
         self.out.push(CellDecision::GrantRequest { ticket, worker, team, reason });
     }
 
-    fn place_jobs(&mut self, urgency: UrgencyLevel) {
+    fn place_jobs(&mut self, urgency: UrgencyLevel, side: ShareSide) {
+        if self.starts_held {
+            return;
+        }
         let level = rank(urgency);
         let mut blocked: SmallVec<[TeamIndex; 16]> = SmallVec::new();
+        // A gang whose turn comes after a task that waits must not take its room.
+        let mut may_reserve = true;
         while self.starts_left > 0 && self.jobs.ready_len(urgency) > 0 {
-            let Some(team) = self.next_team(level, &blocked) else { return };
-            if !self.try_team(team, urgency) {
+            let Some(team) = self.next_team(level, &blocked, side) else { return };
+            if !self.try_team(team, urgency, &mut may_reserve) {
                 blocked.push(team);
             }
         }
     }
 
-    fn next_team(&self, level: usize, blocked: &[TeamIndex]) -> Option<TeamIndex> {
+    fn next_team(
+        &mut self,
+        level: usize,
+        blocked: &[TeamIndex],
+        side: ShareSide,
+    ) -> Option<TeamIndex> {
+        let active = self.active_weight();
         let open = self.teams.indices().filter(|team| !blocked.contains(team));
+        let open =
+            open.filter(|team| side == ShareSide::Any || self.is_within_share(*team, active));
         let keyed = open.filter_map(|team| {
             let (arrival, _) = self.jobs.ready(team, level).next()?;
             Some((self.team_order(team), arrival, team))
@@ -176,17 +207,21 @@
     }
 
     /// Places a task or a gang of the team's first jobs; false if none fits.
-    fn try_team(&mut self, team: TeamIndex, urgency: UrgencyLevel) -> bool {
+    fn try_team(&mut self, team: TeamIndex, urgency: UrgencyLevel, may_reserve: &mut bool) -> bool {
         let ready = self.jobs.ready(team, rank(urgency)).take(rules::JOB_LOOKAHEAD);
         let jobs: JobList = ready.map(|(_, job)| job.clone()).collect();
         let mut first_blocked: Option<(RoomAsk, PlaceOutcome)> = None;
         for id in jobs {
             let Some((amounts, waiting, gang)) = self.job_shape(&id) else { continue };
-            let outcome =
-                if gang { self.try_gang(&id, amounts) } else { self.try_task(&id, amounts) };
+            let outcome = if gang {
+                self.try_gang(&id, amounts, *may_reserve)
+            } else {
+                self.try_task(&id, amounts)
+            };
             if outcome == PlaceOutcome::Placed {
                 return true;
             }
+            *may_reserve &= gang || outcome != PlaceOutcome::NoRoom;
             // Room for a gang is made on the workers that are reserved for it.
             if !gang || outcome == PlaceOutcome::NoAllotment {
                 let together = if gang { waiting as u64 } else { 1 };
@@ -263,6 +298,10 @@
     fn may_backfill(&self, job: &JobEntry) -> bool {
         let run = job.record.spec.run_ms;
         let Some(gang) = &self.gang else { return true };
+        // Workers are kept from work of the same and lower urgency only.
+        if job.class.is_some_and(|class| class.urgency < gang.urgency) {
+            return true;
+        }
         self.rules.backfill && run > 0 && self.now + run <= gang.start_at
     }
 
