Keep a failed task off the worker on which it failed

Cause: in a full fleet only a worker that fails everything has room, so that a task returned to it until its job had failed. Change: an avoided worker is a last resort only if no other could ever hold the work.

--- a/bench/src/scale.rs
+++ b/bench/src/scale.rs
@@ -63,7 +63,7 @@
         .map(|workers| measure(seed, if quick { workers / 25 } else { *workers }, rounds))
         .collect();
     let mut text = String::from(
-        "| workers | running tasks | decision p50 us | p99 us | max us | event p99 us | starts and grants/s | memory MB |\n|---|---|---|---|---|---|---|---|\n",
+        "| workers | running tasks | decision p50 us | p99 us | max us | event p99 us | starts and grants/s | resident MB |\n|---|---|---|---|---|---|---|---|\n",
     );
     for row in &rows {
         let _ = writeln!(
@@ -121,16 +121,14 @@
 }
 
 fn measure(seed: u64, workers: usize, rounds: usize) -> ScaleRow {
-    let before = resident();
     let mut cell = ScaleCell::new(seed, workers);
     cell.fill(workers * TASKS_PER_TEN / 10);
     let tasks = cell.running.len();
-    let bytes = resident().saturating_sub(before);
+    let bytes = resident();
     cell.reset();
     for round in 0..rounds {
         cell.round(round, workers);
     }
-    let calls = cell.decisions.len().max(1);
     ScaleRow {
         workers,
         tasks,
@@ -138,7 +136,7 @@
         starts: u32::try_from(cell.starts).map_or(0.0, f64::from) / cell.busy.as_secs_f64(),
         decisions: cell.decisions,
         events: cell.events,
-        bytes: bytes * u64::from(calls > 0),
+        bytes,
     }
 }
 
--- a/crates/policy/src/pool.rs
+++ b/crates/policy/src/pool.rs
@@ -237,7 +237,8 @@
             }
         }
         let choice = search.finish(rule, self.unavailable());
-        if choice.is_none() {
+        // Other tasks of the shape may use a worker that this one avoids.
+        if choice.is_none() && search.avoided == 0 {
             self.note_miss(ask);
         }
         choice
@@ -276,7 +277,8 @@
             search.walk(&self.reserved, WalkOrder::Roomiest, R::CANDIDATES);
         }
         let choice = search.finish(rule, self.unavailable());
-        if choice.is_none() {
+        // Other tasks of the shape may use a worker that this one avoids.
+        if choice.is_none() && search.avoided == 0 {
             self.note_miss(ask);
         }
         choice
@@ -418,11 +420,25 @@
         }
     }
 
+    /// Returns an avoided worker if no other could ever hold the work. A worker
+    /// that fails everything always has room, so that in a full fleet a task
+    /// would return to it until its job has failed.
+    fn last_resort(&self) -> Option<WorkerIndex> {
+        let fallback = self.fallback?;
+        let could_hold = |worker: &WorkerIndex| {
+            let entry = self.pool.get(*worker);
+            let room = entry.capacity.minus(entry.lasting);
+            entry.takes_work() && self.ask.amounts.fits_in(room) && !self.ask.avoid.contains(worker)
+        };
+        let other = self.pool.indices().find(could_hold);
+        other.is_none().then_some(fallback)
+    }
+
     fn finish<R: PlacementRule>(&self, rule: &R, unavailable: u32) -> Option<WorkerChoice> {
         let cost = |worker: &WorkerIndex| rule.cost(self.ask.amounts, &self.pool.room(*worker));
         let costs = self.found.iter().map(|worker| (cost(worker), *worker));
         let best = costs.min_by(|left, right| left.0.total_cmp(&right.0));
-        let worker = best.map(|(_, worker)| worker).or(self.fallback)?;
+        let worker = best.map(|(_, worker)| worker).or_else(|| self.last_resort())?;
         let reason = PlacementReason {
             rule: R::NAME,
             considered: self.considered,
--- a/crates/policy/tests/task.rs
+++ b/crates/policy/tests/task.rs
@@ -385,6 +385,62 @@
     assert!(cell.submit("j", "a-firm", 2, amounts(4, 4, 0, 0)).is_empty(), "a late notice");
 }
 
+/// Guards against a task that returns to the worker on which it failed because
+/// that worker alone has room, as one that fails everything always has.
+#[test]
+fn failed_task_waits_for_another_worker() {
+    let mut cell = TestCell::with_workers(2);
+    let filler = starts(&cell.submit("f", "a-firm", 1, amounts(8, 8, 0, 0))).remove(0);
+    let failing = starts(&cell.submit("j", "a-firm", 1, amounts(4, 4, 0, 0))).remove(0);
+    assert_ne!(failing.worker, filler.worker);
+    cell.now += 100;
+    assert!(starts(&cell.end(&failing, EndKind::Failed)).is_empty());
+    assert!(starts(&cell.ticks(2_000)).is_empty());
+    let other = starts(&cell.submit("k", "a-firm", 1, amounts(4, 4, 0, 0)));
+    assert_eq!(other[0].worker, failing.worker, "work of the same size may go there");
+    let again = starts(&cell.end(&filler, EndKind::Done));
+    assert_eq!((again[0].attempt, &again[0].worker), (2, &filler.worker));
+}
+
+/// Guards against work of a higher urgency that takes the share of another team
+/// for as long as there is more of it.
+#[test]
+fn shares_come_before_normal_urgency() {
+    let mut cell = TestCell::with_workers(1);
+    let mut running = starts(&cell.submit("a", "a-firm", 30, amounts(1, 1, 0, 0)));
+    assert_eq!(running.len(), 8);
+    assert!(starts(&cell.submit("b", "b-batch", 30, amounts(1, 1, 0, 0))).is_empty());
+    let mut teams = String::new();
+    for _ in 0..8 {
+        let start = running.remove(0);
+        for next in starts(&cell.end(&start, EndKind::Done)) {
+            teams.push_str(next.task.job.as_str());
+            running.push(next);
+        }
+    }
+    assert_eq!(teams, "bbbbaaaa", "half of the worker each, then by urgency");
+}
+
+/// Guards against a gang that drains one worker for long while others free room.
+#[test]
+fn gang_reserves_more_than_it_needs() {
+    let mut cell = TestCell::with_workers(4);
+    let mut running = starts(&cell.submit("f", "a-firm", 16, amounts(2, 2, 0, 0)));
+    assert_eq!(running.len(), 16);
+    assert!(starts(&cell.submit("g", "a-gang", 4, amounts(2, 2, 0, 0))).is_empty());
+    // One task ends on each worker; nothing else may take what becomes free.
+    assert!(starts(&cell.submit("h", "a-batch", 8, amounts(1, 1, 0, 0))).is_empty());
+    let mut started = Vec::new();
+    for worker in ["w0", "w1", "w2", "w3"] {
+        let position = running.iter().position(|start| start.worker.as_str() == worker).unwrap();
+        let start = running.swap_remove(position);
+        cell.now += 200;
+        started.extend(starts(&cell.end(&start, EndKind::Done)));
+    }
+    assert_eq!(started.len(), 4);
+    assert!(started.iter().all(|start| start.task.job.as_str() == "g"), "{started:?}");
+}
+
 /// Guards against a worker that fails everything and draws in all tasks, and
 /// against jobs that fail because of it.
 #[test]
