Log and measure what operators act on

A loop on the control thread compares the state once a second and logs each change once: ownership that goes on by promises, starts held because the configuration was not confirmed for too long, workers that get no new work and why. A change that a domain has not confirmed is logged where it was sent. New gauges: owner_by_promises, starts_held, platform_contact_age_ms, config_contact_age_ms, workers by state, tasks_running, requests_waiting by urgency, team_used and team_allotment. The counter refusals_total counts refused calls about jobs and the configuration by kind. It takes the place of platform_calls, which was declared and never counted.

--- a/crates/entry/src/control/config.rs
+++ b/crates/entry/src/control/config.rs
@@ -290,6 +290,9 @@
     };
     offer_to_owners(&control, published);
     let confirmation = await_confirmation(&control, published, &old, &objects).await;
+    for domain in &confirmation.not_confirmed {
+        log::warn!("configuration not confirmed domain={domain} version={published}");
+    }
     Ok(ApplyReply {
         version: published,
         change_id,
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod domain;
 pub mod handle;
 pub mod jobs;
+pub mod monitor;
 pub mod once;
 pub mod ownership;
 pub mod peers;
@@ -73,6 +74,8 @@
     pub answered: HashMap<ArcStr, ClockMillis>,
     /// When the platform last answered a read.
     pub platform_contact: Option<ClockMillis>,
+    /// When the platform last took a write of the ownership row from this entry.
+    pub renewed_at: Option<ClockMillis>,
     /// VMs that the platform's list has contained, whether or not it still does.
     pub listed_vms: HashSet<String>,
     /// Non-idempotent identifiers that wait to be inserted.
@@ -137,6 +140,7 @@
             confirmed: BTreeMap::new(),
             answered: HashMap::new(),
             platform_contact: None,
+            renewed_at: None,
             listed_vms: HashSet::new(),
             inserts: once::InsertQueue::default(),
             draining: false,
@@ -210,4 +214,5 @@
     control.spawn(jobs::flush_loop(Rc::clone(control)));
     control.spawn(jobs::scan_loop(Rc::clone(control)));
     control.spawn(once::flush_loop(Rc::clone(control)));
+    control.spawn(monitor::watch_loop(Rc::clone(control)));
 }
--- /dev/null
+++ b/crates/entry/src/control/monitor.rs
@@ -0,0 +1,181 @@
+//! Log lines and gauges about conditions that operators act on.
+//!
+//! Conditions are compared with those of the last look, so that each change is
+//! logged once, however long it lasts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use coord::owner::OWNER_TTL_MS;
+use model::name::{TeamName, WorkerName};
+use model::object::UrgencyLevel;
+use model::resource::ResourceAmounts;
+use model::time::ClockMillis;
+use policy::status::WorkerState;
+
+use crate::control::{Control, ControlState, status};
+use crate::metrics::{EntryMetrics, label};
+
+/// Time between two looks; a look walks over the domain's workers and teams.
+const LOOK: Duration = Duration::from_secs(1);
+/// Value of an age gauge before the first contact.
+const NO_CONTACT_MS: u64 = u64::MAX / 2;
+
+const URGENCIES: [(UrgencyLevel, &str); 3] = [
+    (UrgencyLevel::Urgent, "urgent"),
+    (UrgencyLevel::Normal, "normal"),
+    (UrgencyLevel::Batch, "batch"),
+];
+
+/// What the last look found.
+#[derive(Debug, Default)]
+struct MonitorState {
+    by_promises: bool,
+    held: bool,
+    workers: BTreeMap<WorkerName, WorkerState>,
+    teams: BTreeSet<TeamName>,
+}
+
+/// Looks again and again until the process stops.
+pub async fn watch_loop(control: Control) {
+    let mut last = MonitorState::default();
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let now = control.now();
+        let state = control.state();
+        watch_ownership(&control, &state, &mut last, now);
+        watch_starts(&control, &state, &mut last, now);
+        watch_workers(&control, &state, &mut last);
+        record_waiting(&control.metrics, &state);
+        record_teams(&control.metrics, &state, &mut last);
+    }
+}
+
+/// A lease that outlasts the last renewal by more than its time to live rests on promises.
+fn watch_ownership(
+    control: &Control,
+    state: &ControlState,
+    last: &mut MonitorState,
+    now: ClockMillis,
+) {
+    let domain = &control.settings.domain;
+    let lease = state.ownership.lease(now);
+    let age = state.renewed_at.map_or(NO_CONTACT_MS, |at| now.since(at));
+    let by_promises = lease.is_some() && age > OWNER_TTL_MS;
+    if by_promises && !last.by_promises {
+        log::warn!(
+            "ownership goes on by promises domain={domain}: the platform took no renewal for {age} ms"
+        );
+    } else if last.by_promises && !by_promises && lease.is_some() {
+        log::info!("ownership renewed on the platform again domain={domain}");
+    }
+    last.by_promises = by_promises;
+    control.metrics.by_promises.record(u64::from(by_promises), &[]);
+    let age = state.platform_contact.map_or(NO_CONTACT_MS, |at| now.since(at));
+    control.metrics.platform_age.record(age, &[]);
+}
+
+fn watch_starts(
+    control: &Control,
+    state: &ControlState,
+    last: &mut MonitorState,
+    now: ClockMillis,
+) {
+    let domain = &control.settings.domain;
+    let held = state.domain.is_some() && !state.config.is_fresh(now);
+    let age = state.config.contact_age(now).unwrap_or(NO_CONTACT_MS);
+    if held && !last.held {
+        log::warn!(
+            "starts and keyed requests held domain={domain} version={}: the platform has not \
+             confirmed the configuration for {age} ms, the bound is {} s",
+            state.config.version(),
+            control.settings.config_contact_bound_s
+        );
+    } else if last.held && !held {
+        log::info!("starts and keyed requests resumed domain={domain}");
+    }
+    last.held = held;
+    control.metrics.starts_held.record(u64::from(held), &[]);
+    control.metrics.config_age.record(age, &[]);
+}
+
+fn watch_workers(control: &Control, state: &ControlState, last: &mut MonitorState) {
+    let mut counts = status::WORKER_STATES.map(|state| (state, 0_u64));
+    let mut tasks = 0;
+    let mut present = BTreeMap::new();
+    for worker in state.domain.iter().flat_map(|domain| domain.cell.workers()) {
+        tasks += worker.tasks as u64;
+        if let Some((_, count)) = counts.iter_mut().find(|(state, _)| *state == worker.state) {
+            *count += 1;
+        }
+        present.insert(worker.worker, worker.state);
+    }
+    for (name, now_in) in &present {
+        let before = last.workers.get(name).copied().unwrap_or(WorkerState::Reported);
+        log_worker(control, name, before, *now_in);
+    }
+    last.workers = present;
+    let metrics = &control.metrics;
+    metrics.tasks_running.record(tasks, &[]);
+    for (state, count) in counts {
+        metrics.workers.record(count, &[label("state", status::state_name(state))]);
+    }
+}
+
+/// Logs a change, except that a worker has not listed its tasks yet, which every new owner meets.
+fn log_worker(control: &Control, name: &WorkerName, before: WorkerState, now_in: WorkerState) {
+    if before == now_in || now_in == WorkerState::Unreported {
+        return;
+    }
+    let domain = &control.settings.domain;
+    let (old, new) = (status::state_name(before), status::state_name(now_in));
+    if now_in == WorkerState::Reported {
+        if before != WorkerState::Unreported {
+            log::info!("worker gets work again worker={name} domain={domain} was={old}");
+        }
+    } else {
+        log::warn!("worker gets no new work worker={name} domain={domain} state={new} was={old}");
+    }
+}
+
+fn record_waiting(metrics: &EntryMetrics, state: &ControlState) {
+    for (urgency, name) in URGENCIES {
+        let tickets = state.domain.iter().flat_map(|domain| domain.tickets.values());
+        let count = tickets.filter(|ticket| ticket.urgency == urgency).count();
+        metrics.requests_waiting.record(count as u64, &[label("urgency", name)]);
+    }
+}
+
+/// Records what each team uses of its allotment here; zeros once this entry owns nothing.
+fn record_teams(metrics: &EntryMetrics, state: &ControlState, last: &mut MonitorState) {
+    let mut present = BTreeSet::new();
+    if let Some(domain) = &state.domain {
+        for (team, used) in domain.cell.teams() {
+            let usable = domain.allotments.usable(team);
+            record_amounts(metrics, team, used, usable);
+            present.insert(team.clone());
+        }
+    }
+    for team in last.teams.difference(&present) {
+        record_amounts(metrics, team, ResourceAmounts::ZERO, ResourceAmounts::ZERO);
+    }
+    last.teams = present;
+}
+
+fn record_amounts(
+    metrics: &EntryMetrics,
+    team: &TeamName,
+    used: ResourceAmounts,
+    usable: ResourceAmounts,
+) {
+    for (resource, used, usable) in [
+        ("cpu_millis", used.cpu_millis, usable.cpu_millis),
+        ("memory_mb", used.memory_mb, usable.memory_mb),
+        ("accelerators", used.accelerators, usable.accelerators),
+        ("slots", used.slots, usable.slots),
+    ] {
+        let labels = [label("team", team.as_str()), label("resource", resource)];
+        metrics.team_used.record(used, &labels);
+        metrics.team_allotment.record(usable, &labels);
+    }
+}
--- a/crates/entry/src/control/ownership.rs
+++ b/crates/entry/src/control/ownership.rs
@@ -88,6 +88,7 @@
 }
 
 async fn write_row(control: Control, token: CallToken, version: u64, row: Box<OwnerRow>) {
+    let sent_at = control.now();
     let key = row::owner_key(&control.settings.domain);
     let Ok(value) = serde_json::to_value(&*row) else { return };
     let txn = TableTxn {
@@ -110,7 +111,11 @@
     };
     if result != WriteResult::Unknown {
         let now = control.now();
-        control.state_mut().platform_contact = Some(now);
+        let mut state = control.state_mut();
+        state.platform_contact = Some(now);
+        if matches!(result, WriteResult::Committed { .. }) {
+            state.renewed_at = Some(sent_at);
+        }
     }
     feed(&control, OwnerEvent::WriteDone { token, result });
 }
--- a/crates/entry/src/control/requests.rs
+++ b/crates/entry/src/control/requests.rs
@@ -7,7 +7,7 @@
 use model::authority::OwnerAuthority;
 use model::kind::ErrorKind;
 use model::name::{DomainName, RequestId, WorkerName};
-use model::object::DomainState as ServiceState;
+use model::object::{DomainState as ServiceState, UrgencyLevel};
 use model::time::ClockMillis;
 use policy::event::{CellEvent, RequestAsk, TicketNumber};
 use tokio::sync::oneshot;
@@ -49,6 +49,8 @@
     pub arrived_at: ClockMillis,
     /// Latest instant at which a grant is of use.
     pub start_by: ClockMillis,
+    /// Urgency of its queue's class.
+    pub urgency: UrgencyLevel,
     sender: oneshot::Sender<Result<SlotGrant, PeerRefusal>>,
 }
 
@@ -226,7 +228,9 @@
     let start_by = now + u64::from(placement.wait_ms);
     let (sender, receiver) = oneshot::channel();
     let request = placement.request.clone();
-    domain.tickets.insert(ticket, TicketReply { request, arrived_at: now, start_by, sender });
+    let urgency = access.class.urgency;
+    let reply = TicketReply { request, arrived_at: now, start_by, urgency, sender };
+    domain.tickets.insert(ticket, reply);
     drop(state);
     let ask = RequestAsk {
         ticket,
--- a/crates/entry/src/control/status.rs
+++ b/crates/entry/src/control/status.rs
@@ -64,7 +64,20 @@
     }
 }
 
-const fn state_name(state: WorkerState) -> &'static str {
+/// All states, for gauges.
+pub const WORKER_STATES: [WorkerState; 7] = [
+    WorkerState::Reported,
+    WorkerState::Unreported,
+    WorkerState::Silent,
+    WorkerState::Lost,
+    WorkerState::Leaving,
+    WorkerState::Quarantined,
+    WorkerState::Removed,
+];
+
+/// Returns the word for a state in the status, the log and the metrics.
+#[must_use]
+pub const fn state_name(state: WorkerState) -> &'static str {
     match state {
         WorkerState::Reported => "reported",
         WorkerState::Unreported => "unreported",
--- a/crates/entry/src/http/config.rs
+++ b/crates/entry/src/http/config.rs
@@ -5,6 +5,7 @@
 use model::kind::{ErrorBody, ErrorKind, RequestOutcome};
 use model::object::ObjectSet;
 use wire::api::{BASE_VERSION_HEADER, CHANGE_ID_HEADER, ConfigDocument};
+use wire::peer::PeerRefusal;
 
 use crate::control::handle::ControlCall;
 use crate::http::{Traffic, answer, header};
@@ -37,21 +38,22 @@
 
 /// Checks and publishes a whole set.
 pub async fn put(request: HttpRequest, body: web::Bytes, traffic: Traffic) -> HttpResponse {
+    let refuse = |kind, message: &str| traffic.refuse("apply", &PeerRefusal::new(kind, message));
     let Some(base) = header(&request, BASE_VERSION_HEADER).and_then(|text| text.parse().ok())
     else {
         let message = "header x-base-version: must be the version that the change is based on";
-        return answer::error(ErrorKind::BadInput, message);
+        return refuse(ErrorKind::BadInput, message);
     };
     let change = header(&request, CHANGE_ID_HEADER).unwrap_or_default();
     if !is_change_id(change) {
         let message = "header x-change-id: must be 1 to 64 letters, digits or `-`";
-        return answer::error(ErrorKind::BadInput, message);
+        return refuse(ErrorKind::BadInput, message);
     }
     let objects: ObjectSet = match serde_json::from_slice(&body) {
         Ok(objects) => objects,
         Err(error) => {
             let message = format!("the object set is malformed: {error}");
-            return answer::error(ErrorKind::InvalidConfig, &message);
+            return refuse(ErrorKind::InvalidConfig, &message);
         }
     };
     let problems = check::check_set(&objects);
@@ -59,7 +61,7 @@
         let message = "the object set does not pass its check; nothing was published";
         let mut body = ErrorBody::new(ErrorKind::InvalidConfig, message);
         body.problems = problems;
-        return answer::body(&body);
+        return traffic.refuse_body("apply", &body);
     }
     let change = change.to_owned();
     let reply = traffic
@@ -75,9 +77,9 @@
         Some(Err((refusal, version))) => {
             let mut body = ErrorBody::new(refusal.kind, refusal.message);
             body.version = version;
-            answer::body(&body)
+            traffic.refuse_body("apply", &body)
         }
-        None => answer::error(ErrorKind::WriteUnknown, "the control thread stopped meanwhile"),
+        None => refuse(ErrorKind::WriteUnknown, "the control thread stopped meanwhile"),
     }
 }
 
--- a/crates/entry/src/http/jobs.rs
+++ b/crates/entry/src/http/jobs.rs
@@ -5,6 +5,7 @@
 use model::kind::{ErrorKind, RequestOutcome};
 use model::name::{JobId, TeamName};
 use model::object;
+use wire::peer::PeerRefusal;
 
 use crate::control::handle::ControlCall;
 use crate::http::{Traffic, answer, bearer};
@@ -14,17 +15,18 @@
     let spec: JobSpec = match serde_json::from_slice(&body) {
         Ok(spec) => spec,
         Err(error) => {
-            return answer::error(ErrorKind::BadInput, &format!("the job is malformed: {error}"));
+            let message = format!("the job is malformed: {error}");
+            return traffic.refuse("submit", &PeerRefusal::new(ErrorKind::BadInput, message));
         }
     };
     let access = match traffic.snapshot().authorize(spec.queue.as_str(), bearer(&request)) {
         Ok(access) => access,
-        Err(refusal) => return answer::refusal(&refusal),
+        Err(refusal) => return traffic.refuse("submit", &refusal),
     };
     let call = |reply| ControlCall::Submit(spec, access, reply);
     match traffic.shared.control.request(call).await {
         Ok(reply) => answer::start(201, RequestOutcome::Answered).json(reply),
-        Err(refusal) => answer::refusal(&refusal),
+        Err(refusal) => traffic.refuse("submit", &refusal),
     }
 }
 
@@ -34,15 +36,17 @@
     job: web::Path<String>,
     traffic: Traffic,
 ) -> HttpResponse {
-    let Some(team) = caller_team(&request, &traffic) else { return bad_key() };
+    let Some(team) = caller_team(&request, &traffic) else {
+        return traffic.refuse("status", &bad_key());
+    };
     let job = JobId::from(job.into_inner());
     let call = |reply| ControlCall::JobStatus(job, reply);
     match traffic.shared.control.request(call).await {
         Ok(record) if record.team == team => {
             answer::start(200, RequestOutcome::Answered).json(record)
         }
-        Ok(_) => answer::error(ErrorKind::WrongTeam, "the job belongs to another team"),
-        Err(refusal) => answer::refusal(&refusal),
+        Ok(_) => traffic.refuse("status", &wrong_team()),
+        Err(refusal) => traffic.refuse("status", &refusal),
     }
 }
 
@@ -52,12 +56,14 @@
     job: web::Path<String>,
     traffic: Traffic,
 ) -> HttpResponse {
-    let Some(team) = caller_team(&request, &traffic) else { return bad_key() };
+    let Some(team) = caller_team(&request, &traffic) else {
+        return traffic.refuse("cancel", &bad_key());
+    };
     let job = JobId::from(job.into_inner());
     let call = |reply| ControlCall::Cancel(job, team, reply);
     match traffic.shared.control.request(call).await {
         Ok(record) => answer::start(200, RequestOutcome::Answered).json(record),
-        Err(refusal) => answer::refusal(&refusal),
+        Err(refusal) => traffic.refuse("cancel", &refusal),
     }
 }
 
@@ -66,7 +72,11 @@
     traffic.snapshot().team_of(&digest).cloned()
 }
 
-fn bad_key() -> HttpResponse {
+fn wrong_team() -> PeerRefusal {
+    PeerRefusal::new(ErrorKind::WrongTeam, "the job belongs to another team")
+}
+
+fn bad_key() -> PeerRefusal {
     let message = "no valid key; send `authorization: Bearer KEY` with a key of the job's team";
-    answer::error(ErrorKind::BadKey, message)
+    PeerRefusal::new(ErrorKind::BadKey, message)
 }
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -14,11 +14,12 @@
 use actix_web::{HttpRequest, HttpResponse, web};
 use link::budget::RetryBudget;
 use link::endpoint::EndpointClient;
-use model::kind::ErrorKind;
+use model::kind::{ErrorBody, ErrorKind};
 use tokio::sync::watch;
+use wire::peer::PeerRefusal;
 
 use crate::control::handle::{ControlCall, ControlHandle};
-use crate::metrics::EntryMetrics;
+use crate::metrics::{EntryMetrics, label};
 use crate::snapshot::ConfigSnapshot;
 
 /// What all traffic threads share.
@@ -71,6 +72,20 @@
     pub fn is_draining(&self) -> bool {
         self.shared.draining.load(Ordering::Relaxed)
     }
+
+    /// Counts a refusal of a call about a job or the configuration, and builds its answer.
+    #[must_use]
+    pub fn refuse(&self, call: &str, refusal: &PeerRefusal) -> HttpResponse {
+        self.refuse_body(call, &ErrorBody::new(refusal.kind, refusal.message.clone()))
+    }
+
+    /// Counts a refusal whose body says more than kind and message, and builds its answer.
+    #[must_use]
+    pub fn refuse_body(&self, call: &str, error: &ErrorBody) -> HttpResponse {
+        let labels = [label("call", call), label("kind", error.kind.code())];
+        self.shared.metrics.refusals.add(1, &labels);
+        answer::body(error)
+    }
 }
 
 /// Adds all routes to an application.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -24,12 +24,30 @@
     pub decision_time: Histogram<f64>,
     /// Changes of ownership seen by this entry, by `change`.
     pub ownership: Counter<u64>,
-    /// Calls to the platform by `call` and `result`.
-    pub platform_calls: Counter<u64>,
+    /// Refused calls about jobs and the configuration, by `call` and `kind`.
+    pub refusals: Counter<u64>,
     /// Version of the configuration in force.
     pub config_version: Gauge<u64>,
     /// 1 while this entry owns its domain.
     pub is_owner: Gauge<u64>,
+    /// 1 while the ownership rests on promises of voters, without renewals on the platform.
+    pub by_promises: Gauge<u64>,
+    /// 1 while this owner holds starts because the configuration was not confirmed for too long.
+    pub starts_held: Gauge<u64>,
+    /// Milliseconds since the platform last answered.
+    pub platform_age: Gauge<u64>,
+    /// Milliseconds since the platform last confirmed the configuration in force.
+    pub config_age: Gauge<u64>,
+    /// Workers of the owned domain by `state`.
+    pub workers: Gauge<u64>,
+    /// Tasks that run, or may run, in the owned domain.
+    pub tasks_running: Gauge<u64>,
+    /// Requests that wait for a slot at this owner, by `urgency`.
+    pub requests_waiting: Gauge<u64>,
+    /// What a team uses in the owned domain, by `team` and `resource`.
+    pub team_used: Gauge<u64>,
+    /// What a team may use in the owned domain, by `team` and `resource`.
+    pub team_allotment: Gauge<u64>,
 }
 
 impl EntryMetrics {
@@ -51,9 +69,18 @@
             request_time: meter.f64_histogram("request_time_ms").build(),
             decision_time: meter.f64_histogram("decision_time_us").build(),
             ownership: meter.u64_counter("ownership_changes").build(),
-            platform_calls: meter.u64_counter("platform_calls").build(),
+            refusals: meter.u64_counter("refusals").build(),
             config_version: meter.u64_gauge("config_version").build(),
             is_owner: meter.u64_gauge("is_owner").build(),
+            by_promises: meter.u64_gauge("owner_by_promises").build(),
+            starts_held: meter.u64_gauge("starts_held").build(),
+            platform_age: meter.u64_gauge("platform_contact_age_ms").build(),
+            config_age: meter.u64_gauge("config_contact_age_ms").build(),
+            workers: meter.u64_gauge("workers").build(),
+            tasks_running: meter.u64_gauge("tasks_running").build(),
+            requests_waiting: meter.u64_gauge("requests_waiting").build(),
+            team_used: meter.u64_gauge("team_used").build(),
+            team_allotment: meter.u64_gauge("team_allotment").build(),
             registry,
             provider,
         })
