Keep reports of failed platform calls out of answers and single log lines

Cause: the reason of a failed call was formatted with Debug, which writes several lines with terminal escapes and, with RUST_BACKTRACE set, a backtrace. Change: answers say what happened and what to do; the log gets the reason in one line. Before: operator_signs::platform_outage_shows, with RUST_BACKTRACE=1, read a backtrace with source paths in the answer to PUT /v1/config. After: "the platform did not answer; nothing was published, retry later".

--- a/crates/entry/src/control/allot.rs
+++ b/crates/entry/src/control/allot.rs
@@ -77,7 +77,7 @@
     let authority = control.lease();
     let read = TableRead { keys: keys.clone(), prefixes: Vec::new() };
     let reply =
-        control.platform.read(&read, CALL_TIMEOUT).await.map_err(|report| format!("{report:?}"))?;
+        control.platform.read(&read, CALL_TIMEOUT).await.map_err(|report| format!("{report:#}"))?;
     if control.lease() != authority {
         return Ok(());
     }
--- a/crates/entry/src/control/config.rs
+++ b/crates/entry/src/control/config.rs
@@ -73,7 +73,7 @@
 async fn read_head(control: &Control) -> Result<Option<(u64, ConfigHead)>, String> {
     let read = TableRead { keys: vec![row::CONFIG_HEAD_KEY.to_owned()], prefixes: Vec::new() };
     let reply =
-        control.platform.read(&read, CALL_TIMEOUT).await.map_err(|report| format!("{report:?}"))?;
+        control.platform.read(&read, CALL_TIMEOUT).await.map_err(|report| format!("{report:#}"))?;
     let Some(found) = reply.rows.into_iter().next() else { return Ok(None) };
     let head = serde_json::from_value(found.value).map_err(|error| error.to_string())?;
     Ok(Some((found.version, head)))
@@ -93,7 +93,7 @@
             .platform
             .get_object(&head.object, CALL_TIMEOUT)
             .await
-            .map_err(|report| format!("{report:?}"))?;
+            .map_err(|report| format!("{report:#}"))?;
         if link::endpoint::hex_digest(body.as_bytes()) != head.digest {
             return Err(format!("object {} does not match its digest", head.object));
         }
@@ -197,7 +197,7 @@
     let prefixes = vec!["owner/".to_owned(), "confirm/".to_owned()];
     let read = TableRead { keys: Vec::new(), prefixes };
     let reply =
-        control.platform.read(&read, CALL_TIMEOUT).await.map_err(|report| format!("{report:?}"))?;
+        control.platform.read(&read, CALL_TIMEOUT).await.map_err(|report| format!("{report:#}"))?;
     for found in reply.rows {
         if let Some(name) = found.key.strip_prefix("owner/") {
             let row: OwnerRow =
@@ -259,7 +259,8 @@
     objects: ObjectSet,
 ) -> Result<ApplyReply, (PeerRefusal, Option<u64>)> {
     let down = |reason: String| {
-        let message = format!("the platform did not answer, nothing was published: {reason}");
+        log::warn!("configuration not published: {reason}");
+        let message = "the platform did not answer; nothing was published, retry later";
         (PeerRefusal::new(ErrorKind::PlatformDown, message), None)
     };
     let present = read_head(&control).await.map_err(down)?;
@@ -281,7 +282,7 @@
             digest: link::endpoint::hex_digest(body.as_bytes()),
         };
         let stored = control.platform.put_object(&head.object, body, CALL_TIMEOUT).await;
-        stored.map_err(|report| down(format!("{report:?}")))?;
+        stored.map_err(|report| down(format!("{report:#}")))?;
         commit_head(&control, row_version, &head).await?;
         log::info!("configuration committed version={} change={change_id}", head.version);
         adopt(&control, head.version, objects.clone());
--- a/crates/entry/src/control/domain.rs
+++ b/crates/entry/src/control/domain.rs
@@ -77,7 +77,7 @@
         prefixes: vec!["allot/".to_owned(), format!("job/{domain}/")],
     };
     let reply =
-        control.platform.read(&read, LOAD_TIMEOUT).await.map_err(|report| format!("{report:?}"))?;
+        control.platform.read(&read, LOAD_TIMEOUT).await.map_err(|report| format!("{report:#}"))?;
     let mut state = HandoverState {
         authority,
         row_version: 0,
--- a/crates/entry/src/control/jobs.rs
+++ b/crates/entry/src/control/jobs.rs
@@ -432,7 +432,7 @@
     let old_key = job_key(&control.settings.domain, job);
     let read = TableRead { keys: vec![old_key.clone()], prefixes: Vec::new() };
     let reply = control.platform.read(&read, CALL_TIMEOUT).await;
-    let reply = reply.map_err(|report| format!("{report:?}"))?;
+    let reply = reply.map_err(|report| format!("{report:#}"))?;
     let row = reply.rows.into_iter().next().ok_or("its row is gone")?;
     let moved = JobRecord { domain: target.clone(), ..record };
     let value = serde_json::to_value(&moved).map_err(|error| error.to_string())?;
@@ -446,7 +446,7 @@
         deletes: vec![old_key],
     };
     let reply = control.platform.transact(&txn, CALL_TIMEOUT).await;
-    if !reply.map_err(|report| format!("{report:?}"))?.committed {
+    if !reply.map_err(|report| format!("{report:#}"))?.committed {
         return Err("its row changed".to_owned());
     }
     log::info!("job moved job={job} from={} to={target}", control.settings.domain);
--- a/crates/entry/src/control/ownership.rs
+++ b/crates/entry/src/control/ownership.rs
@@ -154,7 +154,7 @@
             Ok(accepted) => Some(accepted),
             Err(report) if *report.current_context() == CallFailure::NotDone => Some(false),
             Err(report) => {
-                log::warn!("handover to {} got no answer: {report:?}", to.entry);
+                log::warn!("handover to {} got no answer: {report:#}", to.entry);
                 None
             }
         },
