--- /dev/null
+++ b/crates/entry/tests/operator_signs.rs
@@ -0,0 +1,89 @@
+//! Log lines and metrics that `docs/operations.md` tells operators to look for.
+
+use std::time::{Duration, Instant};
+
+use cell::{NORTH, PATIENCE, TestCell, client};
+use serde_json::json;
+
+/// Waits until a condition holds, or reports what was read last.
+async fn until<F: AsyncFnMut() -> String>(mut read: F, wanted: &[&str]) {
+    let start = Instant::now();
+    loop {
+        let text = read().await;
+        let missing: Vec<_> = wanted.iter().filter(|line| !text.contains(**line)).collect();
+        if missing.is_empty() {
+            return;
+        }
+        assert!(start.elapsed() < PATIENCE, "missing {missing:?} in:\n{text}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+async fn metrics(cell: &TestCell, entry: usize) -> String {
+    let answer = client().get(cell.url(entry, "/metrics")).send().await;
+    let body = answer.expect("an answer").body().await.expect("a body");
+    // The scope is the same everywhere and stands last among the labels.
+    let text = String::from_utf8(body.to_vec()).expect("UTF-8");
+    text.replace(",otel_scope_name=\"amaranthsaddle\"", "")
+        .replace("{otel_scope_name=\"amaranthsaddle\"}", "")
+}
+
+fn log(cell: &TestCell, entry: usize) -> String {
+    let file = cell.directory.path().join(format!("entry-{entry}.log"));
+    std::fs::read_to_string(file).expect("the entry writes a log")
+}
+
+/// Operators must see that a domain goes on without the platform, and why a change is refused.
+#[actix_rt::test]
+async fn platform_outage_shows() {
+    let cell = TestCell::start(1, 1, 2).await;
+    let steady = ["owner_by_promises 0", "starts_held 0", "workers{state=\"reported\"} 2"];
+    until(async || metrics(&cell, 0).await, &steady).await;
+    cell.platform.pause();
+    let by_promises = "ownership goes on by promises domain=domain-0";
+    until(async || log(&cell, 0), &[by_promises]).await;
+    until(async || metrics(&cell, 0).await, &["owner_by_promises 1"]).await;
+    let sent = client()
+        .put(cell.url(0, "/v1/config"))
+        .insert_header(("x-base-version", "1"))
+        .insert_header(("x-change-id", "second"))
+        .send_json(&cell.objects())
+        .await;
+    let body = sent.expect("an answer").body().await.expect("a body");
+    let body = String::from_utf8(body.to_vec()).expect("UTF-8");
+    assert!(body.contains("platform-down"), "{body}");
+    assert!(body.len() < 400 && !body.contains("backtrace"), "not for a person: {body}");
+    let refused = "refusals_total{call=\"apply\",kind=\"platform-down\"} 1";
+    until(async || metrics(&cell, 0).await, &[refused]).await;
+    cell.platform.resume();
+    until(async || log(&cell, 0), &["ownership renewed on the platform again"]).await;
+    until(async || metrics(&cell, 0).await, &["owner_by_promises 0"]).await;
+}
+
+/// Operators must see which worker gets no work, and what teams run and wait for.
+#[actix_rt::test]
+async fn workers_and_teams_show() {
+    let mut cell = TestCell::start(1, 1, 2).await;
+    let spec = json!({
+        "id": "long", "queue": "reports", "tasks": 3,
+        "amounts": { "cpu_millis": 1000, "memory_mb": 100 }, "payload": { "run_ms": 60_000 },
+    });
+    let sent = client().post(cell.url(0, "/v1/jobs")).bearer_auth(NORTH).send_json(&spec).await;
+    assert_eq!(sent.expect("an answer").status().as_u16(), 201);
+    let running = [
+        "tasks_running 3",
+        "team_used{resource=\"cpu_millis\",team=\"north\"} 3000",
+        "team_allotment{resource=\"slots\",team=\"north\"}",
+        "requests_waiting{urgency=\"urgent\"} 0",
+    ];
+    until(async || metrics(&cell, 0).await, &running).await;
+    cell.workers[0].kill();
+    let line = "worker gets no new work worker=worker-0 domain=domain-0 state=silent was=reported";
+    until(async || log(&cell, 0), &[line, "state=lost was=silent"]).await;
+    until(async || metrics(&cell, 0).await, &["workers{state=\"lost\"} 1", "tasks_running 3"])
+        .await;
+    let wrong = client().post(cell.url(0, "/v1/jobs")).bearer_auth("wrong").send_json(&spec).await;
+    assert_eq!(wrong.expect("an answer").status().as_u16(), 401);
+    let refused = "refusals_total{call=\"submit\",kind=\"bad-key\"} 1";
+    until(async || metrics(&cell, 0).await, &[refused]).await;
+}
