--- /dev/null
+++ b/crates/entry/tests/check_settings.rs
@@ -0,0 +1,145 @@
+//! The daemon's command line: settings are checked without starting anything,
+//! and every text names the file, the field and what is accepted.
+
+use std::fmt::Write;
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::Command;
+
+use serde_json::{Value, json};
+
+fn run(directory: &Path, words: &[&str]) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_amaranthsaddle-entry"))
+        .args(words)
+        .current_dir(directory)
+        .output()
+        .expect("the program starts");
+    let stdout = String::from_utf8_lossy(&output.stdout);
+    let stderr = String::from_utf8_lossy(&output.stderr);
+    let code = output.status.code().expect("the program ends by itself");
+    format!("exit {code}\n--- stdout\n{stdout}--- stderr\n{stderr}")
+}
+
+fn good() -> Value {
+    json!({
+        "name": "entry-1", "domain": "north",
+        "http_address": "127.0.0.1:8000", "peer_address": "127.0.0.1:8001",
+        "platform_address": "127.0.0.1:7000",
+    })
+}
+
+/// Returns good settings with some fields replaced; `null` removes one.
+fn with(changes: &Value) -> String {
+    let mut settings = good();
+    for (field, value) in changes.as_object().expect("fields") {
+        if value.is_null() {
+            settings.as_object_mut().expect("an object").remove(field);
+        } else {
+            settings[field] = value.clone();
+        }
+    }
+    settings.to_string()
+}
+
+/// A person who starts the daemon wrongly must learn which flag is wrong.
+#[test]
+fn wrong_flags_are_named() {
+    let directory = tempfile::tempdir().expect("a temporary directory");
+    let mut texts = String::new();
+    for words in [
+        &["--help"][..],
+        &["--version"],
+        &[],
+        &["--check-settings"],
+        &["--setings", "settings.json"],
+        &["--settings"],
+        &["settings.json"],
+        &["--settings", "none.json", "--check-settings"],
+        &["--settings", "none.json"],
+    ] {
+        let _ = writeln!(texts, "$ amaranthsaddle-entry {}", words.join(" "));
+        let _ = writeln!(texts, "{}", run(directory.path(), words));
+    }
+    insta::assert_snapshot!(texts);
+}
+
+/// All problems of a file must be reported at once, and before anything is started.
+#[test]
+fn wrong_settings_are_listed() {
+    let directory = tempfile::tempdir().expect("a temporary directory");
+    let file = directory.path().join("settings.json");
+    let mut texts = String::new();
+    for (title, text) in [
+        ("good", good().to_string()),
+        ("empty", String::new()),
+        ("no object", "[]".to_owned()),
+        ("cut off", r#"{"name": "entry-1""#.to_owned()),
+        ("nothing given", "{}".to_owned()),
+        ("a field twice", format!(r#"{{"name": "other", {}"#, &good().to_string()[1..])),
+        ("unknown fields", with(&json!({ "treads": 4, "color": "red" }))),
+        ("wrong types", with(&json!({ "name": 7, "threads": "two", "peers": {}, "seed": -1 }))),
+        ("names", with(&json!({ "name": "Entry 1", "domain": "" }))),
+        (
+            "addresses",
+            with(&json!({
+                "http_address": "localhost:8000", "peer_address": "127.0.0.1",
+                "platform_address": "127.0.0.1:0", "outgoing_ip": "here",
+            })),
+        ),
+        ("wildcard for peers", with(&json!({ "peer_address": "0.0.0.0:8001" }))),
+        (
+            "peers",
+            with(&json!({ "peers": [
+                { "domain": "north", "address": "127.0.0.2" },
+                { "domain": "North", "address": "127.0.0.3:8001" },
+            ] })),
+        ),
+        (
+            "ranges",
+            with(&json!({
+                "threads": 0, "config_contact_bound_s": 4, "drain_s": 601,
+                "balancer_delay_ms": 60_001, "log_level": "loud",
+            })),
+        ),
+        ("no platform", with(&json!({ "platform_address": null }))),
+    ] {
+        std::fs::write(&file, text).expect("the directory is writable");
+        let words = ["--settings", "settings.json", "--check-settings"];
+        let _ = writeln!(texts, "# {title}\n{}", run(directory.path(), &words));
+    }
+    insta::assert_snapshot!(texts);
+}
+
+/// A check must not take addresses that the running daemon has.
+#[test]
+fn check_opens_no_address() {
+    let directory = tempfile::tempdir().expect("a temporary directory");
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    let address = taken.local_addr().expect("it has an address").to_string();
+    let text = with(&json!({ "http_address": address }));
+    std::fs::write(directory.path().join("settings.json"), text).expect("writable");
+    let words = ["--settings", "settings.json", "--check-settings"];
+    let checked = run(directory.path(), &words);
+    assert!(checked.starts_with("exit 0\n"), "{checked}");
+}
+
+/// A daemon that cannot listen must end, and name the setting with the address.
+#[test]
+fn address_in_use_is_named() {
+    let directory = tempfile::tempdir().expect("a temporary directory");
+    for field in ["http_address", "peer_address"] {
+        let taken = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+        let address = taken.local_addr().expect("it has an address").to_string();
+        let mut changes = json!({});
+        // The other addresses are on ports of their own, chosen by the system.
+        for other in ["http_address", "peer_address"] {
+            let free = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+            changes[other] = json!(free.local_addr().expect("it has an address").to_string());
+        }
+        changes[field] = json!(address);
+        std::fs::write(directory.path().join("settings.json"), with(&changes)).expect("writable");
+        let started = run(directory.path(), &["--settings", "settings.json"]);
+        assert!(started.starts_with("exit 2\n"), "{started}");
+        assert!(started.contains(&format!("{field} {address}")), "{started}");
+    }
+}
