--- a/crates/entry/src/control/allot.rs
+++ b/crates/entry/src/control/allot.rs
@@ -81,7 +81,7 @@
     let authority = control.lease();
     let read = TableRead { keys: Vec::new(), prefixes: vec![ROW_PREFIX.to_owned()] };
     let reply =
-        control.platform.read(&read, CALL_TIMEOUT).await.map_err(|report| format!("{report:?}"))?;
+        control.platform.read(&read, CALL_TIMEOUT).await.map_err(|report| format!("{report:#}"))?;
     if control.lease() != authority {
         return Ok(());
     }
@@ -176,7 +176,7 @@
             RowResult::Conflict { version, row }
         }
         Err(report) => {
-            log::debug!("allotment of {team} cannot be written: {report:?}");
+            log::debug!("allotment of {team} cannot be written: {report:#}");
             RowResult::Unknown
         }
     };
--- a/crates/entry/src/control/jobs.rs
+++ b/crates/entry/src/control/jobs.rs
@@ -299,7 +299,7 @@
         match caller.peers.submit(&owner.address, &text, PEER_TIMEOUT).await {
             Ok(Ok(())) => {}
             Ok(Err(refusal)) => log::debug!("owner did not take the job yet: {}", refusal.message),
-            Err(report) => log::debug!("owner was not told of the job: {report:?}"),
+            Err(report) => log::debug!("owner was not told of the job: {report:#}"),
         }
     });
 }
@@ -515,7 +515,7 @@
     let old_key = job_key(&control.settings.domain, job);
     let read = TableRead { keys: vec![old_key.clone()], prefixes: Vec::new() };
     let reply = control.platform.read(&read, CALL_TIMEOUT).await;
-    let reply = reply.map_err(|report| format!("{report:?}"))?;
+    let reply = reply.map_err(|report| format!("{report:#}"))?;
     let Some(row) = reply.rows.into_iter().next() else {
         // An earlier try took effect and its reply was lost.
         forget(control, job, *seen);
@@ -534,7 +534,7 @@
         deletes: vec![old_key],
     };
     let reply = control.platform.transact(&txn, CALL_TIMEOUT).await;
-    let reply = reply.map_err(|report| format!("{report:?}"))?;
+    let reply = reply.map_err(|report| format!("{report:#}"))?;
     if !reply.committed {
         return Err("its row changed".to_owned());
     }
--- a/crates/entry/src/control/once.rs
+++ b/crates/entry/src/control/once.rs
@@ -73,7 +73,7 @@
 pub async fn erase(control: &Control, team: &TeamName, request: &RequestId) {
     let txn = TableTxn { deletes: vec![row_key(team, request)], ..TableTxn::default() };
     if let Err(report) = control.platform.transact(&txn, TXN_TIMEOUT).await {
-        log::debug!("identifier {request} stays marked as dispatched: {report:?}");
+        log::debug!("identifier {request} stays marked as dispatched: {report:#}");
     }
 }
 
--- a/crates/entry/src/control/ownership.rs
+++ b/crates/entry/src/control/ownership.rs
@@ -80,7 +80,7 @@
             OwnerEvent::ReadDone { token, row }
         }
         Err(report) => {
-            log::debug!("ownership row cannot be read: {report:?}");
+            log::debug!("ownership row cannot be read: {report:#}");
             OwnerEvent::ReadFailed { token }
         }
     };
@@ -88,6 +88,7 @@
 }
 
 async fn write_row(control: Control, token: CallToken, version: u64, row: Box<OwnerRow>) {
+    let sent_at = control.now();
     let key = row::owner_key(&control.settings.domain);
     let Ok(value) = serde_json::to_value(&*row) else { return };
     let txn = TableTxn {
@@ -104,13 +105,17 @@
             WriteResult::Conflict { version, row: row.map(Box::new) }
         }
         Err(report) => {
-            log::debug!("ownership row cannot be written: {report:?}");
+            log::debug!("ownership row cannot be written: {report:#}");
             WriteResult::Unknown
         }
     };
     if result != WriteResult::Unknown {
         let now = control.now();
-        control.state_mut().platform_contact = Some(now);
+        let mut state = control.state_mut();
+        state.platform_contact = Some(now);
+        if matches!(result, WriteResult::Committed { .. }) {
+            state.renewed_at = Some(sent_at);
+        }
     }
     feed(&control, OwnerEvent::WriteDone { token, result });
 }
@@ -133,7 +138,7 @@
         Ok(given) => {
             feed(&control, OwnerEvent::PromiseReply { token, voter: voter.entry.clone(), given });
         }
-        Err(report) => log::debug!("voter {} did not answer: {report:?}", voter.entry),
+        Err(report) => log::debug!("voter {} did not answer: {report:#}", voter.entry),
     }
 }
 
@@ -149,7 +154,7 @@
             Ok(accepted) => Some(accepted),
             Err(report) if *report.current_context() == CallFailure::NotDone => Some(false),
             Err(report) => {
-                log::warn!("handover to {} got no answer: {report:?}", to.entry);
+                log::warn!("handover to {} got no answer: {report:#}", to.entry);
                 None
             }
         },
--- a/crates/entry/src/control/peers.rs
+++ b/crates/entry/src/control/peers.rs
@@ -100,7 +100,7 @@
             Err(error) => log::warn!("peer {address} sent a malformed configuration: {error}"),
         },
         Ok(None) => {}
-        Err(report) => log::debug!("configuration cannot be read from {address}: {report:?}"),
+        Err(report) => log::debug!("configuration cannot be read from {address}: {report:#}"),
     }
 }
 
--- a/crates/entry/src/control/requests.rs
+++ b/crates/entry/src/control/requests.rs
@@ -8,7 +8,7 @@
 use model::authority::OwnerAuthority;
 use model::kind::ErrorKind;
 use model::name::{DomainName, RequestId, TeamName, WorkerName};
-use model::object::DomainState as ServiceState;
+use model::object::{DomainState as ServiceState, UrgencyLevel};
 use model::time::ClockMillis;
 use policy::event::{CellEvent, RequestAsk, TicketNumber};
 use tokio::sync::oneshot;
@@ -58,6 +58,8 @@
     pub arrived_at: ClockMillis,
     /// Latest instant at which a grant is of use.
     pub start_by: ClockMillis,
+    /// Urgency of its queue's class.
+    pub urgency: UrgencyLevel,
     sender: oneshot::Sender<Result<SlotGrant, PeerRefusal>>,
 }
 
@@ -193,7 +195,7 @@
         Ok(Ok(grant)) => Ok(PlacedGrant { grant, owner: owner.address }),
         Ok(Err(refusal)) => Err(refusal),
         Err(report) => {
-            log::debug!("owner of {domain} did not place a request: {report:?}");
+            log::debug!("owner of {domain} did not place a request: {report:#}");
             Err(link::peer::unreachable(&owner.address))
         }
     }
@@ -247,7 +249,9 @@
     let start_by = now + u64::from(placement.wait_ms);
     let (sender, receiver) = oneshot::channel();
     let request = placement.request.clone();
-    domain.tickets.insert(ticket, TicketReply { request, arrived_at: now, start_by, sender });
+    let urgency = access.class.urgency;
+    let reply = TicketReply { request, arrived_at: now, start_by, urgency, sender };
+    domain.tickets.insert(ticket, reply);
     drop(state);
     let ask = RequestAsk {
         ticket,
@@ -274,7 +278,7 @@
         let call =
             caller.peers.release(&placed.owner, grant.id, grant.authority, ended, RELEASE_TIMEOUT);
         if let Err(report) = call.await {
-            log::debug!("slot {} was not given back to its owner: {report:?}", grant.id);
+            log::debug!("slot {} was not given back to its owner: {report:#}", grant.id);
         }
     });
 }
--- a/crates/entry/src/control/workers.rs
+++ b/crates/entry/src/control/workers.rs
@@ -214,7 +214,7 @@
                     "worker {name} obeys authority {}, above {authority}",
                     report.authority
                 ),
-                Err(report) => log::debug!("worker {name} did not report: {report:?}"),
+                Err(report) => log::debug!("worker {name} did not report: {report:#}"),
             }
             with_link(&control, &name, |link| {
                 link.calling = false;
@@ -445,7 +445,7 @@
             Some(CellEvent::StartRefused { task, attempt })
         }
         Err(report) => {
-            log::debug!("start of {task} on {worker} got no answer: {report:?}");
+            log::debug!("start of {task} on {worker} got no answer: {report:#}");
             None
         }
     };
@@ -479,7 +479,7 @@
             match caller.workers.stop(&address, &call, CALL_TIMEOUT).await {
                 Ok(_) => break,
                 Err(report) => {
-                    log::debug!("stop of {task} on {worker} failed: {report:?}");
+                    log::debug!("stop of {task} on {worker} failed: {report:#}");
                     tokio::time::sleep(STOP_RETRY).await;
                 }
             }
