--- a/crates/entry/src/control/jobs.rs
+++ b/crates/entry/src/control/jobs.rs
@@ -37,6 +37,12 @@
 /// Looks for a job's record before it counts as missing; a job ends once, and changes its domain
 /// at most as often as operators take domains out.
 const STATUS_TRIES: u32 = 3;
+/// Milliseconds that a cancellation waits to be recorded.
+const CANCEL_WAIT_MS: u64 = 2_000;
+/// Time between two looks whether it is.
+const CANCEL_POLL: Duration = Duration::from_millis(20);
+/// Deadline of a cancellation at another owner.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Most tasks of one job.
 const TASKS_BOUND: u32 = 10_000;
 
@@ -626,24 +632,39 @@
         return Ok(record);
     }
     if record.domain == control.settings.domain && control.lease().is_some() {
-        cancel_local(&control, &job, &team)?;
+        cancel_local(&control, &job, &team).await?;
     } else {
         let owner = control.state().owners.get(&record.domain).cloned();
         let missing = || PeerRefusal::new(ErrorKind::NoOwner, "no owner is known");
         let address = owner.ok_or_else(missing)?.address;
-        let call = control.peers.cancel(&address, job.as_str(), team.as_str(), PEER_TIMEOUT);
-        call.await.map_err(|_| link::peer::unreachable(&address))??;
+        let call = control.peers.cancel(&address, job.as_str(), team.as_str(), CANCEL_TIMEOUT);
+        call.await.map_err(|report| match report.current_context() {
+            CallFailure::NotDone => link::peer::unreachable(&address),
+            CallFailure::Unknown => cancel_unknown(),
+        })??;
     }
     // The job may have ended by itself in between; without an answer it counts as cancelled.
     let cancelled = JobRecord { state: JobState::Cancelled, ..record };
     Ok(status(control, job).await.unwrap_or(cancelled))
 }
 
-/// Cancels a job that this owner runs.
+fn cancel_unknown() -> PeerRefusal {
+    let message = "the cancellation may not be recorded yet; ask for it again";
+    PeerRefusal::new(ErrorKind::WriteUnknown, message)
+}
+
+/// Cancels a job that this owner runs, and waits until that is durable.
+///
+/// An owner that died with an answered but unrecorded cancellation would leave
+/// the job to a successor that runs it.
 ///
 /// # Errors
-/// A refusal of kind `no-owner`, `not-found` or `wrong-team`.
-pub fn cancel_local(control: &Control, job: &JobId, team: &TeamName) -> Result<(), PeerRefusal> {
+/// A refusal of kind `no-owner`, `not-found`, `wrong-team` or `write-unknown`.
+pub async fn cancel_local(
+    control: &Control,
+    job: &JobId,
+    team: &TeamName,
+) -> Result<(), PeerRefusal> {
     {
         let state = control.state();
         let domain = state.domain.as_ref();
@@ -657,5 +678,19 @@
     }
     log::info!("job cancelled job={job} team={team}");
     cells::feed(control, CellEvent::JobCancelled(job.clone()));
-    Ok(())
+    let give_up = control.now() + CANCEL_WAIT_MS;
+    while control.now() < give_up {
+        if is_recorded(control, job)? {
+            return Ok(());
+        }
+        tokio::time::sleep(CANCEL_POLL).await;
+    }
+    Err(cancel_unknown())
+}
+
+/// Tells whether the end of a job is durable, after which the book forgets it.
+fn is_recorded(control: &Control, job: &JobId) -> Result<bool, PeerRefusal> {
+    let state = control.state();
+    let domain = state.domain.as_ref().ok_or_else(cancel_unknown)?;
+    Ok(!domain.jobs.records.contains_key(job))
 }
--- a/crates/entry/src/http/estimate.rs
+++ b/crates/entry/src/http/estimate.rs
@@ -40,12 +40,16 @@
         }
     }
 
-    /// Returns the time within which most requests of the queue are answered; zero if not known.
+    /// Returns the time to keep for the answer of a request that has `left`; zero if not known.
+    ///
+    /// It is at most half of what is left: after a slow time the estimate falls
+    /// only if requests are still sent and answered.
     #[must_use]
-    pub fn expected(&self, queue: &QueueName) -> Duration {
+    pub fn reserve(&self, queue: &QueueName, left: Duration) -> Duration {
         let time = self.queues.get(queue);
-        time.map_or(Duration::ZERO, |time| {
+        let expected = time.map_or(Duration::ZERO, |time| {
             Duration::from_secs_f64(2.0_f64.mul_add(time.deviation, time.mean))
-        })
+        });
+        expected.min(left / 2)
     }
 }
--- a/crates/entry/src/http/request.rs
+++ b/crates/entry/src/http/request.rs
@@ -247,7 +247,8 @@
 ) -> Result<PlacedGrant, PeerRefusal> {
     let left = request.deadline.saturating_duration_since(Instant::now());
     // A slot that comes later than this is of no use: the answer would be late.
-    let left = left.saturating_sub(traffic.estimate.borrow().expected(&request.access.queue.name));
+    let reserve = traffic.estimate.borrow().reserve(&request.access.queue.name, left);
+    let left = left.saturating_sub(reserve);
     let placement = SlotPlacement {
         team: request.access.team.clone(),
         queue: request.access.queue.name.clone(),
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -56,7 +56,7 @@
     match actix_rt::System::new().block_on(daemon::run(settings)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            eprintln!("amaranthsaddle-entry: {report:#}");
+            eprintln!("amaranthsaddle-entry: {report:?}");
             ExitCode::from(EXIT_START)
         }
     }
--- /dev/null
+++ b/crates/entry/tests/estimate.rs
@@ -0,0 +1,22 @@
+//! The time that is kept for the answer of a request.
+
+use std::time::Duration;
+
+use entry::http::estimate::RunEstimate;
+
+/// Guards against a queue that refuses everything for ever: after one answer
+/// that took longer than the deadline no request was sent any more, and the
+/// estimate never fell.
+#[test]
+fn slow_answer_leaves_time_to_wait_for_a_slot() {
+    let queue = "sheets".into();
+    let mut estimate = RunEstimate::default();
+    let left = Duration::from_secs(2);
+    assert_eq!(estimate.reserve(&queue, left), Duration::ZERO, "nothing is known");
+    estimate.note(&queue, Duration::from_secs(5));
+    assert_eq!(estimate.reserve(&queue, left), Duration::from_secs(1));
+    for _ in 0..50 {
+        estimate.note(&queue, Duration::from_millis(20));
+    }
+    assert!(estimate.reserve(&queue, left) < Duration::from_millis(200));
+}
