Add scenarios that catch broken mechanisms and pairs of faults

Trials with switched-off mechanisms passed the existing scenarios for early restarts of tasks, a domain that is out, an older configuration, swapped answers, a handover left out and a fence left out. The status of entries is read every 100 ms, since a return to an older version may be over within 500 ms.

--- a/testing/scenario/src/run/state.rs
+++ b/testing/scenario/src/run/state.rs
@@ -24,7 +24,11 @@
 
 /// Time between two looks at something that is waited for.
 pub const POLL: Duration = Duration::from_millis(50);
-const STATUS_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two looks at the status of an entry.
+///
+/// Entries read the head every 500 ms; at that interval, most returns to an
+/// older version would be over before they are seen.
+const STATUS_INTERVAL: Duration = Duration::from_millis(100);
 const STATUS_BOUND: Duration = Duration::from_millis(450);
 /// Time between two readiness checks; a load balancer that checks once a second
 /// would miss the one second for which a stopping entry goes on listening.
--- a/testing/scenario/tests/scenarios.rs
+++ b/testing/scenario/tests/scenarios.rs
@@ -39,28 +39,45 @@
 }
 
 scenarios! {
+    allotment_reply_lost_limit_lowered "allotment-reply-lost-limit-lowered";
+    answers_swapped "answers-swapped";
     answers_truncated_late_swapped "answers-truncated-late-swapped";
     connection_reset_during_requests "connection-reset-during-requests";
+    connections_reset_single_sendings "connections-reset-single-sendings";
     domain_cut_from_platform "domain-cut-from-platform";
+    domain_cut_from_platform_and_others "domain-cut-from-platform-and-others";
     domain_out_and_in "domain-out-and-in";
+    domain_out_under_load "domain-out-under-load";
+    domain_out_while_cut_off "domain-out-while-cut-off";
     domain_out_with_frozen_owner "domain-out-with-frozen-owner";
     domains_cut_from_each_other_limits "domains-cut-from-each-other-limits";
     entry_cut_off_then_back "entry-cut-off-then-back";
     insert_reply_lost "insert-reply-lost";
     key_withdrawn "key-withdrawn";
     key_withdrawn_while_domain_cut_off "key-withdrawn-while-domain-cut-off";
+    key_withdrawn_with_frozen_owner "key-withdrawn-with-frozen-owner";
+    limit_lowered_long_tasks "limit-lowered-long-tasks";
     limit_lowered_under_load "limit-lowered-under-load";
     non_idempotent_entry_killed "non-idempotent-entry-killed";
     non_idempotent_platform_down "non-idempotent-platform-down";
+    older_version_arrives_late "older-version-arrives-late";
     operators_racing "operators-racing";
     owner_cut_from_worker_start_reply_lost "owner-cut-from-worker-start-reply-lost";
     owner_frozen_standby_takes_over "owner-frozen-standby-takes-over";
+    owner_frozen_while_platform_down "owner-frozen-while-platform-down";
+    owner_frozen_with_waiting_work "owner-frozen-with-waiting-work";
     owner_killed_mid_burst "owner-killed-mid-burst";
     owner_killed_under_load "owner-killed-under-load";
+    owner_killed_while_domains_cut "owner-killed-while-domains-cut";
+    owner_killed_with_full_slots "owner-killed-with-full-slots";
+    planned_stop_with_long_requests "planned-stop-with-long-requests";
     platform_down_and_back "platform-down-and-back";
     rolling_restart_platform_down "rolling-restart-platform-down";
     rolling_restart_under_load "rolling-restart-under-load";
+    rolling_restart_with_job "rolling-restart-with-job";
+    worker_cut_off_with_tasks "worker-cut-off-with-tasks";
     worker_leaving "worker-leaving";
+    worker_leaving_owner_killed "worker-leaving-owner-killed";
 }
 
 /// Guards against a scenario file that no test runs.
