--- a/testing/scenario/tests/scenarios.rs
+++ b/testing/scenario/tests/scenarios.rs
@@ -49,6 +49,7 @@
     domain_out_and_in "domain-out-and-in";
     domain_out_under_load "domain-out-under-load";
     domain_out_while_cut_off "domain-out-while-cut-off";
+    domain_out_with_delayed_requests "domain-out-with-delayed-requests";
     domain_out_with_frozen_owner "domain-out-with-frozen-owner";
     domains_cut_from_each_other_limits "domains-cut-from-each-other-limits";
     entry_cut_off_then_back "entry-cut-off-then-back";
