Do not hold abandoned attempts against workers

Cause: a slot whose attempt was abandoned came back only with the worker's next renewal, up to 1 s later, and then counted as a failure of the worker. Under overload, requests are granted shortly before their deadline, so that every worker of a domain was quarantined and nothing was answered for seconds.

Change: the owner asks for the worker's report 100 ms after a slot expires. The end counts against the worker only if the asker reported a lost or wrong answer, or if the worker had at least 1 s to answer; a grant whose asker was cut off says nothing about the worker.

--- a/crates/entry/src/control/cells.rs
+++ b/crates/entry/src/control/cells.rs
@@ -117,6 +117,9 @@
                     worker: worker.clone(),
                     granted_at: now,
                     expires_at: waiting.start_by + super::requests::GRANT_GRACE_MS,
+                    start_by: waiting.start_by,
+                    abandoned: false,
+                    report_asked: false,
                 },
             );
             let domain = control.settings.domain.clone();
--- a/crates/entry/src/control/requests.rs
+++ b/crates/entry/src/control/requests.rs
@@ -26,6 +26,10 @@
 pub const PEER_SILENCE_MS: u64 = 1_000;
 /// Time to answer beyond the wait that the owner was allowed.
 const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+/// Milliseconds by which an attempt that ends at the caller's deadline may be given up before it.
+const DEADLINE_SLACK_MS: u64 = 50;
+/// Milliseconds that a worker must have had for an answer that came too late to count against it.
+const TIMEOUT_EVIDENCE_MS: u64 = 1_000;
 /// Deadline of the call that gives a slot back.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -38,6 +42,25 @@
     pub granted_at: ClockMillis,
     /// When it may be taken back if the worker reports fewer slots in use.
     pub expires_at: ClockMillis,
+    /// Latest start that the asker named, which is the caller's deadline.
+    pub start_by: ClockMillis,
+    /// Whether the asker said that it got no usable answer.
+    pub abandoned: bool,
+    /// Whether the worker was asked for a report because of the expiry.
+    pub report_asked: bool,
+}
+
+impl GrantRecord {
+    /// Tells whether the expired slot counts against the worker.
+    ///
+    /// An asker that is cut off says nothing about the worker, and neither does
+    /// an attempt that had little time left when it was granted. Counting these
+    /// would quarantine every worker of a domain under overload or in a partition.
+    fn shows_worker_fault(&self) -> bool {
+        let at_deadline = self.expires_at + DEADLINE_SLACK_MS >= self.start_by;
+        let ran = self.expires_at.since(self.granted_at);
+        self.abandoned && (!at_deadline || ran >= TIMEOUT_EVIDENCE_MS)
+    }
 }
 
 /// A request that waits for a slot.
@@ -275,6 +298,7 @@
         if !ended {
             if let Some(grant) = domain.grants.get_mut(&ticket) {
                 grant.expires_at = now;
+                grant.abandoned = true;
             }
             return;
         }
@@ -308,7 +332,7 @@
             if grant.worker == *worker {
                 granted += 1;
                 if grant.expires_at <= now && grant.granted_at < sent_at {
-                    expired.push((grant.expires_at, *ticket));
+                    expired.push((grant.expires_at, *ticket, !grant.shows_worker_fault()));
                 }
             }
         }
@@ -317,9 +341,9 @@
         expired.truncate(free);
         expired
     };
-    for (_, ticket) in expired {
+    for (_, ticket, healthy) in expired {
         log::debug!("slot {ticket} on {worker} taken back after the worker's report");
-        end_ticket(control, ticket, false);
+        end_ticket(control, ticket, healthy);
     }
 }
 
--- a/crates/entry/src/control/workers.rs
+++ b/crates/entry/src/control/workers.rs
@@ -15,6 +15,7 @@
     EndReport, RefusalReason, RenewCall, StartCall, StopCall, StopMode, TaskEnd, WorkerReport,
 };
 
+use crate::control::domain::DomainState;
 use crate::control::{Control, cells, requests};
 
 /// Milliseconds that a worker's lease lasts.
@@ -26,6 +27,10 @@
 const RENEW_MS: u64 = 1_000;
 /// Milliseconds until a failed renewal is tried again.
 const RENEW_RETRY_MS: u64 = 250;
+/// Milliseconds from the expiry of a slot to the report that may free it.
+///
+/// An attempt is mostly abandoned shortly before it ends.
+const EXPIRY_REPORT_MS: u64 = 100;
 /// Milliseconds without a report after which nothing new is placed on a worker.
 const SILENT_MS: u64 = 2_500;
 /// Milliseconds of the worker's clock within which a start must arrive.
@@ -119,6 +124,7 @@
             return;
         }
         let acquired_at = domain.acquired_at;
+        ask_for_expired(domain, now);
         for (name, link) in &mut domain.links {
             let heard = link.report.map_or(acquired_at, |(_, received)| received);
             let quiet = now.since(heard);
@@ -148,6 +154,24 @@
     }
 }
 
+/// Asks for the reports by which expired slots are taken back.
+///
+/// Under overload, attempts are abandoned all the time; if their slots stayed
+/// taken until the next renewal, few slots would do useful work. Each expiry
+/// brings one report forward, so that requests which run on after their caller
+/// has gone do not raise the control traffic for as long as they run.
+fn ask_for_expired(domain: &mut DomainState, now: ClockMillis) {
+    for grant in domain.grants.values_mut() {
+        if grant.report_asked || grant.expires_at + EXPIRY_REPORT_MS > now {
+            continue;
+        }
+        grant.report_asked = true;
+        if let Some(link) = domain.links.get_mut(&grant.worker) {
+            link.next_call = link.next_call.min(now);
+        }
+    }
+}
+
 fn renewal(link: &WorkerLink, authority: OwnerAuthority) -> RenewCall {
     RenewCall {
         authority,
