--- a/testing/scenario/tests/scenarios.rs
+++ b/testing/scenario/tests/scenarios.rs
@@ -51,7 +51,9 @@
     domain_out_while_cut_off "domain-out-while-cut-off";
     domain_out_with_delayed_requests "domain-out-with-delayed-requests";
     domain_out_with_frozen_owner "domain-out-with-frozen-owner";
+    domains_cut_from_each_other "domains-cut-from-each-other";
     domains_cut_from_each_other_limits "domains-cut-from-each-other-limits";
+    domains_cut_limit_holds "domains-cut-limit-holds";
     entry_cut_off_then_back "entry-cut-off-then-back";
     insert_reply_lost "insert-reply-lost";
     key_withdrawn "key-withdrawn";
@@ -63,6 +65,7 @@
     non_idempotent_platform_down "non-idempotent-platform-down";
     older_version_arrives_late "older-version-arrives-late";
     operators_racing "operators-racing";
+    overload_with_short_deadlines "overload-with-short-deadlines";
     owner_cut_from_worker_start_reply_lost "owner-cut-from-worker-start-reply-lost";
     owner_frozen_standby_takes_over "owner-frozen-standby-takes-over";
     owner_frozen_while_platform_down "owner-frozen-while-platform-down";
