--- a/testing/scenario/src/check/answer.rs
+++ b/testing/scenario/src/check/answer.rs
@@ -174,6 +174,33 @@
     violations
 }
 
+/// Promise 7: no task runs of a job whose every submission was refused as not accepted.
+///
+/// The answers to jobs have only a status here. 409 is no refusal, since an
+/// earlier submission of the same identifier may have been accepted.
+pub fn check_refused_jobs(history: &RunHistory, runs: &[WorkRun<'_>]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (id, trace) in collect_traces(&history.callers) {
+        let is_refused = |record: &&CallerRecord| match &record.event {
+            CallerEvent::JobReceived { status, .. } => {
+                matches!(status, 400..500 | 503) && *status != 409
+            }
+            _ => false,
+        };
+        let all_refused =
+            trace.received.len() >= trace.sent.len() && trace.received.iter().all(is_refused);
+        let Some(refusal) = trace.received.last().filter(|_| all_refused) else { continue };
+        let is_task =
+            |run: &&WorkRun<'_>| matches!(&run.id, WorkId::Task(task) if task.job.as_str() == id);
+        if let Some(run) = runs.iter().find(is_task) {
+            let message = format!("job {id} was refused but a task of it ran on {}", run.worker);
+            let violation = Violation::new(7, run.start, message);
+            violations.push(violation.with_record(*refusal).with_record(run.record));
+        }
+    }
+    violations
+}
+
 /// Promise 8: a non-idempotent request runs at most once.
 pub fn check_once(history: &RunHistory, runs: &[WorkRun<'_>]) -> Vec<Violation> {
     let mut violations = Vec::new();
--- a/testing/scenario/tests/checker.rs
+++ b/testing/scenario/tests/checker.rs
@@ -381,6 +381,18 @@
         story.sent(2000, "r2").status(2100, "r2", 503);
         story.assert_broken(&[]);
     }
+
+    /// Guards against a job that is refused as not accepted and runs, and against
+    /// a check that finds fault with a job of which the outcome is unknown.
+    #[test]
+    fn refused_job_ran() {
+        for (status, broken) in [(503, &[7][..]), (409, &[][..]), (504, &[][..]), (0, &[][..])] {
+            let mut story = Story::new();
+            story.job_with(1000, "j", status);
+            story.task(1100, "j", 0, 1, "w1").task_end(1200, "j", 0, 1, "w1");
+            story.assert_broken(broken);
+        }
+    }
 }
 
 mod promise_8 {
--- a/testing/scenario/tests/scenarios.rs
+++ b/testing/scenario/tests/scenarios.rs
@@ -56,6 +56,7 @@
     domains_cut_limit_holds "domains-cut-limit-holds";
     entry_cut_off_then_back "entry-cut-off-then-back";
     insert_reply_lost "insert-reply-lost";
+    job_reply_lost "job-reply-lost";
     key_withdrawn "key-withdrawn";
     key_withdrawn_while_domain_cut_off "key-withdrawn-while-domain-cut-off";
     key_withdrawn_with_frozen_owner "key-withdrawn-with-frozen-owner";
--- a/testing/scenario/tests/story/mod.rs
+++ b/testing/scenario/tests/story/mod.rs
@@ -297,6 +297,11 @@
     }
 
     pub fn job(&mut self, at: u64, job: &str) -> &mut Self {
+        self.job_with(at, job, 200)
+    }
+
+    /// Submits a job and answers it with a status.
+    pub fn job_with(&mut self, at: u64, job: &str, status: u16) -> &mut Self {
         let via = RunnerEvent::JobVia {
             job: job.to_owned(),
             entry: "a-e1".to_owned(),
@@ -305,7 +310,7 @@
         self.runner(at, via);
         let (team, key) = ("north".into(), "north-key".to_owned());
         self.caller(at, CallerEvent::JobSent { job: job.to_owned(), team, key });
-        self.caller(at + 10, CallerEvent::JobReceived { job: job.to_owned(), status: 200 })
+        self.caller(at + 10, CallerEvent::JobReceived { job: job.to_owned(), status })
     }
 
     /// Starts a task of one core.
