--- a/crates/entry/src/control/cells.rs
+++ b/crates/entry/src/control/cells.rs
@@ -116,7 +116,10 @@
                 worker: worker.clone(),
                 team: team.clone(),
                 not_after,
-                healthy: true,
+                granted_at: now,
+                start_by: waiting.start_by,
+                abandoned_at: None,
+                report_asked: false,
             };
             domain.grants.insert(ticket, record);
             waiting.grant(SlotGrant {
--- a/crates/entry/src/control/requests.rs
+++ b/crates/entry/src/control/requests.rs
@@ -33,6 +33,10 @@
 pub const PEER_SILENCE_MS: u64 = 1_000;
 /// Time to answer beyond the wait that the owner was allowed.
 const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+/// Milliseconds by which an attempt that ends at the caller's deadline may be given up before it.
+const DEADLINE_SLACK_MS: u64 = 50;
+/// Milliseconds that a worker must have had for an answer that came too late to count against it.
+const TIMEOUT_EVIDENCE_MS: u64 = 1_000;
 /// Deadline of the call that gives a slot back.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -45,8 +49,28 @@
     pub team: TeamName,
     /// Instant of the worker's clock at which the grant is void if not used.
     pub not_after: ClockMillis,
-    /// Whether nothing speaks against the worker so far.
-    pub healthy: bool,
+    /// When it was granted.
+    pub granted_at: ClockMillis,
+    /// Latest start that the asker named.
+    pub start_by: ClockMillis,
+    /// When the asker said that it got no usable answer.
+    pub abandoned_at: Option<ClockMillis>,
+    /// Whether the worker was asked for a report because of this grant.
+    pub report_asked: bool,
+}
+
+impl GrantRecord {
+    /// Tells whether the lost slot counts against the worker.
+    ///
+    /// An asker that is cut off says nothing about the worker, and neither does
+    /// an attempt that had little time left when it was granted. Counting these
+    /// would quarantine every worker of a domain under overload or in a partition.
+    fn shows_worker_fault(&self) -> bool {
+        self.abandoned_at.is_some_and(|at| {
+            let at_deadline = at + DEADLINE_SLACK_MS >= self.start_by;
+            !at_deadline || at.since(self.granted_at) >= TIMEOUT_EVIDENCE_MS
+        })
+    }
 }
 
 /// A request that waits for a slot.
@@ -290,6 +314,7 @@
     authority: OwnerAuthority,
     ended: bool,
 ) {
+    let now = control.now();
     {
         let mut state = control.state_mut();
         let Some(domain) = state.domain.as_mut() else { return };
@@ -298,7 +323,7 @@
         }
         if !ended {
             if let Some(grant) = domain.grants.get_mut(&ticket) {
-                grant.healthy = false;
+                grant.abandoned_at = Some(now);
             }
             return;
         }
@@ -345,15 +370,15 @@
         tickets.truncate(tickets.len().saturating_sub(running));
         for ticket in tickets {
             log::debug!("slot {ticket} on {worker} taken back after the worker's report");
-            end_ticket(control, ticket, grant_health(control, ticket));
+            end_ticket(control, ticket, !shows_fault(control, ticket));
         }
     }
 }
 
-fn grant_health(control: &Control, ticket: TicketNumber) -> bool {
+fn shows_fault(control: &Control, ticket: TicketNumber) -> bool {
     let state = control.state();
     let grant = state.domain.as_ref().and_then(|domain| domain.grants.get(&ticket));
-    grant.is_none_or(|grant| grant.healthy)
+    grant.is_some_and(GrantRecord::shows_worker_fault)
 }
 
 /// Drops all grants on a worker on which nothing runs any more.
--- a/crates/entry/src/control/workers.rs
+++ b/crates/entry/src/control/workers.rs
@@ -15,6 +15,7 @@
     EndReport, RefusalReason, RenewCall, StartCall, StopCall, StopMode, TaskEnd, WorkerReport,
 };
 
+use crate::control::domain::DomainState;
 use crate::control::{Control, cells, domain, requests};
 
 /// Milliseconds that a worker's lease lasts.
@@ -26,6 +27,9 @@
 const RENEW_MS: u64 = 1_000;
 /// Milliseconds until a failed renewal is tried again.
 const RENEW_RETRY_MS: u64 = 250;
+/// Milliseconds from the loss of a slot to the report that may free it; an attempt
+/// is mostly abandoned shortly before it ends.
+const LOST_REPORT_MS: u64 = 100;
 /// Milliseconds without a report after which nothing new is placed on a worker.
 const SILENT_MS: u64 = 2_500;
 /// Milliseconds of the worker's clock within which a start must arrive.
@@ -144,6 +148,7 @@
             return;
         }
         let acquired_at = domain.acquired_at;
+        ask_for_lost(domain, now);
         for (name, link) in &mut domain.links {
             let heard = link.report.map_or(acquired_at, |(_, received)| received);
             let quiet = now.since(heard);
@@ -188,6 +193,28 @@
     }
 }
 
+/// Asks for the reports by which lost slots are taken back.
+///
+/// Under overload, attempts are abandoned all the time; if their slots stayed
+/// taken until the next renewal, few slots would do useful work. Each grant
+/// brings one report forward, and one that is merely long only while requests
+/// wait, so that long requests do not raise the control traffic.
+fn ask_for_lost(domain: &mut DomainState, now: ClockMillis) {
+    let waiting = !domain.tickets.is_empty();
+    for grant in domain.grants.values_mut() {
+        let is_old = waiting && now.since(grant.granted_at) > requests::GRANT_WINDOW_MS;
+        let asked_at = grant.abandoned_at.or(is_old.then_some(grant.granted_at));
+        let is_due = asked_at.is_some_and(|at| now.since(at) >= LOST_REPORT_MS);
+        if grant.report_asked || !is_due {
+            continue;
+        }
+        grant.report_asked = true;
+        if let Some(link) = domain.links.get_mut(&grant.worker) {
+            link.next_call = link.next_call.min(now);
+        }
+    }
+}
+
 fn renewal(link: &WorkerLink, authority: OwnerAuthority) -> RenewCall {
     RenewCall {
         authority,
