--- a/bench/src/workload.rs
+++ b/bench/src/workload.rs
@@ -275,9 +275,12 @@
         let error = self.error();
         let median = self.log_normal(stream.run, 0.8).clamp(2.0, 900.0);
         let endless = stream.run == 0.0;
-        let run = |draw: &mut Self| match endless {
-            true => ENDLESS_MS,
-            false => (draw.log_normal(median, 0.3).min(1_200.0) * 1000.0) as u64,
+        let run = |draw: &mut Self| {
+            if endless {
+                ENDLESS_MS
+            } else {
+                (draw.log_normal(median, 0.3).min(1_200.0) * 1000.0) as u64
+            }
         };
         let runs: Vec<u64> = (0..tasks).map(|_| run(self)).collect();
         let spec = JobSpec {
--- a/crates/policy/src/schedule.rs
+++ b/crates/policy/src/schedule.rs
@@ -58,9 +58,10 @@
         }
         // A share bounds what urgency is worth: a team within its share is served
         // before one that lives on lent capacity, unless a person waits.
-        let sides: &[ShareSide] = match self.rules.fair_share {
-            true => &[ShareSide::Within, ShareSide::Any],
-            false => &[ShareSide::Any],
+        let sides: &[ShareSide] = if self.rules.fair_share {
+            &[ShareSide::Within, ShareSide::Any]
+        } else {
+            &[ShareSide::Any]
         };
         for side in sides {
             self.place_jobs(UrgencyLevel::Normal, *side);
