Give a job back to its domain when no other one takes it

Cause: the cell gives up a job of a domain that is out before it is handed to another domain. Where that failed once, for want of another domain or of the platform, nobody tried again, and the scan for lost notifications took the job for known. Change: the handing over is tried every second until it succeeds; when the domain is back in service first, the cell gets the job back. A job that waits to be moved can be cancelled.

--- a/crates/entry/src/control/jobs.rs
+++ b/crates/entry/src/control/jobs.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use link::failure::CallFailure;
+use model::authority::OwnerAuthority;
 use model::job::{JobRecord, JobSpec, JobState};
 use model::kind::ErrorKind;
 use model::name::{DomainName, JobId, TeamName};
@@ -27,6 +28,8 @@
 const SCAN: Duration = Duration::from_secs(3);
 /// Deadline of calls to the platform about jobs.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause before a job is handed to another domain again.
+const MOVE_RETRY: Duration = Duration::from_secs(1);
 /// Deadline of calls to owners about jobs.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Looks for a job's record before it counts as missing; a job ends once, and changes its domain
@@ -409,16 +412,49 @@
 }
 
 /// Hands a job of a domain that is out to another domain.
+///
+/// The cell has given the job up already, so the handing over is tried until
+/// it succeeds, or the domain is back in service and the cell gets the job back.
 pub fn move_job(control: &Control, job: &JobId) {
     let caller = Rc::clone(control);
     let job = job.clone();
+    let authority = control.lease();
     control.spawn(async move {
-        if let Err(reason) = try_move(&caller, &job).await {
-            log::warn!("job {job} was not moved: {reason}");
+        let mut warned = false;
+        while let Err(reason) = try_move(&caller, &job).await {
+            if !warned {
+                log::warn!("job {job} was not moved yet: {reason}");
+                warned = true;
+            }
+            tokio::time::sleep(MOVE_RETRY).await;
+            let Some(record) = waiting_record(&caller, &job, authority) else { return };
+            if is_in_service(&caller) {
+                log::info!("job {job} stays: its domain is back in service");
+                cells::feed(&caller, CellEvent::JobSubmitted(Arc::new(record)));
+                return;
+            }
         }
     });
 }
 
+/// Returns the record of a job that waits to be moved, unless it ended or the ownership did.
+fn waiting_record(
+    control: &Control,
+    job: &JobId,
+    authority: Option<OwnerAuthority>,
+) -> Option<JobRecord> {
+    let state = control.state();
+    let domain = state.domain.as_ref().filter(|domain| Some(domain.authority) == authority)?;
+    domain.jobs.record(job.as_str()).filter(|record| !record.state.is_final())
+}
+
+/// Tells whether the own domain takes work.
+fn is_in_service(control: &Control) -> bool {
+    let state = control.state();
+    let mut domains = state.config.objects().domains.iter();
+    domains.any(|domain| domain.name == control.settings.domain && domain.state == ServiceState::In)
+}
+
 async fn try_move(control: &Control, job: &JobId) -> Result<(), String> {
     let record = {
         let state = control.state();
@@ -433,7 +469,11 @@
     let read = TableRead { keys: vec![old_key.clone()], prefixes: Vec::new() };
     let reply = control.platform.read(&read, CALL_TIMEOUT).await;
     let reply = reply.map_err(|report| format!("{report:#}"))?;
-    let row = reply.rows.into_iter().next().ok_or("its row is gone")?;
+    let Some(row) = reply.rows.into_iter().next() else {
+        // The job ended, or an earlier try moved it and its reply was lost.
+        forget(control, job);
+        return Ok(());
+    };
     let moved = JobRecord { domain: target.clone(), ..record };
     let value = serde_json::to_value(&moved).map_err(|error| error.to_string())?;
     let index = serde_json::json!({ "domain": target, "spec": moved.spec });
@@ -450,12 +490,16 @@
         return Err("its row changed".to_owned());
     }
     log::info!("job moved job={job} from={} to={target}", control.settings.domain);
+    forget(control, job);
+    notify_owner(control, moved);
+    Ok(())
+}
+
+fn forget(control: &Control, job: &JobId) {
     if let Some(domain) = control.state_mut().domain.as_mut() {
         domain.jobs.records.remove(job);
         domain.jobs.dirty.remove(job);
     }
-    notify_owner(control, moved);
-    Ok(())
 }
 
 /// Returns a job's record, from its owner if it can be reached, else from its row.
@@ -570,5 +614,9 @@
     }
     log::info!("job cancelled job={job} team={team}");
     cells::feed(control, CellEvent::JobCancelled(job.clone()));
+    // The cell does not know a job that waits to be moved, and so does not end it.
+    if let Some(record) = waiting_record(control, job, control.lease()) {
+        note_change(control, job, JobState::Cancelled, &record.done);
+    }
     Ok(())
 }
