--- a/crates/saddle/tests/real_cell.rs
+++ b/crates/saddle/tests/real_cell.rs
@@ -352,3 +352,43 @@
     let run = expect(0, &entry, &["domain", "out", "domain-1"]);
     assert!(run.stdout.contains("version 3 is in force everywhere"), "{run:?}");
 }
+
+/// A job that no other domain can take must go on once its own domain is back,
+/// unless it was cancelled meanwhile.
+#[actix_rt::test]
+async fn job_of_the_only_domain_goes_on_when_it_is_back() {
+    let cell = TestCell::start(1, 1, 2).await;
+    let entry = cell.address(0);
+    for (job, tasks) in [("stays", 2), ("dropped", 1)] {
+        let file = write(&cell, "job.json", &long_job(job, tasks));
+        expect(0, &entry, &["submit", &file, "--key", NORTH]);
+    }
+    let events = |started| {
+        let count_of = |job| count(&task_events(&cell, job), started);
+        (count_of("stays"), count_of("dropped"))
+    };
+    let start = Instant::now();
+    while events(true) != (2, 1) {
+        assert!(start.elapsed() < PATIENCE, "the tasks did not start");
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+    expect(0, &entry, &["domain", "out", "domain-0"]);
+    let start = Instant::now();
+    while events(false) != (2, 1) {
+        assert!(start.elapsed() < PATIENCE, "the tasks go on in a domain that is out");
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+    // Long enough for the domain to have tried to hand the job over.
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    let cancelled = expect(0, &entry, &["cancel", "dropped", "--key", NORTH]).stdout;
+    assert!(cancelled.starts_with("job dropped: cancelled"), "{cancelled}");
+    expect(0, &entry, &["domain", "in", "domain-0"]);
+    let start = Instant::now();
+    while events(true).0 < 4 {
+        assert!(start.elapsed() < PATIENCE, "the job does not go on in the domain that is back");
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+    let status = expect(0, &entry, &["status", "dropped", "--key", NORTH]).stdout;
+    assert!(status.starts_with("job dropped: cancelled"), "{status}");
+    assert_eq!(events(true), (4, 1), "a cancelled job was started again");
+}
