--- a/crates/entry/src/control/jobs.rs
+++ b/crates/entry/src/control/jobs.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use link::failure::CallFailure;
+use model::authority::OwnerAuthority;
 use model::job::{JobRecord, JobSpec, JobState};
 use model::kind::ErrorKind;
 use model::name::{DomainName, JobId, TeamName};
@@ -464,25 +465,25 @@
 
 /// Hands a job of a domain that is out to another domain.
 ///
-/// The cell has given the job up, so that it is submitted again if the domain
-/// comes back before another one could take it.
+/// The cell has given the job up already, so the handing over is tried until
+/// it succeeds, or the domain is back in service and the cell gets the job back.
 pub fn move_job(control: &Control, job: &JobId) {
     let caller = Rc::clone(control);
     let job = job.clone();
+    let authority = control.lease();
     control.spawn(async move {
-        let Some(authority) = caller.lease() else { return };
+        let mut warned = false;
         let mut seen = 0;
         while let Err(reason) = try_move(&caller, &job, &mut seen).await {
-            log::warn!("job {job} was not moved yet: {reason}");
-            tokio::time::sleep(MOVE_RETRY).await;
-            if caller.lease() != Some(authority) {
-                return;
+            if !warned {
+                log::warn!("job {job} was not moved yet: {reason}");
+                warned = true;
             }
+            tokio::time::sleep(MOVE_RETRY).await;
+            let Some(record) = waiting_record(&caller, &job, authority) else { return };
             if is_in_service(&caller) {
-                let record = book_record(&caller, &job);
-                if let Some(record) = record {
-                    cells::feed(&caller, CellEvent::JobSubmitted(Arc::new(record)));
-                }
+                log::info!("job {job} stays: its domain is back in service");
+                cells::feed(&caller, CellEvent::JobSubmitted(Arc::new(record)));
                 return;
             }
         }
@@ -495,16 +496,22 @@
     }
 }
 
-fn is_in_service(control: &Control) -> bool {
+/// Returns the record of a job that waits to be moved, unless it ended or the ownership did.
+fn waiting_record(
+    control: &Control,
+    job: &JobId,
+    authority: Option<OwnerAuthority>,
+) -> Option<JobRecord> {
     let state = control.state();
-    let own = &control.settings.domain;
-    let mut domains = state.config.objects().domains.iter();
-    domains.any(|domain| domain.name == *own && domain.state == ServiceState::In)
+    let domain = state.domain.as_ref().filter(|domain| Some(domain.authority) == authority)?;
+    domain.jobs.record(job.as_str()).filter(|record| !record.state.is_final())
 }
 
-fn book_record(control: &Control, job: &JobId) -> Option<JobRecord> {
+/// Tells whether the own domain takes work.
+fn is_in_service(control: &Control) -> bool {
     let state = control.state();
-    state.domain.as_ref()?.jobs.record(job.as_str())
+    let mut domains = state.config.objects().domains.iter();
+    domains.any(|domain| domain.name == control.settings.domain && domain.state == ServiceState::In)
 }
 
 /// Tries to move a job once; `seen` keeps the version of its row between tries.
@@ -523,7 +530,7 @@
     let reply = control.platform.read(&read, CALL_TIMEOUT).await;
     let reply = reply.map_err(|report| format!("{report:#}"))?;
     let Some(row) = reply.rows.into_iter().next() else {
-        // An earlier try took effect and its reply was lost.
+        // The job ended, or an earlier try moved it and its reply was lost.
         forget(control, job, *seen);
         return Ok(());
     };
@@ -678,6 +685,10 @@
     }
     log::info!("job cancelled job={job} team={team}");
     cells::feed(control, CellEvent::JobCancelled(job.clone()));
+    // The cell does not know a job that waits to be moved, and so does not end it.
+    if let Some(record) = waiting_record(control, job, control.lease()) {
+        note_change(control, job, JobState::Cancelled, &record.done);
+    }
     let give_up = control.now() + CANCEL_WAIT_MS;
     while control.now() < give_up {
         if is_recorded(control, job)? {
