Retry the move of a job whose row changed

Cause: a domain that is out moves each job once. When a write of progress changed the row between the read and the move, the move failed with "its row changed", and nothing took the job up again: 8 of 40 tasks never ran, also after the domain was back.

Change: the move is tried up to 10 times.

A move that fails ten times in a row still leaves the job behind.

--- a/crates/entry/src/control/jobs.rs
+++ b/crates/entry/src/control/jobs.rs
@@ -29,6 +29,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Deadline of calls to owners about jobs.
 const PEER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Tries of moving a job; nothing else takes it up again in this domain.
+const MOVE_TRIES: u32 = 10;
 /// Most tasks of one job.
 const TASKS_BOUND: u32 = 10_000;
 
@@ -410,8 +412,13 @@
     let caller = Rc::clone(control);
     let job = job.clone();
     control.spawn(async move {
-        if let Err(reason) = try_move(&caller, &job).await {
-            log::warn!("job {job} was not moved: {reason}");
+        // A write of progress may change the row between the read and the move.
+        for _ in 0..MOVE_TRIES {
+            match try_move(&caller, &job).await {
+                Ok(()) => return,
+                Err(reason) => log::warn!("job {job} was not moved: {reason}"),
+            }
+            tokio::time::sleep(FLUSH).await;
         }
     });
 }
