Read the allotment rows of several teams by their prefix

Cause: every owner read one key for each team once a second, and the platform counts every key of a read. With 76 teams and 11 owners that was most of its 2,000 reads a second. Ruled out: the polls of the head, owners, confirmations and ownership rows; without teams' keys all 12 entries together read 58/s. Change: reads of more than one team use the prefix `allot/`, which counts once. Before and after, `measure capacity fleet`, 11 domains, 12 entries, 76 teams: 881.7 -> 58.0 reads/s; 1 domain, 1 entry: 78.7 -> 4.0 reads/s. Writes are as before (21.3/s). Conclusion: kept; platform reads no longer grow with the number of teams.

--- a/crates/entry/src/control/allot.rs
+++ b/crates/entry/src/control/allot.rs
@@ -48,7 +48,7 @@
     }
     let caller = Rc::clone(control);
     control.spawn(async move {
-        if let Err(reason) = read_rows(&caller, vec![row::allotment_key(&team)]).await {
+        if let Err(reason) = read_rows(&caller, vec![team.clone()]).await {
             log::debug!("allotment of {team} cannot be read: {reason}");
         }
     });
@@ -62,8 +62,8 @@
             continue;
         }
         let objects = control.state().config.objects().clone();
-        let keys = objects.teams.iter().map(|team| row::allotment_key(&team.name)).collect();
-        if let Err(reason) = read_rows(&control, keys).await {
+        let teams = objects.teams.iter().map(|team| team.name.clone()).collect();
+        if let Err(reason) = read_rows(&control, teams).await {
             log::debug!("allotments cannot be read: {reason}");
         }
         if let Some(domain) = control.state_mut().domain.as_mut() {
@@ -73,9 +73,18 @@
     }
 }
 
-async fn read_rows(control: &Control, keys: Vec<String>) -> Result<(), String> {
+/// Reads the rows of teams.
+///
+/// The platform counts every key of a read and a prefix once, so that the rows
+/// of several teams are read by their common prefix: 76 keys a second from each
+/// of 11 owners would take 836 of the platform's 2,000 reads a second.
+async fn read_rows(control: &Control, teams: Vec<TeamName>) -> Result<(), String> {
     let authority = control.lease();
-    let read = TableRead { keys: keys.clone(), prefixes: Vec::new() };
+    let read = match teams.as_slice() {
+        [] => return Ok(()),
+        [team] => TableRead { keys: vec![row::allotment_key(team)], prefixes: Vec::new() },
+        _ => TableRead { keys: Vec::new(), prefixes: vec!["allot/".to_owned()] },
+    };
     let reply =
         control.platform.read(&read, CALL_TIMEOUT).await.map_err(|report| format!("{report:?}"))?;
     if control.lease() != authority {
@@ -86,9 +95,9 @@
         let value = serde_json::from_value(found.value).map_err(|error| error.to_string())?;
         rows.insert(found.key, (found.version, value));
     }
-    for key in keys {
-        let team = TeamName::from(key.strip_prefix("allot/").unwrap_or_default());
-        let (version, row) = rows.remove(&key).map_or((0, None), |(v, row)| (v, Some(row)));
+    for team in teams {
+        let found = rows.remove(&row::allotment_key(&team));
+        let (version, row) = found.map_or((0, None), |(version, row)| (version, Some(row)));
         adopt_row(control, &team, version, row);
     }
     Ok(())
@@ -113,7 +122,7 @@
         let state = control.state();
         let Some(domain) = state.domain.as_ref() else { return };
         let teams = objects.teams.iter().filter(|team| domain.allotments.needs_read(&team.name));
-        teams.map(|team| row::allotment_key(&team.name)).collect()
+        teams.map(|team| team.name.clone()).collect()
     };
     if !unread.is_empty() {
         let caller = Rc::clone(control);
