--- a/testing/measure/src/capacity.rs
+++ b/testing/measure/src/capacity.rs
@@ -54,7 +54,7 @@
     async fn window(&self, label: &str, load: impl Future<Output = ()>) -> Window {
         tokio::time::sleep(SETTLE).await;
         let before = self.read().await;
-        let (_, ()) = futures_util::join!(tokio::time::sleep(WINDOW), load);
+        let ((), ()) = futures_util::join!(tokio::time::sleep(WINDOW), load);
         let after = self.read().await;
         let seconds = (after.at - before.at).as_secs_f64();
         let rate = |late: f64, early: f64| (late - early) / seconds;
@@ -86,8 +86,6 @@
     println!("slope of the owner's ms/s: {slope:.4} per {name}, {base:.1} at none");
 }
 
-async fn idle() {}
-
 /// Measures one domain against its size and load, and prints.
 pub async fn domain() {
     println!(
@@ -129,7 +127,7 @@
     let mut points = Vec::new();
     for count in [10, 50, 105, DOMAIN_WORKERS] {
         resize(probe, count, 6).await;
-        let window = probe.window(&count.to_string(), idle()).await;
+        let window = probe.window(&count.to_string(), std::future::ready(())).await;
         points.push((count as f64, window.owner_ms));
     }
     slope("worker", &points);
@@ -140,7 +138,7 @@
     let mut points = Vec::new();
     for count in [6, 25, TEAMS] {
         resize(probe, DOMAIN_WORKERS, count).await;
-        let window = probe.window(&count.to_string(), idle()).await;
+        let window = probe.window(&count.to_string(), std::future::ready(())).await;
         points.push((count as f64, window.owner_ms));
     }
     slope("team", &points);
@@ -186,14 +184,13 @@
     let address = probe.cell.http_address(0);
     let mut total = 0;
     for each in [0, 10, 26] {
-        let wanted = DOMAIN_WORKERS as u32 * each;
-        while total < wanted {
+        while total < DOMAIN_WORKERS * each {
             load::submit(&address, &format!("long-{total}"), 105, 0).await;
             total += 105;
         }
-        probe.cell.until_running(DOMAIN_WORKERS, u64::from(total)).await;
-        let window = probe.window(&each.to_string(), idle()).await;
-        points.push((f64::from(each), window.owner_ms));
+        probe.cell.until_running(DOMAIN_WORKERS, total as u64).await;
+        let window = probe.window(&each.to_string(), std::future::ready(())).await;
+        points.push((each as f64, window.owner_ms));
     }
     slope("task a worker", &points);
 }
