Delete a recorded identifier only at the version that was written

Cause: the row of a non-idempotent request that was surely not run was deleted without a check, so that a late delete could remove the row of a later sending (found by reading; no run showed it).

--- a/crates/entry/src/control/handle.rs
+++ b/crates/entry/src/control/handle.rs
@@ -51,10 +51,10 @@
     Place(SlotPlacement, Reply<Result<PlacedGrant, PeerRefusal>>),
     /// Give a slot back; false if the request may still run.
     Release(PlacedGrant, bool),
-    /// Insert the identifier of a non-idempotent request.
-    Insert(TeamName, RequestId, Reply<Result<(), PeerRefusal>>),
+    /// Insert the identifier of a non-idempotent request; answers the row's version.
+    Insert(TeamName, RequestId, Reply<Result<u64, PeerRefusal>>),
     /// Delete an inserted identifier whose request was surely not run.
-    Erase(TeamName, RequestId, Reply<()>),
+    Erase(TeamName, RequestId, u64, Reply<()>),
     /// Accept a job.
     Submit(JobSpec, QueueAccess, Reply<Result<SubmitReply, PeerRefusal>>),
     /// Read a job's record.
@@ -97,8 +97,8 @@
                     reply,
                 );
             }
-            ControlCall::Erase(team, request, reply) => {
-                let erase = async move { once::erase(&control, &team, &request).await };
+            ControlCall::Erase(team, request, version, reply) => {
+                let erase = async move { once::erase(&control, &team, &request, version).await };
                 answer_by(&self.control, erase, reply);
             }
             ControlCall::Submit(spec, access, reply) => {
--- a/crates/entry/src/control/once.rs
+++ b/crates/entry/src/control/once.rs
@@ -29,7 +29,8 @@
 /// Tries of a transaction that surely had no effect.
 const TXN_TRIES: u32 = 3;
 
-type InsertReply = oneshot::Sender<Result<(), PeerRefusal>>;
+/// Answers with the version of the row, by which it can be deleted.
+type InsertReply = oneshot::Sender<Result<u64, PeerRefusal>>;
 
 /// Identifiers that wait to be inserted.
 #[derive(Debug, Default)]
@@ -57,7 +58,7 @@
     control: &Control,
     team: &TeamName,
     request: &RequestId,
-) -> oneshot::Receiver<Result<(), PeerRefusal>> {
+) -> oneshot::Receiver<Result<u64, PeerRefusal>> {
     let (sender, receiver) = oneshot::channel();
     let queue = &mut control.state_mut().inserts.waiting;
     if queue.len() < QUEUE_BOUND {
@@ -70,8 +71,13 @@
 }
 
 /// Deletes an identifier that was inserted and surely not run, so that a retry may run it.
-pub async fn erase(control: &Control, team: &TeamName, request: &RequestId) {
-    let txn = TableTxn { deletes: vec![row_key(team, request)], ..TableTxn::default() };
+///
+/// Only the row of that version goes: a delete that is late must not remove the
+/// row of a later sending, which could then be dispatched twice.
+pub async fn erase(control: &Control, team: &TeamName, request: &RequestId, version: u64) {
+    let key = row_key(team, request);
+    let checks = vec![RowCheck { key: key.clone(), version }];
+    let txn = TableTxn { checks, deletes: vec![key], ..TableTxn::default() };
     if let Err(report) = control.platform.transact(&txn, TXN_TIMEOUT).await {
         log::debug!("identifier {request} stays marked as dispatched: {report:#}");
     }
@@ -108,8 +114,9 @@
         let txn = TableTxn { checks: checks.collect(), puts: puts.collect(), deletes: Vec::new() };
         match control.platform.transact(&txn, TXN_TIMEOUT).await {
             Ok(reply) if reply.committed => {
+                let version = reply.version;
                 for (_, reply) in batch.drain(..) {
-                    let _ = reply.send(Ok(()));
+                    let _ = reply.send(Ok(version));
                 }
             }
             Ok(reply) => {
@@ -181,16 +188,13 @@
     };
     let mut absent = Vec::new();
     for (key, sender) in batch {
-        let found = reply.rows.iter().find(|found| found.key == key);
-        match found.map(|found| serde_json::from_value::<InsertRow>(found.value.clone())) {
-            Some(Ok(present)) if present == *row => {
-                let _ = sender.send(Ok(()));
-            }
-            Some(_) => {
-                let _ = sender.send(Err(duplicate()));
-            }
-            None => absent.push((key, sender)),
-        }
+        let Some(found) = reply.rows.iter().find(|found| found.key == key) else {
+            absent.push((key, sender));
+            continue;
+        };
+        let present = serde_json::from_value::<InsertRow>(found.value.clone());
+        let is_own = present.is_ok_and(|present| present == *row);
+        let _ = sender.send(if is_own { Ok(found.version) } else { Err(duplicate()) });
     }
     refuse_all(absent);
 }
--- a/crates/entry/src/http/request.rs
+++ b/crates/entry/src/http/request.rs
@@ -155,19 +155,18 @@
 
 async fn run(traffic: &Traffic, request: &CallerRequest) -> Result<web::Bytes, PeerRefusal> {
     traffic.budget.borrow_mut().earn();
-    let recorded = !request.idempotent && request.chosen;
-    let team = &request.access.team;
-    if recorded {
-        let call = |reply| ControlCall::Insert(team.clone(), request.id.clone(), reply);
-        traffic.shared.control.request(call).await?;
+    if request.idempotent || !request.chosen {
+        return attempt_all(traffic, request).await;
     }
+    let (team, id) = (request.access.team.clone(), request.id.clone());
+    let insert = |reply| ControlCall::Insert(team.clone(), id.clone(), reply);
+    let version = traffic.shared.control.request(insert).await?;
     let result = attempt_all(traffic, request).await;
-    if recorded
-        && let Err(refusal) = &result
+    if let Err(refusal) = &result
         && refusal.kind.answer().outcome == RequestOutcome::NotRun
     {
-        let call = |reply| ControlCall::Erase(team.clone(), request.id.clone(), reply);
-        traffic.shared.control.ask(call).await;
+        let erase = |reply| ControlCall::Erase(team, id, version, reply);
+        traffic.shared.control.ask(erase).await;
     }
     result
 }
