Share the program around the three stand-ins, and test what was untested

New tests: checkpoint, throttle and lagged usage of the worker, objects and the lagging VM list of the platform.

--- a/standins/platform/src/lib.rs
+++ b/standins/platform/src/lib.rs
@@ -359,6 +359,16 @@
     handle: ServerHandle,
 }
 
+impl standin_common::RunningServer for RunningStandin {
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    async fn stop(self) {
+        self.stop().await;
+    }
+}
+
 impl RunningStandin {
     /// Returns the address that it listens on.
     #[must_use]
--- a/standins/platform/tests/platform.rs
+++ b/standins/platform/tests/platform.rs
@@ -80,3 +80,26 @@
     let (_, read) = post(&running, "/table/read", json!({"keys": ["a"]})).await.unwrap();
     assert_eq!(read["rows"], json!([]));
 }
+
+/// Objects must come back as they were stored, and the VM list must lag, or an
+/// owner that trusts a fresh list would pass its tests.
+#[actix_web::test]
+async fn objects_are_kept_and_the_vm_list_lags() {
+    let running = start(&json!({"address": "127.0.0.1:0", "vm_lag_ms": 400}));
+    let url = |path: &str| format!("http://{}{path}", running.address());
+    let client = awc::Client::new();
+    assert!(client.get(url("/objects/o1")).send().await.unwrap().status().is_client_error());
+    let stored = client.put(url("/objects/o1")).send_body("body").await.unwrap();
+    assert!(stored.status().is_success());
+    let body = client.get(url("/objects/o1")).send().await.unwrap().body().await.unwrap();
+    assert_eq!(&body[..], b"body");
+    let list = json!({"vms": [{"name": "w1", "state": "leaving"}]});
+    post(&running, "/admin/vms", list.clone()).await.unwrap();
+    let vms = async || {
+        let mut reply = client.get(url("/vms")).send().await.unwrap();
+        reply.json::<Value>().await.unwrap()
+    };
+    assert_eq!(vms().await, json!({"vms": []}), "a change shows late");
+    actix_web::rt::time::sleep(std::time::Duration::from_millis(700)).await;
+    assert_eq!(vms().await, list);
+}
--- a/standins/proxy/src/lib.rs
+++ b/standins/proxy/src/lib.rs
@@ -398,6 +398,16 @@
     stopping: CancellationToken,
 }
 
+impl standin_common::RunningServer for RunningStandin {
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    async fn stop(self) {
+        self.stop().await;
+    }
+}
+
 impl RunningStandin {
     /// Returns the address of the admin API.
     #[must_use]
--- a/standins/worker/src/lib.rs
+++ b/standins/worker/src/lib.rs
@@ -608,6 +608,16 @@
     stopping: CancellationToken,
 }
 
+impl standin_common::RunningServer for RunningStandin {
+    fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    async fn stop(self) {
+        self.stop().await;
+    }
+}
+
 impl RunningStandin {
     /// Returns the address that it listens on.
     #[must_use]
--- a/standins/worker/tests/worker.rs
+++ b/standins/worker/tests/worker.rs
@@ -249,3 +249,31 @@
     assert_eq!(slots, json!([{"team": "t", "slots": 1}]));
     assert_eq!(worker.renew(1, None).await["slots_by_team"], json!([]));
 }
+
+/// Moving work and slowing it down are tested only if a checkpoint ends a task
+/// and a throttled one takes longer.
+#[actix_rt::test]
+async fn checkpoint_ends_and_throttle_slows() {
+    let worker = TestWorker::start(json!({ "usage_lag_ms": 300 })).await;
+    worker.lease(30_000).await;
+    let small = json!({"amounts": {"cpu_millis": 1000}, "payload": {"usage": {"cpu_millis": 700}}});
+    worker.start_task(0, small).await;
+    let slow = json!({"amounts": {"cpu_millis": 1000}, "payload": {"run_ms": 1000}});
+    worker.start_task(1, slow).await;
+    let stop = |index: u32, mode: &str| {
+        let authority = json!({"term": 1, "handover": 0});
+        json!({"authority": authority, "task": {"job": "j", "index": index}, "mode": mode})
+    };
+    worker.post("/v1/stop", stop(1, "throttle")).await;
+    let fresh = worker.renew(1, None).await["tasks"][0]["usage"].clone();
+    assert_eq!(fresh["cpu_millis"], 0, "usage is reported with a lag");
+    sleep(1200).await;
+    let report = worker.renew(1, None).await;
+    assert_eq!(report["running"], 2, "the throttled task goes on beyond its run time");
+    assert_eq!(report["tasks"][0]["usage"]["cpu_millis"], 700);
+    worker.post("/v1/stop", stop(0, "checkpoint")).await;
+    sleep(1500).await;
+    let ended = worker.renew(1, None).await["ended"].clone();
+    assert_eq!(ended[0]["end"], "checkpointed");
+    assert_eq!(ended[1]["end"], "done");
+}
