Use the usual terms for expiry, requester, predecessor and exemption

Leases expired and lapsed side by side; the asker of a promise is the requester, the giver of a handover the predecessor, and voters whose promise is not needed are exempt.

--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -25,7 +25,7 @@
 const SAMPLE_MS: u64 = 2_000;
 /// Milliseconds until a start is confirmed: a round trip inside a domain.
 const CONFIRM_MS: u64 = 6;
-/// Milliseconds until allotment has moved: the asker's mark is read, then two writes.
+/// Milliseconds until allotment has moved: the requester's mark is read, then two writes.
 const ALLOT_MS: u64 = 700;
 /// Milliseconds until the owner of another domain has a job that moves to it.
 const MOVE_MS: u64 = 50;
@@ -490,7 +490,7 @@
 
     /// Moves a chunk of a team's limit from the cell with the most headroom
     /// (docs/design.md, section 5).
-    fn move_allotment(&mut self, asker: usize, team: &TeamName) {
+    fn move_allotment(&mut self, requester: usize, team: &TeamName) {
         let limit = self.list.set.limits.iter().find(|limit| limit.team == *team);
         let Some(limit) = limit.map(|limit| limit.amounts) else { return };
         let chunk = ResourceAmounts::from_array(limit.as_array().map(|amount| amount / 16));
@@ -498,16 +498,16 @@
             let held = self.allotments.get(&(team.clone(), cell)).copied().unwrap_or_default();
             held.minus(self.cells[cell].team_use(team)).min(chunk)
         };
-        let others = (0..self.cells.len()).filter(|cell| *cell != asker);
+        let others = (0..self.cells.len()).filter(|cell| *cell != requester);
         let donor = others.max_by(|left, right| {
             spare(*left).dominant_share(limit).total_cmp(&spare(*right).dominant_share(limit))
         });
         let Some(donor) = donor else { return };
         let moved = spare(donor);
         let kept = self.allotments[&(team.clone(), donor)].minus(moved);
-        let raised = self.allotments[&(team.clone(), asker)].plus(moved);
+        let raised = self.allotments[&(team.clone(), requester)].plus(moved);
         self.allot(donor, team, kept);
-        self.allot(asker, team, raised);
+        self.allot(requester, team, raised);
     }
 
     fn set_domain(&mut self, state: DomainState) {
--- a/crates/coord/src/owner.rs
+++ b/crates/coord/src/owner.rs
@@ -38,7 +38,7 @@
 /// Milliseconds after which a request to prepare for a handover counts as refused.
 pub const PREPARE_TIMEOUT_MS: u64 = 600;
 /// Milliseconds that a prepared process waits for the handover. Longer than
-/// the giver waits for the answer, so that a slow answer is still of use.
+/// the predecessor waits for the answer, so that a slow answer is still of use.
 pub const PREPARED_TTL_MS: u64 = 2_000;
 
 /// Identifies one write or read that the machine asked for.
@@ -181,9 +181,9 @@
         /// Version of the row as last known, for the successor to go on from.
         version: u64,
         /// The row. Its candidates are those that an unconfirmed write of the
-        /// giver may have made voters.
+        /// predecessor may have made voters.
         row: Box<OwnerRow>,
-        /// Milliseconds since the instant on which the giver's lease rests.
+        /// Milliseconds since the instant on which the predecessor's lease rests.
         lease_age_ms: u64,
     },
     /// This entry now owns the domain.
--- a/crates/coord/src/owner/holder.rs
+++ b/crates/coord/src/owner/holder.rs
@@ -69,8 +69,8 @@
     /// When each voter last gave a sign of life.
     pub(super) heard: EntryInstants,
     /// Voters that cannot claim any more, so that their promise is not needed.
-    excused: SmallVec<[EntryId; 4]>,
-    /// Voters and possible voters that the giver named.
+    exempted: SmallVec<[EntryId; 4]>,
+    /// Voters and possible voters that the predecessor named.
     given_voters: SmallVec<[EntryId; 4]>,
     /// A request to prepare for a handover that has no answer yet.
     preparing: Option<HandoverOffer>,
@@ -96,7 +96,7 @@
     ///
     /// Until this entry has renewed, its lease rests on that instant: no voter
     /// can have seen the row earlier, so none claims within `OWNER_TTL` of it.
-    /// The giver's lease would not do, because the message may take any time.
+    /// The predecessor's lease would not do, because the message may take any time.
     pub(super) fn given(
         now: ClockMillis,
         authority: OwnerAuthority,
@@ -116,7 +116,7 @@
             next_ask: now,
             promises: SmallVec::new(),
             heard: SmallVec::new(),
-            excused: SmallVec::new(),
+            exempted: SmallVec::new(),
             given_voters: SmallVec::new(),
             preparing: None,
             offer: None,
@@ -126,15 +126,15 @@
         }
     }
 
-    /// Takes the voters of a given row; excuses a giver that left them, which it
+    /// Takes the voters of a given row; exempts a predecessor that left them, which it
     /// does when it drains.
     pub(super) fn take_given(&mut self, row: &OwnerRow) {
         let voters = row.voters.iter().chain(&row.candidates);
         self.given_voters = voters.map(|voter| voter.entry.clone()).collect();
-        if let Some(giver) = &row.holder
-            && !view::contains(&row.voters, &giver.entry)
+        if let Some(predecessor) = &row.holder
+            && !view::contains(&row.voters, &predecessor.entry)
         {
-            self.excused.push(giver.entry.clone());
+            self.exempted.push(predecessor.entry.clone());
         }
     }
 
@@ -186,7 +186,7 @@
     /// Returns every entry that may be a voter and could still claim.
     ///
     /// Writes without a reply count as well: they may have made voters of
-    /// candidates. So do the candidates that the giver of a handover named.
+    /// candidates. So do the candidates that the predecessor of a handover named.
     pub(super) fn required_voters(&self, state: &HolderState) -> Vec<&EntryMember> {
         let written = self.attempts.iter().flat_map(|attempt| &attempt.row.voters);
         let given = self.view.row.as_deref().filter(|_| state.base.is_none());
@@ -196,7 +196,7 @@
             .filter(|member| state.given_voters.contains(&member.entry));
         let mut voters: Vec<&EntryMember> = Vec::new();
         for voter in self.other_voters().chain(written).chain(candidates) {
-            let counts = voter.entry != self.member.entry && !state.excused.contains(&voter.entry);
+            let counts = voter.entry != self.member.entry && !state.exempted.contains(&voter.entry);
             if counts && !voters.iter().any(|known| known.entry == voter.entry) {
                 voters.push(voter);
             }
@@ -204,7 +204,7 @@
         voters
     }
 
-    /// Excuses voters that the giver had excused but a row written before the
+    /// Exempts voters that the predecessor had exempted but a row written before the
     /// handover still lists.
     pub(super) fn excuse_dropped(&mut self) {
         let OwnerRole::Holder(state) = &self.role else { return };
@@ -214,19 +214,19 @@
         let dropped: Vec<EntryId> = self
             .other_voters()
             .filter(|voter| !state.given_voters.contains(&voter.entry))
-            .filter(|voter| !state.excused.contains(&voter.entry))
+            .filter(|voter| !state.exempted.contains(&voter.entry))
             .map(|voter| voter.entry.clone())
             .collect();
         if let OwnerRole::Holder(state) = &mut self.role {
-            state.excused.extend(dropped);
+            state.exempted.extend(dropped);
         }
     }
 
-    /// Excuses members that are proven dead from promising.
+    /// Exempts members that are proven dead from promising.
     ///
     /// Only while the lease runs: it shows that they have not claimed before
     /// they died.
-    pub(super) fn excuse_dead(&mut self, now: ClockMillis) {
+    pub(super) fn exempt_dead(&mut self, now: ClockMillis) {
         if self.lease(now).is_none() {
             return;
         }
@@ -238,7 +238,7 @@
             .map(|voter| voter.entry.clone())
             .collect();
         if let OwnerRole::Holder(state) = &mut self.role {
-            state.excused.extend(dead);
+            state.exempted.extend(dead);
         }
     }
 
@@ -367,7 +367,7 @@
 
     fn ask_promises(&mut self, now: ClockMillis, actions: &mut Vec<OwnerAction>) {
         let OwnerRole::Holder(state) = &self.role else { return };
-        // A successor asks at once: it cannot know whether the giver had contact.
+        // A successor asks at once: it cannot know whether the predecessor had contact.
         let away = state.failures >= AWAY_FAILURES || state.base.is_none();
         if !away || now < state.next_ask {
             return;
@@ -397,7 +397,7 @@
         let OwnerRole::Holder(state) = &self.role else { return None };
         let row = self.view.row.as_deref()?;
         let leaves = |entry: &EntryId| {
-            let gone = self.proofs.is_dead(entry) || state.excused.contains(entry);
+            let gone = self.proofs.is_dead(entry) || state.exempted.contains(entry);
             *entry != self.member.entry && (gone || state.is_silent(now, entry))
         };
         let kept = row.voters.iter().filter(|voter| !leaves(&voter.entry));
@@ -447,7 +447,7 @@
         let OwnerRole::Holder(state) = &self.role else { return None };
         let fits = |entry: &EntryId| {
             !state.refused.contains(entry)
-                && !state.excused.contains(entry)
+                && !state.exempted.contains(entry)
                 && !self.proofs.is_dead(entry)
         };
         self.other_voters()
@@ -541,7 +541,7 @@
             .collect();
         let leaves = |entry: &EntryId| {
             let is_own = *entry == self.member.entry;
-            state.excused.contains(entry) || is_own && self.draining
+            state.exempted.contains(entry) || is_own && self.draining
         };
         row.voters.retain(|voter| !leaves(&voter.entry));
         row.holder = Some(self.member.clone());
--- a/crates/coord/src/owner/machine.rs
+++ b/crates/coord/src/owner/machine.rs
@@ -133,12 +133,12 @@
                 let answer =
                     PeerAnswer { entry: entry_ref, address: &address, asked, authority, may_hold };
                 self.proofs.peer_seen(now, &answer);
-                self.excuse_dead(now);
+                self.exempt_dead(now);
                 self.note_alive(now, &entry);
             }
             OwnerEvent::VmGone { vm } => {
                 self.proofs.vm_gone(now, &vm);
-                self.excuse_dead(now);
+                self.exempt_dead(now);
             }
             OwnerEvent::PrepareDone { authority, prepared } => {
                 self.prepare_done(now, authority, prepared, &mut actions);
@@ -235,7 +235,7 @@
     /// From now on until the handover is over or has not come in time, this
     /// entry tells its peers that it may hold the domain, so that none claims.
     ///
-    /// The giver chose `to` because a member of the row had its address and VM;
+    /// The predecessor chose `to` because a member of the row had its address and VM;
     /// only at those do entries that could claim look for a successor.
     pub fn prepare(
         &mut self,
@@ -275,8 +275,8 @@
     /// Returns the instant on which the lease rests after a handover of a row.
     ///
     /// A voter has read the row itself. A process that is not a voter has
-    /// prepared before the giver sent `lease_age_ms`, so that the instant so
-    /// far before its preparation is not later than the giver's.
+    /// prepared before the predecessor sent `lease_age_ms`, so that the instant so
+    /// far before its preparation is not later than the predecessor's.
     fn lease_basis(
         &self,
         now: ClockMillis,
--- a/crates/coord/tests/allotment.rs
+++ b/crates/coord/tests/allotment.rs
@@ -62,7 +62,7 @@
     assert_eq!(step(100, &capacities, (0, 0), None), (0, Some(split), true));
 }
 
-/// Guards against moves that exceed the sum, the chunk or what the giver needs.
+/// Guards against moves that exceed the sum, the chunk or what the lending domain needs.
 #[test]
 fn demand_moves_chunks() {
     let capacities = [("a", 1), ("b", 1)];
--- a/crates/coord/tests/cluster/mod.rs
+++ b/crates/coord/tests/cluster/mod.rs
@@ -48,19 +48,19 @@
 enum Delivery {
     Event(OwnerEvent),
     Promise {
-        asker: usize,
+        requester: usize,
         token: u64,
         holder: EntryId,
         authority: OwnerAuthority,
         ttl_ms: u64,
     },
     Prepare {
-        giver: usize,
+        predecessor: usize,
         to: EntryMember,
         authority: OwnerAuthority,
     },
     HandOver {
-        giver: usize,
+        predecessor: usize,
         authority: OwnerAuthority,
         version: u64,
         row: Box<OwnerRow>,
@@ -441,25 +441,25 @@
         let clock = process.clock(now);
         let actions = match delivery {
             Delivery::Event(event) => process.machine.on(clock, event),
-            Delivery::Promise { asker, token, holder, authority, ttl_ms } => {
+            Delivery::Promise { requester, token, holder, authority, ttl_ms } => {
                 let given = process.machine.promise(clock, &holder, authority, ttl_ms);
                 let voter = process.member.entry.clone();
                 let event = OwnerEvent::PromiseReply { token, voter, given };
-                self.send(index, asker, Delivery::Event(event));
+                self.send(index, requester, Delivery::Event(event));
                 return;
             }
-            Delivery::Prepare { giver, to, authority } => {
+            Delivery::Prepare { predecessor, to, authority } => {
                 let prepared = process.machine.prepare(clock, &to, authority);
                 let event = OwnerEvent::PrepareDone { authority, prepared };
-                self.send(index, giver, Delivery::Event(event));
+                self.send(index, predecessor, Delivery::Event(event));
                 return;
             }
-            Delivery::HandOver { giver, authority, version, row, lease_age_ms } => {
+            Delivery::HandOver { predecessor, authority, version, row, lease_age_ms } => {
                 let actions =
                     process.machine.take_over(clock, authority, version, row, lease_age_ms);
                 let accepted = Some(!actions.is_empty());
                 let event = OwnerEvent::HandoverDone { authority, accepted };
-                self.send(index, giver, Delivery::Event(event));
+                self.send(index, predecessor, Delivery::Event(event));
                 actions
             }
         };
@@ -479,9 +479,10 @@
                 self.call_platform(index, PlatformCall::Write { token, version, row }, failure);
             }
             OwnerAction::AskPromise { token, voter, authority, ttl_ms } => {
-                let Some(asker) = self.processes[index].as_ref() else { return };
-                let holder = asker.member.entry.clone();
-                let delivery = Delivery::Promise { asker: index, token, holder, authority, ttl_ms };
+                let Some(requester) = self.processes[index].as_ref() else { return };
+                let holder = requester.member.entry.clone();
+                let delivery =
+                    Delivery::Promise { requester: index, token, holder, authority, ttl_ms };
                 if let Some(target) = self.find(&voter.entry) {
                     self.send(index, target, delivery);
                 }
@@ -489,7 +490,11 @@
             OwnerAction::Prepare { to, authority } => {
                 self.note(&format!("prepare {} for {authority}", to.entry));
                 if let Some(target) = self.find(&to.entry) {
-                    self.send(index, target, Delivery::Prepare { giver: index, to, authority });
+                    self.send(
+                        index,
+                        target,
+                        Delivery::Prepare { predecessor: index, to, authority },
+                    );
                 }
             }
             OwnerAction::HandOver { to, authority, version, row, lease_age_ms } => {
@@ -504,7 +509,13 @@
                 self.send(
                     index,
                     target,
-                    Delivery::HandOver { giver: index, authority, version, row, lease_age_ms },
+                    Delivery::HandOver {
+                        predecessor: index,
+                        authority,
+                        version,
+                        row,
+                        lease_age_ms,
+                    },
                 );
                 let delivery = Delivery::Event(unanswered);
                 self.schedule(900, Happening::Deliver { process: index, delivery });
--- a/crates/coord/tests/owner_table.rs
+++ b/crates/coord/tests/owner_table.rs
@@ -318,7 +318,7 @@
     assert_eq!(names, ["b", "c"]);
 }
 
-/// Guards against a giver that acts while its successor may act.
+/// Guards against a predecessor that acts while its successor may act.
 #[test]
 fn handover_suspends_the_lease() {
     for (accepted, lease) in [(Some(false), Some((1, 0))), (Some(true), None), (None, None)] {
@@ -501,7 +501,7 @@
 #[test]
 fn write_of_an_earlier_tenure_renews_nothing() {
     let (mut bench, earlier) = holder_again(true);
-    assert_eq!(bench.lease(), None, "the giver's row is too old");
+    assert_eq!(bench.lease(), None, "the predecessor's row is too old");
     // The read is answered; the write that follows it is not.
     (bench.away, bench.replies) = (false, 0);
     let written = bench.writes.len();
--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -6,7 +6,7 @@
 /// Counts milliseconds on a clock that never goes back.
 ///
 /// The clock goes on while the VM is suspended (`CLOCK_BOOTTIME`), so that a
-/// lease has lapsed after a suspension that outlasted it. `std::time::Instant`
+/// lease has expired after a suspension that outlasted it. `std::time::Instant`
 /// stands still meanwhile.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ProcessClock;
--- a/crates/entry/src/control/cells.rs
+++ b/crates/entry/src/control/cells.rs
@@ -140,7 +140,7 @@
     };
     drop(state);
     if !sent {
-        // The asker is gone, so that nobody else would give the slot back.
+        // The requester is gone, so that nobody else would give the slot back.
         requests::end_ticket(control, ticket, true);
     }
 }
--- a/crates/entry/src/control/domain.rs
+++ b/crates/entry/src/control/domain.rs
@@ -215,7 +215,7 @@
         .map(|worker| (worker.name.clone(), worker.address.clone()))
         .collect();
     for (name, link) in &mut domain.links {
-        // A worker that is removed, or has another VM, may run tasks until its lease lapses.
+        // A worker that is removed, or has another VM, may run tasks until its lease expires.
         link.removed = present.get(name) != Some(&link.address);
     }
     for (name, address) in present {
--- a/crates/entry/src/control/handle.rs
+++ b/crates/entry/src/control/handle.rs
@@ -134,7 +134,7 @@
     }
 }
 
-/// Runs a call on the control thread and sends its result, unless the asker has gone.
+/// Runs a call on the control thread and sends its result, unless the requester has gone.
 fn answer_by<T: 'static>(
     control: &Control,
     call: impl Future<Output = T> + 'static,
--- a/crates/entry/src/control/requests.rs
+++ b/crates/entry/src/control/requests.rs
@@ -51,9 +51,9 @@
     pub not_after: ClockMillis,
     /// When it was granted.
     pub granted_at: ClockMillis,
-    /// Latest start that the asker named.
+    /// Latest start that the requester named.
     pub start_by: ClockMillis,
-    /// When the asker said that it got no usable answer.
+    /// When the requester said that it got no usable answer.
     pub abandoned_at: Option<ClockMillis>,
     /// Whether the worker was asked for a report because of this grant.
     pub report_asked: bool,
@@ -62,7 +62,7 @@
 impl GrantRecord {
     /// Tells whether the lost slot counts against the worker.
     ///
-    /// An asker that is cut off says nothing about the worker, and neither does
+    /// An requester that is cut off says nothing about the worker, and neither does
     /// an attempt that had little time left when it was granted. Counting these
     /// would quarantine every worker of a domain under overload or in a partition.
     fn shows_worker_fault(&self) -> bool {
@@ -96,11 +96,11 @@
 
     /// Passes a refusal on.
     pub fn refuse(self, refusal: PeerRefusal) {
-        // An asker that has gone away needs no refusal.
+        // An requester that has gone away needs no refusal.
         let _ = self.sender.send(Err(refusal));
     }
 
-    /// Tells the asker that this entry owns the domain no more.
+    /// Tells the requester that this entry owns the domain no more.
     pub fn refuse_no_owner(self) {
         self.refuse(PeerRefusal::new(ErrorKind::NoOwner, "this entry does not own the domain"));
     }
--- a/crates/entry/src/control/workers.rs
+++ b/crates/entry/src/control/workers.rs
@@ -23,7 +23,7 @@
 /// Milliseconds between renewals of one worker's lease.
 ///
 /// Two seconds keep a node's control traffic at about 0.4 KB/s, and three
-/// renewals may be lost before the lease lapses.
+/// renewals may be lost before the lease expires.
 const RENEW_MS: u64 = 1_000;
 /// Milliseconds until a failed renewal is tried again.
 const RENEW_RETRY_MS: u64 = 250;
@@ -76,7 +76,7 @@
     /// Address of the worker.
     pub address: String,
     /// Whether the configuration no longer names this worker at this address. Its
-    /// lease is not renewed, and the link ends when the lease has surely lapsed.
+    /// lease is not renewed, and the link ends when the lease has surely expired.
     pub removed: bool,
     boot: Option<BootId>,
     /// The worker's clock in its last report, and when that report was received.
@@ -168,7 +168,7 @@
     }
     for event in events {
         if let CellEvent::WorkerLost(worker) = &event {
-            log::warn!("worker lost worker={worker}: its lease has lapsed");
+            log::warn!("worker lost worker={worker}: its lease has expired");
             requests::drop_grants(control, worker);
         }
         cells::feed(control, event);
@@ -265,7 +265,7 @@
 
 /// What a report brings to the cell.
 #[derive(Default)]
-struct ReportNews {
+struct ReportEffects {
     events: Vec<CellEvent>,
     rebooted: bool,
 }
@@ -279,7 +279,7 @@
 ) {
     let now = control.now();
     let (clock, slots) = (report.clock, report.slots_by_team.clone());
-    let news = with_link(control, name, |link| {
+    let effects = with_link(control, name, |link| {
         link.calling = false;
         let rebooted = link.boot.as_ref().is_some_and(|boot| *boot != report.boot);
         let leased = call.boot.as_ref() == Some(&report.boot) && call.not_after.is_some();
@@ -291,28 +291,28 @@
             link.need_full = true;
         }
         link.report = Some((report.clock, now));
-        let mut news = ReportNews { rebooted, ..ReportNews::default() };
-        news.events.extend(take_ends(link, name, &report.ended));
+        let mut effects = ReportEffects { rebooted, ..ReportEffects::default() };
+        effects.events.extend(take_ends(link, name, &report.ended));
         if !leased {
             // The worker has no lease of this owner yet and would refuse a start.
             link.next_call = now;
-            return news;
+            return effects;
         }
         link.health = LinkHealth::Heard;
         link.next_call = now + RENEW_MS;
-        news.events.extend(settle_starts(link, &report));
+        effects.events.extend(settle_starts(link, &report));
         if report.tasks.is_some() {
             link.need_full = false;
         }
-        news.events.push(CellEvent::WorkerReported(update(link, name, report, sent_at)));
-        news
+        effects.events.push(CellEvent::WorkerReported(update(link, name, report, sent_at)));
+        effects
     });
-    let Some(news) = news else { return };
-    if news.rebooted {
+    let Some(effects) = effects else { return };
+    if effects.rebooted {
         log::warn!("worker restarted worker={name}: nothing of before runs there");
         requests::drop_grants(control, name);
     }
-    for event in news.events {
+    for event in effects.events {
         cells::feed(control, event);
     }
     requests::reclaim(control, name, clock, &slots);
@@ -325,7 +325,7 @@
         let end = match report.end {
             TaskEnd::Done => EndKind::Done,
             TaskEnd::Failed => EndKind::Failed,
-            TaskEnd::Stopped | TaskEnd::LeaseLapsed => EndKind::Stopped,
+            TaskEnd::Stopped | TaskEnd::LeaseExpired => EndKind::Stopped,
             TaskEnd::Checkpointed => EndKind::Checkpointed,
         };
         if end == EndKind::Done {
--- a/crates/policy/src/cell.rs
+++ b/crates/policy/src/cell.rs
@@ -72,7 +72,7 @@
     /// domain may have used for a task that no worker reports; 0 for the first owner.
     ///
     /// The cell cannot know of workers that were removed from the configuration
-    /// before its first event. Until their leases have lapsed, what they run is
+    /// before its first event. Until their leases have expired, what they run is
     /// counted only if the earlier owner handed over with [`Cell::export`].
     #[must_use]
     pub fn new(domain: DomainName, seed: u64, attempt_base: u32) -> Self {
--- a/crates/policy/src/event.rs
+++ b/crates/policy/src/event.rs
@@ -93,7 +93,7 @@
     WorkerReported(WorkerUpdate),
     /// A worker has not reported for a while; nothing new is placed on it.
     WorkerSilent(WorkerName),
-    /// A worker's lease has surely lapsed: nothing runs there, tasks may restart elsewhere.
+    /// A worker's lease has surely expired: nothing runs there, tasks may restart elsewhere.
     WorkerLost(WorkerName),
     /// The platform's list says that a worker is leaving.
     WorkerLeaving(WorkerName),
--- a/crates/policy/src/status.rs
+++ b/crates/policy/src/status.rs
@@ -16,7 +16,7 @@
     Unreported,
     /// It has not reported for a while.
     Silent,
-    /// Its lease has lapsed.
+    /// Its lease has expired.
     Lost,
     /// It is about to leave.
     Leaving,
--- a/crates/policy/src/worker.rs
+++ b/crates/policy/src/worker.rs
@@ -25,7 +25,7 @@
     Restarted,
     /// It has listed its tasks.
     Reported,
-    /// Its lease has lapsed; nothing runs there.
+    /// Its lease has expired; nothing runs there.
     Lost,
 }
 
--- a/crates/policy/tests/machine.rs
+++ b/crates/policy/tests/machine.rs
@@ -341,7 +341,7 @@
         self.send(CellEvent::WorkerReported(update));
     }
 
-    /// Lets a worker's lease lapse, so that it has stopped everything.
+    /// Lets a worker's lease expire, so that it has stopped everything.
     fn lose(&mut self, index: usize) {
         let worker = &mut self.workers[index];
         worker.tasks.clear();
@@ -456,7 +456,7 @@
             self.cell = Cell::new(domain, 1, self.owner * 1_000_000);
             self.open.clear();
             // A new owner does not know of workers that were removed before;
-            // their leases have lapsed here (see `Cell::new`).
+            // their leases have expired here (see `Cell::new`).
             for worker in self.workers.iter_mut().filter(|worker| worker.removed) {
                 worker.tasks.clear();
                 worker.requests.clear();
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -121,7 +121,7 @@
     pub row_version: u64,
     /// The ownership row.
     pub row: OwnerRow,
-    /// Milliseconds since the instant on which the giver's lease rests.
+    /// Milliseconds since the instant on which the predecessor's lease rests.
     pub lease_age_ms: u64,
     /// Version of the configuration in force.
     pub config_version: u64,
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -119,8 +119,8 @@
     Stopped,
     /// The task was checkpointed on order and can go on elsewhere.
     Checkpointed,
-    /// The worker's lease lapsed and it stopped the task itself.
-    LeaseLapsed,
+    /// The worker's lease expired and it stopped the task itself.
+    LeaseExpired,
 }
 
 /// An ended task as its worker reports it.
@@ -169,7 +169,7 @@
     WrongBoot,
     /// The call arrived after its `not_after`.
     Expired,
-    /// The worker's lease has lapsed.
+    /// The worker's lease has expired.
     NoLease,
     /// Not enough is free.
     NoCapacity,
--- a/standins/worker/src/lib.rs
+++ b/standins/worker/src/lib.rs
@@ -198,7 +198,7 @@
 
     /// Locks the state after ending what has to end by now.
     ///
-    /// No call may be judged by a lease that has lapsed but whose timer has not
+    /// No call may be judged by a lease that has expired but whose timer has not
     /// fired yet, as is the case after a pause of the process.
     fn state(&self) -> (MutexGuard<'_, WorkerState>, ClockMillis) {
         let mut state = self.raw_state();
@@ -207,11 +207,11 @@
         (state, now)
     }
 
-    /// Ends tasks whose time has come, and all tasks once the lease has lapsed.
+    /// Ends tasks whose time has come, and all tasks once the lease has expired.
     fn expire(&self, state: &mut WorkerState, now: ClockMillis) {
         // A lease is over at its end, not after it: the clock rounds down.
-        let lapsed = state.lease.filter(|end| *end <= now);
-        let until = lapsed.unwrap_or(now);
+        let expired = state.lease.filter(|end| *end <= now);
+        let until = expired.unwrap_or(now);
         let mut due: Vec<_> = state
             .tasks
             .iter()
@@ -222,9 +222,9 @@
         for ((_, end), task) in due {
             self.end_task(state, &task, end);
         }
-        if lapsed.is_some() {
+        if expired.is_some() {
             while let Some(task) = state.tasks.keys().next().cloned() {
-                self.end_task(state, &task, TaskEnd::LeaseLapsed);
+                self.end_task(state, &task, TaskEnd::LeaseExpired);
             }
             state.lease = None;
         }
@@ -364,7 +364,7 @@
         let accepted = Self::accept_authority(state, call.authority).is_some();
         if accepted && call.boot.as_ref() == Some(&state.boot) {
             state.ended.retain(|end| end.number > call.ack);
-            // An end in the past does not start a lease that would lapse at once.
+            // An end in the past does not start a lease that would expire at once.
             let not_after = call.not_after.filter(|end| *end > now);
             state.lease = state.lease.max(not_after);
             self.changed.notify_one();
--- a/standins/worker/tests/worker.rs
+++ b/standins/worker/tests/worker.rs
@@ -153,18 +153,18 @@
     sleep(300).await;
     assert_eq!(worker.renew(1, None).await["running"], 1, "the lease moved backwards");
     let under_way = async { worker.request("r", "1.0", json!({"run_ms": 2000})).await.status() };
-    let lapse = async {
+    let expire = async {
         sleep(1200).await;
         // Read from the history, so that no call has made the worker look at its clock.
         let records = std::fs::read_to_string(history.path()).unwrap();
-        assert!(records.lines().last().unwrap().contains(r#""end":"lease-lapsed""#), "{records}");
+        assert!(records.lines().last().unwrap().contains(r#""end":"lease-expired""#), "{records}");
         assert_eq!(worker.start_task(1, json!({})).await, "no-lease");
         worker.refused("1.0", "no-lease").await;
     };
-    let (status, ()) = tokio::join!(under_way, lapse);
+    let (status, ()) = tokio::join!(under_way, expire);
     assert_eq!(status, 200);
     let ended = &worker.renew(1, None).await["ended"];
-    assert_eq!(ended[0]["end"], "lease-lapsed");
+    assert_eq!(ended[0]["end"], "lease-expired");
 }
 
 /// More requests than slots or connections must be refused before anything is run.
--- a/testing/scenario/src/check/config.rs
+++ b/testing/scenario/src/check/config.rs
@@ -111,7 +111,7 @@
     /// Tells whether the entry may lag behind.
     ///
     /// An entry that reaches the platform reads the head there, so that a fault
-    /// between entries excuses it only while the platform is faulty as well.
+    /// between entries exemptions it only while the platform is faulty as well.
     fn is_excused(&self) -> bool {
         self.is_recent(Some(self.started))
             || self.is_recent(self.paused)
--- a/testing/scenario/src/check/stop.rs
+++ b/testing/scenario/src/check/stop.rs
@@ -68,7 +68,7 @@
 
 /// Promise 10: no request through an entry that is stopped as planned is interrupted.
 ///
-/// Callers talk to entries directly, so the death of another process excuses
+/// Callers talk to entries directly, so the death of another process exemptions
 /// nothing; a kill of the entry itself, a network fault and a paused process do.
 pub fn check_stops(history: &RunHistory) -> Vec<Violation> {
     let sendings = collect_sendings(history);
--- a/testing/scenario/src/check/work.rs
+++ b/testing/scenario/src/check/work.rs
@@ -6,7 +6,7 @@
 
 use crate::record::{RunHistory, RunnerEvent, SignalName};
 
-/// Time, in microseconds, in which a resumed worker must notice that its lease has lapsed.
+/// Time, in microseconds, in which a resumed worker must notice that its lease has expired.
 ///
 /// A stopped process runs nothing, but it can only write the end of its tasks
 /// once it is resumed.
--- a/testing/scenario/tests/checker.rs
+++ b/testing/scenario/tests/checker.rs
@@ -520,7 +520,7 @@
     }
 
     /// Guards against a check that finds fault with an entry that is cut off from
-    /// the platform, paused or new, and against one that excuses too much.
+    /// the platform, paused or new, and against one that exemptions too much.
     #[test]
     fn excused_entries() {
         let mut story = behind(9000);
