--- a/testing/scenario/tests/scenarios.rs
+++ b/testing/scenario/tests/scenarios.rs
@@ -81,6 +81,7 @@
     rolling_restart_under_load "rolling-restart-under-load";
     rolling_restart_with_job "rolling-restart-with-job";
     worker_cut_off_with_tasks "worker-cut-off-with-tasks";
+    worker_killed "worker-killed";
     worker_leaving "worker-leaving";
     worker_leaving_owner_killed "worker-leaving-owner-killed";
 }
