--- a/crates/policy/src/cell.rs
+++ b/crates/policy/src/cell.rs
@@ -52,8 +52,8 @@
     pub(crate) starts_left: usize,
     /// Preemptions in flight, counted by the work for which they make room.
     pub(crate) relief: usize,
-    /// No search for tasks to preempt before this instant.
-    pub(crate) preempt_after: ClockMillis,
+    /// No share is reclaimed before this instant.
+    pub(crate) reclaim_after: ClockMillis,
     /// Requests of an earlier owner that wait for the configuration.
     pub(crate) imported: VecDeque<RequestAsk>,
     /// Milliseconds that tasks of an earlier owner had run.
@@ -110,7 +110,7 @@
             stale: false,
             starts_left: 0,
             relief: 0,
-            preempt_after: ClockMillis(0),
+            reclaim_after: ClockMillis(0),
             imported: VecDeque::new(),
             ages: FixedMap::default(),
             arrived: None,
--- a/crates/policy/src/preempt.rs
+++ b/crates/policy/src/preempt.rs
@@ -61,28 +61,29 @@
     }
 
     fn preempt(&mut self, room: &RoomAsk, cause: PreemptCause, most: usize) {
-        if !self.rules.preemption || self.now < self.preempt_after {
+        if !self.rules.preemption
+            || self.now < self.teams.get(room.team).preempt_after[cause as usize]
+        {
             return;
         }
         while self.teams.get(room.team).relief < room.waiting && self.relief < most {
             let Some(victims) = self.find_victims(room, cause) else {
-                // Nothing will be found until more has changed than one event changes.
-                self.retry_preemption(rules::PASS_RETRY_MS);
+                // Little changes from one event to the next. The search of another
+                // team is not held up, since other tasks may yield to it.
+                let retry_at = self.now + rules::PASS_RETRY_MS;
+                self.teams.get_mut(room.team).preempt_after[cause as usize] = retry_at;
+                self.timers.set(retry_at, TimerKind::Pass);
                 return;
             };
             self.checkpoint_victims(&victims, room.team, cause);
             if cause == PreemptCause::Reclaim {
-                self.retry_preemption(rules::RECLAIM_INTERVAL_MS);
+                self.reclaim_after = self.now + rules::RECLAIM_INTERVAL_MS;
+                self.timers.set(self.reclaim_after, TimerKind::Pass);
                 return;
             }
         }
     }
 
-    fn retry_preemption(&mut self, delay: u64) {
-        self.preempt_after = self.now + delay;
-        self.timers.set(self.preempt_after, TimerKind::Pass);
-    }
-
     fn checkpoint_victims(&mut self, victims: &[HoldId], team: TeamIndex, cause: PreemptCause) {
         let reason = match cause {
             PreemptCause::Urgent | PreemptCause::OwnTeam => "preempted-by-urgent",
@@ -146,7 +147,7 @@
 
     /// Tells whether a team stays within its share with one more piece of work.
     fn is_below_share(&mut self, room: &RoomAsk) -> bool {
-        if self.now < self.preempt_after {
+        if self.now < self.reclaim_after {
             return false;
         }
         let active = self.active_weight();
--- a/crates/policy/src/team.rs
+++ b/crates/policy/src/team.rs
@@ -31,6 +31,8 @@
     pub(crate) wanted_at: Option<ClockMillis>,
     /// Preemptions in flight that make room for the team, one a piece of work.
     pub(crate) relief: usize,
+    /// No search for tasks that make room for the team before this instant, by cause.
+    pub(crate) preempt_after: [ClockMillis; 3],
 }
 
 /// All teams.
@@ -62,6 +64,7 @@
             preemptible: BTreeSet::new(),
             wanted_at: None,
             relief: 0,
+            preempt_after: [ClockMillis(0); 3],
         });
         self.by_name.insert(name.clone(), index);
         index
--- a/crates/policy/tests/task.rs
+++ b/crates/policy/tests/task.rs
@@ -270,6 +270,52 @@
     assert_eq!(stops(&decisions).len(), 1);
 }
 
+/// Guards against a team for which nothing can yield that holds up another.
+#[test]
+fn preemption_is_searched_for_each_team() {
+    let mut cell = TestCell::with_workers(1);
+    cell.submit("batch", "c-batch", 7, amounts(1, 1, 0, 0));
+    cell.allot("a", amounts(1, 1, 0, 0));
+    cell.submit("firm", "a-firm", 1, amounts(1, 1, 0, 0));
+    assert!(stops(&cell.submit("own", "a-urgent", 1, amounts(1, 1, 0, 0))).is_empty());
+    assert_eq!(stops(&cell.submit("other", "b-urgent", 1, amounts(1, 1, 0, 0))).len(), 1);
+}
+
+/// Guards against an urgent gang that waits for batch work to end by itself.
+#[test]
+fn urgent_gang_preempts_batch() {
+    let mut cell = TestCell::with_workers(2);
+    let batch = starts(&cell.submit("batch", "a-batch", 4, amounts(4, 4, 0, 0)));
+    let mut decisions = cell.submit("rush", "b-rush", 2, amounts(8, 8, 0, 0));
+    decisions.extend(cell.ticks(200));
+    assert_eq!(stops(&decisions).len(), 4);
+    let mut started = Vec::new();
+    for start in &batch {
+        started.extend(starts(&cell.end(start, EndKind::Checkpointed)));
+    }
+    started.extend(starts(&cell.ticks(200)));
+    assert_eq!(started.iter().filter(|start| start.task.job.as_str() == "rush").count(), 2);
+}
+
+/// Guards against a worker whose endpoint fails every request and keeps getting more,
+/// and against one that nothing can probe.
+#[test]
+fn failing_endpoint_is_quarantined() {
+    let mut cell = TestCell::with_workers(2);
+    cell.event(CellEvent::WorkerSilent("w1".into()));
+    for ticket in 1..=5 {
+        assert_eq!(support::grants(&cell.ask(ticket, "a-ask", 1_000)).len(), 1);
+        cell.event(CellEvent::RequestEnded { ticket, healthy: false });
+    }
+    assert_eq!(state_of(&cell, "w0"), Some(WorkerState::Quarantined));
+    assert!(support::grants(&cell.ask(6, "a-ask", 500)).is_empty());
+    cell.ticks(61_100);
+    assert_eq!(state_of(&cell, "w0"), Some(WorkerState::Reported));
+    cell.ask(7, "a-ask", 1_000);
+    cell.event(CellEvent::RequestEnded { ticket: 7, healthy: false });
+    assert_eq!(state_of(&cell, "w0"), Some(WorkerState::Quarantined), "one more failure is enough");
+}
+
 /// Guards against lent share that never comes back, and against tasks that are
 /// preempted again and again.
 #[test]
