--- a/crates/model/tests/kind.rs
+++ b/crates/model/tests/kind.rs
@@ -21,3 +21,16 @@
         assert_eq!(ErrorKind::from_code(kind.code()), Some(*kind));
     }
 }
+
+/// Guards the documented table: callers are told to decide by it.
+#[test]
+fn documented_table_is_that_of_the_code() {
+    let page = include_str!("../../../docs/errors.md");
+    for kind in ErrorKind::ALL {
+        let answer = kind.answer();
+        let retry = if answer.retry { "yes" } else { "no" };
+        let outcome = answer.outcome.as_str();
+        let row = format!("| `{kind}` | {} | {retry} | {outcome} | ", answer.status);
+        assert!(page.contains(&row), "docs/errors.md lacks: {row}");
+    }
+}
