--- a/crates/entry/src/control/allot.rs
+++ b/crates/entry/src/control/allot.rs
@@ -7,7 +7,7 @@
 use coord::allotment::{AllotmentNeed, RowResult};
 use coord::row::{self, AllotmentRow};
 use model::name::{DomainName, TeamName};
-use model::object::{DomainState as ServiceState, ObjectSet};
+use model::object::ObjectSet;
 use model::resource::ResourceAmounts;
 use policy::event::CellEvent;
 use wire::platform::{RowCheck, RowPut, TableRead, TableTxn};
@@ -32,9 +32,7 @@
 /// Returns the capacity of every domain that takes work.
 fn capacities(objects: &ObjectSet) -> BTreeMap<DomainName, ResourceAmounts> {
     let mut capacities: BTreeMap<DomainName, ResourceAmounts> = objects
-        .domains
-        .iter()
-        .filter(|domain| domain.state == ServiceState::In)
+        .domains_in_service()
         .map(|domain| (domain.name.clone(), ResourceAmounts::ZERO))
         .collect();
     for worker in &objects.workers {
@@ -170,9 +168,7 @@
     let outcome = match control.platform.transact(&txn, CALL_TIMEOUT).await {
         Ok(reply) if reply.committed => RowResult::Committed { version: reply.version },
         Ok(reply) => {
-            let present = reply.conflicts.into_iter().next();
-            let version = present.as_ref().map_or(0, |row| row.version);
-            let row = present.and_then(|row| serde_json::from_value(row.value).ok());
+            let (version, row) = reply.into_conflict();
             RowResult::Conflict { version, row }
         }
         Err(report) => {
--- a/crates/entry/src/control/config.rs
+++ b/crates/entry/src/control/config.rs
@@ -11,7 +11,7 @@
 use link::failure::CallFailure;
 use model::kind::ErrorKind;
 use model::name::DomainName;
-use model::object::ObjectSet;
+use model::object::{self, ObjectSet};
 use model::time::ClockMillis;
 use wire::api::ApplyReply;
 use wire::peer::PeerRefusal;
@@ -94,7 +94,7 @@
             .get_object(&head.object, CALL_TIMEOUT)
             .await
             .map_err(|report| format!("{report:#}"))?;
-        if link::endpoint::hex_digest(body.as_bytes()) != head.digest {
+        if object::hex_digest(body.as_bytes()) != head.digest {
             return Err(format!("object {} does not match its digest", head.object));
         }
         let objects = serde_json::from_str(&body).map_err(|error| error.to_string())?;
@@ -165,9 +165,7 @@
         }
         Ok(reply) => {
             // Another owner wrote the row, or this one did and the reply was lost.
-            let present = reply.conflicts.into_iter().next();
-            let row_version = present.as_ref().map_or(0, |row| row.version);
-            let row = present.and_then(|row| serde_json::from_value::<ConfirmRow>(row.value).ok());
+            let (row_version, row) = reply.into_conflict::<ConfirmRow>();
             (row.map_or(0, |row| row.version), row_version)
         }
         Err(report) => {
@@ -279,7 +277,7 @@
             version: version + 1,
             object: format!("config-{}-{change_id}", version + 1),
             change_id: change_id.clone(),
-            digest: link::endpoint::hex_digest(body.as_bytes()),
+            digest: object::hex_digest(body.as_bytes()),
         };
         let stored = control.platform.put_object(&head.object, body, CALL_TIMEOUT).await;
         stored.map_err(|report| down(format!("{report:#}")))?;
@@ -323,8 +321,7 @@
     match control.platform.transact(&txn, CALL_TIMEOUT).await {
         Ok(reply) if reply.committed => Ok(()),
         Ok(reply) => {
-            let row = reply.conflicts.into_iter().next();
-            let head = row.and_then(|row| serde_json::from_value::<ConfigHead>(row.value).ok());
+            let (_, head) = reply.into_conflict::<ConfigHead>();
             let version = head.map_or(0, |head| head.version);
             Err((conflict(version), Some(version)))
         }
--- a/crates/entry/src/control/jobs/submit.rs
+++ b/crates/entry/src/control/jobs/submit.rs
@@ -7,7 +7,7 @@
 use model::job::{JobRecord, JobSpec, JobState};
 use model::kind::ErrorKind;
 use model::name::{DomainName, JobId};
-use model::object::{ClassKind, DomainState as ServiceState, ObjectSet};
+use model::object::{ClassKind, ObjectSet};
 use wire::api::SubmitReply;
 use wire::peer::PeerRefusal;
 use wire::platform::{RowCheck, RowPut, TableRead, TableRow, TableTxn};
@@ -126,9 +126,8 @@
         workers.any(|worker| spec.amounts.fits_in(worker.capacity))
     };
     let mut names: Vec<_> = objects
-        .domains
-        .iter()
-        .filter(|domain| domain.state == ServiceState::In && holds(&domain.name))
+        .domains_in_service()
+        .filter(|domain| holds(&domain.name))
         .map(|domain| domain.name.clone())
         .collect();
     // Jobs are spread by their identifier, so that one entry's domain does not fill first.
--- a/crates/entry/src/control/jobs/transfer.rs
+++ b/crates/entry/src/control/jobs/transfer.rs
@@ -7,7 +7,6 @@
 use model::authority::OwnerAuthority;
 use model::job::JobRecord;
 use model::name::JobId;
-use model::object::DomainState as ServiceState;
 use policy::event::CellEvent;
 use wire::platform::{RowCheck, RowPut, TableRead, TableTxn};
 
@@ -65,8 +64,8 @@
 /// Tells whether the own domain takes work.
 fn is_in_service(control: &Control) -> bool {
     let state = control.state();
-    let mut domains = state.config.objects().domains.iter();
-    domains.any(|domain| domain.name == control.settings.domain && domain.state == ServiceState::In)
+    let mut domains = state.config.objects().domains_in_service();
+    domains.any(|domain| domain.name == control.settings.domain)
 }
 
 /// Tries to move a job once; `seen` keeps the version of its row between tries.
--- a/crates/entry/src/control/ownership.rs
+++ b/crates/entry/src/control/ownership.rs
@@ -109,9 +109,7 @@
     let result = match control.platform.transact(&txn, ROW_TIMEOUT).await {
         Ok(reply) if reply.committed => WriteResult::Committed { version: reply.version },
         Ok(reply) => {
-            let present = reply.conflicts.into_iter().next();
-            let version = present.as_ref().map_or(0, |row| row.version);
-            let row = present.and_then(|row| serde_json::from_value(row.value).ok());
+            let (version, row) = reply.into_conflict();
             WriteResult::Conflict { version, row: row.map(Box::new) }
         }
         Err(report) => {
--- a/crates/entry/src/control/requests.rs
+++ b/crates/entry/src/control/requests.rs
@@ -8,7 +8,7 @@
 use model::authority::OwnerAuthority;
 use model::kind::ErrorKind;
 use model::name::{DomainName, RequestId, TeamName, WorkerName};
-use model::object::{DomainState as ServiceState, UrgencyLevel};
+use model::object::UrgencyLevel;
 use model::time::ClockMillis;
 use policy::event::{CellEvent, RequestAsk, TicketNumber};
 use tokio::sync::oneshot;
@@ -167,12 +167,8 @@
     let state = control.state();
     let own = &control.settings.domain;
     let objects = state.config.objects();
-    let mut names: Vec<_> = objects
-        .domains
-        .iter()
-        .filter(|domain| domain.state == ServiceState::In)
-        .map(|domain| domain.name.clone())
-        .collect();
+    let mut names: Vec<_> =
+        objects.domains_in_service().map(|domain| domain.name.clone()).collect();
     names.sort_by_key(|name| name != own);
     let mut found: Vec<_> =
         names.into_iter().map(|name| (name.clone(), state.owners.get(&name).cloned())).collect();
--- a/crates/entry/src/control/status.rs
+++ b/crates/entry/src/control/status.rs
@@ -1,6 +1,5 @@
 //! What this entry says of itself to peers and operators.
 
-use model::object::DomainState as ServiceState;
 use policy::status::WorkerState;
 use wire::api::{DomainStatus, StatusReply, WorkerStatus};
 use wire::peer::PeerInfo;
@@ -104,10 +103,8 @@
     }
     let own = &control.settings.domain;
     let objects = state.config.objects();
-    let in_service = objects
-        .domains
-        .iter()
-        .any(|domain| domain.state == ServiceState::In && state.owners.contains_key(&domain.name));
+    let in_service =
+        objects.domains_in_service().any(|domain| state.owners.contains_key(&domain.name));
     let owned = state.ownership.lease(control.now()).is_some();
     let known = state.owners.get(own).is_some_and(|owner| {
         let answered = state.answered.get(&owner.address);
--- a/crates/entry/src/control/workers.rs
+++ b/crates/entry/src/control/workers.rs
@@ -11,6 +11,7 @@
 use model::resource::ResourceAmounts;
 use model::time::{self, ClockMillis};
 use policy::event::{CellEvent, EndKind, RunningTask, WorkerUpdate};
+use policy::rules;
 use wire::worker::{
     EndReport, RefusalReason, RenewCall, StartCall, StopCall, StopMode, TaskEnd, WorkerReport,
 };
@@ -18,12 +19,10 @@
 use crate::control::domain::DomainState;
 use crate::control::{Control, cells, domain, requests};
 
-/// Milliseconds that a worker's lease lasts.
-pub const WORKER_TTL_MS: u64 = 8_000;
 /// Milliseconds between renewals of one worker's lease.
 ///
-/// Two seconds keep a node's control traffic at about 0.4 KB/s, and three
-/// renewals may be lost before the lease expires.
+/// One renewal a second costs a node 565 B/s (docs/CAPACITY.md), and seven may be
+/// lost before the lease expires.
 const RENEW_MS: u64 = 1_000;
 /// Milliseconds until a failed renewal is tried again.
 const RENEW_RETRY_MS: u64 = 250;
@@ -152,7 +151,7 @@
         for (name, link) in &mut domain.links {
             let heard = link.report.map_or(acquired_at, |(_, received)| received);
             let quiet = now.since(heard);
-            if quiet > time::with_margin(WORKER_TTL_MS) && link.health != LinkHealth::Lost {
+            if quiet > time::with_margin(rules::WORKER_TTL_MS) && link.health != LinkHealth::Lost {
                 link.health = LinkHealth::Lost;
                 link.open_starts.clear();
                 events.push(CellEvent::WorkerLost(name.clone()));
@@ -219,7 +218,7 @@
     RenewCall {
         authority,
         boot: link.boot.clone(),
-        not_after: link.report.map(|(clock, _)| clock + WORKER_TTL_MS),
+        not_after: link.report.map(|(clock, _)| clock + rules::WORKER_TTL_MS),
         ack: link.ack(),
         full: link.need_full || !link.open_starts.is_empty(),
     }
--- a/crates/link/src/endpoint.rs
+++ b/crates/link/src/endpoint.rs
@@ -11,8 +11,8 @@
 
 use model::authority::OwnerAuthority;
 use model::name::{BootId, RequestId, TeamName};
+use model::object;
 use model::time::ClockMillis;
-use sha2::Digest;
 use wire::worker;
 
 use crate::failure::CallFailure;
@@ -123,20 +123,9 @@
         if !answer.status().is_success() {
             return AttemptResult::BadAnswer(format!("status {}", answer.status()));
         }
-        if header(worker::DIGEST_HEADER) != Some(hex_digest(&body).as_str()) {
+        if header(worker::DIGEST_HEADER) != Some(object::hex_digest(&body).as_str()) {
             return AttemptResult::BadAnswer("the answer does not match its digest".to_owned());
         }
         AttemptResult::Answered(body)
     }
 }
-
-/// Returns the SHA-256 of `body` in hexadecimal digits.
-#[must_use]
-pub fn hex_digest(body: &[u8]) -> String {
-    use std::fmt::Write;
-
-    sha2::Sha256::digest(body).iter().fold(String::with_capacity(64), |mut text, byte| {
-        let _ = write!(text, "{byte:02x}");
-        text
-    })
-}
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 use wire::peer::{PeerInfo, PeerRefusal, SlotGrant, SlotPlacement};
-use wire::peer_capnp::peer;
+use wire::peer_capnp::{peer, refusal};
 
 use crate::failure::CallFailure;
 use crate::http::CallResult;
@@ -165,10 +165,7 @@
             request.get().set_record(record);
             let reply = request.send().promise.await?;
             let reply = reply.get()?;
-            if reply.get_accepted() {
-                return Ok(Ok(()));
-            }
-            Ok(Err(wire::peer::read_refusal(reply.get_refusal()?)?))
+            read_acceptance(reply.get_accepted(), reply.get_refusal())
         })
         .await
     }
@@ -190,10 +187,7 @@
             request.get().set_team(team);
             let reply = request.send().promise.await?;
             let reply = reply.get()?;
-            if reply.get_accepted() {
-                return Ok(Ok(()));
-            }
-            Ok(Err(wire::peer::read_refusal(reply.get_refusal()?)?))
+            read_acceptance(reply.get_accepted(), reply.get_refusal())
         })
         .await
     }
@@ -312,6 +306,13 @@
     }
 }
 
+fn read_acceptance(
+    accepted: bool,
+    refusal: capnp::Result<refusal::Reader<'_>>,
+) -> capnp::Result<Result<(), PeerRefusal>> {
+    if accepted { Ok(Ok(())) } else { Ok(Err(wire::peer::read_refusal(refusal?)?)) }
+}
+
 /// Returns the refusal for an owner that could not be reached.
 #[must_use]
 pub fn unreachable(address: &str) -> PeerRefusal {
--- a/crates/model/src/object.rs
+++ b/crates/model/src/object.rs
@@ -123,9 +123,15 @@
 /// Returns the digest of a key's secret as the configuration stores it.
 #[must_use]
 pub fn key_digest(secret: &str) -> String {
+    hex_digest(secret.as_bytes())
+}
+
+/// Returns the SHA-256 of `bytes` in hexadecimal digits.
+#[must_use]
+pub fn hex_digest(bytes: &[u8]) -> String {
     use fmt::Write;
 
-    let digest = sha2::Sha256::digest(secret.as_bytes());
+    let digest = sha2::Sha256::digest(bytes);
     digest.iter().fold(String::with_capacity(64), |mut text, byte| {
         let _ = write!(text, "{byte:02x}");
         text
@@ -227,5 +233,12 @@
     pub preemptible: bool,
 }
 
+impl ObjectSet {
+    /// Returns the failure domains that take work.
+    pub fn domains_in_service(&self) -> impl Iterator<Item = &DomainObject> {
+        self.domains.iter().filter(|domain| domain.state == DomainState::In)
+    }
+}
+
 /// Short list of domains.
 pub type DomainList = SmallVec<[DomainName; 4]>;
--- a/crates/wire/src/platform.rs
+++ b/crates/wire/src/platform.rs
@@ -1,5 +1,6 @@
 //! The platform's table, object store and VM list as JSON over HTTP.
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 /// Path of table transactions (`POST`).
@@ -69,6 +70,17 @@
     pub conflicts: Vec<TableRow>,
 }
 
+impl TxnReply {
+    /// Returns version and value of the row whose check failed, for a
+    /// transaction with one check; version 0 and nothing if it does not exist.
+    #[must_use]
+    pub fn into_conflict<T: DeserializeOwned>(self) -> (u64, Option<T>) {
+        let present = self.conflicts.into_iter().next();
+        let version = present.as_ref().map_or(0, |row| row.version);
+        (version, present.and_then(|row| serde_json::from_value(row.value).ok()))
+    }
+}
+
 /// A read of single rows and of all rows under prefixes, from one snapshot.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
