--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,7 +5,7 @@
 //! control thread holds all control state; traffic threads pass requests on
 //! and reach that state by messages only (docs/design.md, section 2).
 
-pub mod clock;
+pub use link::clock;
 pub mod control;
 pub mod daemon;
 pub mod flags;
--- /dev/null
+++ b/crates/fleet/src/config.rs
@@ -0,0 +1,108 @@
+//! The configuration as entries apply it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use arcstr::ArcStr;
+use model::name::{DomainName, QueueName, TeamName};
+use plan::config::PlanConfig;
+
+/// A row of the operators' table.
+#[derive(Clone, Debug, PartialEq)]
+pub enum OperatorRow {
+    /// The whole configuration.
+    Config(Box<FleetConfig>),
+    /// A failure domain was taken out, or back if the row was removed.
+    DomainOut {
+        /// The domain.
+        domain: DomainName,
+        /// Whether it is out.
+        out: bool,
+    },
+    /// Something else, or unreadable.
+    Other,
+}
+
+/// Everything that an operator sets.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct FleetConfig {
+    /// Version; higher ones are newer.
+    pub version: u64,
+    /// How callers' paths lead to queues.
+    pub routes: Vec<QueueRoute>,
+    /// Teams by key.
+    pub keys: BTreeMap<ArcStr, TeamName>,
+    /// What decisions take from the configuration.
+    pub plan: PlanConfig,
+    /// Longest body of a request in bytes; 0 for no bound.
+    pub body_bytes: usize,
+}
+
+/// Leads requests to a queue.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QueueRoute {
+    /// Host that callers name.
+    pub host: ArcStr,
+    /// Beginning of the path.
+    pub prefix: ArcStr,
+    /// The queue.
+    pub queue: QueueName,
+    /// Whether no key is needed.
+    pub public: bool,
+}
+
+/// The configuration in force, with the domains that are out.
+#[derive(Clone, Debug, Default)]
+pub struct ConfigView {
+    /// The newest configuration; none before the first.
+    pub config: Option<Arc<FleetConfig>>,
+    /// Domains that are out.
+    pub out: BTreeSet<DomainName>,
+}
+
+impl ConfigView {
+    /// Takes a row; true if decisions may change by it. A lower version is ignored.
+    pub fn apply(&mut self, row: OperatorRow) -> bool {
+        match row {
+            OperatorRow::Config(config) => {
+                let known = self.config.as_ref().map_or(0, |config| config.version);
+                if self.config.is_some() && config.version <= known {
+                    return false;
+                }
+                log::info!("configuration in force version={} before={known}", config.version);
+                self.config = Some(Arc::from(config));
+                true
+            }
+            OperatorRow::DomainOut { domain, out } => {
+                let changed =
+                    if out { self.out.insert(domain.clone()) } else { self.out.remove(&domain) };
+                if changed {
+                    log::info!("failure domain changed domain={domain} out={out}");
+                }
+                changed
+            }
+            OperatorRow::Other => false,
+        }
+    }
+
+    /// Returns what decisions take from the configuration.
+    #[must_use]
+    pub fn plan(&self) -> Arc<PlanConfig> {
+        let mut plan = self.config.as_ref().map(|config| config.plan.clone()).unwrap_or_default();
+        plan.out.clone_from(&self.out);
+        Arc::new(plan)
+    }
+}
+
+impl FleetConfig {
+    /// Finds the queue of a request and the rest of its path. The longest prefix counts.
+    #[must_use]
+    pub fn route<'a>(&self, host: &str, path: &'a str) -> Option<(&QueueRoute, &'a str)> {
+        let route = self
+            .routes
+            .iter()
+            .filter(|route| route.host == host && path.starts_with(route.prefix.as_str()))
+            .max_by_key(|route| route.prefix.len())?;
+        Some((route, &path[route.prefix.len()..]))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/follow.rs
@@ -0,0 +1,164 @@
+//! Following the tables that every entry needs.
+
+use model::name::JobId;
+use plan::progress::ProgressRecord;
+
+use crate::context::SharedContext;
+use crate::limits;
+use crate::ports::{FeedAnswer, PlatformRows, RowPage, RowStore, TableRow};
+use crate::row::{self, MemberRow, OwnerRow};
+
+/// Follows the operators' table until the entry stops.
+pub async fn follow_operator<P: RowStore + PlatformRows>(context: SharedContext<P>) {
+    let work = async {
+        loop {
+            let sent_at = context.clock.now();
+            let read = context
+                .ports
+                .read(row::OPERATOR_TABLE, row::ROOT_PART, None, limits::STORE_TIMEOUT)
+                .await;
+            match read {
+                Ok(page) => {
+                    apply_operator_page(&context, &page);
+                    context.confirmed_at.set(Some(sent_at));
+                    follow_operator_changes(&context, page.version).await;
+                }
+                Err(error) => {
+                    log::warn!("operators' table not read error={error:?}");
+                    tokio::time::sleep(limits::STORE_PAUSE).await;
+                }
+            }
+        }
+    };
+    context.stop.run_until_cancelled(work).await;
+}
+
+/// Takes a whole read: domains that are not listed are back in service.
+fn apply_operator_page<P: PlatformRows>(context: &SharedContext<P>, page: &RowPage) {
+    let mut view = context.view.borrow_mut();
+    view.out.clear();
+    for changed in &page.rows {
+        view.apply(context.ports.operator_row(changed));
+    }
+    context.changed.notify_waiters();
+}
+
+/// Applies changes until they are forgotten or a call fails.
+async fn follow_operator_changes<P: RowStore + PlatformRows>(
+    context: &SharedContext<P>,
+    mut version: u64,
+) {
+    loop {
+        let sent_at = context.clock.now();
+        let answer = context.ports.follow(row::OPERATOR_TABLE, version, limits::FOLLOW_WAIT).await;
+        match answer {
+            Ok(FeedAnswer::Changes(page)) => {
+                let mut changed = false;
+                for row in &page.rows {
+                    changed |= context.view.borrow_mut().apply(context.ports.operator_row(row));
+                }
+                version = page.version;
+                context.confirmed_at.set(Some(sent_at));
+                if changed {
+                    context.changed.notify_waiters();
+                }
+            }
+            Ok(FeedAnswer::Forgotten) => {
+                log::info!("changes of the operators' table are not kept; reading it again");
+                return;
+            }
+            Err(error) => {
+                log::warn!("operators' table not followed error={error:?}");
+                tokio::time::sleep(limits::STORE_PAUSE).await;
+                return;
+            }
+        }
+    }
+}
+
+/// Follows progress, ownership and entries until the entry stops.
+pub async fn follow_state<P: RowStore>(context: SharedContext<P>) {
+    let work = async {
+        loop {
+            match read_state(&context).await {
+                Some(version) => follow_state_changes(&context, version).await,
+                None => tokio::time::sleep(limits::STORE_PAUSE).await,
+            }
+        }
+    };
+    context.stop.run_until_cancelled(work).await;
+}
+
+/// Reads ownership and entries; progress of jobs is read when a caller asks for it.
+async fn read_state<P: RowStore>(context: &SharedContext<P>) -> Option<u64> {
+    let mut first = None;
+    for part in [row::OWNER_PART, row::MEMBER_PART] {
+        let read = context.ports.read(row::STATE_TABLE, part, None, limits::STORE_TIMEOUT).await;
+        match read {
+            Ok(page) => {
+                first.get_or_insert(page.version);
+                for changed in &page.rows {
+                    apply_state(context, changed);
+                }
+            }
+            Err(error) => {
+                log::warn!("state table not read part={part} error={error:?}");
+                return None;
+            }
+        }
+    }
+    context.changed.notify_waiters();
+    first
+}
+
+async fn follow_state_changes<P: RowStore>(context: &SharedContext<P>, mut version: u64) {
+    loop {
+        let answer = context.ports.follow(row::STATE_TABLE, version, limits::FOLLOW_WAIT).await;
+        match answer {
+            Ok(FeedAnswer::Changes(page)) => {
+                for changed in &page.rows {
+                    apply_state(context, changed);
+                }
+                version = page.version;
+                context.changed.notify_waiters();
+            }
+            Ok(FeedAnswer::Forgotten) => return,
+            Err(error) => {
+                log::warn!("state table not followed error={error:?}");
+                tokio::time::sleep(limits::STORE_PAUSE).await;
+                return;
+            }
+        }
+    }
+}
+
+fn apply_state<P>(context: &SharedContext<P>, changed: &TableRow) {
+    let key = changed.key.as_str();
+    match changed.part.as_str() {
+        row::OWNER_PART => {
+            let Some(value) = &changed.value else { return };
+            if let Some(owner) = row::decode::<OwnerRow>(row::STATE_TABLE, key, value) {
+                let now = context.clock.now();
+                context.owner.borrow_mut().observe(changed.version, owner, now);
+            }
+        }
+        row::MEMBER_PART => {
+            let member = changed
+                .value
+                .as_ref()
+                .and_then(|value| row::decode::<MemberRow>(row::STATE_TABLE, key, value));
+            let mut members = context.members.borrow_mut();
+            match member {
+                Some(member) => members.insert(changed.key.clone(), member),
+                None => members.remove(key),
+            };
+        }
+        row::JOB_PART => {
+            let Some(value) = &changed.value else { return };
+            if let Some(record) = row::decode::<ProgressRecord>(row::STATE_TABLE, key, value) {
+                context.statuses.borrow_mut().note(JobId::from(key), record.status);
+            }
+        }
+        other => log::debug!("row of an unknown part left out part={other} key={key}"),
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/limits.rs
@@ -0,0 +1,78 @@
+//! Times and bounds of the coordination, with where they come from.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// How long an owner holds the fleet after it sent a renewal, in milliseconds.
+/// A killed owner is replaced after this time and the margin for clock rates.
+pub const OWNER_TTL_MS: u64 = 1_600;
+/// Time between two renewals; three may be lost before the ownership is.
+pub const RENEW_INTERVAL: Duration = Duration::from_millis(400);
+/// How long an owner without a confirmed lease goes on prolonging the leases of
+/// running tasks, in milliseconds. A successor waits this long, and one worker
+/// lease more, before it starts a task again that a worker out of reach may run.
+pub const LINGER_MS: u64 = 5_000;
+/// Milliseconds by which a worker's clock may differ per second from ours; the
+/// platform states 2 %, and ours may differ as well.
+pub const CLOCK_MARGIN_PER_MILLE: u64 = 30;
+/// Added to the end of a worker's lease, for the time that killing takes, in milliseconds.
+pub const LAPSE_MARGIN_MS: u64 = 250;
+/// Part of a worker's longest lease that is used, in per cent; the worker cuts
+/// longer ones, and then the two sides would not agree on the end.
+pub const WORKER_LEASE_PERCENT: u64 = 95;
+/// Longest wait of one look at a worker. A lease is at least this much younger than its length.
+pub const LOOK_WAIT: Duration = Duration::from_millis(1_800);
+/// Time for an answer to a call to the table service.
+pub const STORE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest wait of one read of changes; with the time for an answer it bounds
+/// the age of the confirmation that keyed work needs.
+pub const FOLLOW_WAIT: Duration = Duration::from_millis(900);
+/// Pause after a failed call to the table service.
+pub const STORE_PAUSE: Duration = Duration::from_millis(150);
+/// Time taken off the operators' bound on withdrawn keys, in milliseconds: the
+/// table service may report no changes for a second while there are some.
+pub const CONFIRM_MARGIN_MS: u64 = 1_300;
+/// Time during which submissions gather for one transaction.
+pub const SUBMIT_GATHER: Duration = Duration::from_millis(3);
+/// Submissions in one transaction; each takes two conditions and one write of the 100 entries.
+pub const SUBMIT_BATCH: usize = 30;
+/// Transactions with submissions that one entry has in flight.
+pub const SUBMIT_FLIGHTS: usize = 2;
+/// Submissions that one entry holds; more are refused at once.
+pub const SUBMIT_BOUND: usize = 2_000;
+/// Time kept back of a caller's deadline for the answer to arrive, in milliseconds.
+pub const ANSWER_MARGIN_MS: u64 = 250;
+/// Records of progress in one transaction; each takes one condition, one write and two removals.
+pub const PROGRESS_BATCH: usize = 24;
+/// Longest time that progress of a job that is not over waits to be stored.
+pub const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
+/// Time during which ends of jobs gather for one transaction.
+pub const PROGRESS_GATHER: Duration = Duration::from_millis(25);
+/// Time during which events gather before the planner decides.
+pub const DECIDE_GATHER: Duration = Duration::from_millis(2);
+/// Longest time between two decisions; pauses of workers and questions end by time alone.
+pub const DECIDE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for an answer to a start or a stop; the way takes under 10 ms.
+pub const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
+/// Pause before a stop without an answer is sent again.
+pub const STOP_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a look that failed.
+pub const LOOK_PAUSE: Duration = Duration::from_millis(250);
+/// Time that an entry which could not be reached makes no calls for advice, in milliseconds.
+pub const CALLER_PAUSE_MS: u64 = 2_000;
+/// Time beyond the expected one for an answer of the advice service.
+pub const ADVICE_SLACK: Duration = Duration::from_millis(1_500);
+/// An owner that cannot reach most workers for this long gives the fleet up, in milliseconds.
+pub const UNREACHED_MS: u64 = 1_200;
+/// An entry that gave the fleet up does not claim it for this long, in milliseconds.
+pub const ABDICATION_MS: u64 = 4_000;
+
+/// Bounds that the deployment sets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetBounds {
+    /// Longest lease of a worker, in milliseconds.
+    pub worker_lease_ms: u64,
+    /// Time after which a withdrawn key must not work, in milliseconds.
+    pub revoke_ms: u64,
+}
--- /dev/null
+++ b/crates/fleet/src/member.rs
@@ -0,0 +1,36 @@
+//! Making this entry known to the others.
+
+use crate::context::SharedContext;
+use crate::limits;
+use crate::ports::{RowStore, RowTransaction, TransactOutcome};
+use crate::row::{self, MemberRow};
+
+/// Writes the row of this entry, until that is done or the entry stops.
+pub async fn register<P: RowStore>(context: SharedContext<P>) {
+    let identity = &context.identity;
+    let member = MemberRow {
+        address: identity.peer_address.clone(),
+        instance: identity.instance.clone(),
+        domain: identity.domain.clone(),
+    };
+    let transaction = RowTransaction {
+        writes: vec![(row::member_key(&identity.name), row::encode(&member))],
+        ..RowTransaction::default()
+    };
+    let work = async {
+        loop {
+            match context.ports.transact(&transaction, limits::STORE_TIMEOUT).await {
+                Ok(TransactOutcome::Done(version)) => {
+                    log::info!("entry registered version={version}");
+                    return;
+                }
+                Ok(TransactOutcome::Conflict(_)) => return,
+                Err(error) => {
+                    log::warn!("entry not registered error={error:?}");
+                    tokio::time::sleep(limits::STORE_PAUSE).await;
+                }
+            }
+        }
+    };
+    context.stop.run_until_cancelled(work).await;
+}
--- /dev/null
+++ b/crates/fleet/src/owner/advice.rs
@@ -0,0 +1,79 @@
+//! Having entries ask the advice service.
+
+use std::time::Duration;
+
+use arcstr::ArcStr;
+use plan::decision::{AdviceAnswer, AdviceAsk};
+
+use crate::limits;
+use crate::owner::{OwnerPorts, SharedSession};
+
+/// Sets the entries that make calls to those that are known now.
+pub(crate) fn refresh_callers<P: OwnerPorts>(session: &SharedSession<P>) {
+    let members = session.context.members.borrow();
+    let mut names: Vec<ArcStr> = members.keys().cloned().collect();
+    if !names.contains(&session.context.identity.name) {
+        names.push(session.context.identity.name.clone());
+    }
+    session.desk.borrow_mut().set_callers(names.iter());
+}
+
+/// Sends the calls for which an entry is free.
+pub(crate) fn send_calls<P: OwnerPorts>(session: &SharedSession<P>) {
+    let now = session.context.clock.now();
+    loop {
+        let next = session.desk.borrow_mut().next_call(now.0);
+        let Some((caller, ask)) = next else { return };
+        session.spawn(call(session.clone(), caller, ask));
+    }
+}
+
+async fn call<P: OwnerPorts>(session: SharedSession<P>, caller: ArcStr, ask: AdviceAsk) {
+    let answer = ask_through(&session, &caller, &ask).await;
+    let now = session.context.clock.now();
+    session
+        .desk
+        .borrow_mut()
+        .ended(&caller, answer.is_none().then_some(now.0 + limits::CALLER_PAUSE_MS));
+    let answer = answer.unwrap_or_else(|| AdviceAnswer {
+        step: ask.step.clone(),
+        asked: Vec::new(),
+        good: Vec::new(),
+    });
+    log::info!(
+        "advice step={} caller={caller} asked={} good={}",
+        answer.step,
+        answer.asked.len(),
+        answer.good.len()
+    );
+    session.planner.borrow_mut().advised(&answer, now.0);
+    session.wake.notify_one();
+}
+
+async fn ask_through<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    caller: &ArcStr,
+    ask: &AdviceAsk,
+) -> Option<AdviceAnswer> {
+    let context = &session.context;
+    let expected = Duration::from_secs_f64(ask.duration_ms / 1_000.0);
+    let address = context.members.borrow().get(caller).map(|member| member.address.clone());
+    let own = *caller == context.identity.name;
+    let work = async {
+        match address {
+            Some(address) if !own => context.ports.advise_through(&address, ask).await,
+            _ => context.ports.advise(ask).await,
+        }
+    };
+    match tokio::time::timeout(expected + limits::ADVICE_SLACK, work).await {
+        Ok(Ok(answer)) => Some(answer),
+        Ok(Err(error)) => {
+            log::warn!("advice failed step={} caller={caller} error={error:?}", ask.step);
+            None
+        }
+        Err(_) => {
+            log::warn!("advice without answer step={} caller={caller}", ask.step);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/owner/load.rs
@@ -0,0 +1,185 @@
+//! Reading what an owner has to know, and following its changes.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use model::name::JobId;
+use plan::job::JobSpec;
+use plan::progress::ProgressRecord;
+
+use crate::desk;
+use crate::limits;
+use crate::owner::{OwnerPorts, SharedSession, advice, workers};
+use crate::ports::{FeedAnswer, TableRow};
+use crate::row::{self, OwnerRow};
+
+/// Versions from which the tables are followed.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FeedPositions {
+    pub(crate) jobs: u64,
+    pub(crate) workers: u64,
+}
+
+/// Reads jobs, progress and workers, and hands them to the planner.
+pub(crate) async fn load<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    before: Option<&OwnerRow>,
+) -> FeedPositions {
+    loop {
+        match try_load(session, before).await {
+            Some(positions) => return positions,
+            None => tokio::time::sleep(limits::STORE_PAUSE).await,
+        }
+    }
+}
+
+async fn try_load<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    before: Option<&OwnerRow>,
+) -> Option<FeedPositions> {
+    let plan = session.context.view.borrow().plan();
+    session.planner.borrow_mut().set_config(plan);
+    let worker_position = read_workers(session).await?;
+    let job_position = read_jobs(session).await?;
+    // Before the first owner nothing can run.
+    if let Some(before) = before {
+        session.planner.borrow_mut().inherit(before.unlisted.clone());
+        workers::expire_unlisted(session, before.unlisted.clone());
+    }
+    advice::refresh_callers(session);
+    let (jobs, workers) = (session.planner.borrow().live_jobs(), session.links.borrow().len());
+    log::info!("fleet loaded term={} jobs={jobs} workers={workers}", session.term);
+    Some(FeedPositions { jobs: job_position, workers: worker_position })
+}
+
+/// Reads the workers; those that are not listed any more are gone.
+async fn read_workers<P: OwnerPorts>(session: &SharedSession<P>) -> Option<u64> {
+    let page = session
+        .context
+        .ports
+        .read(row::WORKER_TABLE, row::ROOT_PART, None, limits::STORE_TIMEOUT)
+        .await
+        .inspect_err(|error| log::warn!("workers not read error={error:?}"))
+        .ok()?;
+    let listed: Vec<_> = page.rows.iter().map(|row| row.key.clone()).collect();
+    workers::retain(session, &listed);
+    for found in &page.rows {
+        workers::apply_row(session, found);
+    }
+    Some(page.version)
+}
+
+/// Reads jobs and their progress. Jobs come first, so that the progress of a job
+/// that ends meanwhile is found.
+async fn read_jobs<P: OwnerPorts>(session: &SharedSession<P>) -> Option<u64> {
+    let read = async |table| {
+        session
+            .context
+            .ports
+            .read(table, row::JOB_PART, None, limits::STORE_TIMEOUT)
+            .await
+            .inspect_err(|error| log::warn!("jobs not read table={table} error={error:?}"))
+            .ok()
+    };
+    let jobs = read(row::JOB_TABLE).await?;
+    let states = read(row::STATE_TABLE).await?;
+    let mut records: BTreeMap<JobId, ProgressRecord> = BTreeMap::new();
+    for found in &states.rows {
+        let Some(value) = &found.value else { continue };
+        let id = JobId::from(found.key.as_str());
+        session.progress_versions.borrow_mut().insert(id.clone(), found.version);
+        if let Some(record) = row::decode::<ProgressRecord>(row::STATE_TABLE, &found.key, value) {
+            session.context.statuses.borrow_mut().note(id.clone(), record.status);
+            records.insert(id, record);
+        }
+    }
+    for found in &jobs.rows {
+        apply_job(session, found, &records);
+    }
+    Some(jobs.version)
+}
+
+fn apply_job<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    found: &TableRow,
+    records: &BTreeMap<JobId, ProgressRecord>,
+) {
+    let Some(value) = &found.value else { return };
+    if let Some(id) = row::cancelled_job(&found.key) {
+        session.planner.borrow_mut().cancel_job(&id);
+        return;
+    }
+    let Some(spec) = row::decode::<JobSpec>(row::JOB_TABLE, &found.key, value) else { return };
+    let now = session.context.clock.now();
+    // The clocks of VMs differ a little; a job cannot have come in the future.
+    let age = desk::unix_ms().saturating_sub(spec.accepted_ms);
+    let none = ProgressRecord::default();
+    let record = records.get(&spec.id).unwrap_or(&none);
+    session.planner.borrow_mut().add_job(&Arc::new(spec), record, now.0.saturating_sub(age));
+}
+
+/// Follows the jobs and cancellations that entries store.
+pub(crate) async fn follow_jobs<P: OwnerPorts>(session: SharedSession<P>, mut version: u64) {
+    loop {
+        let answer =
+            session.context.ports.follow(row::JOB_TABLE, version, limits::FOLLOW_WAIT).await;
+        match answer {
+            Ok(FeedAnswer::Changes(page)) => {
+                version = page.version;
+                let fresh = BTreeMap::new();
+                for found in &page.rows {
+                    apply_job(&session, found, &fresh);
+                }
+                if !page.rows.is_empty() {
+                    session.wake.notify_one();
+                }
+            }
+            Ok(FeedAnswer::Forgotten) => version = reread_jobs(&session).await,
+            Err(error) => {
+                log::warn!("jobs not followed error={error:?}");
+                tokio::time::sleep(limits::STORE_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn reread_jobs<P: OwnerPorts>(session: &SharedSession<P>) -> u64 {
+    loop {
+        if let Some(version) = read_jobs(session).await {
+            session.wake.notify_one();
+            return version;
+        }
+        tokio::time::sleep(limits::STORE_PAUSE).await;
+    }
+}
+
+/// Follows the registrations of workers.
+pub(crate) async fn follow_workers<P: OwnerPorts>(session: SharedSession<P>, mut version: u64) {
+    loop {
+        let answer =
+            session.context.ports.follow(row::WORKER_TABLE, version, limits::FOLLOW_WAIT).await;
+        match answer {
+            Ok(FeedAnswer::Changes(page)) => {
+                version = page.version;
+                for found in &page.rows {
+                    workers::apply_row(&session, found);
+                }
+                if !page.rows.is_empty() {
+                    session.wake.notify_one();
+                }
+            }
+            Ok(FeedAnswer::Forgotten) => {
+                if let Some(read) = read_workers(&session).await {
+                    version = read;
+                    session.wake.notify_one();
+                } else {
+                    tokio::time::sleep(limits::STORE_PAUSE).await;
+                }
+            }
+            Err(error) => {
+                log::warn!("workers not followed error={error:?}");
+                tokio::time::sleep(limits::STORE_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/owner/progress.rs
@@ -0,0 +1,99 @@
+//! Storing progress before the ends that it counts are acknowledged.
+
+use link::failure::CallFailure;
+use plan::planner::ProgressBatch;
+
+use crate::limits;
+use crate::owner::{OwnerPorts, SharedSession};
+use crate::ports::{RowTransaction, TransactOutcome};
+use crate::row;
+
+/// Stores progress whenever there is some: at once for jobs that are over, for
+/// which callers wait, and at intervals for the rest.
+pub(crate) async fn run<P: OwnerPorts>(session: SharedSession<P>) {
+    loop {
+        session.progress_wake.notified().await;
+        if !session.planner.borrow().has_progress() {
+            continue;
+        }
+        if session.planner.borrow().has_final_progress() {
+            tokio::time::sleep(limits::PROGRESS_GATHER).await;
+        } else {
+            wait_for_final(&session).await;
+        }
+        store_all(&session).await;
+    }
+}
+
+async fn wait_for_final<P: OwnerPorts>(session: &SharedSession<P>) {
+    let until = tokio::time::Instant::now() + limits::PROGRESS_INTERVAL;
+    while !session.planner.borrow().has_final_progress() {
+        tokio::select! {
+            () = session.progress_wake.notified() => {}
+            () = tokio::time::sleep_until(until) => return,
+        }
+    }
+}
+
+async fn store_all<P: OwnerPorts>(session: &SharedSession<P>) {
+    while session.planner.borrow().has_progress() {
+        let batch = session.planner.borrow_mut().take_progress(limits::PROGRESS_BATCH);
+        if batch.records.is_empty() {
+            session.planner.borrow_mut().progress_stored(&batch);
+        } else if !store(session, &batch).await {
+            session.planner.borrow_mut().restore_progress(batch);
+            tokio::time::sleep(limits::STORE_PAUSE).await;
+        }
+    }
+}
+
+/// Stores one batch; false if it has to be stored again.
+///
+/// Every write names the version that it replaces. A write that is carried out
+/// late, or by an earlier owner, can then not replace a newer one.
+async fn store<P: OwnerPorts>(session: &SharedSession<P>, batch: &ProgressBatch) -> bool {
+    let mut transaction = RowTransaction::default();
+    for (id, record) in &batch.records {
+        let known = session.progress_versions.borrow().get(id).copied().unwrap_or(0);
+        transaction.expected.push((row::progress_key(id), known));
+        transaction.writes.push((row::progress_key(id), row::encode(record)));
+        if record.status.is_final() {
+            transaction.removes.push(row::job_key(id));
+            transaction.removes.push(row::cancel_key(id));
+        }
+    }
+    match session.context.ports.transact(&transaction, limits::STORE_TIMEOUT).await {
+        Ok(TransactOutcome::Done(version)) => {
+            let mut versions = session.progress_versions.borrow_mut();
+            let mut statuses = session.context.statuses.borrow_mut();
+            for (id, record) in &batch.records {
+                if record.status.is_final() {
+                    log::info!("job over job={id} status={:?} version={version}", record.status);
+                    versions.remove(id);
+                } else {
+                    versions.insert(id.clone(), version);
+                }
+                statuses.note(id.clone(), record.status);
+            }
+            drop((versions, statuses));
+            session.planner.borrow_mut().progress_stored(batch);
+            true
+        }
+        Ok(TransactOutcome::Conflict(rows)) => {
+            let mut versions = session.progress_versions.borrow_mut();
+            for (id, _) in &batch.records {
+                versions.remove(id);
+            }
+            for found in rows.iter().filter(|row| row.version > 0) {
+                versions.insert(found.key.as_str().into(), found.version);
+            }
+            log::warn!("progress changed by another writer rows={}", rows.len());
+            false
+        }
+        Err(error) => {
+            let unknown = *error.current_context() == CallFailure::Unknown;
+            log::warn!("progress not stored unknown={unknown} error={error:?}");
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/owner/session.rs
@@ -0,0 +1,225 @@
+//! One ownership, from the claim to its end.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use model::name::WorkerName;
+use model::time::ClockMillis;
+use plan::advice::AdviceDesk;
+use plan::decision::PlanDecision;
+use plan::planner::{PlanBounds, Planner};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use crate::context::SharedContext;
+use crate::desk;
+use crate::limits;
+use crate::owner::workers::WorkerLink;
+use crate::owner::{
+    HeldOwnership, OwnerPorts, SharedSession, advice, load, orders, progress, workers, write_owner,
+};
+use crate::row::OwnerRow;
+
+/// Run numbers that one term leaves for the next; a task has far fewer runs in a term.
+const RUNS_PER_TERM: u64 = 1_000;
+
+/// State of an owner. It is borrowed between awaits only.
+#[derive(Debug)]
+pub(crate) struct OwnerSession<P> {
+    pub(crate) context: SharedContext<P>,
+    pub(crate) term: u64,
+    pub(crate) claimed_at: ClockMillis,
+    pub(crate) planner: RefCell<Planner>,
+    pub(crate) desk: RefCell<AdviceDesk>,
+    pub(crate) links: RefCell<BTreeMap<WorkerName, WorkerLink>>,
+    /// Versions of the progress rows that exist.
+    pub(crate) progress_versions: RefCell<BTreeMap<model::name::JobId, u64>>,
+    /// Version of the ownership row.
+    version: Cell<u64>,
+    /// When the last renewal that was stored was sent.
+    renewed_at: Cell<ClockMillis>,
+    /// Rung when something has changed that decisions depend on.
+    pub(crate) wake: Notify,
+    /// Rung when progress waits to be stored.
+    pub(crate) progress_wake: Notify,
+    /// Ends everything that this ownership does.
+    pub(crate) over: CancellationToken,
+}
+
+impl<P: OwnerPorts> OwnerSession<P> {
+    /// Tells whether nobody else can hold the fleet.
+    pub(crate) fn is_held(&self) -> bool {
+        let now = self.context.clock.now();
+        now.since(self.renewed_at.get()) < limits::OWNER_TTL_MS
+    }
+
+    /// Tells whether the leases of running tasks may still be prolonged.
+    pub(crate) fn may_prolong(&self) -> bool {
+        let now = self.context.clock.now();
+        now.since(self.renewed_at.get()) < limits::OWNER_TTL_MS + limits::LINGER_MS
+    }
+
+    /// Ends the ownership because a worker or the table service knows a newer one.
+    pub(crate) fn depose(&self, reason: &str) {
+        if !self.over.is_cancelled() {
+            log::warn!("ownership over term={} reason={reason}", self.term);
+            self.over.cancel();
+        }
+    }
+
+    /// Runs a task until the ownership is over.
+    pub(crate) fn spawn(self: &Rc<Self>, work: impl Future<Output = ()> + 'static) {
+        let over = self.over.clone();
+        actix_rt::spawn(async move {
+            over.run_until_cancelled(work).await;
+        });
+    }
+}
+
+/// Runs the fleet until the ownership is lost or the entry stops.
+pub(crate) async fn run<P: OwnerPorts>(
+    context: &SharedContext<P>,
+    held: HeldOwnership,
+    retire: &CancellationToken,
+) {
+    let over = retire.child_token();
+    let first_run = u32::try_from((held.term - 1) * RUNS_PER_TERM + 1).unwrap_or(1);
+    let session = Rc::new(OwnerSession {
+        context: context.clone(),
+        term: held.term,
+        claimed_at: held.sent_at,
+        planner: RefCell::new(Planner::new(PlanBounds { first_run, ..PlanBounds::default() })),
+        desk: RefCell::default(),
+        links: RefCell::default(),
+        progress_versions: RefCell::default(),
+        version: Cell::new(held.version),
+        renewed_at: Cell::new(held.sent_at),
+        wake: Notify::new(),
+        progress_wake: Notify::new(),
+        over: over.clone(),
+    });
+    session.spawn(renew(session.clone()));
+    let loaded = over.run_until_cancelled(load::load(&session, held.before.as_ref())).await;
+    if let Some(positions) = loaded {
+        session.spawn(load::follow_jobs(session.clone(), positions.jobs));
+        session.spawn(load::follow_workers(session.clone(), positions.workers));
+        session.spawn(progress::run(session.clone()));
+        session.spawn(watch_reach(session.clone()));
+        over.run_until_cancelled(decide(&session)).await;
+    }
+    over.cancel();
+    release(&session).await;
+}
+
+/// Renews the ownership row, with what the next owner and callers need to know.
+async fn renew<P: OwnerPorts>(session: SharedSession<P>) {
+    loop {
+        tokio::time::sleep(limits::RENEW_INTERVAL).await;
+        let sent_at = session.context.clock.now();
+        let owner = owner_row(&session, session.context.identity.name.clone());
+        match write_owner(&session.context, session.version.get(), &owner).await {
+            Some(version) => {
+                session.version.set(version);
+                session.renewed_at.set(sent_at);
+            }
+            None => adopt_row(&session),
+        }
+        if !session.may_prolong() {
+            session.depose("lease-expired");
+        }
+    }
+}
+
+/// Takes the version of a renewal whose answer was lost, or ends the ownership.
+fn adopt_row<P: OwnerPorts>(session: &SharedSession<P>) {
+    let identity = &session.context.identity;
+    let owner = session.context.owner.borrow();
+    let Some((version, row)) = owner.row() else { return };
+    if *version <= session.version.get() {
+        return;
+    }
+    let mine = row.term == session.term
+        && row.holder == identity.name
+        && row.instance == identity.instance;
+    if mine {
+        session.version.set(*version);
+    } else {
+        session.depose("claimed-by-another");
+    }
+}
+
+fn owner_row<P: OwnerPorts>(session: &SharedSession<P>, holder: arcstr::ArcStr) -> OwnerRow {
+    OwnerRow {
+        holder,
+        instance: session.context.identity.instance.clone(),
+        term: session.term,
+        unlisted: workers::unlisted(session),
+        waiting: session.planner.borrow().waiting_by_queue(),
+    }
+}
+
+/// Gives the fleet up so that another entry need not wait for the lease to expire.
+async fn release<P: OwnerPorts>(session: &SharedSession<P>) {
+    if !session.is_held() {
+        return;
+    }
+    let owner = owner_row(session, arcstr::ArcStr::default());
+    let now = session.context.clock.now();
+    session.context.owner.borrow_mut().bar_until(now + limits::ABDICATION_MS);
+    if write_owner(&session.context, session.version.get(), &owner).await.is_some() {
+        log::info!("fleet released term={}", session.term);
+    }
+}
+
+/// Gives the fleet up when most workers cannot be reached from here.
+async fn watch_reach<P: OwnerPorts>(session: SharedSession<P>) {
+    let mut since: Option<ClockMillis> = None;
+    loop {
+        tokio::time::sleep(limits::RENEW_INTERVAL).await;
+        let now = session.context.clock.now();
+        let (silent, all) = workers::count_silent(&session);
+        if silent * 2 <= all {
+            since = None;
+            continue;
+        }
+        let start = *since.get_or_insert(now);
+        if now.since(start) >= limits::UNREACHED_MS {
+            log::warn!("fleet given up term={} silent={silent} workers={all}", session.term);
+            session.depose("workers-out-of-reach");
+        }
+    }
+}
+
+/// Decides whenever something has changed, and sends what was decided.
+async fn decide<P: OwnerPorts>(session: &SharedSession<P>) {
+    loop {
+        let config_changed = session.context.changed.notified();
+        tokio::select! {
+            () = session.wake.notified() => {}
+            () = config_changed => {
+                let plan = session.context.view.borrow().plan();
+                session.planner.borrow_mut().set_config(plan);
+                advice::refresh_callers(session);
+            }
+            () = tokio::time::sleep(limits::DECIDE_INTERVAL) => {}
+        }
+        tokio::time::sleep(limits::DECIDE_GATHER).await;
+        let now = session.context.clock.now();
+        if !session.is_held() {
+            continue;
+        }
+        let decisions = session.planner.borrow_mut().decide(now.0, desk::unix_ms());
+        for decision in decisions {
+            match decision {
+                PlanDecision::Start(order) => orders::start(session, order),
+                PlanDecision::Stop(order) => orders::stop(session, order),
+                PlanDecision::Ask(ask) => session.desk.borrow_mut().push(ask),
+            }
+        }
+        advice::send_calls(session);
+        if session.planner.borrow().has_progress() {
+            session.progress_wake.notify_one();
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/owner/workers.rs
@@ -0,0 +1,218 @@
+//! Contact with each worker: its lease, its runs and its ends.
+
+use std::time::Duration;
+
+use arcstr::ArcStr;
+use model::name::WorkerName;
+use model::time::ClockMillis;
+use tokio_util::sync::CancellationToken;
+
+use crate::lease::WorkerLease;
+use crate::limits;
+use crate::owner::{OwnerPorts, SharedSession};
+use crate::ports::{LookAnswer, LookOrder, OrderStamp, TableRow};
+
+/// What is known of the way to one worker.
+#[derive(Debug)]
+pub(crate) struct WorkerLink {
+    pub(crate) address: ArcStr,
+    pub(crate) lease: WorkerLease,
+    /// Whether the worker is registered.
+    listed: bool,
+    /// When looks began to fail.
+    failing_since: Option<ClockMillis>,
+    /// Ends the looks at this worker.
+    over: CancellationToken,
+}
+
+/// Takes a registration as the table service has it.
+pub(crate) fn apply_row<P: OwnerPorts>(session: &SharedSession<P>, found: &TableRow) {
+    let name = WorkerName::from(found.key.as_str());
+    let Some((info, address)) = session.context.ports.worker_row(found) else {
+        unlist(session, &name);
+        return;
+    };
+    log::info!(
+        "worker registered worker={name} domain={} draining={} version={}",
+        info.domain,
+        info.draining,
+        found.version
+    );
+    session.planner.borrow_mut().set_worker(info);
+    let mut links = session.links.borrow_mut();
+    if let Some(link) = links.get_mut(&name) {
+        link.address = address;
+        link.listed = true;
+        return;
+    }
+    let over = session.over.child_token();
+    let lease = WorkerLease::inherited(session.context.bounds.worker_lease_ms, session.claimed_at);
+    let link = WorkerLink { address, lease, listed: true, failing_since: None, over: over.clone() };
+    links.insert(name.clone(), link);
+    let watch = watch(session.clone(), name);
+    actix_rt::spawn(async move {
+        over.run_until_cancelled(watch).await;
+    });
+}
+
+/// Notes that workers other than these are not registered any more.
+pub(crate) fn retain<P: OwnerPorts>(session: &SharedSession<P>, listed: &[ArcStr]) {
+    let names: Vec<_> = session
+        .links
+        .borrow()
+        .keys()
+        .filter(|name| !listed.iter().any(|key| key == name.as_str()))
+        .cloned()
+        .collect();
+    for name in names {
+        unlist(session, &name);
+    }
+}
+
+fn unlist<P: OwnerPorts>(session: &SharedSession<P>, name: &WorkerName) {
+    if let Some(link) = session.links.borrow_mut().get_mut(name) {
+        if link.listed {
+            log::info!("worker not registered any more worker={name}");
+        }
+        link.listed = false;
+    }
+    session.planner.borrow_mut().unlist_worker(name);
+}
+
+/// Returns the workers that are not registered and whose leases may still run.
+pub(crate) fn unlisted<P: OwnerPorts>(session: &SharedSession<P>) -> Vec<WorkerName> {
+    let links = session.links.borrow();
+    links.iter().filter(|(_, link)| !link.listed).map(|(name, _)| name.clone()).collect()
+}
+
+/// Counts the registered workers that do not answer, and all registered ones.
+pub(crate) fn count_silent<P: OwnerPorts>(session: &SharedSession<P>) -> (usize, usize) {
+    let links = session.links.borrow();
+    let listed = links.values().filter(|link| link.listed);
+    listed.fold((0, 0), |(silent, all), link| {
+        (silent + usize::from(link.failing_since.is_some()), all + 1)
+    })
+}
+
+/// Waits until unlisted workers of an earlier owner can run nothing any more.
+pub(crate) fn expire_unlisted<P: OwnerPorts>(session: &SharedSession<P>, names: Vec<WorkerName>) {
+    if names.is_empty() {
+        return;
+    }
+    let lease = WorkerLease::inherited(session.context.bounds.worker_lease_ms, session.claimed_at);
+    let waiting = session.clone();
+    session.spawn(async move {
+        while !lease.has_lapsed(waiting.context.clock.now()) {
+            tokio::time::sleep(limits::LOOK_PAUSE).await;
+        }
+        for name in &names {
+            if !waiting.links.borrow().contains_key(name) {
+                waiting.planner.borrow_mut().worker_lapsed(name);
+            }
+        }
+        waiting.wake.notify_one();
+    });
+}
+
+/// Looks at a worker again and again, until it is gone for good.
+async fn watch<P: OwnerPorts>(session: SharedSession<P>, name: WorkerName) {
+    loop {
+        let Some((address, order)) = next_look(&session, &name) else {
+            tokio::time::sleep(limits::LOOK_PAUSE).await;
+            continue;
+        };
+        let sent_at = session.context.clock.now();
+        let answer = session.context.ports.look(&address, &name, order).await;
+        match answer {
+            Ok(LookAnswer::Seen { clock_ms, report }) => {
+                let now = session.context.clock.now();
+                if let Some(link) = session.links.borrow_mut().get_mut(&name) {
+                    link.lease.observe(clock_ms, report.born, now);
+                    link.failing_since = None;
+                }
+                for end in &report.ended {
+                    log::debug!(
+                        "run ended worker={name} task={} run={} end={:?}",
+                        end.task,
+                        end.run,
+                        end.kind
+                    );
+                }
+                session.planner.borrow_mut().report(&name, &report, sent_at.0, now.0);
+                session.wake.notify_one();
+            }
+            Ok(LookAnswer::Fenced) => {
+                session.depose("fenced-by-worker");
+                return;
+            }
+            Err(error) => {
+                if !look_failed(&session, &name, &error) {
+                    return;
+                }
+                tokio::time::sleep(limits::LOOK_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn next_look<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    name: &WorkerName,
+) -> Option<(ArcStr, LookOrder)> {
+    if !session.may_prolong() {
+        return None;
+    }
+    let now = session.context.clock.now();
+    let mut links = session.links.borrow_mut();
+    let link = links.get_mut(name)?;
+    let deadline_ms = link.lease.next_deadline(now);
+    // The first look only asks for the worker's clock and must not wait.
+    let wait = if deadline_ms.is_some() { limits::LOOK_WAIT } else { Duration::ZERO };
+    let stamp = OrderStamp { token: session.term, deadline_ms };
+    let stored_end = session.planner.borrow().stored_end(name);
+    Some((link.address.clone(), LookOrder { stamp, stored_end, wait }))
+}
+
+/// Notes a failed look; false once the worker is gone for good.
+fn look_failed<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    name: &WorkerName,
+    error: &error_stack::Report<link::failure::CallFailure>,
+) -> bool {
+    let now = session.context.clock.now();
+    let (lapsed, listed) = {
+        let mut links = session.links.borrow_mut();
+        let Some(link) = links.get_mut(name) else { return false };
+        if link.failing_since.is_none() {
+            log::warn!("worker does not answer worker={name} error={error:?}");
+            link.failing_since = Some(now);
+        }
+        (link.lease.has_lapsed(now), link.listed)
+    };
+    let mut planner = session.planner.borrow_mut();
+    planner.set_silent(name, true);
+    if lapsed {
+        planner.worker_lapsed(name);
+        session.wake.notify_one();
+        if !listed {
+            log::info!("worker gone worker={name}");
+            if let Some(link) = session.links.borrow_mut().remove(name) {
+                link.over.cancel();
+            }
+            return false;
+        }
+    }
+    true
+}
+
+/// Returns the address of a worker and a deadline for an order to it.
+pub(crate) fn order_stamp<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    name: &WorkerName,
+) -> Option<(ArcStr, OrderStamp)> {
+    let now = session.context.clock.now();
+    let mut links = session.links.borrow_mut();
+    let link = links.get_mut(name)?;
+    let deadline_ms = link.lease.next_deadline(now);
+    Some((link.address.clone(), OrderStamp { token: session.term, deadline_ms }))
+}
--- /dev/null
+++ b/crates/fleet/src/ports.rs
@@ -0,0 +1,187 @@
+//! What the fleet needs of the platform, as small traits.
+//!
+//! Futures run on the control thread only, so that none of them is `Send`.
+
+use std::time::Duration;
+
+use arcstr::ArcStr;
+use error_stack::Report;
+use link::failure::CallFailure;
+use model::name::WorkerName;
+use plan::decision::{AdviceAnswer, AdviceAsk, StartOrder, StopOrder};
+use plan::worker::{RunReport, StartAnswer};
+
+/// Result of a call to the platform or to a worker.
+pub type PortResult<T> = Result<T, Report<CallFailure>>;
+
+/// Names a row of the table service.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RowKey {
+    /// Table.
+    pub table: &'static str,
+    /// Part of the table; a transaction stays within one.
+    pub part: &'static str,
+    /// Key within the part.
+    pub key: ArcStr,
+}
+
+/// A row as the table service has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TableRow {
+    /// Part of the table.
+    pub part: ArcStr,
+    /// Key within the part.
+    pub key: ArcStr,
+    /// Content; none if the row was removed.
+    pub value: Option<Vec<u8>>,
+    /// Version that the row was written at; 0 if it does not exist.
+    pub version: u64,
+}
+
+/// Changes that are made together or not at all.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RowTransaction {
+    /// Versions that rows must have; 0 for a row that must not exist.
+    pub expected: Vec<(RowKey, u64)>,
+    /// Rows to write.
+    pub writes: Vec<(RowKey, Vec<u8>)>,
+    /// Rows to remove.
+    pub removes: Vec<RowKey>,
+}
+
+/// What became of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum TransactOutcome {
+    /// Done, at this version.
+    Done(u64),
+    /// Not done: an expected version was different. Holds the present rows.
+    Conflict(Vec<TableRow>),
+}
+
+/// Rows at one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RowPage {
+    /// The rows, in ascending order of keys.
+    pub rows: Vec<TableRow>,
+    /// Newest version of the whole service at that moment.
+    pub version: u64,
+}
+
+/// Rows that have changed since a version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FeedAnswer {
+    /// The changes, in order, and the version to go on from.
+    Changes(RowPage),
+    /// The changes since then are not kept any more; the table must be read again.
+    Forgotten,
+}
+
+/// The platform's table service.
+pub trait RowStore: 'static {
+    /// Makes changes under conditions.
+    fn transact(
+        &self,
+        transaction: &RowTransaction,
+        timeout: Duration,
+    ) -> impl Future<Output = PortResult<TransactOutcome>>;
+
+    /// Reads all rows of a part with keys from `from` up to, and without, `to`.
+    fn read(
+        &self,
+        table: &'static str,
+        part: &'static str,
+        range: Option<(&str, &str)>,
+        timeout: Duration,
+    ) -> impl Future<Output = PortResult<RowPage>>;
+
+    /// Waits until a table has changed after `version`, at most for `wait`.
+    fn follow(
+        &self,
+        table: &'static str,
+        version: u64,
+        wait: Duration,
+    ) -> impl Future<Output = PortResult<FeedAnswer>>;
+}
+
+/// What an order to a worker carries besides its content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OrderStamp {
+    /// Fencing token of the owner.
+    pub token: u64,
+    /// Instant of the worker's clock up to which its runs are kept alive, in milliseconds.
+    pub deadline_ms: Option<u64>,
+}
+
+/// A look at a worker, which also prolongs its lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LookOrder {
+    /// Token and lease.
+    pub stamp: OrderStamp,
+    /// Ends up to this number are stored and may be forgotten.
+    pub stored_end: u64,
+    /// How long the worker may wait for an end before it answers.
+    pub wait: Duration,
+}
+
+/// Answer to a look.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LookAnswer {
+    /// What runs and what ended.
+    Seen {
+        /// The worker's clock in milliseconds.
+        clock_ms: u64,
+        /// Its runs.
+        report: RunReport,
+    },
+    /// The worker has seen a higher token.
+    Fenced,
+}
+
+/// Orders to workers.
+pub trait WorkerCalls: 'static {
+    /// Starts a run.
+    fn start(
+        &self,
+        address: &str,
+        order: &StartOrder,
+        stamp: OrderStamp,
+    ) -> impl Future<Output = StartAnswer>;
+
+    /// Stops a run, or keeps it from ever starting.
+    fn stop(
+        &self,
+        address: &str,
+        order: &StopOrder,
+        token: u64,
+    ) -> impl Future<Output = PortResult<()>>;
+
+    /// Looks at the runs of a worker and prolongs its lease.
+    fn look(
+        &self,
+        address: &str,
+        worker: &WorkerName,
+        order: LookOrder,
+    ) -> impl Future<Output = PortResult<LookAnswer>>;
+}
+
+/// Questions about which workers may run a step.
+pub trait AdviceCalls: 'static {
+    /// Asks the service from this VM.
+    fn advise(&self, ask: &AdviceAsk) -> impl Future<Output = PortResult<AdviceAnswer>>;
+
+    /// Has another entry ask the service.
+    fn advise_through(
+        &self,
+        address: &str,
+        ask: &AdviceAsk,
+    ) -> impl Future<Output = PortResult<AdviceAnswer>>;
+}
+
+/// Reads what operators and workers keep in the table service.
+pub trait PlatformRows: 'static {
+    /// Reads a row of the operators' table.
+    fn operator_row(&self, row: &TableRow) -> crate::config::OperatorRow;
+
+    /// Reads the registration of a worker with its address; none if it names no worker to use.
+    fn worker_row(&self, row: &TableRow) -> Option<(plan::worker::WorkerInfo, ArcStr)>;
+}
--- a/crates/link/src/http.rs
+++ b/crates/link/src/http.rs
@@ -15,6 +15,10 @@
 /// set of the design size is about 1 MB.
 pub const BODY_LIMIT: usize = 16 << 20;
 
+/// Most connections of one client; a few for each worker, of which a small VM
+/// serves some hundreds.
+const CONNECTION_LIMIT: usize = 2_000;
+
 /// Result of a call.
 pub type CallResult<T> = Result<T, Report<CallFailure>>;
 
@@ -25,6 +29,7 @@
 #[must_use]
 pub fn build_client(source: Option<IpAddr>) -> awc::Client {
     let mut connector = awc::Connector::new()
+        .limit(CONNECTION_LIMIT)
         .timeout(Duration::from_secs(1))
         .conn_keep_alive(Duration::from_secs(15));
     if let Some(ip) = source {
@@ -68,6 +73,41 @@
     with_deadline(timeout, async { read_json(client.get(url).send().await).await }).await
 }
 
+/// Status and body of an answer.
+#[derive(Clone, Debug)]
+pub struct HttpAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The whole body.
+    pub body: bytes::Bytes,
+}
+
+/// Sends a request with a body and reads the whole answer, whatever its status.
+///
+/// # Errors
+/// [`CallFailure::NotDone`] if no connection was made, [`CallFailure::Unknown`]
+/// for everything else, a missed deadline included.
+pub async fn exchange(
+    request: awc::ClientRequest,
+    body: Vec<u8>,
+    timeout: Duration,
+) -> CallResult<HttpAnswer> {
+    with_deadline(timeout, async {
+        let mut answer = request
+            .send_body(body)
+            .await
+            .map_err(|error| Report::new(classify(&error)).attach(error.to_string()))?;
+        let status = answer.status();
+        let body = answer
+            .body()
+            .limit(BODY_LIMIT)
+            .await
+            .map_err(|error| Report::new(CallFailure::Unknown).attach(error.to_string()))?;
+        Ok(HttpAnswer { status, body })
+    })
+    .await
+}
+
 /// Runs a call for at most `timeout`.
 ///
 /// # Errors
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -5,6 +5,7 @@
 //! difference (docs/design.md, section 7).
 
 pub mod budget;
+pub mod clock;
 pub mod endpoint;
 pub mod failure;
 pub mod http;
--- /dev/null
+++ b/crates/plan/src/place.rs
@@ -0,0 +1,477 @@
+//! Placement of waiting steps, in order, under room, limits and advice.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use arcstr::ArcStr;
+use model::name::WorkerName;
+use model::resource::ResourceAmounts;
+
+use crate::config::QueueRule;
+use crate::decision::{AdviceAsk, PlanDecision, StartOrder};
+use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
+use crate::order::JobRank;
+use crate::planner::Planner;
+use crate::state::{RunPhase, RunState};
+
+/// Most workers that one call for advice may name.
+const ASK_LIMIT: usize = 100;
+/// Room that is asked about, relative to what a step needs: some of it is
+/// taken by other work before the answer comes.
+const ASK_MARGIN: f64 = 1.3;
+/// Share of good answers that is assumed before the first one.
+const ASSUMED_GOOD_SHARE: f64 = 0.5;
+/// Workers that the first question of a gang names at least, so that the
+/// question needs no second one when the room moves.
+const GANG_ASK_WORKERS: usize = 30;
+/// Gangs for which room is kept at the same time; more would idle the fleet.
+const RESERVED_GANGS: usize = 3;
+/// Milliseconds between two questions about one step.
+const ASK_PAUSE_MS: u64 = 60;
+
+/// A worker that may take tasks of a step.
+#[derive(Clone, Debug)]
+struct WorkerOption {
+    name: WorkerName,
+    free: ResourceAmounts,
+    near_data: bool,
+    rack: Option<ArcStr>,
+    ticket: ArcStr,
+    /// Tasks of the step that may still be placed here because of the spread.
+    spread_left: u32,
+}
+
+impl WorkerOption {
+    /// Returns how many tasks fit.
+    fn fits(&self, occupied: ResourceAmounts) -> u32 {
+        fit_count(self.free, occupied).min(self.spread_left)
+    }
+
+    fn take(&mut self, occupied: ResourceAmounts) {
+        self.free = self.free.minus(occupied);
+        self.spread_left -= 1;
+    }
+}
+
+/// Returns how often `amounts` fits into `free`.
+fn fit_count(free: ResourceAmounts, amounts: ResourceAmounts) -> u32 {
+    let ratios = free
+        .as_array()
+        .into_iter()
+        .zip(amounts.as_array())
+        .filter(|(_, amount)| *amount > 0)
+        .map(|(room, amount)| room / amount);
+    ratios.min().unwrap_or(u64::from(u32::MAX)).try_into().unwrap_or(u32::MAX)
+}
+
+/// State of one pass over the waiting steps.
+#[derive(Debug, Default)]
+struct PlacePass {
+    /// Workers whose room is kept for gangs that come first.
+    reserved: BTreeSet<WorkerName>,
+    gangs: usize,
+}
+
+impl Planner {
+    pub(crate) fn place_waiting(&mut self) {
+        let mut steps = self.waiting_steps();
+        steps.sort();
+        let mut pass = PlacePass::default();
+        for (rank, key) in steps {
+            self.place_step(rank, &key, &mut pass);
+        }
+    }
+
+    fn waiting_steps(&mut self) -> Vec<(JobRank, StepKey)> {
+        let mut keys = Vec::new();
+        for (id, job) in &self.jobs {
+            if job.status.is_final() || self.inherited.contains(id) {
+                continue;
+            }
+            for (number, occurrence) in &job.occurrences {
+                for (index, step) in (0_u32..).zip(&occurrence.steps) {
+                    let ready = job.spec.steps[index as usize].after.iter().all(|before| {
+                        occurrence.steps.get(*before as usize).is_none_or(|step| step.left == 0)
+                    });
+                    if step.waiting > 0 && ready {
+                        let key = StepKey { job: id.clone(), occurrence: *number, step: index };
+                        keys.push(key);
+                    }
+                }
+            }
+        }
+        keys.into_iter().filter_map(|key| Some((self.rank(&key.job)?.0, key))).collect()
+    }
+
+    fn place_step(&mut self, rank: JobRank, key: &StepKey, pass: &mut PlacePass) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let spec = job.spec.clone();
+        let Some(rule) = self.config.queues.get(&spec.queue).cloned() else { return };
+        let step = &spec.steps[key.step as usize];
+        let allowed = self.team_room(&spec, step);
+        if allowed == 0 {
+            return;
+        }
+        if step.gang {
+            self.place_gang(rank, key, &spec, &rule, allowed, pass);
+        } else {
+            self.place_tasks(key, &spec, &rule, allowed, pass);
+        }
+    }
+
+    /// Returns how many more tasks the team's limit allows.
+    fn team_room(&self, spec: &JobSpec, step: &StepSpec) -> u32 {
+        let Some(team) = &spec.team else { return u32::MAX };
+        let Some(rule) = self.config.teams.get(team) else { return 0 };
+        let used = self.used.get(team).copied().unwrap_or_default();
+        // What runs on workers that have not reported may belong to any team.
+        let unknown = self
+            .unseen
+            .iter()
+            .filter_map(|name| self.workers.get(name))
+            .fold(ResourceAmounts::ZERO, |sum, worker| sum.plus(worker.info.capacity));
+        fit_count(rule.limit.minus(used).minus(unknown), step.amounts)
+    }
+
+    fn options(
+        &self,
+        key: &StepKey,
+        step: &StepSpec,
+        rule: &QueueRule,
+        reserved: &BTreeSet<WorkerName>,
+    ) -> Vec<WorkerOption> {
+        let Some(state) = self
+            .jobs
+            .get(&key.job)
+            .and_then(|job| job.occurrences.get(&key.occurrence))
+            .and_then(|occurrence| occurrence.steps.get(key.step as usize))
+        else {
+            return Vec::new();
+        };
+        let occupied = step.occupied();
+        let mut options = Vec::new();
+        for (name, worker) in &self.workers {
+            let usable = worker.born.is_some()
+                && !worker.silent
+                && !worker.unlisted
+                && !worker.info.draining
+                && worker.quarantined_until <= self.now_ms
+                && worker.info.pool == rule.pool
+                && !self.config.out.contains(&worker.info.domain)
+                && !reserved.contains(name);
+            if !usable || !occupied.fits_in(worker.free()) {
+                continue;
+            }
+            if step.label.as_ref().is_some_and(|label| !worker.info.labels.contains(label)) {
+                continue;
+            }
+            let ticket = if rule.advice.is_some() {
+                match state.advice.good.get(name) {
+                    Some(ticket) if ticket.expires_ms > self.now_ms => ticket.text.clone(),
+                    _ => ArcStr::default(),
+                }
+            } else {
+                ArcStr::default()
+            };
+            let spread_left = if step.max_per_worker == 0 {
+                u32::MAX
+            } else {
+                let here = worker.runs.keys().filter(|task| task.step == *key).count();
+                step.max_per_worker.saturating_sub(u32::try_from(here).unwrap_or(u32::MAX))
+            };
+            if spread_left == 0 {
+                continue;
+            }
+            options.push(WorkerOption {
+                name: name.clone(),
+                free: worker.free(),
+                near_data: step.data_rack.is_some()
+                    && step.data_rack.as_ref() == worker.info.rack(),
+                rack: worker.info.rack().cloned(),
+                ticket,
+                spread_left,
+            });
+        }
+        options
+    }
+
+    fn place_tasks(
+        &mut self,
+        key: &StepKey,
+        spec: &Arc<JobSpec>,
+        rule: &QueueRule,
+        allowed: u32,
+        pass: &PlacePass,
+    ) {
+        let step = &spec.steps[key.step as usize];
+        let all = self.options(key, step, rule, &pass.reserved);
+        let mut options: Vec<_> = if rule.advice.is_some() {
+            all.iter().filter(|option| !option.ticket.is_empty()).cloned().collect()
+        } else {
+            all.clone()
+        };
+        let mut placed = 0;
+        for index in self.waiting_tasks(key) {
+            if placed == allowed {
+                return;
+            }
+            let task = TaskKey { step: key.clone(), index };
+            let Some(best) = self.best_option(&task, step, &options) else { break };
+            let option = &mut options[best];
+            option.take(step.occupied());
+            let (name, ticket) = (option.name.clone(), option.ticket.clone());
+            self.start_task(&task, spec, &name, ticket, None);
+            placed += 1;
+        }
+        let waiting = self.step_mut(key).map_or(0, |state| state.waiting);
+        let need = waiting.min(allowed - placed);
+        if need > 0 && rule.advice.is_some() {
+            self.ask(key, step, rule, &all, need);
+        }
+    }
+
+    fn waiting_tasks(&self, key: &StepKey) -> Vec<u32> {
+        self.jobs
+            .get(&key.job)
+            .and_then(|job| job.occurrences.get(&key.occurrence))
+            .and_then(|occurrence| occurrence.steps.get(key.step as usize))
+            .map(|step| {
+                let waits =
+                    |(task, index): (&crate::state::TaskState, u32)| task.waits().then_some(index);
+                step.tasks.iter().zip(0_u32..).filter_map(waits).collect()
+            })
+            .unwrap_or_default()
+    }
+
+    /// Picks the tightest fit, near the data, away from workers where the task failed.
+    fn best_option(
+        &mut self,
+        task: &TaskKey,
+        step: &StepSpec,
+        options: &[WorkerOption],
+    ) -> Option<usize> {
+        let avoid = self.task_mut(task)?.avoid.clone();
+        let occupied = step.occupied();
+        options
+            .iter()
+            .enumerate()
+            .filter(|(_, option)| option.fits(occupied) > 0)
+            .min_by_key(|(_, option)| {
+                (avoid.contains(&option.name), !option.near_data, option.free.cpu_millis)
+            })
+            .map(|(index, _)| index)
+    }
+
+    fn place_gang(
+        &mut self,
+        rank: JobRank,
+        key: &StepKey,
+        spec: &Arc<JobSpec>,
+        rule: &QueueRule,
+        allowed: u32,
+        pass: &mut PlacePass,
+    ) {
+        let step = &spec.steps[key.step as usize];
+        let idle = self.step_mut(key).is_some_and(|state| state.waiting == step.count);
+        if !idle || allowed < step.count {
+            return;
+        }
+        let all = self.options(key, step, rule, &pass.reserved);
+        let options: Vec<_> = if rule.advice.is_some() {
+            all.iter().filter(|option| !option.ticket.is_empty()).cloned().collect()
+        } else {
+            all.clone()
+        };
+        if let Some(places) = pack_gang(step, options) {
+            let run = self.next_gang_run(key);
+            for (index, (name, ticket)) in (0_u32..).zip(places) {
+                let task = TaskKey { step: key.clone(), index };
+                self.start_task(&task, spec, &name, ticket, Some(run));
+            }
+            return;
+        }
+        if rule.advice.is_some() {
+            self.ask(key, step, rule, &all, step.count);
+        }
+        if rank.class == 0 && pass.gangs < RESERVED_GANGS {
+            pass.gangs += 1;
+            self.reserve(key, step, rule, &mut pass.reserved);
+        }
+    }
+
+    /// Keeps workers that may run a gang free of later work until it fits.
+    fn reserve(
+        &self,
+        key: &StepKey,
+        step: &StepSpec,
+        rule: &QueueRule,
+        reserved: &mut BTreeSet<WorkerName>,
+    ) {
+        let Some(state) = self
+            .jobs
+            .get(&key.job)
+            .and_then(|job| job.occurrences.get(&key.occurrence))
+            .and_then(|occurrence| occurrence.steps.get(key.step as usize))
+        else {
+            return;
+        };
+        let mut workers: Vec<_> = self
+            .workers
+            .values()
+            .filter(|worker| worker.info.pool == rule.pool && !worker.info.draining)
+            .filter(|worker| !worker.silent && !worker.unlisted && worker.born.is_some())
+            .filter(|worker| !self.config.out.contains(&worker.info.domain))
+            .filter(|worker| !reserved.contains(&worker.info.name))
+            .filter(|worker| {
+                rule.advice.is_none() || state.advice.good.contains_key(&worker.info.name)
+            })
+            .collect();
+        workers.sort_by_key(|worker| std::cmp::Reverse(worker.free().cpu_millis));
+        let mut room = 0;
+        let mut names = Vec::new();
+        for worker in workers {
+            if room >= step.count {
+                break;
+            }
+            room += fit_count(worker.info.capacity, step.occupied());
+            names.push(worker.info.name.clone());
+        }
+        if room >= step.count {
+            reserved.extend(names);
+        }
+    }
+
+    fn next_gang_run(&mut self, key: &StepKey) -> u32 {
+        let base = self.run_base;
+        let Some(state) = self.step_mut(key) else { return base };
+        let last = state.tasks.iter().map(|task| task.last_run).max().unwrap_or(0);
+        (last + 1).max(base)
+    }
+
+    fn start_task(
+        &mut self,
+        task: &TaskKey,
+        spec: &Arc<JobSpec>,
+        name: &WorkerName,
+        ticket: ArcStr,
+        gang_run: Option<u32>,
+    ) {
+        let step = &spec.steps[task.step.step as usize];
+        let base = self.run_base;
+        let Some(state) = self.step_mut(&task.step) else { return };
+        let gang_saved = state.gang_saved.clone();
+        let Some(waiting) = state.tasks.get(task.index as usize) else { return };
+        let saved = if step.gang { gang_saved } else { waiting.saved.clone() };
+        let run = gang_run.unwrap_or((waiting.last_run + 1).max(base));
+        let state = RunState {
+            run,
+            phase: RunPhase::Starting,
+            since_ms: self.now_ms,
+            confirmed_ms: None,
+            occupied: step.occupied(),
+            charged: step.amounts,
+            team: spec.team.clone(),
+            stop_sent: false,
+            gauge: 0,
+        };
+        self.add_run(name, task, state);
+        self.out.push(PlanDecision::Start(StartOrder {
+            worker: name.clone(),
+            task: task.clone(),
+            run,
+            job: spec.clone(),
+            saved,
+            ticket,
+        }));
+    }
+
+    /// Asks which workers may run a step: those that may first, then unknown ones by room.
+    fn ask(
+        &mut self,
+        key: &StepKey,
+        step: &StepSpec,
+        rule: &QueueRule,
+        options: &[WorkerOption],
+        need: u32,
+    ) {
+        let Some(cost) = rule.advice else { return };
+        let queue = self.jobs.get(&key.job).map(|job| job.spec.queue.clone());
+        let share = queue
+            .and_then(|queue| self.good_share.get(&queue).copied())
+            .unwrap_or(ASSUMED_GOOD_SHARE)
+            .max(0.05);
+        let now = self.now_ms;
+        let Some(state) = self.step_mut(key) else { return };
+        if state.advice.asked_at.is_some() || state.advice.not_before > now {
+            return;
+        }
+        let occupied = step.occupied();
+        let mut ranked: Vec<_> = options
+            .iter()
+            .filter(|option| !state.advice.bad.contains(&option.name))
+            .map(|option| {
+                let known = state.advice.good.contains_key(&option.name);
+                (known, option.fits(occupied).min(need), &option.name)
+            })
+            .collect();
+        ranked.sort_by_key(|(known, fits, name)| {
+            (std::cmp::Reverse(*known), std::cmp::Reverse(*fits), (*name).clone())
+        });
+        let wanted = f64::from(need) * ASK_MARGIN;
+        let mut expected = 0.0;
+        let mut room = 0.0;
+        let mut workers: Vec<WorkerName> = Vec::new();
+        for (known, fits, name) in ranked {
+            let enough =
+                expected >= wanted && (!step.gang || known || workers.len() >= GANG_ASK_WORKERS);
+            if enough || workers.len() >= ASK_LIMIT {
+                break;
+            }
+            expected += f64::from(fits) * if known { 1.0 } else { share };
+            room += f64::from(fits);
+            workers.push(name.clone());
+        }
+        // A gang that does not fit even if all workers were good has to wait for room first.
+        let hopeless = step.gang && room < f64::from(need);
+        if workers.is_empty() || hopeless {
+            return;
+        }
+        state.advice.asked_at = Some(now);
+        state.advice.not_before = now + ASK_PAUSE_MS;
+        let duration_ms = cost.duration_ms(workers.len());
+        self.out.push(PlanDecision::Ask(AdviceAsk {
+            step: key.clone(),
+            workers,
+            duration_ms,
+            priority: rule.priority,
+        }));
+    }
+}
+
+/// Places a whole gang, on one rack if it wants that and one has the room; none if it does not fit.
+fn pack_gang(step: &StepSpec, options: Vec<WorkerOption>) -> Option<Vec<(WorkerName, ArcStr)>> {
+    if step.same_rack {
+        let racks: BTreeSet<_> = options.iter().filter_map(|option| option.rack.clone()).collect();
+        let on_rack = racks.into_iter().find_map(|rack| {
+            let inside = options.iter().filter(|option| option.rack.as_ref() == Some(&rack));
+            pack_all(step, inside.cloned().collect())
+        });
+        if on_rack.is_some() {
+            return on_rack;
+        }
+    }
+    pack_all(step, options)
+}
+
+fn pack_all(step: &StepSpec, mut options: Vec<WorkerOption>) -> Option<Vec<(WorkerName, ArcStr)>> {
+    let occupied = step.occupied();
+    options.sort_by_key(|option| (!option.near_data, option.free.cpu_millis));
+    let mut places = Vec::with_capacity(step.count as usize);
+    for option in &mut options {
+        while places.len() < step.count as usize && option.fits(occupied) > 0 {
+            option.take(occupied);
+            places.push((option.name.clone(), option.ticket.clone()));
+        }
+    }
+    (places.len() == step.count as usize).then_some(places)
+}
--- /dev/null
+++ b/crates/plan/src/planner.rs
@@ -0,0 +1,508 @@
+//! The planner: jobs, workers and teams of one fleet.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use arcstr::ArcStr;
+use model::name::{JobId, QueueName, TeamName, WorkerName};
+use model::resource::ResourceAmounts;
+
+use crate::config::{PlanConfig, QueueRule};
+use crate::decision::{PlanDecision, StopOrder};
+use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
+use crate::order::{self, JobRank};
+use crate::progress::{JobStatus, ProgressRecord, StepProgress};
+use crate::state::{
+    AdviceState, JobState, OccurrenceState, PendingAcks, RunPhase, RunState, StepState, TaskState,
+    WorkerState,
+};
+use crate::worker::WorkerInfo;
+
+/// Bounds that the deployment sets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlanBounds {
+    /// Seconds of a team's share that it may send at once.
+    pub share_burst_s: u64,
+    /// Lowest run number, above every run of an earlier owner.
+    pub first_run: u32,
+}
+
+impl Default for PlanBounds {
+    fn default() -> Self {
+        Self { share_burst_s: 3, first_run: 1 }
+    }
+}
+
+/// Jobs whose progress is to be stored, with the ends that it covers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ProgressBatch {
+    /// Records by job.
+    pub records: Vec<(JobId, ProgressRecord)>,
+    /// Ends that may be acknowledged once the records are stored.
+    pub acks: PendingAcks,
+}
+
+/// Decides where and when the tasks of all jobs run.
+#[derive(Debug, Default)]
+pub struct Planner {
+    pub(crate) bounds: PlanBounds,
+    pub(crate) run_base: u32,
+    pub(crate) now_ms: u64,
+    pub(crate) config: Arc<PlanConfig>,
+    pub(crate) workers: BTreeMap<WorkerName, WorkerState>,
+    pub(crate) jobs: BTreeMap<JobId, JobState>,
+    pub(crate) used: BTreeMap<TeamName, ResourceAmounts>,
+    pub(crate) dirty: BTreeSet<JobId>,
+    pub(crate) acks: PendingAcks,
+    /// Tasks that wait until all workers have reported: workers that have not
+    /// may still run them for an earlier owner.
+    pub(crate) inherited: BTreeSet<JobId>,
+    /// Workers that an earlier owner may have used and that have not reported.
+    pub(crate) unseen: BTreeSet<WorkerName>,
+    /// Shares of good answers of the advice service by queue.
+    pub(crate) good_share: BTreeMap<QueueName, f64>,
+    /// Longest durations of runs seen by queue, in milliseconds.
+    pub(crate) longest_run: BTreeMap<QueueName, u64>,
+    pub(crate) share_tokens: BTreeMap<TeamName, (f64, u64)>,
+    pub(crate) out: Vec<PlanDecision>,
+}
+
+impl Planner {
+    /// Creates a planner that knows nothing yet.
+    #[must_use]
+    pub fn new(bounds: PlanBounds) -> Self {
+        Self { run_base: bounds.first_run, bounds, ..Self::default() }
+    }
+
+    /// Takes a new configuration.
+    pub fn set_config(&mut self, config: Arc<PlanConfig>) {
+        self.config = config;
+        for job in self.jobs.values_mut() {
+            job.objective_ms = None;
+        }
+    }
+
+    /// Tells the planner of a worker, or of a change of what it says of itself.
+    pub fn set_worker(&mut self, info: WorkerInfo) {
+        match self.workers.get_mut(&info.name) {
+            Some(worker) => {
+                worker.info = info;
+                worker.unlisted = false;
+            }
+            None => {
+                self.workers.insert(info.name.clone(), WorkerState::new(info));
+            }
+        }
+    }
+
+    /// Says that workers of an earlier owner may still run tasks of the jobs known so far,
+    /// `unlisted` ones included, which are not registered any more.
+    pub fn inherit(&mut self, unlisted: Vec<WorkerName>) {
+        self.unseen = self.workers.keys().cloned().chain(unlisted).collect();
+        if !self.unseen.is_empty() {
+            self.inherited = self.jobs.keys().cloned().collect();
+        }
+    }
+
+    /// Says that a worker is not registered any more. Its runs count until they have surely ended.
+    pub fn unlist_worker(&mut self, name: &WorkerName) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.unlisted = true;
+            if worker.runs.is_empty() && !self.unseen.contains(name) {
+                self.workers.remove(name);
+            }
+        }
+    }
+
+    /// Says whether a worker answers at present; nothing is started on one that does not.
+    pub fn set_silent(&mut self, name: &WorkerName, silent: bool) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.silent = silent;
+        }
+    }
+
+    /// Says that nothing that was started on a worker before can still run there.
+    pub fn worker_lapsed(&mut self, name: &WorkerName) {
+        self.mark_seen(name);
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let lost: Vec<_> = worker.runs.keys().cloned().collect();
+        let unlisted = worker.unlisted;
+        for task in lost {
+            self.drop_run(name, &task);
+        }
+        if unlisted {
+            self.workers.remove(name);
+        }
+    }
+
+    pub(crate) fn mark_seen(&mut self, name: &WorkerName) {
+        if self.unseen.remove(name) && self.unseen.is_empty() {
+            self.inherited.clear();
+        }
+    }
+
+    /// Takes a job with the progress that is stored for it.
+    ///
+    /// `arrived_ms` is the time of its submission on the planner's clock.
+    pub fn add_job(&mut self, spec: &Arc<JobSpec>, progress: &ProgressRecord, arrived_ms: u64) {
+        if self.jobs.contains_key(&spec.id) || progress.status.is_final() {
+            return;
+        }
+        let beyond_share = self.take_share(spec);
+        let mut job = JobState {
+            arrived_ms,
+            status: progress.status,
+            occurrences: BTreeMap::new(),
+            next_occurrence: 0,
+            beyond_share,
+            objective_ms: None,
+            spec: spec.clone(),
+        };
+        if spec.schedule.is_none() {
+            job.occurrences.insert(0, new_occurrence(spec));
+            job.next_occurrence = 1;
+        }
+        for step in &progress.steps {
+            restore_step(&mut job, step);
+        }
+        self.jobs.insert(spec.id.clone(), job);
+    }
+
+    /// Counts a job against its team's share and tells whether it is beyond it.
+    #[expect(clippy::cast_precision_loss, reason = "weights and spans are small")]
+    fn take_share(&mut self, spec: &JobSpec) -> bool {
+        let Some(team) = &spec.team else { return false };
+        let Some(rule) = self.config.teams.get(team) else { return false };
+        let rate = rule.weight as f64;
+        let burst = rate * self.bounds.share_burst_s as f64;
+        let now = self.now_ms;
+        let (tokens, at) = self.share_tokens.entry(team.clone()).or_insert((burst, now));
+        *tokens = (*tokens + rate * now.saturating_sub(*at) as f64 / 1_000.0).min(burst);
+        *at = now;
+        if *tokens < 1.0 {
+            return true;
+        }
+        *tokens -= 1.0;
+        false
+    }
+
+    /// Cancels a job: its runs are stopped and it is over.
+    pub fn cancel_job(&mut self, id: &JobId) {
+        if self.jobs.contains_key(id) {
+            self.finish_job(id, JobStatus::Cancelled);
+        }
+    }
+
+    /// Tells whether a job is known and not over.
+    #[must_use]
+    pub fn is_live(&self, id: &JobId) -> bool {
+        self.jobs.get(id).is_some_and(|job| !job.status.is_final())
+    }
+
+    /// Returns the number of jobs that are not over.
+    #[must_use]
+    pub fn live_jobs(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns the number of runs that may be present, over all workers.
+    #[must_use]
+    pub fn present_runs(&self) -> usize {
+        self.workers.values().map(|worker| worker.runs.len()).sum()
+    }
+
+    /// Counts the jobs of each queue of which no task has started.
+    #[must_use]
+    pub fn waiting_by_queue(&self) -> BTreeMap<QueueName, u32> {
+        let mut counts = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| job.status == JobStatus::Pending) {
+            *counts.entry(job.spec.queue.clone()).or_insert(0) += 1;
+        }
+        counts
+    }
+
+    /// Returns what the progress of changed jobs has to say, at most `most` records.
+    ///
+    /// Ends are covered only when all changed jobs are.
+    pub fn take_progress(&mut self, most: usize) -> ProgressBatch {
+        let mut batch = ProgressBatch::default();
+        while batch.records.len() < most
+            && let Some(id) = self.dirty.pop_first()
+        {
+            if let Some(job) = self.jobs.get(&id) {
+                batch.records.push((id, job_record(job)));
+            }
+        }
+        if self.dirty.is_empty() {
+            batch.acks = std::mem::take(&mut self.acks);
+        }
+        batch
+    }
+
+    /// Puts a batch back that could not be stored.
+    pub fn restore_progress(&mut self, batch: ProgressBatch) {
+        self.dirty.extend(batch.records.into_iter().map(|(id, _)| id));
+        for end in batch.acks.ends.into_iter().rev() {
+            self.acks.ends.push_front(end);
+        }
+    }
+
+    /// Says that a batch is stored; forgets jobs that are over.
+    pub fn progress_stored(&mut self, batch: &ProgressBatch) {
+        for (name, born, number) in &batch.acks.ends {
+            if let Some(worker) = self.workers.get_mut(name)
+                && worker.born == Some(*born)
+            {
+                worker.stored_end = worker.stored_end.max(*number);
+            }
+        }
+        for (id, record) in &batch.records {
+            if record.status.is_final() {
+                self.jobs.remove(id);
+                self.inherited.remove(id);
+            }
+        }
+    }
+
+    /// Returns the highest end of a worker's life that may be acknowledged.
+    #[must_use]
+    pub fn stored_end(&self, name: &WorkerName) -> u64 {
+        self.workers.get(name).map_or(0, |worker| worker.stored_end)
+    }
+
+    /// Tells whether progress waits to be stored.
+    #[must_use]
+    pub fn has_progress(&self) -> bool {
+        !self.dirty.is_empty() || !self.acks.ends.is_empty()
+    }
+
+    /// Tells whether a job that is over waits to be stored, for which callers wait.
+    #[must_use]
+    pub fn has_final_progress(&self) -> bool {
+        self.dirty.iter().any(|id| self.jobs.get(id).is_some_and(|job| job.status.is_final()))
+    }
+
+    /// Decides what to do now. `unix_ms` is the time of day, for jobs with due times.
+    pub fn decide(&mut self, now_ms: u64, unix_ms: u64) -> Vec<PlanDecision> {
+        self.now_ms = self.now_ms.max(now_ms);
+        self.open_occurrences(unix_ms);
+        self.place_waiting();
+        std::mem::take(&mut self.out)
+    }
+
+    fn open_occurrences(&mut self, unix_ms: u64) {
+        for job in self.jobs.values_mut() {
+            let Some(schedule) = job.spec.schedule else { continue };
+            if job.status.is_final() {
+                continue;
+            }
+            while job.next_occurrence < schedule.occurrences
+                && schedule.start_ms + u64::from(job.next_occurrence) * schedule.interval_ms
+                    <= unix_ms
+            {
+                let occurrence = job.next_occurrence;
+                job.next_occurrence += 1;
+                job.occurrences.entry(occurrence).or_insert_with(|| new_occurrence(&job.spec));
+            }
+        }
+    }
+
+    pub(crate) fn rank(&mut self, id: &JobId) -> Option<(JobRank, QueueRule)> {
+        let job = self.jobs.get_mut(id)?;
+        let rule = self.config.queues.get(&job.spec.queue)?;
+        let objective =
+            *job.objective_ms.get_or_insert_with(|| order::objective_ms(&job.spec, rule));
+        let rank = order::rank_job(
+            self.now_ms,
+            job.arrived_ms,
+            objective,
+            job.beyond_share,
+            rule.priority,
+        );
+        Some((rank, rule.clone()))
+    }
+
+    pub(crate) fn step_spec(&self, key: &StepKey) -> Option<&StepSpec> {
+        self.jobs.get(&key.job)?.spec.steps.get(key.step as usize)
+    }
+
+    pub(crate) fn step_mut(&mut self, key: &StepKey) -> Option<&mut StepState> {
+        let job = self.jobs.get_mut(&key.job)?;
+        job.occurrences.get_mut(&key.occurrence)?.steps.get_mut(key.step as usize)
+    }
+
+    pub(crate) fn task_mut(&mut self, key: &TaskKey) -> Option<&mut TaskState> {
+        self.step_mut(&key.step)?.tasks.get_mut(key.index as usize)
+    }
+
+    /// Ends a job and stops what it still runs.
+    pub(crate) fn finish_job(&mut self, id: &JobId, status: JobStatus) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.status.is_final() {
+            return;
+        }
+        job.status = status;
+        job.occurrences.clear();
+        self.dirty.insert(id.clone());
+        let reason = match status {
+            JobStatus::Cancelled => "job-cancelled",
+            _ => "job-over",
+        };
+        let runs: Vec<_> = self
+            .workers
+            .iter()
+            .flat_map(|(name, worker)| {
+                let tasks = worker.runs.keys().filter(|task| task.step.job == *id);
+                tasks.map(|task| (name.clone(), task.clone()))
+            })
+            .collect();
+        for (worker, task) in runs {
+            self.stop_run(&worker, &task, reason);
+        }
+    }
+
+    /// Orders the stop of a run; what it takes counts until its end is known.
+    pub(crate) fn stop_run(&mut self, name: &WorkerName, task: &TaskKey, reason: &'static str) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let Some(run) = worker.runs.get_mut(task) else { return };
+        if run.stop_sent {
+            return;
+        }
+        run.phase = RunPhase::Stopping;
+        run.confirmed_ms = None;
+        run.stop_sent = true;
+        let order = StopOrder { worker: name.clone(), task: task.clone(), run: run.run, reason };
+        self.out.push(PlanDecision::Stop(order));
+    }
+
+    /// Adds a run and charges it to its worker and team.
+    pub(crate) fn add_run(&mut self, name: &WorkerName, task: &TaskKey, run: RunState) {
+        if let Some(team) = &run.team {
+            let used = self.used.entry(team.clone()).or_default();
+            *used = used.plus(run.charged);
+        }
+        let number = run.run;
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.occupied = worker.occupied.plus(run.occupied);
+            worker.runs.insert(task.clone(), run);
+        }
+        let Some(step) = self.step_mut(&task.step) else { return };
+        let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
+        let waited = state.waits();
+        state.last_run = state.last_run.max(number);
+        state.runs.push((name.clone(), number));
+        if waited {
+            step.waiting -= 1;
+        }
+    }
+
+    /// Removes a run that is surely not present any more and returns it.
+    pub(crate) fn drop_run(&mut self, name: &WorkerName, task: &TaskKey) -> Option<RunState> {
+        let worker = self.workers.get_mut(name)?;
+        let run = worker.runs.remove(task)?;
+        worker.occupied = worker.occupied.minus(run.occupied);
+        if let Some(team) = &run.team
+            && let Some(used) = self.used.get_mut(team)
+        {
+            *used = used.minus(run.charged);
+        }
+        if let Some(step) = self.step_mut(&task.step)
+            && let Some(state) = step.tasks.get_mut(task.index as usize)
+        {
+            let before = state.waits();
+            state.runs.retain(|(holder, number)| holder != name || *number != run.run);
+            if !before && state.waits() {
+                step.waiting += 1;
+            }
+        }
+        self.break_gang(task);
+        Some(run)
+    }
+
+    /// Stops the other members of a gang of which one run has ended.
+    fn break_gang(&mut self, task: &TaskKey) {
+        if !self.step_spec(&task.step).is_some_and(|spec| spec.gang) {
+            return;
+        }
+        let Some(step) = self.step_mut(&task.step) else { return };
+        if step.left == 0 {
+            return;
+        }
+        let members: Vec<_> = step
+            .tasks
+            .iter()
+            .zip(0_u32..)
+            .flat_map(|(state, index)| state.runs.iter().map(move |(name, _)| (name, index)))
+            .map(|(name, index)| (name.clone(), index))
+            .collect();
+        for (name, index) in members {
+            let member = TaskKey { step: task.step.clone(), index };
+            self.stop_run(&name, &member, "gang-broken");
+        }
+    }
+}
+
+fn new_occurrence(spec: &JobSpec) -> OccurrenceState {
+    let steps = spec
+        .steps
+        .iter()
+        .map(|step| StepState {
+            tasks: vec![TaskState::default(); step.count as usize],
+            left: step.count,
+            waiting: step.count,
+            advice: AdviceState::default(),
+            gang_saved: ArcStr::default(),
+        })
+        .collect();
+    OccurrenceState { steps }
+}
+
+fn restore_step(job: &mut JobState, progress: &StepProgress) {
+    let spec = job.spec.clone();
+    let occurrence =
+        job.occurrences.entry(progress.occurrence).or_insert_with(|| new_occurrence(&spec));
+    job.next_occurrence = job.next_occurrence.max(progress.occurrence + 1);
+    let Some(step) = occurrence.steps.get_mut(progress.step as usize) else { return };
+    for (first, last) in &progress.done {
+        for index in *first..=*last {
+            if let Some(task) = step.tasks.get_mut(index as usize)
+                && !task.done
+            {
+                task.done = true;
+                step.left -= 1;
+                step.waiting -= 1;
+            }
+        }
+    }
+    for (index, (failures, run)) in &progress.failed {
+        if let Some(task) = step.tasks.get_mut(*index as usize) {
+            task.failures = *failures;
+            task.failed_run = *run;
+            task.last_run = task.last_run.max(*run);
+        }
+    }
+}
+
+fn job_record(job: &JobState) -> ProgressRecord {
+    let mut record = ProgressRecord { status: job.status, steps: Vec::new() };
+    if job.status.is_final() {
+        return record;
+    }
+    for (number, occurrence) in &job.occurrences {
+        for (step, index) in occurrence.steps.iter().zip(0_u32..) {
+            let mut progress =
+                StepProgress { occurrence: *number, step: index, ..StepProgress::default() };
+            for (task, index) in step.tasks.iter().zip(0_u32..) {
+                if task.done {
+                    progress.push_done(index);
+                } else if task.failures > 0 {
+                    progress.failed.insert(index, (task.failures, task.failed_run));
+                }
+            }
+            if !progress.done.is_empty() || !progress.failed.is_empty() {
+                record.steps.push(progress);
+            }
+        }
+    }
+    record
+}
--- /dev/null
+++ b/crates/plan/src/report.rs
@@ -0,0 +1,371 @@
+//! What workers report, and how they answer orders.
+
+use arcstr::ArcStr;
+use model::name::WorkerName;
+use model::resource::ResourceAmounts;
+
+use crate::decision::AdviceAnswer;
+use crate::job::TaskKey;
+use crate::planner::Planner;
+use crate::progress::JobStatus;
+use crate::state::{IssuedTicket, RunPhase, RunState};
+use crate::worker::{EndKind, ListedEnd, ListedRun, RefusalKind, RunReport, StartAnswer};
+
+/// First failures without a success after which a worker gets no work for a while.
+const STRIKES_TO_QUARANTINE: u32 = 2;
+/// Milliseconds without starts on a worker that fails what it runs.
+const QUARANTINE_MS: u64 = 3_000;
+/// Milliseconds without starts on a worker that refuses them as unhealthy.
+const UNHEALTHY_PAUSE_MS: u64 = 500;
+/// Milliseconds before a step is asked about again after a failed call.
+const FAILED_ASK_PAUSE_MS: u64 = 100;
+/// Part of a ticket's life that may pass on the way to the worker, in milliseconds.
+const TICKET_MARGIN_MS: u64 = 150;
+/// Weight of the newest answer in the mean share of good workers.
+const GOOD_SHARE_GAIN: f64 = 0.1;
+
+impl Planner {
+    /// Takes a report that was asked for at `sent_ms`.
+    pub fn report(&mut self, name: &WorkerName, report: &RunReport, sent_ms: u64, now_ms: u64) {
+        self.now_ms = self.now_ms.max(now_ms);
+        if !self.take_life(name, report.born) {
+            return;
+        }
+        for end in &report.ended {
+            self.count_end(name, report.born, end);
+        }
+        for listed in &report.running {
+            self.take_listed(name, listed);
+        }
+        self.drop_absent(name, report, sent_ms);
+        self.mark_seen(name);
+    }
+
+    /// Notes the life of a worker; false if the report is of an earlier one.
+    fn take_life(&mut self, name: &WorkerName, born: u64) -> bool {
+        let Some(worker) = self.workers.get_mut(name) else { return false };
+        worker.silent = false;
+        let Some(known) = worker.born else {
+            worker.born = Some(born);
+            return true;
+        };
+        if born < known {
+            return false;
+        }
+        if born > known {
+            worker.born = Some(born);
+            worker.counted_end = 0;
+            worker.stored_end = 0;
+            worker.strikes = 0;
+            // A start without an answer may have reached the new life.
+            let lost: Vec<_> = worker
+                .runs
+                .iter()
+                .filter(|(_, run)| run.confirmed_ms.is_some())
+                .map(|(task, _)| task.clone())
+                .collect();
+            for task in lost {
+                self.drop_run(name, &task);
+            }
+        }
+        true
+    }
+
+    fn count_end(&mut self, name: &WorkerName, born: u64, end: &ListedEnd) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if end.number <= worker.counted_end {
+            return;
+        }
+        worker.counted_end = end.number;
+        self.acks.ends.push_back((name.clone(), born, end.number));
+        let run = worker.runs.get(&end.task).filter(|run| run.run == end.run).cloned();
+        self.keep_saved(&end.task, &end.saved);
+        match end.kind {
+            EndKind::Done => self.task_done(name, end, run.as_ref()),
+            EndKind::Failed => self.task_failed(name, end),
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
+        }
+        if run.is_some() {
+            self.drop_run(name, &end.task);
+        }
+    }
+
+    fn keep_saved(&mut self, task: &TaskKey, saved: &ArcStr) {
+        if saved.is_empty() {
+            return;
+        }
+        let gang = self.step_spec(&task.step).is_some_and(|spec| spec.gang);
+        let Some(step) = self.step_mut(&task.step) else { return };
+        if gang {
+            step.gang_saved = saved.clone();
+        } else if let Some(state) = step.tasks.get_mut(task.index as usize) {
+            state.saved = saved.clone();
+        }
+    }
+
+    fn task_done(&mut self, name: &WorkerName, end: &ListedEnd, run: Option<&RunState>) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.strikes = 0;
+        }
+        let Some(spec) = self.step_spec(&end.task.step) else { return };
+        let (gang, service) = (spec.gang, spec.service);
+        if service {
+            return;
+        }
+        if let Some(run) = run {
+            self.note_duration(&end.task, self.now_ms.saturating_sub(run.since_ms));
+        }
+        let Some(step) = self.step_mut(&end.task.step) else { return };
+        let indices = if gang {
+            0..step.tasks.len()
+        } else {
+            end.task.index as usize..end.task.index as usize + 1
+        };
+        for state in step.tasks.get_mut(indices).into_iter().flatten() {
+            if !state.done {
+                step.waiting -= u32::from(state.waits());
+                state.done = true;
+                step.left -= 1;
+            }
+        }
+        self.dirty.insert(end.task.step.job.clone());
+        self.finish_if_done(&end.task);
+    }
+
+    fn note_duration(&mut self, task: &TaskKey, duration_ms: u64) {
+        let Some(job) = self.jobs.get(&task.step.job) else { return };
+        let longest = self.longest_run.entry(job.spec.queue.clone()).or_insert(0);
+        *longest = duration_ms.max(*longest);
+    }
+
+    fn finish_if_done(&mut self, task: &TaskKey) {
+        let Some(job) = self.jobs.get(&task.step.job) else { return };
+        let total = job.spec.schedule.map_or(1, |schedule| schedule.occurrences);
+        let over = job.next_occurrence >= total
+            && job
+                .occurrences
+                .values()
+                .all(|occurrence| occurrence.steps.iter().all(|step| step.left == 0));
+        if over {
+            self.finish_job(&task.step.job.clone(), JobStatus::Completed);
+        }
+    }
+
+    fn task_failed(&mut self, name: &WorkerName, end: &ListedEnd) {
+        let Some(job) = self.jobs.get(&end.task.step.job) else { return };
+        let attempts = self.config.queues.get(&job.spec.queue).map(|rule| rule.attempts);
+        let Some(spec) = self.step_spec(&end.task.step) else { return };
+        let (gang, service) = (spec.gang, spec.service);
+        let Some(step) = self.step_mut(&end.task.step) else { return };
+        let Some(state) = step.tasks.get_mut(end.task.index as usize) else { return };
+        if end.run <= state.failed_run {
+            return;
+        }
+        state.failed_run = end.run;
+        state.failures += 1;
+        let first = state.failures == 1;
+        if !state.avoid.contains(name) {
+            state.avoid.push(name.clone());
+        }
+        let failures =
+            if gang { step.tasks.iter().map(|task| task.failures).sum() } else { state.failures };
+        self.dirty.insert(end.task.step.job.clone());
+        if first {
+            self.strike(name);
+        }
+        if !service && attempts.is_some_and(|attempts| failures >= attempts) {
+            self.finish_job(&end.task.step.job, JobStatus::Failed);
+        }
+    }
+
+    /// Counts a first failure; a task that fails everywhere counts once.
+    fn strike(&mut self, name: &WorkerName) {
+        let now = self.now_ms;
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        worker.strikes += 1;
+        if worker.strikes >= STRIKES_TO_QUARANTINE {
+            worker.quarantined_until = now + QUARANTINE_MS;
+        }
+    }
+
+    fn take_listed(&mut self, name: &WorkerName, listed: &ListedRun) {
+        self.keep_saved(&listed.task, &listed.saved);
+        let now = self.now_ms;
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if let Some(run) = worker.runs.get_mut(&listed.task) {
+            if run.run == listed.run {
+                run.gauge = listed.gauge;
+                if run.phase == RunPhase::Starting {
+                    run.phase = RunPhase::Running;
+                    run.confirmed_ms = Some(now);
+                }
+                self.mark_running(&listed.task);
+                return;
+            }
+            if run.run > listed.run {
+                // The newer run is charged; an older one that came late ends by the stop of the newer.
+                return;
+            }
+            self.drop_run(name, &listed.task);
+        }
+        self.adopt(name, listed);
+    }
+
+    /// Takes over a run that an earlier owner started, or stops what should not run.
+    fn adopt(&mut self, name: &WorkerName, listed: &ListedRun) {
+        let wanted = self.wants(listed);
+        let capacity =
+            self.workers.get(name).map_or(ResourceAmounts::ZERO, |worker| worker.info.capacity);
+        let (occupied, charged, team) = match self.jobs.get(&listed.task.step.job) {
+            Some(job) => match job.spec.steps.get(listed.task.step.step as usize) {
+                Some(step) => (step.occupied(), step.amounts, job.spec.team.clone()),
+                None => (capacity, ResourceAmounts::ZERO, None),
+            },
+            // The job is over and its sizes are forgotten, so that the run may take everything.
+            None => (capacity, ResourceAmounts::ZERO, None),
+        };
+        let run = RunState {
+            run: listed.run,
+            phase: RunPhase::Running,
+            since_ms: self.now_ms,
+            confirmed_ms: Some(self.now_ms),
+            occupied,
+            charged,
+            team,
+            stop_sent: false,
+            gauge: listed.gauge,
+        };
+        self.add_run(name, &listed.task, run);
+        if wanted {
+            self.mark_running(&listed.task);
+        } else {
+            self.stop_run(name, &listed.task, "not-wanted");
+        }
+    }
+
+    fn wants(&mut self, listed: &ListedRun) -> bool {
+        let gang = self.step_spec(&listed.task.step).is_some_and(|spec| spec.gang);
+        let Some(state) = self.task_mut(&listed.task) else { return false };
+        if state.done || listed.run <= state.failed_run {
+            return false;
+        }
+        gang || state.runs.is_empty()
+    }
+
+    fn mark_running(&mut self, task: &TaskKey) {
+        if let Some(job) = self.jobs.get_mut(&task.step.job)
+            && job.status == JobStatus::Pending
+        {
+            job.status = JobStatus::Running;
+        }
+    }
+
+    fn drop_absent(&mut self, name: &WorkerName, report: &RunReport, sent_ms: u64) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let absent: Vec<_> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| run.confirmed_ms.is_some_and(|at| at < sent_ms))
+            .filter(|(task, run)| {
+                !report.running.iter().any(|listed| listed.task == **task && listed.run == run.run)
+            })
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in absent {
+            self.drop_run(name, &task);
+        }
+    }
+
+    /// Takes a worker's answer to a start.
+    pub fn start_answered(
+        &mut self,
+        name: &WorkerName,
+        task: &TaskKey,
+        number: u32,
+        answer: StartAnswer,
+        now_ms: u64,
+    ) {
+        self.now_ms = self.now_ms.max(now_ms);
+        let now = self.now_ms;
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let Some(run) = worker.runs.get_mut(task).filter(|run| run.run == number) else { return };
+        match answer {
+            StartAnswer::Started => {
+                if run.phase == RunPhase::Starting {
+                    run.phase = RunPhase::Running;
+                    run.confirmed_ms = Some(now);
+                }
+                self.mark_running(task);
+            }
+            StartAnswer::Refused(RefusalKind::Fenced) => {}
+            StartAnswer::Refused(kind) => {
+                if kind == RefusalKind::Unhealthy {
+                    worker.quarantined_until =
+                        worker.quarantined_until.max(now + UNHEALTHY_PAUSE_MS);
+                }
+                if kind == RefusalKind::Ticket
+                    && let Some(step) = self.step_mut(&task.step)
+                {
+                    step.advice.good.remove(name);
+                }
+                self.drop_run(name, task);
+            }
+            StartAnswer::Unknown => self.stop_run(name, task, "start-unanswered"),
+        }
+    }
+
+    /// Takes a worker's confirmation of a stop: the run ends, or can never start there.
+    pub fn stop_confirmed(&mut self, name: &WorkerName, task: &TaskKey, number: u32, now_ms: u64) {
+        self.now_ms = self.now_ms.max(now_ms);
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if let Some(run) = worker.runs.get_mut(task).filter(|run| run.run == number) {
+            run.confirmed_ms = Some(self.now_ms);
+        }
+    }
+
+    /// Says that the call for a stop failed; it is sent again.
+    pub fn stop_failed(&mut self, name: &WorkerName, task: &TaskKey, number: u32) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let Some(run) = worker.runs.get_mut(task).filter(|run| run.run == number) else { return };
+        run.stop_sent = false;
+        self.stop_run(name, task, "stop-unanswered");
+    }
+
+    /// Takes an answer of the advice service that came at `now_ms`.
+    #[expect(clippy::cast_precision_loss, reason = "a call names at most 100 workers")]
+    pub fn advised(&mut self, answer: &AdviceAnswer, now_ms: u64) {
+        self.now_ms = self.now_ms.max(now_ms);
+        let now = self.now_ms;
+        let Some(job) = self.jobs.get(&answer.step.job) else { return };
+        let queue = job.spec.queue.clone();
+        let valid = self
+            .config
+            .queues
+            .get(&queue)
+            .and_then(|rule| rule.advice)
+            .map_or(0, |cost| cost.valid_ms);
+        let Some(step) = self.step_mut(&answer.step) else { return };
+        step.advice.asked_at = None;
+        if answer.asked.is_empty() {
+            step.advice.not_before = now + FAILED_ASK_PAUSE_MS;
+            return;
+        }
+        let first = step.advice.good.is_empty() && step.advice.bad.is_empty();
+        for name in &answer.asked {
+            step.advice.bad.insert(name.clone());
+        }
+        for (name, text) in &answer.good {
+            step.advice.bad.remove(name);
+            let ticket = IssuedTicket {
+                text: text.clone(),
+                expires_ms: now + valid.saturating_sub(TICKET_MARGIN_MS),
+            };
+            step.advice.good.insert(name.clone(), ticket);
+        }
+        if first {
+            let share = answer.good.len() as f64 / answer.asked.len() as f64;
+            let mean = self.good_share.entry(queue).or_insert(share);
+            *mean += GOOD_SHARE_GAIN * (share - *mean);
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/src/state.rs
@@ -0,0 +1,169 @@
+//! What the planner remembers of jobs, steps, tasks and workers.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use arcstr::ArcStr;
+use model::name::{TeamName, WorkerName};
+use model::resource::ResourceAmounts;
+use smallvec::SmallVec;
+
+use crate::job::{JobSpec, TaskKey};
+use crate::progress::JobStatus;
+use crate::worker::WorkerInfo;
+
+/// A job that is not over, or whose final state is not yet stored.
+#[derive(Debug)]
+pub(crate) struct JobState {
+    pub(crate) spec: Arc<JobSpec>,
+    /// When the job was submitted, on the planner's clock.
+    pub(crate) arrived_ms: u64,
+    pub(crate) status: JobStatus,
+    pub(crate) occurrences: BTreeMap<u32, OccurrenceState>,
+    /// First occurrence that was not yet due.
+    pub(crate) next_occurrence: u32,
+    /// Whether the job came on top of its team's share.
+    pub(crate) beyond_share: bool,
+    /// Objective in milliseconds; none until the queue is known.
+    pub(crate) objective_ms: Option<u64>,
+}
+
+/// One occurrence that is not done.
+#[derive(Debug)]
+pub(crate) struct OccurrenceState {
+    pub(crate) steps: Vec<StepState>,
+}
+
+/// Tasks of one step of one occurrence.
+#[derive(Debug)]
+pub(crate) struct StepState {
+    pub(crate) tasks: Vec<TaskState>,
+    /// Tasks that are not done.
+    pub(crate) left: u32,
+    /// Tasks that are neither done nor have a run.
+    pub(crate) waiting: u32,
+    pub(crate) advice: AdviceState,
+    /// Saved progress of a gang; it holds for every member.
+    pub(crate) gang_saved: ArcStr,
+}
+
+/// One task.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TaskState {
+    pub(crate) done: bool,
+    pub(crate) failures: u32,
+    /// Highest run that counted as failed.
+    pub(crate) failed_run: u32,
+    /// Highest run that was used.
+    pub(crate) last_run: u32,
+    pub(crate) saved: ArcStr,
+    /// Runs that may be present.
+    pub(crate) runs: SmallVec<[(WorkerName, u32); 1]>,
+    /// Workers on which a run failed.
+    pub(crate) avoid: SmallVec<[WorkerName; 2]>,
+}
+
+impl TaskState {
+    pub(crate) fn waits(&self) -> bool {
+        !self.done && self.runs.is_empty()
+    }
+}
+
+/// What the advice service said about a step.
+#[derive(Debug, Default)]
+pub(crate) struct AdviceState {
+    pub(crate) asked_at: Option<u64>,
+    /// No question before this instant.
+    pub(crate) not_before: u64,
+    pub(crate) good: BTreeMap<WorkerName, IssuedTicket>,
+    pub(crate) bad: BTreeSet<WorkerName>,
+}
+
+/// A ticket and when it stops being accepted.
+#[derive(Clone, Debug)]
+pub(crate) struct IssuedTicket {
+    pub(crate) text: ArcStr,
+    pub(crate) expires_ms: u64,
+}
+
+/// Where a run is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunPhase {
+    /// The start was sent and not answered.
+    Starting,
+    /// The worker has the run.
+    Running,
+    /// A stop was ordered.
+    Stopping,
+}
+
+/// A run that may be present on a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct RunState {
+    pub(crate) run: u32,
+    pub(crate) phase: RunPhase,
+    pub(crate) since_ms: u64,
+    /// When the worker confirmed the start or the stop; a report that was asked
+    /// for later lists the run, or the run is not there.
+    pub(crate) confirmed_ms: Option<u64>,
+    /// What the run takes of the worker.
+    pub(crate) occupied: ResourceAmounts,
+    /// What the run counts against the team's limit.
+    pub(crate) charged: ResourceAmounts,
+    pub(crate) team: Option<TeamName>,
+    /// Whether the stop was sent and not confirmed.
+    pub(crate) stop_sent: bool,
+    /// Whether the run is overdue and was reported as such.
+    pub(crate) gauge: u64,
+}
+
+/// A worker and what may run there.
+#[derive(Debug)]
+pub(crate) struct WorkerState {
+    pub(crate) info: WorkerInfo,
+    /// Start of the life that reported; none before the first report.
+    pub(crate) born: Option<u64>,
+    /// Whether the worker's registration is gone.
+    pub(crate) unlisted: bool,
+    /// Whether calls to the worker fail at present.
+    pub(crate) silent: bool,
+    pub(crate) runs: BTreeMap<TaskKey, RunState>,
+    pub(crate) occupied: ResourceAmounts,
+    /// Highest end that was counted.
+    pub(crate) counted_end: u64,
+    /// Highest end that may be acknowledged.
+    pub(crate) stored_end: u64,
+    /// First failures of tasks here since the last success.
+    pub(crate) strikes: u32,
+    /// No start before this instant.
+    pub(crate) quarantined_until: u64,
+}
+
+impl WorkerState {
+    pub(crate) fn new(info: WorkerInfo) -> Self {
+        Self {
+            info,
+            born: None,
+            unlisted: false,
+            silent: false,
+            runs: BTreeMap::new(),
+            occupied: ResourceAmounts::ZERO,
+            counted_end: 0,
+            stored_end: 0,
+            strikes: 0,
+            quarantined_until: 0,
+        }
+    }
+
+    /// Returns what is free.
+    pub(crate) fn free(&self) -> ResourceAmounts {
+        self.info.capacity.minus(self.occupied)
+    }
+}
+
+/// Ends that wait for the progress of their jobs to be stored.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PendingAcks {
+    /// Worker, start of its life, and number of the end.
+    pub ends: VecDeque<(WorkerName, u64, u64)>,
+}
