--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -58,20 +58,22 @@
     pub config: Option<Arc<FleetConfig>>,
     /// Domains that are out.
     pub out: BTreeSet<DomainName>,
+    /// Counts the changes that decisions depend on.
+    pub generation: u64,
 }
 
 impl ConfigView {
-    /// Takes a row; true if decisions may change by it. A lower version is ignored.
-    pub fn apply(&mut self, row: OperatorRow) -> bool {
-        match row {
+    /// Takes a row. A lower version is ignored.
+    pub fn apply(&mut self, row: OperatorRow) {
+        let changed = match row {
             OperatorRow::Config(config) => {
                 let known = self.config.as_ref().map_or(0, |config| config.version);
-                if self.config.is_some() && config.version <= known {
-                    return false;
+                let newer = self.config.is_none() || config.version > known;
+                if newer {
+                    log::info!("configuration in force version={} before={known}", config.version);
+                    self.config = Some(Arc::from(config));
                 }
-                log::info!("configuration in force version={} before={known}", config.version);
-                self.config = Some(Arc::from(config));
-                true
+                newer
             }
             OperatorRow::DomainOut { domain, out } => {
                 let changed =
@@ -82,6 +84,20 @@
                 changed
             }
             OperatorRow::Other => false,
+        };
+        self.generation += u64::from(changed);
+    }
+
+    /// Takes a whole read of the operators' table: domains that it does not list are in service.
+    pub fn replace(&mut self, rows: Vec<OperatorRow>) {
+        let before = std::mem::take(&mut self.out);
+        let generation = self.generation;
+        for row in rows {
+            self.apply(row);
+        }
+        self.generation = generation + 1;
+        if before != self.out {
+            log::info!("failure domains out now={:?} before={before:?}", self.out);
         }
     }
 
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -35,11 +35,8 @@
 
 /// Takes a whole read: domains that are not listed are back in service.
 fn apply_operator_page<P: PlatformRows>(context: &SharedContext<P>, page: &RowPage) {
-    let mut view = context.view.borrow_mut();
-    view.out.clear();
-    for changed in &page.rows {
-        view.apply(context.ports.operator_row(changed));
-    }
+    let rows = page.rows.iter().map(|row| context.ports.operator_row(row)).collect();
+    context.view.borrow_mut().replace(rows);
     context.changed.notify_waiters();
 }
 
@@ -53,13 +50,12 @@
         let answer = context.ports.follow(row::OPERATOR_TABLE, version, limits::FOLLOW_WAIT).await;
         match answer {
             Ok(FeedAnswer::Changes(page)) => {
-                let mut changed = false;
                 for row in &page.rows {
-                    changed |= context.view.borrow_mut().apply(context.ports.operator_row(row));
+                    context.view.borrow_mut().apply(context.ports.operator_row(row));
                 }
                 version = page.version;
                 context.confirmed_at.set(Some(sent_at));
-                if changed {
+                if !page.rows.is_empty() {
                     context.changed.notify_waiters();
                 }
             }
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -45,8 +45,9 @@
 pub const ANSWER_MARGIN_MS: u64 = 250;
 /// Records of progress in one transaction; each takes one condition, one write and two removals.
 pub const PROGRESS_BATCH: usize = 24;
-/// Longest time that progress of a job that is not over waits to be stored.
-pub const PROGRESS_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest time that progress of a job that is not over waits to be stored; the
+/// worker's next ends are seen only after it.
+pub const PROGRESS_INTERVAL: Duration = Duration::from_millis(80);
 /// Time during which ends of jobs gather for one transaction.
 pub const PROGRESS_GATHER: Duration = Duration::from_millis(25);
 /// Time during which events gather before the planner decides.
@@ -57,6 +58,9 @@
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
 /// Pause before a stop without an answer is sent again.
 pub const STOP_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause between two looks at a worker while its ends are being stored,
+/// so that its lease is prolonged meanwhile.
+pub const STORED_WAIT: Duration = Duration::from_millis(400);
 /// Pause after a look that failed.
 pub const LOOK_PAUSE: Duration = Duration::from_millis(250);
 /// Time that an entry which could not be reached makes no calls for advice, in milliseconds.
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -39,8 +39,9 @@
 ) -> Option<FeedPositions> {
     let plan = session.context.view.borrow().plan();
     session.planner.borrow_mut().set_config(plan);
-    let worker_position = read_workers(session).await?;
+    // Workers report as soon as they are known, and an end counts only for a known job.
     let job_position = read_jobs(session).await?;
+    let worker_position = read_workers(session).await?;
     // Before the first owner nothing can run.
     if let Some(before) = before {
         session.planner.borrow_mut().inherit(before.unlisted.clone());
--- a/crates/fleet/src/owner/progress.rs
+++ b/crates/fleet/src/owner/progress.rs
@@ -40,6 +40,7 @@
         let batch = session.planner.borrow_mut().take_progress(limits::PROGRESS_BATCH);
         if batch.records.is_empty() {
             session.planner.borrow_mut().progress_stored(&batch);
+            session.stored.notify_waiters();
         } else if !store(session, &batch).await {
             session.planner.borrow_mut().restore_progress(batch);
             tokio::time::sleep(limits::STORE_PAUSE).await;
@@ -77,6 +78,7 @@
             }
             drop((versions, statuses));
             session.planner.borrow_mut().progress_stored(batch);
+            session.stored.notify_waiters();
             true
         }
         Ok(TransactOutcome::Conflict(rows)) => {
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -43,6 +43,8 @@
     pub(crate) wake: Notify,
     /// Rung when progress waits to be stored.
     pub(crate) progress_wake: Notify,
+    /// Rung when progress was stored.
+    pub(crate) stored: Notify,
     /// Ends everything that this ownership does.
     pub(crate) over: CancellationToken,
 }
@@ -97,6 +99,7 @@
         renewed_at: Cell::new(held.sent_at),
         wake: Notify::new(),
         progress_wake: Notify::new(),
+        stored: Notify::new(),
         over: over.clone(),
     });
     session.spawn(renew(session.clone()));
@@ -193,18 +196,22 @@
 
 /// Decides whenever something has changed, and sends what was decided.
 async fn decide<P: OwnerPorts>(session: &SharedSession<P>) {
+    let mut generation = None;
     loop {
-        let config_changed = session.context.changed.notified();
         tokio::select! {
             () = session.wake.notified() => {}
-            () = config_changed => {
-                let plan = session.context.view.borrow().plan();
-                session.planner.borrow_mut().set_config(plan);
-                advice::refresh_callers(session);
-            }
+            () = session.context.changed.notified() => {}
             () = tokio::time::sleep(limits::DECIDE_INTERVAL) => {}
         }
         tokio::time::sleep(limits::DECIDE_GATHER).await;
+        // A change during the last decision rings nobody.
+        let current = session.context.view.borrow().generation;
+        if generation != Some(current) {
+            generation = Some(current);
+            let plan = session.context.view.borrow().plan();
+            session.planner.borrow_mut().set_config(plan);
+        }
+        advice::refresh_callers(session);
         let now = session.context.clock.now();
         if !session.is_held() {
             continue;
--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -140,6 +140,9 @@
                 }
                 session.planner.borrow_mut().report(&name, &report, sent_at.0, now.0);
                 session.wake.notify_one();
+                if let Some(last) = report.ended.last() {
+                    wait_stored(&session, &name, last.number).await;
+                }
             }
             Ok(LookAnswer::Fenced) => {
                 session.depose("fenced-by-worker");
@@ -155,6 +158,19 @@
     }
 }
 
+/// Waits until an end is stored: a worker does not wait while it lists ends, so
+/// that looking again before would only repeat the answer.
+async fn wait_stored<P: OwnerPorts>(session: &SharedSession<P>, name: &WorkerName, number: u64) {
+    let stored = async {
+        while session.planner.borrow().stored_end(name) < number {
+            session.stored.notified().await;
+        }
+    };
+    if tokio::time::timeout(limits::STORED_WAIT, stored).await.is_err() {
+        log::debug!("ends not stored yet worker={name} number={number}");
+    }
+}
+
 fn next_look<P: OwnerPorts>(
     session: &SharedSession<P>,
     name: &WorkerName,
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -343,16 +343,22 @@
         }
         job.status = status;
         job.occurrences.clear();
+        let steps = job.spec.clone();
         self.dirty.insert(id.clone());
         let reason = match status {
             JobStatus::Cancelled => "job-cancelled",
             _ => "job-over",
         };
+        // The members of a gang end together, so that a completed one has none left to stop.
+        let left = |task: &&TaskKey| {
+            let gang = steps.steps.get(task.step.step as usize).is_some_and(|step| step.gang);
+            task.step.job == *id && !(gang && status == JobStatus::Completed)
+        };
         let runs: Vec<_> = self
             .workers
             .iter()
             .flat_map(|(name, worker)| {
-                let tasks = worker.runs.keys().filter(|task| task.step.job == *id);
+                let tasks = worker.runs.keys().filter(left);
                 tasks.map(|task| (name.clone(), task.clone()))
             })
             .collect();
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -88,6 +88,9 @@
         if run.is_some() {
             self.drop_run(name, &end.task);
         }
+        if end.kind == EndKind::Done {
+            self.finish_if_done(&end.task);
+        }
     }
 
     fn keep_saved(&mut self, task: &TaskKey, saved: &ArcStr) {
@@ -129,7 +132,6 @@
             }
         }
         self.dirty.insert(end.task.step.job.clone());
-        self.finish_if_done(&end.task);
     }
 
     fn note_duration(&mut self, task: &TaskKey, duration_ms: u64) {
