--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use arcstr::ArcStr;
-use link::failure::CallFailure;
+use link::failure::{self, CallFailure};
 use model::kind::ErrorKind;
 use model::name::{JobId, QueueName, TeamName};
 use plan::job::{JobSchedule, JobSpec, StepSpec};
@@ -185,7 +185,10 @@
                 .read(table, row::JOB_PART, range, limits::STORE_TIMEOUT)
                 .await
                 .map_err(|error| {
-                    log::warn!("job not read job={id} table={table} error={error:?}");
+                    log::warn!(
+                        "job not read job={id} table={table} error=\"{}\"",
+                        failure::brief(&error)
+                    );
                     ErrorKind::PlatformDown
                 })?;
             let Some(found) = page.rows.iter().find(|row| row.key == id.as_str()) else { continue };
@@ -249,7 +252,7 @@
             Ok(TransactOutcome::Done(_)) => Ok(()),
             Ok(TransactOutcome::Conflict(_)) => Err(CallFailure::NotDone),
             Err(error) => {
-                log::warn!("cancellation not stored job={id} error={error:?}");
+                log::warn!("cancellation not stored job={id} error=\"{}\"", failure::brief(&error));
                 Err(*error.current_context())
             }
         }
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -1,5 +1,6 @@
 //! Following the tables that every entry needs.
 
+use link::failure;
 use model::name::JobId;
 use plan::progress::ProgressRecord;
 
@@ -24,7 +25,7 @@
                     follow_operator_changes(&context, page.version).await;
                 }
                 Err(error) => {
-                    log::warn!("operators' table not read error={error:?}");
+                    log::warn!("operators' table not read error=\"{}\"", failure::brief(&error));
                     tokio::time::sleep(limits::STORE_PAUSE).await;
                 }
             }
@@ -64,7 +65,7 @@
                 return;
             }
             Err(error) => {
-                log::warn!("operators' table not followed error={error:?}");
+                log::warn!("operators' table not followed error=\"{}\"", failure::brief(&error));
                 tokio::time::sleep(limits::STORE_PAUSE).await;
                 return;
             }
@@ -98,7 +99,7 @@
                 }
             }
             Err(error) => {
-                log::warn!("state table not read part={part} error={error:?}");
+                log::warn!("state table not read part={part} error=\"{}\"", failure::brief(&error));
                 return None;
             }
         }
@@ -120,7 +121,7 @@
             }
             Ok(FeedAnswer::Forgotten) => return,
             Err(error) => {
-                log::warn!("state table not followed error={error:?}");
+                log::warn!("state table not followed error=\"{}\"", failure::brief(&error));
                 tokio::time::sleep(limits::STORE_PAUSE).await;
                 return;
             }
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -4,6 +4,7 @@
 use crate::limits;
 use crate::ports::{RowStore, RowTransaction, TransactOutcome};
 use crate::row::{self, MemberRow};
+use link::failure;
 
 /// Writes the row of this entry, until that is done or the entry stops.
 pub async fn register<P: RowStore>(context: SharedContext<P>) {
@@ -26,7 +27,7 @@
                 }
                 Ok(TransactOutcome::Conflict(_)) => return,
                 Err(error) => {
-                    log::warn!("entry not registered error={error:?}");
+                    log::warn!("entry not registered error=\"{}\"", failure::brief(&error));
                     tokio::time::sleep(limits::STORE_PAUSE).await;
                 }
             }
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use arcstr::ArcStr;
+use link::failure;
 use model::time::ClockMillis;
 use tokio_util::sync::CancellationToken;
 
@@ -117,7 +118,11 @@
             None
         }
         Err(error) => {
-            log::warn!("ownership not written term={} error={error:?}", owner.term);
+            log::warn!(
+                "ownership not written term={} error=\"{}\"",
+                owner.term,
+                failure::brief(&error)
+            );
             None
         }
     }
--- a/crates/fleet/src/owner/advice.rs
+++ b/crates/fleet/src/owner/advice.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use arcstr::ArcStr;
+use link::failure;
 use plan::decision::{AdviceAnswer, AdviceAsk};
 
 use crate::limits;
@@ -68,7 +69,11 @@
     match tokio::time::timeout(expected + limits::ADVICE_SLACK, work).await {
         Ok(Ok(answer)) => Some(answer),
         Ok(Err(error)) => {
-            log::warn!("advice failed step={} caller={caller} error={error:?}", ask.step);
+            log::warn!(
+                "advice failed step={} caller={caller} error=\"{}\"",
+                ask.step,
+                failure::brief(&error)
+            );
             None
         }
         Err(_) => {
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use link::failure;
 use model::name::JobId;
 use plan::job::JobSpec;
 use plan::progress::ProgressRecord;
@@ -60,7 +61,7 @@
         .ports
         .read(row::WORKER_TABLE, row::ROOT_PART, None, limits::STORE_TIMEOUT)
         .await
-        .inspect_err(|error| log::warn!("workers not read error={error:?}"))
+        .inspect_err(|error| log::warn!("workers not read error=\"{}\"", failure::brief(error)))
         .ok()?;
     let listed: Vec<_> = page.rows.iter().map(|row| row.key.clone()).collect();
     workers::retain(session, &listed);
@@ -79,7 +80,9 @@
             .ports
             .read(table, row::JOB_PART, None, limits::STORE_TIMEOUT)
             .await
-            .inspect_err(|error| log::warn!("jobs not read table={table} error={error:?}"))
+            .inspect_err(|error| {
+                log::warn!("jobs not read table={table} error=\"{}\"", failure::brief(error));
+            })
             .ok()
     };
     let jobs = read(row::JOB_TABLE).await?;
@@ -137,7 +140,7 @@
             }
             Ok(FeedAnswer::Forgotten) => version = reread_jobs(&session).await,
             Err(error) => {
-                log::warn!("jobs not followed error={error:?}");
+                log::warn!("jobs not followed error=\"{}\"", failure::brief(&error));
                 tokio::time::sleep(limits::STORE_PAUSE).await;
             }
         }
@@ -178,7 +181,7 @@
                 }
             }
             Err(error) => {
-                log::warn!("workers not followed error={error:?}");
+                log::warn!("workers not followed error=\"{}\"", failure::brief(&error));
                 tokio::time::sleep(limits::STORE_PAUSE).await;
             }
         }
--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -1,5 +1,6 @@
 //! Sending starts and stops.
 
+use link::failure;
 use plan::decision::{StartOrder, StopOrder};
 use plan::worker::{RefusalKind, StartAnswer};
 
@@ -68,7 +69,7 @@
                 planner.stop_confirmed(&order.worker, &order.task, order.run, now.0);
             }
             Err(error) => {
-                log::debug!("stop without answer error={error:?}");
+                log::debug!("stop without answer error=\"{}\"", failure::brief(&error));
                 tokio::time::sleep(limits::STOP_PAUSE).await;
                 let mut planner = sender.planner.borrow_mut();
                 planner.stop_failed(&order.worker, &order.task, order.run);
--- a/crates/fleet/src/owner/progress.rs
+++ b/crates/fleet/src/owner/progress.rs
@@ -1,6 +1,6 @@
 //! Storing progress before the ends that it counts are acknowledged.
 
-use link::failure::CallFailure;
+use link::failure::{self, CallFailure};
 use plan::planner::ProgressBatch;
 
 use crate::limits;
@@ -94,7 +94,10 @@
         }
         Err(error) => {
             let unknown = *error.current_context() == CallFailure::Unknown;
-            log::warn!("progress not stored unknown={unknown} error={error:?}");
+            log::warn!(
+                "progress not stored unknown={unknown} error=\"{}\"",
+                failure::brief(&error)
+            );
             false
         }
     }
--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use arcstr::ArcStr;
+use link::failure;
 use model::name::WorkerName;
 use model::time::ClockMillis;
 use tokio_util::sync::CancellationToken;
@@ -200,7 +201,7 @@
         let mut links = session.links.borrow_mut();
         let Some(link) = links.get_mut(name) else { return false };
         if link.failing_since.is_none() {
-            log::warn!("worker does not answer worker={name} error={error:?}");
+            log::warn!("worker does not answer worker={name} error=\"{}\"", failure::brief(error));
             link.failing_since = Some(now);
         }
         (link.lease.has_lapsed(now), link.listed)
--- a/crates/fleet/src/submit.rs
+++ b/crates/fleet/src/submit.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 
-use link::failure::CallFailure;
+use link::failure::{self, CallFailure};
 use model::kind::ErrorKind;
 use model::name::JobId;
 use model::time::ClockMillis;
@@ -135,8 +135,9 @@
             Err(error) => {
                 let unknown = *error.current_context() == CallFailure::Unknown;
                 log::warn!(
-                    "jobs not stored jobs={} unknown={unknown} error={error:?}",
-                    batch.len()
+                    "jobs not stored jobs={} unknown={unknown} error=\"{}\"",
+                    batch.len(),
+                    failure::brief(&error)
                 );
                 for mut insert in batch.into_iter().rev() {
                     insert.maybe_done |= unknown;
--- a/crates/link/src/failure.rs
+++ b/crates/link/src/failure.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use error_stack::{AttachmentKind, FrameKind, Report};
+
 /// Whether the other side can have acted on a call that failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallFailure {
@@ -21,3 +23,16 @@
 }
 
 impl std::error::Error for CallFailure {}
+
+/// Writes a failure with its details on one line, as log lines need it.
+#[must_use]
+pub fn brief(report: &Report<CallFailure>) -> String {
+    let mut text = report.current_context().to_string();
+    for frame in report.frames() {
+        if let FrameKind::Attachment(AttachmentKind::Printable(detail)) = frame.kind() {
+            text.push_str("; ");
+            text.push_str(&detail.to_string());
+        }
+    }
+    text
+}
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -480,11 +480,10 @@
             }
         }
     }
-    for (index, (failures, run)) in &progress.failed {
+    for (index, runs) in &progress.failed {
         if let Some(task) = step.tasks.get_mut(*index as usize) {
-            task.failures = *failures;
-            task.failed_run = *run;
-            task.last_run = task.last_run.max(*run);
+            task.failed_runs.clone_from(runs);
+            task.last_run = runs.iter().copied().max().unwrap_or(0).max(task.last_run);
         }
     }
 }
@@ -501,8 +500,8 @@
             for (task, index) in step.tasks.iter().zip(0_u32..) {
                 if task.done {
                     progress.push_done(index);
-                } else if task.failures > 0 {
-                    progress.failed.insert(index, (task.failures, task.failed_run));
+                } else if !task.failed_runs.is_empty() {
+                    progress.failed.insert(index, task.failed_runs.clone());
                 }
             }
             if !progress.done.is_empty() || !progress.failed.is_empty() {
--- a/crates/plan/src/progress.rs
+++ b/crates/plan/src/progress.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 /// State of a job as callers see it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -52,10 +53,10 @@
     /// Ranges of done tasks, each with its first and last index.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub done: Vec<(u32, u32)>,
-    /// Failed runs by task: their number, and the number of the last one,
-    /// so that an end that is listed again is not counted again.
+    /// Failed runs by task. Each is named, because a later owner may hear of them
+    /// again, and from different workers in any order.
     #[serde(skip_serializing_if = "BTreeMap::is_empty")]
-    pub failed: BTreeMap<u32, (u32, u32)>,
+    pub failed: BTreeMap<u32, SmallVec<[u32; 2]>>,
 }
 
 impl StepProgress {
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -160,22 +160,26 @@
         let (gang, service) = (spec.gang, spec.service);
         let Some(step) = self.step_mut(&end.task.step) else { return };
         let Some(state) = step.tasks.get_mut(end.task.index as usize) else { return };
-        if end.run <= state.failed_run {
+        if state.failed_runs.contains(&end.run) {
             return;
         }
-        state.failed_run = end.run;
-        state.failures += 1;
-        let first = state.failures == 1;
+        if !service {
+            state.failed_runs.push(end.run);
+        }
+        let first = state.failed_runs.len() <= 1;
         if !state.avoid.contains(name) {
             state.avoid.push(name.clone());
         }
-        let failures =
-            if gang { step.tasks.iter().map(|task| task.failures).sum() } else { state.failures };
+        let failures = if gang {
+            step.tasks.iter().map(|task| task.failed_runs.len()).sum()
+        } else {
+            state.failed_runs.len()
+        };
         self.dirty.insert(end.task.step.job.clone());
         if first {
             self.strike(name);
         }
-        if !service && attempts.is_some_and(|attempts| failures >= attempts) {
+        if !service && attempts.is_some_and(|attempts| failures >= attempts as usize) {
             self.finish_job(&end.task.step.job, JobStatus::Failed);
         }
     }
@@ -248,7 +252,7 @@
     fn wants(&mut self, listed: &ListedRun) -> bool {
         let gang = self.step_spec(&listed.task.step).is_some_and(|spec| spec.gang);
         let Some(state) = self.task_mut(&listed.task) else { return false };
-        if state.done || listed.run <= state.failed_run {
+        if state.done || state.failed_runs.contains(&listed.run) {
             return false;
         }
         gang || state.runs.is_empty()
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -51,9 +51,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TaskState {
     pub(crate) done: bool,
-    pub(crate) failures: u32,
-    /// Highest run that counted as failed.
-    pub(crate) failed_run: u32,
+    /// Runs that counted as failed; their ends may be listed again, in any order.
+    pub(crate) failed_runs: SmallVec<[u32; 2]>,
     /// Highest run that was used.
     pub(crate) last_run: u32,
     pub(crate) saved: ArcStr,
