--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -117,7 +117,10 @@
                     apply_state(context, changed);
                 }
                 version = page.version;
-                context.changed.notify_waiters();
+                if !page.rows.is_empty() {
+                    context.changed.notify_waiters();
+                    tokio::time::sleep(limits::STATE_FEED_PAUSE).await;
+                }
             }
             Ok(FeedAnswer::Forgotten) => return,
             Err(error) => {
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -12,7 +12,7 @@
 /// How long an owner without a confirmed lease goes on prolonging the leases of
 /// running tasks, in milliseconds. A successor waits this long, and one worker
 /// lease more, before it starts a task again that a worker out of reach may run.
-pub const LINGER_MS: u64 = 5_000;
+pub const LINGER_MS: u64 = 1_500;
 /// Milliseconds by which a worker's clock may differ per second from ours; the
 /// platform states 2 %, and ours may differ as well.
 pub const CLOCK_MARGIN_PER_MILLE: u64 = 30;
@@ -28,6 +28,13 @@
 /// Longest wait of one read of changes; with the time for an answer it bounds
 /// the age of the confirmation that keyed work needs.
 pub const FOLLOW_WAIT: Duration = Duration::from_millis(900);
+/// Pause between two reads of the workers' table: every worker writes its row at
+/// each heartbeat, and only a drain needs to be known within a second or two.
+pub const WORKER_FEED_PAUSE: Duration = Duration::from_millis(500);
+/// Pause between two reads of the jobs, in which submissions gather.
+pub const JOB_FEED_PAUSE: Duration = Duration::from_millis(15);
+/// Pause between two reads of states, in which progress gathers.
+pub const STATE_FEED_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a failed call to the table service.
 pub const STORE_PAUSE: Duration = Duration::from_millis(150);
 /// Time taken off the operators' bound on withdrawn keys, in milliseconds: the
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -74,7 +74,7 @@
         holder: identity.name.clone(),
         instance: identity.instance.clone(),
         term,
-        unlisted: before.as_ref().map(|row| row.unlisted.clone()).unwrap_or_default(),
+        leased: before.as_ref().map(|row| row.leased.clone()).unwrap_or_default(),
         waiting: before.as_ref().map(|row| row.waiting.clone()).unwrap_or_default(),
     };
     let holder = before.as_ref().map_or(ArcStr::default(), |row| row.holder.clone());
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -45,8 +45,8 @@
     let worker_position = read_workers(session).await?;
     // Before the first owner nothing can run.
     if let Some(before) = before {
-        session.planner.borrow_mut().inherit(before.unlisted.clone());
-        workers::expire_unlisted(session, before.unlisted.clone());
+        session.planner.borrow_mut().inherit(before.leased.clone());
+        workers::expire_unlisted(session, &before.leased);
     }
     advice::refresh_callers(session);
     let (jobs, workers) = (session.planner.borrow().live_jobs(), session.links.borrow().len());
@@ -136,6 +136,7 @@
                 }
                 if !page.rows.is_empty() {
                     session.wake.notify_one();
+                    tokio::time::sleep(limits::JOB_FEED_PAUSE).await;
                 }
             }
             Ok(FeedAnswer::Forgotten) => version = reread_jobs(&session).await,
@@ -170,6 +171,7 @@
                 }
                 if !page.rows.is_empty() {
                     session.wake.notify_one();
+                    tokio::time::sleep(limits::WORKER_FEED_PAUSE).await;
                 }
             }
             Ok(FeedAnswer::Forgotten) => {
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -33,6 +33,8 @@
     pub(crate) planner: RefCell<Planner>,
     pub(crate) desk: RefCell<AdviceDesk>,
     pub(crate) links: RefCell<BTreeMap<WorkerName, WorkerLink>>,
+    /// Workers of an earlier owner that are not registered and may still run tasks.
+    pub(crate) expiring: RefCell<Vec<WorkerName>>,
     /// Versions of the progress rows that exist.
     pub(crate) progress_versions: RefCell<BTreeMap<model::name::JobId, u64>>,
     /// Version of the ownership row.
@@ -94,6 +96,7 @@
         planner: RefCell::new(Planner::new(PlanBounds { first_run, ..PlanBounds::default() })),
         desk: RefCell::default(),
         links: RefCell::default(),
+        expiring: RefCell::default(),
         progress_versions: RefCell::default(),
         version: Cell::new(held.version),
         renewed_at: Cell::new(held.sent_at),
@@ -157,7 +160,7 @@
         holder,
         instance: session.context.identity.instance.clone(),
         term: session.term,
-        unlisted: workers::unlisted(session),
+        leased: workers::leased(session),
         waiting: session.planner.borrow().waiting_by_queue(),
     }
 }
--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -33,13 +33,11 @@
         unlist(session, &name);
         return;
     };
-    log::info!(
-        "worker registered worker={name} domain={} draining={} version={}",
-        info.domain,
-        info.draining,
-        found.version
-    );
-    session.planner.borrow_mut().set_worker(info);
+    let text = format!("worker={name} domain={} draining={}", info.domain, info.draining);
+    // Each heartbeat writes the row; only what decisions depend on is worth a line.
+    if session.planner.borrow_mut().set_worker(info) {
+        log::info!("worker registered {text} version={}", found.version);
+    }
     let mut links = session.links.borrow_mut();
     if let Some(link) = links.get_mut(&name) {
         link.address = address;
@@ -80,10 +78,11 @@
     session.planner.borrow_mut().unlist_worker(name);
 }
 
-/// Returns the workers that are not registered and whose leases may still run.
-pub(crate) fn unlisted<P: OwnerPorts>(session: &SharedSession<P>) -> Vec<WorkerName> {
-    let links = session.links.borrow();
-    links.iter().filter(|(_, link)| !link.listed).map(|(name, _)| name.clone()).collect()
+/// Returns the workers that may run tasks of this or an earlier owner.
+pub(crate) fn leased<P: OwnerPorts>(session: &SharedSession<P>) -> Vec<WorkerName> {
+    let mut names: Vec<_> = session.links.borrow().keys().cloned().collect();
+    names.extend(session.expiring.borrow().iter().cloned());
+    names
 }
 
 /// Counts the registered workers that do not answer, and all registered ones.
@@ -95,17 +94,27 @@
     })
 }
 
-/// Waits until unlisted workers of an earlier owner can run nothing any more.
-pub(crate) fn expire_unlisted<P: OwnerPorts>(session: &SharedSession<P>, names: Vec<WorkerName>) {
+/// Waits until workers of an earlier owner that are not registered can run nothing any more.
+pub(crate) fn expire_unlisted<P: OwnerPorts>(session: &SharedSession<P>, leased: &[WorkerName]) {
+    let links = session.links.borrow();
+    let names: Vec<_> = leased.iter().filter(|name| !links.contains_key(*name)).cloned().collect();
+    drop(links);
     if names.is_empty() {
         return;
     }
+    log::info!(
+        "waiting for leases of unregistered workers term={} workers={}",
+        session.term,
+        names.len()
+    );
+    session.expiring.borrow_mut().clone_from(&names);
     let lease = WorkerLease::inherited(session.context.bounds.worker_lease_ms, session.claimed_at);
     let waiting = session.clone();
     session.spawn(async move {
         while !lease.has_lapsed(waiting.context.clock.now()) {
             tokio::time::sleep(limits::LOOK_PAUSE).await;
         }
+        waiting.expiring.borrow_mut().clear();
         for name in &names {
             if !waiting.links.borrow().contains_key(name) {
                 waiting.planner.borrow_mut().worker_lapsed(name);
@@ -182,8 +191,11 @@
     let now = session.context.clock.now();
     let mut links = session.links.borrow_mut();
     let link = links.get_mut(name)?;
-    let deadline_ms = link.lease.next_deadline(now);
-    // The first look only asks for the worker's clock and must not wait.
+    // A look that gets no answer may still prolong the lease, so that looks at a
+    // worker out of reach carry no deadline: its runs must end at some time.
+    let deadline_ms =
+        if link.failing_since.is_none() { link.lease.next_deadline(now) } else { None };
+    // A look that only asks for the worker's clock must not wait.
     let wait = if deadline_ms.is_some() { limits::LOOK_WAIT } else { Duration::ZERO };
     let stamp = OrderStamp { token: session.term, deadline_ms };
     let stored_end = session.planner.borrow().stored_end(name);
--- a/crates/fleet/src/row.rs
+++ b/crates/fleet/src/row.rs
@@ -39,8 +39,9 @@
     pub instance: ArcStr,
     /// Number of the ownership; the fencing token of its orders.
     pub term: u64,
-    /// Workers that are not registered and may still run tasks.
-    pub unlisted: Vec<WorkerName>,
+    /// Workers that may run tasks, whether they are registered or not:
+    /// registrations can expire while the table service is down.
+    pub leased: Vec<WorkerName>,
     /// Jobs by queue of which no task has started.
     pub waiting: BTreeMap<QueueName, u32>,
 }
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -82,23 +82,26 @@
         }
     }
 
-    /// Tells the planner of a worker, or of a change of what it says of itself.
-    pub fn set_worker(&mut self, info: WorkerInfo) {
+    /// Tells the planner of a worker; true if something has changed.
+    pub fn set_worker(&mut self, info: WorkerInfo) -> bool {
         match self.workers.get_mut(&info.name) {
             Some(worker) => {
+                let changed = worker.unlisted || worker.info != info;
                 worker.info = info;
                 worker.unlisted = false;
+                changed
             }
             None => {
                 self.workers.insert(info.name.clone(), WorkerState::new(info));
+                true
             }
         }
     }
 
-    /// Says that workers of an earlier owner may still run tasks of the jobs known so far,
-    /// `unlisted` ones included, which are not registered any more.
-    pub fn inherit(&mut self, unlisted: Vec<WorkerName>) {
-        self.unseen = self.workers.keys().cloned().chain(unlisted).collect();
+    /// Says that workers of an earlier owner may still run tasks of the jobs known so far:
+    /// all registered ones, and those that the earlier owner knew.
+    pub fn inherit(&mut self, leased: Vec<WorkerName>) {
+        self.unseen = self.workers.keys().cloned().chain(leased).collect();
         if !self.unseen.is_empty() {
             self.inherited = self.jobs.keys().cloned().collect();
         }
