--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -92,13 +92,11 @@
     /// Tells whether everything that was started on the worker has surely ended.
     #[must_use]
     pub fn has_lapsed(&self, now: ClockMillis) -> bool {
-        match self.clock {
-            None => now >= self.inherited_until,
-            Some((clock, read_at, _)) => {
-                let left = self.deadline_ms.saturating_sub(clock);
-                now.since(read_at) > slowed(left) + limits::LAPSE_MARGIN_MS
-            }
-        }
+        let own_lapsed = self.clock.is_none_or(|(clock, read_at, _)| {
+            let left = self.deadline_ms.saturating_sub(clock);
+            now.since(read_at) > slowed(left) + limits::LAPSE_MARGIN_MS
+        });
+        own_lapsed && now >= self.inherited_until
     }
 }
 
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -70,8 +70,6 @@
 pub const STORED_WAIT: Duration = Duration::from_millis(400);
 /// Pause after a look that failed.
 pub const LOOK_PAUSE: Duration = Duration::from_millis(250);
-/// Time that an entry which could not be reached makes no calls for advice, in milliseconds.
-pub const CALLER_PAUSE_MS: u64 = 2_000;
 /// Time beyond the expected one for an answer of the advice service.
 pub const ADVICE_SLACK: Duration = Duration::from_millis(1_500);
 /// An owner that cannot reach most workers for this long gives the fleet up, in milliseconds.
--- a/crates/fleet/src/owner/advice.rs
+++ b/crates/fleet/src/owner/advice.rs
@@ -32,10 +32,7 @@
 async fn call<P: OwnerPorts>(session: SharedSession<P>, caller: ArcStr, ask: AdviceAsk) {
     let answer = ask_through(&session, &caller, &ask).await;
     let now = session.context.clock.now();
-    session
-        .desk
-        .borrow_mut()
-        .ended(&caller, answer.is_none().then_some(now.0 + limits::CALLER_PAUSE_MS));
+    session.desk.borrow_mut().ended(&caller, answer.is_some(), now.0);
     let answer = answer.unwrap_or_else(|| AdviceAnswer {
         step: ask.step.clone(),
         asked: Vec::new(),
--- /dev/null
+++ b/crates/fleet/tests/config.rs
@@ -0,0 +1,52 @@
+//! Configurations as entries apply them.
+
+use fleet::config::{ConfigView, FleetConfig, OperatorRow, QueueRoute};
+
+fn version(version: u64) -> OperatorRow {
+    OperatorRow::Config(Box::new(FleetConfig { version, ..FleetConfig::default() }))
+}
+
+fn domain(name: &str, out: bool) -> OperatorRow {
+    OperatorRow::DomainOut { domain: name.into(), out }
+}
+
+/// Guards against a version that goes back.
+#[test]
+fn a_lower_version_is_ignored() {
+    let mut view = ConfigView::default();
+    view.apply(version(5));
+    let generation = view.generation;
+    view.apply(version(4));
+    assert_eq!(view.config.as_ref().map(|config| config.version), Some(5));
+    assert_eq!(view.generation, generation, "nothing has changed");
+}
+
+/// Guards against a domain that stays out because its return was missed.
+#[test]
+fn a_whole_read_returns_domains_that_are_not_listed() {
+    let mut view = ConfigView::default();
+    view.apply(version(5));
+    view.apply(domain("north", true));
+    view.replace(vec![version(5), domain("south", true)]);
+    assert!(!view.out.contains("north") && view.out.contains("south"));
+}
+
+/// Guards against a request that goes to the queue of a shorter prefix.
+#[test]
+fn the_longest_prefix_counts() {
+    let route = |prefix: &str, queue: &str| QueueRoute {
+        host: "h".into(),
+        prefix: prefix.into(),
+        queue: queue.into(),
+        public: false,
+    };
+    let config = FleetConfig {
+        routes: vec![route("/a/", "short"), route("/a/b/", "long")],
+        ..FleetConfig::default()
+    };
+    let found = |path| config.route("h", path).map(|(route, rest)| (route.queue.clone(), rest));
+    assert_eq!(found("/a/b/1"), Some(("long".into(), "1")));
+    assert_eq!(found("/a/c"), Some(("short".into(), "c")));
+    assert_eq!(found("/x"), None);
+    assert!(config.route("other", "/a/1").is_none());
+}
--- /dev/null
+++ b/crates/fleet/tests/lease.rs
@@ -0,0 +1,100 @@
+//! Ownership of the fleet and leases of workers.
+
+use fleet::lease::{OwnerWatch, WorkerLease};
+use fleet::limits;
+use fleet::row::OwnerRow;
+use model::time::ClockMillis;
+
+fn held_by(holder: &str, instance: &str) -> OwnerRow {
+    OwnerRow { holder: holder.into(), instance: instance.into(), term: 1, ..OwnerRow::default() }
+}
+
+/// Guards against two owners: the row is claimed only when its holder's lease is over.
+#[test]
+fn a_row_is_claimed_after_its_lease() {
+    let mut watch = OwnerWatch::default();
+    assert_eq!(watch.claimable("a", "a1", ClockMillis(0)), Some(0), "there is no row yet");
+    watch.observe(7, held_by("b", "b1"), ClockMillis(1_000));
+    let end = 1_000 + limits::OWNER_TTL_MS;
+    assert_eq!(watch.claimable("a", "a1", ClockMillis(end)), None);
+    assert_eq!(watch.claimable("a", "a1", ClockMillis(end + limits::OWNER_TTL_MS)), Some(7));
+}
+
+/// Guards against a renewal that is seen late and shortens the wait of a later one.
+#[test]
+fn an_older_version_changes_nothing() {
+    let mut watch = OwnerWatch::default();
+    watch.observe(7, held_by("b", "b1"), ClockMillis(5_000));
+    watch.observe(6, held_by("c", "c1"), ClockMillis(9_000));
+    assert_eq!(watch.row().map(|(version, _)| *version), Some(7));
+}
+
+/// Guards against waiting for the lease of a process that this one has replaced.
+#[test]
+fn a_restarted_holder_claims_at_once() {
+    let mut watch = OwnerWatch::default();
+    watch.observe(7, held_by("a", "a1"), ClockMillis(1_000));
+    assert_eq!(watch.claimable("a", "a2", ClockMillis(1_001)), Some(7));
+    assert_eq!(watch.claimable("a", "a1", ClockMillis(1_001)), None);
+}
+
+/// Guards against an entry that takes back at once what it gave up.
+#[test]
+fn an_entry_that_gave_up_waits() {
+    let mut watch = OwnerWatch::default();
+    watch.observe(7, held_by("", ""), ClockMillis(1_000));
+    watch.bar_until(ClockMillis(2_000));
+    assert_eq!(watch.claimable("a", "a1", ClockMillis(1_999)), None);
+    assert_eq!(watch.claimable("a", "a1", ClockMillis(2_000)), Some(7));
+}
+
+/// Longest lease of a worker in these tests, in milliseconds.
+const LEASE_MS: u64 = 6_000;
+
+/// Returns an instant after all leases of an earlier owner.
+fn settled() -> ClockMillis {
+    ClockMillis(60_000)
+}
+
+/// Guards against a lease that never ends because failed looks prolong it.
+#[test]
+fn a_lease_ends_after_the_last_deadline() {
+    let mut lease = WorkerLease::inherited(LEASE_MS, ClockMillis(0));
+    let start = settled();
+    lease.observe(500, 1, start);
+    let deadline = lease.next_deadline(start).expect("the clock is known");
+    assert!(deadline <= 500 + LEASE_MS, "the worker cuts longer leases");
+    assert!(!lease.has_lapsed(start + LEASE_MS), "the worker's clock may be slow");
+    assert!(lease.has_lapsed(start + LEASE_MS + LEASE_MS / 10));
+}
+
+/// Guards against runs of an earlier owner that go on after a short contact.
+#[test]
+fn a_contact_does_not_end_an_inherited_lease() {
+    let mut lease = WorkerLease::inherited(LEASE_MS, ClockMillis(0));
+    lease.observe(500, 1, ClockMillis(100));
+    assert!(!lease.has_lapsed(ClockMillis(1_000)), "the earlier owner's lease still runs");
+    assert!(!lease.has_lapsed(ClockMillis(LEASE_MS)));
+    assert!(lease.has_lapsed(settled()));
+}
+
+/// Guards against a deadline of an earlier life, whose clock ran further.
+#[test]
+fn a_new_life_starts_a_new_lease() {
+    let mut lease = WorkerLease::inherited(LEASE_MS, ClockMillis(0));
+    let start = settled();
+    lease.observe(900_000, 1, start);
+    lease.next_deadline(start);
+    lease.observe(10, 2, start + 100);
+    assert!(lease.has_lapsed(start + 100 + 2 * LEASE_MS));
+}
+
+/// Guards against a deadline that goes back, which a worker would ignore.
+#[test]
+fn deadlines_never_go_back() {
+    let mut lease = WorkerLease::inherited(LEASE_MS, ClockMillis(0));
+    lease.observe(500, 1, settled());
+    let first = lease.next_deadline(settled() + 50);
+    lease.observe(510, 1, settled() + 60);
+    assert!(lease.next_deadline(settled() + 60) >= first);
+}
--- a/crates/plan/src/advice.rs
+++ b/crates/plan/src/advice.rs
@@ -14,6 +14,10 @@
 pub const SHORT_CALL_MS: f64 = 100.0;
 /// Calls that may wait at one VM kept for short calls, to hide the way there.
 const SHORT_CALLS_QUEUED: u32 = 2;
+/// Pause of a VM after a failed call, in milliseconds; it doubles with each failure.
+const FAILURE_PAUSE_MS: u64 = 1_000;
+/// Longest pause of a VM whose calls fail, in milliseconds.
+const LONGEST_PAUSE_MS: u64 = 16_000;
 /// One VM in so many is kept for short calls.
 const VMS_PER_SHORT_VM: usize = 3;
 
@@ -22,6 +26,8 @@
 struct CallerState {
     /// Calls in flight.
     calls: u32,
+    /// Failed calls since the last answer.
+    failures: u32,
     /// No call before this instant, in milliseconds.
     paused_until: u64,
 }
@@ -48,12 +54,18 @@
         self.waiting.insert((ask.priority, self.sequence), ask);
     }
 
-    /// Says that a call of a VM has ended; one that failed makes no call until `paused_until`.
-    pub fn ended(&mut self, caller: &ArcStr, paused_until: Option<u64>) {
-        if let Some(state) = self.callers.get_mut(caller) {
-            state.calls = state.calls.saturating_sub(1);
-            state.paused_until = paused_until.unwrap_or(state.paused_until);
+    /// Says that a call of a VM has ended. VMs that are gone stay listed for a
+    /// while, so that one whose calls fail is tried less and less.
+    pub fn ended(&mut self, caller: &ArcStr, answered: bool, now_ms: u64) {
+        let Some(state) = self.callers.get_mut(caller) else { return };
+        state.calls = state.calls.saturating_sub(1);
+        if answered {
+            state.failures = 0;
+            return;
         }
+        let pause = FAILURE_PAUSE_MS << state.failures.min(10);
+        state.failures += 1;
+        state.paused_until = now_ms + pause.min(LONGEST_PAUSE_MS);
     }
 
     /// Returns the next call and the VM that makes it; none while all that fit are busy.
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -84,17 +84,14 @@
 
     /// Tells the planner of a worker; true if something has changed.
     pub fn set_worker(&mut self, info: WorkerInfo) -> bool {
-        match self.workers.get_mut(&info.name) {
-            Some(worker) => {
-                let changed = worker.unlisted || worker.info != info;
-                worker.info = info;
-                worker.unlisted = false;
-                changed
-            }
-            None => {
-                self.workers.insert(info.name.clone(), WorkerState::new(info));
-                true
-            }
+        if let Some(worker) = self.workers.get_mut(&info.name) {
+            let changed = worker.unlisted || worker.info != info;
+            worker.info = info;
+            worker.unlisted = false;
+            changed
+        } else {
+            self.workers.insert(info.name.clone(), WorkerState::new(info));
+            true
         }
     }
 
--- /dev/null
+++ b/crates/plan/tests/place.rs
@@ -0,0 +1,213 @@
+//! Placement under room, limits, gangs and advice.
+
+#[allow(dead_code, reason = "each test file uses a part of the shorthands")]
+mod support;
+
+use model::name::WorkerName;
+use model::resource::ResourceAmounts;
+use plan::advice::AdviceDesk;
+use plan::decision::AdviceAsk;
+use plan::job::{StepKey, StepSpec};
+use plan::order;
+use plan::worker::{EndKind, StartAnswer};
+use support::{PlanBench, asks, config, cpu, job, rule, step, stops, worker};
+
+/// Guards against a worker that is given more than it has.
+#[test]
+fn tasks_wait_for_room() {
+    let mut bench = PlanBench::new(1, config());
+    bench.add(job("j", "normal", vec![step(5, cpu(3_000))]));
+    let orders = bench.run_starts(StartAnswer::Started);
+    assert_eq!(orders.len(), 2, "two of 3 cores fit into 8");
+    assert!(bench.starts().is_empty());
+    bench.end(&orders[0], EndKind::Done);
+}
+
+/// Guards against what is being stopped counting as free.
+#[test]
+fn room_of_a_stopping_run_is_not_free() {
+    let mut bench = PlanBench::new(1, config());
+    bench.add(job("big", "normal", vec![step(1, cpu(8_000))]));
+    bench.run_starts(StartAnswer::Started);
+    bench.planner.cancel_job(&"big".into());
+    bench.add(job("next", "normal", vec![step(1, cpu(8_000))]));
+    let decisions = bench.decide();
+    assert_eq!(stops(decisions.clone()).len(), 1);
+    assert!(support::starts(decisions).is_empty());
+}
+
+/// Guards against a team above its limit.
+#[test]
+fn a_team_stays_within_its_limit() {
+    let mut config = config();
+    let limit = ResourceAmounts { cpu_millis: 5_000, ..ResourceAmounts::UNLIMITED };
+    config.teams.get_mut("red").expect("the team exists").limit = limit;
+    let mut bench = PlanBench::new(3, config);
+    bench.add(job("j", "normal", vec![step(9, cpu(1_000))]));
+    assert_eq!(bench.run_starts(StartAnswer::Started).len(), 5);
+}
+
+/// Guards against starts in a domain that is out, or on a worker that leaves.
+#[test]
+fn excluded_workers_get_no_starts() {
+    let mut config = config();
+    config.out.insert("north".into());
+    let mut bench = PlanBench::new(4, config);
+    let mut leaving = worker(1);
+    leaving.draining = true;
+    bench.planner.set_worker(leaving);
+    bench.add(job("j", "normal", vec![step(4, cpu(1_000))]));
+    let orders = bench.starts();
+    assert_eq!(orders.len(), 4);
+    assert!(orders.iter().all(|order| order.worker == worker(3).name));
+}
+
+/// Guards against a part of a gang that holds room while the rest waits.
+#[test]
+fn a_gang_starts_whole_or_not() {
+    let mut bench = PlanBench::new(2, config());
+    bench.add(job("small", "urgent", vec![step(1, cpu(8_000))]));
+    bench.run_starts(StartAnswer::Started);
+    let gang = StepSpec { gang: true, ..step(2, cpu(8_000)) };
+    bench.add(job("gang", "normal", vec![gang]));
+    assert!(bench.starts().is_empty());
+    bench.planner.cancel_job(&"small".into());
+    bench.decide();
+    let held = worker(0).name;
+    bench.end_run(&held, &support::task("small", 0), 1, EndKind::Stopped);
+    let orders = bench.starts();
+    assert_eq!(orders.len(), 2);
+    assert_eq!(orders[0].run, orders[1].run, "members share the run number");
+}
+
+/// Guards against members that wait for one that could not start.
+#[test]
+fn a_broken_gang_is_stopped() {
+    let mut bench = PlanBench::new(2, config());
+    let gang = StepSpec { gang: true, ..step(2, cpu(8_000)) };
+    bench.add(job("gang", "normal", vec![gang]));
+    let orders = bench.starts();
+    bench.answer(&orders[0], StartAnswer::Started);
+    bench.answer(&orders[1], StartAnswer::Refused(plan::worker::RefusalKind::Unhealthy));
+    let stopped = stops(bench.decide());
+    assert_eq!(stopped.len(), 1);
+    assert_eq!(stopped[0].worker, orders[0].worker);
+}
+
+/// Guards against small work that takes the room for which a wide gang waits.
+#[test]
+fn room_is_kept_for_a_waiting_gang() {
+    let mut bench = PlanBench::new(2, config());
+    bench.add(job("first", "urgent", vec![step(2, cpu(5_000))]));
+    let running = bench.run_starts(StartAnswer::Started);
+    bench.add(job("gang", "normal", vec![StepSpec { gang: true, ..step(2, cpu(8_000)) }]));
+    bench.add(job("later", "batch", vec![step(4, cpu(1_000))]));
+    assert!(bench.starts().is_empty(), "later work would keep the workers busy");
+    for order in &running {
+        bench.end(order, EndKind::Done);
+    }
+    let orders = bench.starts();
+    assert_eq!(orders.len(), 2);
+    assert!(orders.iter().all(|order| order.job.id.as_str() == "gang"));
+}
+
+/// Guards against a start without a valid ticket.
+#[test]
+fn advised_steps_start_with_tickets_only() {
+    let mut bench = PlanBench::new(4, config());
+    bench.add(job("j", "advised", vec![step(2, cpu(1_000))]));
+    let decisions = bench.decide();
+    assert!(support::starts(decisions.clone()).is_empty());
+    let ask = asks(decisions).remove(0);
+    let good: Vec<WorkerName> = ask.workers[..1].to_vec();
+    bench.advise(&ask, &good);
+    let orders = bench.starts();
+    assert_eq!(orders.len(), 2);
+    assert!(orders.iter().all(|order| order.worker == good[0] && order.ticket == "ticket"));
+}
+
+/// Guards against a ticket that is used after it has expired.
+#[test]
+fn expired_tickets_are_asked_for_again() {
+    let mut bench = PlanBench::new(1, config());
+    bench.add(job("block", "urgent", vec![step(1, cpu(8_000))]));
+    let block = bench.run_starts(StartAnswer::Started).remove(0);
+    bench.add(job("j", "advised", vec![step(1, cpu(1_000))]));
+    assert!(asks(bench.decide()).is_empty(), "there is no room to ask about");
+    bench.end(&block, EndKind::Done);
+    let ask = asks(bench.decide()).remove(0);
+    bench.advise(&ask, &ask.workers);
+    bench.now_ms += 1_500;
+    let decisions = bench.decide();
+    assert!(support::starts(decisions.clone()).is_empty());
+    assert_eq!(asks(decisions).len(), 1);
+}
+
+/// Guards against a worker that fails whatever it starts and eats the attempts of many jobs.
+#[test]
+fn a_failing_worker_is_left_alone() {
+    let mut bench = PlanBench::new(2, config());
+    for number in 0..2 {
+        bench.add(job(&format!("j{number}"), "normal", vec![step(1, cpu(100))]));
+        let order = bench.run_starts(StartAnswer::Started).remove(0);
+        assert_eq!(order.worker, worker(0).name);
+        bench.end(&order, EndKind::Failed);
+        let again = bench.run_starts(StartAnswer::Started).remove(0);
+        assert_eq!(again.worker, worker(1).name, "the task avoids where it failed");
+        bench.end(&again, EndKind::Done);
+    }
+    bench.add(job("j9", "normal", vec![step(1, cpu(100))]));
+    assert_eq!(bench.starts()[0].worker, worker(1).name);
+}
+
+/// Guards against late work that keeps work from being on time, when not all can be.
+#[test]
+fn useless_work_goes_last() {
+    let spec = job("j", "normal", vec![step(1, cpu(100))]);
+    let objective = order::objective_ms(&spec, &rule(1, None));
+    assert_eq!(objective, 3_000, "twice the chain of one second, and the target");
+    let late = order::rank_job(10_000, 0, objective, false, 0);
+    let fresh = order::rank_job(10_000, 9_000, objective, false, 2);
+    let beyond = order::rank_job(10_000, 9_000, objective, true, 0);
+    assert!(fresh < beyond && beyond < late);
+}
+
+fn ask(duration_ms: f64, priority: u32) -> AdviceAsk {
+    let step = StepKey { job: "j".into(), occurrence: 0, step: 0 };
+    AdviceAsk { step, workers: Vec::new(), duration_ms, priority }
+}
+
+/// Guards against urgent short calls that wait behind long ones at every VM.
+#[test]
+fn long_calls_leave_a_vm_for_short_ones() {
+    let mut desk = AdviceDesk::default();
+    let names = ["a", "b", "c"].map(arcstr::ArcStr::from);
+    desk.set_callers(names.iter());
+    for _ in 0..4 {
+        desk.push(ask(600.0, 1));
+    }
+    let mut busy = Vec::new();
+    while let Some((caller, _)) = desk.next_call(0) {
+        busy.push(caller);
+    }
+    assert_eq!(busy, ["b", "c"]);
+    desk.push(ask(10.0, 0));
+    assert_eq!(desk.next_call(0).map(|(caller, _)| caller), Some("a".into()));
+}
+
+/// Guards against calls that go to a VM that is gone, again and again.
+#[test]
+fn a_caller_that_fails_pauses_longer_each_time() {
+    let mut desk = AdviceDesk::default();
+    let name = arcstr::ArcStr::from("a");
+    desk.set_callers(std::iter::once(&name));
+    let mut now = 0;
+    for pause in [1_000, 2_000, 4_000] {
+        desk.push(ask(10.0, 0));
+        assert!(desk.next_call(now).is_some());
+        desk.ended(&name, false, now);
+        desk.push(ask(10.0, 0));
+        assert!(desk.next_call(now + pause - 1).is_none());
+        now += pause;
+    }
+}
--- /dev/null
+++ b/crates/plan/tests/support/mod.rs
@@ -0,0 +1,200 @@
+//! A planner with workers, queues and teams, and shorthands for what they say.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use arcstr::ArcStr;
+use model::name::{JobId, QueueName, TeamName, WorkerName};
+use model::resource::ResourceAmounts;
+use plan::config::{AdviceCost, PlanConfig, QueueRule, TeamRule};
+use plan::decision::{AdviceAnswer, AdviceAsk, PlanDecision, StartOrder, StopOrder};
+use plan::job::{JobSpec, StepKey, StepSpec, TaskKey};
+use plan::planner::{PlanBounds, Planner};
+use plan::progress::ProgressRecord;
+use plan::worker::{EndKind, ListedEnd, ListedRun, RunReport, StartAnswer, WorkerInfo};
+
+/// Start of the life of every worker.
+pub const BORN: u64 = 1_000;
+
+/// Processor time of a worker, in thousandths of a core.
+pub const WORKER_CPU: u64 = 8_000;
+
+/// A planner under test, with its clock.
+#[derive(Debug)]
+pub struct PlanBench {
+    pub planner: Planner,
+    pub now_ms: u64,
+    ends: BTreeMap<WorkerName, u64>,
+}
+
+pub fn cpu(millis: u64) -> ResourceAmounts {
+    ResourceAmounts { cpu_millis: millis, memory_mb: 100, ..ResourceAmounts::ZERO }
+}
+
+pub fn worker(index: usize) -> WorkerInfo {
+    WorkerInfo {
+        name: WorkerName::from(format!("w{index:02}")),
+        pool: "pool".into(),
+        domain: if index.is_multiple_of(2) { "north".into() } else { "south".into() },
+        labels: vec!["a".into(), ArcStr::from(format!("r{}", index / 2))],
+        capacity: ResourceAmounts {
+            cpu_millis: WORKER_CPU,
+            memory_mb: 10_000,
+            ..ResourceAmounts::ZERO
+        },
+        draining: false,
+    }
+}
+
+pub fn rule(priority: u32, advice: Option<AdviceCost>) -> QueueRule {
+    QueueRule { pool: "pool".into(), priority, attempts: 2, stretch: 2.0, target_ms: 1_000, advice }
+}
+
+pub fn config() -> PlanConfig {
+    let mut config = PlanConfig { version: 1, ..PlanConfig::default() };
+    config.queues.insert("urgent".into(), rule(0, None));
+    config.queues.insert("normal".into(), rule(1, None));
+    config.queues.insert("batch".into(), rule(2, None));
+    let cost = AdviceCost { call_ms: 10.0, worker_ms: 1.0, valid_ms: 1_500 };
+    config.queues.insert("advised".into(), rule(1, Some(cost)));
+    let limit = ResourceAmounts::UNLIMITED;
+    config.teams.insert("red".into(), TeamRule { weight: 100, limit });
+    config.teams.insert("blue".into(), TeamRule { weight: 100, limit });
+    config
+}
+
+pub fn job(id: &str, queue: &str, steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec {
+        id: JobId::from(id),
+        queue: QueueName::from(queue),
+        team: Some(TeamName::from("red")),
+        payload: "text".into(),
+        steps,
+        schedule: None,
+        accepted_ms: 0,
+    }
+}
+
+pub fn step(count: u32, amounts: ResourceAmounts) -> StepSpec {
+    StepSpec { count, amounts, estimate_ms: 1_000, ..StepSpec::default() }
+}
+
+pub fn task(job: &str, index: u32) -> TaskKey {
+    let step = StepKey { job: JobId::from(job), occurrence: 0, step: 0 };
+    TaskKey { step, index }
+}
+
+impl PlanBench {
+    /// Creates a planner whose workers have all reported nothing.
+    pub fn new(workers: usize, config: PlanConfig) -> Self {
+        let mut bench = Self::unreported(workers, config);
+        for index in 0..workers {
+            bench.report(&worker(index).name, Vec::new(), Vec::new());
+        }
+        bench
+    }
+
+    /// Creates a planner of which no worker has reported.
+    pub fn unreported(workers: usize, config: PlanConfig) -> Self {
+        let mut planner = Planner::new(PlanBounds::default());
+        planner.set_config(Arc::new(config));
+        for index in 0..workers {
+            planner.set_worker(worker(index));
+        }
+        Self { planner, now_ms: 1, ends: BTreeMap::new() }
+    }
+
+    pub fn add(&mut self, spec: JobSpec) {
+        self.planner.add_job(&Arc::new(spec), &ProgressRecord::default(), self.now_ms);
+    }
+
+    pub fn decide(&mut self) -> Vec<PlanDecision> {
+        self.now_ms += 1;
+        self.planner.decide(self.now_ms, self.now_ms)
+    }
+
+    /// Decides and returns the starts only.
+    pub fn starts(&mut self) -> Vec<StartOrder> {
+        starts(self.decide())
+    }
+
+    /// Decides, and has every start answered as `answer`.
+    pub fn run_starts(&mut self, answer: StartAnswer) -> Vec<StartOrder> {
+        let orders = self.starts();
+        for order in &orders {
+            self.answer(order, answer);
+        }
+        orders
+    }
+
+    pub fn answer(&mut self, order: &StartOrder, answer: StartAnswer) {
+        self.planner.start_answered(&order.worker, &order.task, order.run, answer, self.now_ms);
+    }
+
+    pub fn report(&mut self, name: &WorkerName, running: Vec<ListedRun>, ended: Vec<ListedEnd>) {
+        self.now_ms += 1;
+        let report = RunReport { born: BORN, running, ended };
+        self.planner.report(name, &report, self.now_ms, self.now_ms);
+    }
+
+    /// Reports the end of a run, and that nothing else runs on its worker.
+    pub fn end(&mut self, order: &StartOrder, kind: EndKind) {
+        self.end_run(&order.worker, &order.task, order.run, kind);
+    }
+
+    pub fn end_run(&mut self, name: &WorkerName, task: &TaskKey, run: u32, kind: EndKind) {
+        let number = self.ends.entry(name.clone()).or_insert(0);
+        *number += 1;
+        let end =
+            ListedEnd { number: *number, task: task.clone(), run, kind, saved: ArcStr::default() };
+        self.report(name, Vec::new(), vec![end]);
+    }
+
+    /// Answers a question: the named workers may run the step.
+    pub fn advise(&mut self, ask: &AdviceAsk, good: &[WorkerName]) {
+        let good = good.iter().map(|name| (name.clone(), ArcStr::from("ticket"))).collect();
+        let answer = AdviceAnswer { step: ask.step.clone(), asked: ask.workers.clone(), good };
+        self.planner.advised(&answer, self.now_ms);
+    }
+
+    /// Stores all progress and returns its records.
+    pub fn store(&mut self) -> BTreeMap<JobId, ProgressRecord> {
+        let batch = self.planner.take_progress(usize::MAX);
+        self.planner.progress_stored(&batch);
+        batch.records.into_iter().collect()
+    }
+}
+
+pub fn starts(decisions: Vec<PlanDecision>) -> Vec<StartOrder> {
+    let start = |decision| match decision {
+        PlanDecision::Start(order) => Some(order),
+        _ => None,
+    };
+    decisions.into_iter().filter_map(start).collect()
+}
+
+pub fn stops(decisions: Vec<PlanDecision>) -> Vec<StopOrder> {
+    let stop = |decision| match decision {
+        PlanDecision::Stop(order) => Some(order),
+        _ => None,
+    };
+    decisions.into_iter().filter_map(stop).collect()
+}
+
+pub fn asks(decisions: Vec<PlanDecision>) -> Vec<AdviceAsk> {
+    let ask = |decision| match decision {
+        PlanDecision::Ask(ask) => Some(ask),
+        _ => None,
+    };
+    decisions.into_iter().filter_map(ask).collect()
+}
+
+pub fn listed(order: &StartOrder) -> ListedRun {
+    ListedRun {
+        task: order.task.clone(),
+        run: order.run,
+        saved: ArcStr::default(),
+        percent: 100,
+        gauge: 0,
+    }
+}
