--- a/crates/fleet/src/context.rs
+++ b/crates/fleet/src/context.rs
@@ -6,16 +6,19 @@
 
 use arcstr::ArcStr;
 use link::clock::ProcessClock;
-use model::name::DomainName;
+use model::name::{DomainName, QueueName};
 use model::time::ClockMillis;
-use tokio::sync::Notify;
+use plan::job::JobSpec;
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
 use crate::config::ConfigView;
 use crate::lease::OwnerWatch;
 use crate::limits::{self, FleetBounds};
+use crate::news::{NewsAnswer, NewsAsk, NewsBook};
 use crate::row::MemberRow;
 use crate::status::StatusBook;
+use crate::submit::StoreVerdict;
 
 /// Who this entry is.
 #[derive(Clone, Debug)]
@@ -30,6 +33,28 @@
     pub peer_address: ArcStr,
 }
 
+/// A job that the owner is asked to store.
+#[derive(Debug)]
+pub struct SubmitCall {
+    /// The job.
+    pub spec: JobSpec,
+    /// When the asking entry gives up.
+    pub give_up_at: ClockMillis,
+    /// Where the answer goes.
+    pub reply: oneshot::Sender<StoreVerdict>,
+}
+
+/// What an entry that owns the fleet does for the others.
+#[derive(Clone, Debug)]
+pub struct OwnedFleet {
+    /// Takes jobs to be stored.
+    pub submits: mpsc::UnboundedSender<SubmitCall>,
+    /// Changes of jobs.
+    pub news: Rc<RefCell<NewsBook>>,
+    /// Rung when there are new changes.
+    pub news_rung: Rc<Notify>,
+}
+
 /// State of one entry. It is borrowed between awaits only.
 #[derive(Debug)]
 pub struct EntryContext<P> {
@@ -51,6 +76,12 @@
     pub members: RefCell<BTreeMap<ArcStr, MemberRow>>,
     /// Jobs heard of.
     pub statuses: RefCell<StatusBook>,
+    /// Jobs by queue of which no task has started, as the owner last said.
+    pub waiting: RefCell<BTreeMap<QueueName, u32>>,
+    /// When the owner last answered a question for news.
+    pub news_at: Cell<Option<ClockMillis>>,
+    /// The ownership that this entry has; none while another entry owns the fleet.
+    pub owned: RefCell<Option<OwnedFleet>>,
     /// Rung when the configuration, the ownership or the entries have changed.
     pub changed: Notify,
     /// Ends the process.
@@ -79,6 +110,9 @@
             owner: RefCell::default(),
             members: RefCell::default(),
             statuses: RefCell::default(),
+            waiting: RefCell::default(),
+            news_at: Cell::new(None),
+            owned: RefCell::default(),
             changed: Notify::new(),
             stop,
         })
@@ -96,4 +130,38 @@
         let bound = self.bounds.revoke_ms.saturating_sub(limits::CONFIRM_MARGIN_MS);
         self.confirmation_age().is_some_and(|age| age < bound)
     }
+
+    /// Returns the peer address of the owner; none if this entry owns the fleet,
+    /// or the owner is not known.
+    #[must_use]
+    pub fn owner_address(&self) -> Option<ArcStr> {
+        let owner = self.owner.borrow();
+        let (_, row) = owner.row()?;
+        if row.holder == self.identity.name {
+            return None;
+        }
+        self.members.borrow().get(&row.holder).map(|member| member.address.clone())
+    }
+
+    /// Tells whether states of jobs are up to date without a read.
+    #[must_use]
+    pub fn has_fresh_news(&self) -> bool {
+        let now = self.clock.now();
+        self.owned.borrow().is_some()
+            || self.news_at.get().is_some_and(|at| now.since(at) < limits::NEWS_FRESH_MS)
+    }
+
+    /// Waits for news as the owner of the fleet; none if this entry does not own it.
+    pub async fn wait_news(&self, ask: NewsAsk) -> Option<NewsAnswer> {
+        let owned = self.owned.borrow().clone()?;
+        if !owned.news.borrow().has_news(ask) {
+            let rung = owned.news_rung.notified();
+            if tokio::time::timeout(limits::NEWS_WAIT, rung).await.is_err() {
+                log::debug!("nothing new for an entry");
+            }
+        }
+        let waiting = self.waiting.borrow().clone();
+        let answer = owned.news.borrow().answer(ask, waiting);
+        Some(answer)
+    }
 }
--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -8,15 +8,17 @@
 use link::failure::{self, CallFailure};
 use model::kind::ErrorKind;
 use model::name::{JobId, QueueName, TeamName};
+use model::time::ClockMillis;
 use plan::job::{JobSchedule, JobSpec, StepSpec};
 use plan::progress::{JobStatus, ProgressRecord};
+use tokio::sync::oneshot;
 
 use crate::config::FleetConfig;
-use crate::context::SharedContext;
+use crate::context::{SharedContext, SubmitCall};
 use crate::limits;
-use crate::ports::{PlatformRows, RowStore, RowTransaction, TransactOutcome};
+use crate::ports::{PeerCalls, PlatformRows, RowStore, RowTransaction, TransactOutcome};
 use crate::row;
-use crate::submit::SubmitQueue;
+use crate::submit::{StoreVerdict, SubmitQueue, SubmitTarget};
 
 /// Longest payload of a job in bytes; the platform's callers send at most 4,000.
 pub const PAYLOAD_BYTES: usize = 16_384;
@@ -84,11 +86,11 @@
     submits: Rc<SubmitQueue<P>>,
 }
 
-impl<P: RowStore + PlatformRows> CallerDesk<P> {
+impl<P: RowStore + PlatformRows + PeerCalls> CallerDesk<P> {
     /// Creates the desk of an entry.
     #[must_use]
     pub fn new(context: SharedContext<P>) -> Rc<Self> {
-        let submits = SubmitQueue::new(context.clone());
+        let submits = SubmitQueue::new(context.clone(), SubmitTarget::Inbox);
         Rc::new(Self { context, submits })
     }
 
@@ -148,25 +150,80 @@
             accepted_ms: unix_ms(),
         };
         let give_up_at = self.context.clock.now() + patience_ms(patience);
-        match self.submits.store_job(id, row::encode(&spec), give_up_at).await {
-            Ok(()) => Ok(CallerAnswer::Accepted),
+        match self.store(spec, give_up_at).await {
+            Ok(_) => Ok(CallerAnswer::Accepted),
             Err(kind) => Err((kind, "the job could not be stored".to_owned())),
         }
     }
 
+    /// Has the owner store a job, which then knows it at once; without an owner
+    /// that answers, stores it in the owner's inbox.
+    async fn store(&self, spec: JobSpec, give_up_at: ClockMillis) -> StoreVerdict {
+        let value = row::encode(&spec);
+        let id = spec.id.clone();
+        let verdict = self.store_through_owner(spec, give_up_at).await;
+        let maybe_done = match verdict {
+            Some(Ok(how)) => {
+                self.context.statuses.borrow_mut().note(id, JobStatus::Pending);
+                return Ok(how);
+            }
+            Some(Err(kind)) => kind == ErrorKind::WriteUnknown,
+            None => false,
+        };
+        self.submits.store_job(id, value, give_up_at, maybe_done).await
+    }
+
+    /// None if there is no owner to ask.
+    async fn store_through_owner(
+        &self,
+        spec: JobSpec,
+        give_up_at: ClockMillis,
+    ) -> Option<StoreVerdict> {
+        let left = give_up_at.since(self.context.clock.now());
+        let timeout = limits::FORWARD_TIMEOUT.min(Duration::from_millis(left));
+        let owned = self.context.owned.borrow().clone();
+        if let Some(owned) = owned {
+            let (reply, verdict) = oneshot::channel();
+            let call = SubmitCall { spec, give_up_at, reply };
+            owned.submits.send(call).ok()?;
+            let answer = tokio::time::timeout(timeout, verdict).await;
+            return Some(answer.map_or(Err(ErrorKind::WriteUnknown), |verdict| {
+                verdict.unwrap_or(Err(ErrorKind::WriteUnknown))
+            }));
+        }
+        let address = self.context.owner_address()?;
+        if !self.context.has_fresh_news() {
+            return None;
+        }
+        let answer = self.context.ports.submit_through(&address, &spec, timeout).await;
+        Some(answer.unwrap_or_else(|error| {
+            log::info!(
+                "owner did not store a job job={} error=\"{}\"",
+                spec.id,
+                failure::brief(&error)
+            );
+            Err(match error.current_context() {
+                CallFailure::NotDone => ErrorKind::NoOwner,
+                CallFailure::Unknown => ErrorKind::WriteUnknown,
+            })
+        }))
+    }
+
     fn waiting(&self, queue: &QueueName) -> u32 {
-        let owner = self.context.owner.borrow();
-        owner.row().and_then(|(_, row)| row.waiting.get(queue).copied()).unwrap_or(0)
+        self.context.waiting.borrow().get(queue).copied().unwrap_or(0)
     }
 
     async fn inspect(&self, id: &JobId) -> Result<CallerAnswer, (ErrorKind, String)> {
-        if let Some(status) = self.context.statuses.borrow().get(id) {
+        let known = self.context.statuses.borrow().get(id);
+        if let Some(status) = known
+            && (status.is_final() || self.context.has_fresh_news())
+        {
             return Ok(CallerAnswer::State(status));
         }
-        match self.read_status(id).await {
-            Ok(Some(status)) => Ok(CallerAnswer::State(status)),
-            Ok(None) => Ok(CallerAnswer::NoJob),
-            Err(kind) => Err((kind, "the job's state could not be read".to_owned())),
+        match (self.read_status(id).await, known) {
+            (Ok(Some(status)), _) | (Err(_), Some(status)) => Ok(CallerAnswer::State(status)),
+            (Ok(None), _) => Ok(CallerAnswer::NoJob),
+            (Err(kind), None) => Err((kind, "the job's state could not be read".to_owned())),
         }
     }
 
@@ -178,7 +235,7 @@
         let range_end = format!("{id}\u{1}");
         let range = Some((id.as_str(), range_end.as_str()));
         let mut status = None;
-        for table in [row::JOB_TABLE, row::STATE_TABLE] {
+        for table in [row::JOB_TABLE, row::INBOX_TABLE, row::PROGRESS_TABLE] {
             let page = self
                 .context
                 .ports
@@ -193,11 +250,11 @@
                 })?;
             let Some(found) = page.rows.iter().find(|row| row.key == id.as_str()) else { continue };
             let Some(value) = &found.value else { continue };
-            status = if table == row::JOB_TABLE {
-                Some(JobStatus::Pending)
-            } else {
+            status = if table == row::PROGRESS_TABLE {
                 let record = row::decode::<ProgressRecord>(table, &found.key, value);
                 record.map(|record| record.status).or(status)
+            } else {
+                Some(JobStatus::Pending)
             };
         }
         if let Some(status) = status {
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -1,13 +1,10 @@
 //! Following the tables that every entry needs.
 
-use link::failure;
-use model::name::JobId;
-use plan::progress::ProgressRecord;
-
 use crate::context::SharedContext;
 use crate::limits;
 use crate::ports::{FeedAnswer, PlatformRows, RowPage, RowStore, TableRow};
 use crate::row::{self, MemberRow, OwnerRow};
+use link::failure;
 
 /// Follows the operators' table until the entry stops.
 pub async fn follow_operator<P: RowStore + PlatformRows>(context: SharedContext<P>) {
@@ -73,7 +70,7 @@
     }
 }
 
-/// Follows progress, ownership and entries until the entry stops.
+/// Follows ownership and entries until the entry stops.
 pub async fn follow_state<P: RowStore>(context: SharedContext<P>) {
     let work = async {
         loop {
@@ -86,10 +83,10 @@
     context.stop.run_until_cancelled(work).await;
 }
 
-/// Reads ownership and entries; progress of jobs is read when a caller asks for it.
+/// Reads ownership and entries.
 async fn read_state<P: RowStore>(context: &SharedContext<P>) -> Option<u64> {
     let mut first = None;
-    for part in [row::OWNER_PART, row::MEMBER_PART] {
+    for part in [row::JOB_PART, row::MEMBER_PART] {
         let read = context.ports.read(row::STATE_TABLE, part, None, limits::STORE_TIMEOUT).await;
         match read {
             Ok(page) => {
@@ -135,7 +132,7 @@
 fn apply_state<P>(context: &SharedContext<P>, changed: &TableRow) {
     let key = changed.key.as_str();
     match changed.part.as_str() {
-        row::OWNER_PART => {
+        row::JOB_PART if key == row::OWNER_KEY => {
             let Some(value) = &changed.value else { return };
             if let Some(owner) = row::decode::<OwnerRow>(row::STATE_TABLE, key, value) {
                 let now = context.clock.now();
@@ -153,12 +150,6 @@
                 None => members.remove(key),
             };
         }
-        row::JOB_PART => {
-            let Some(value) = &changed.value else { return };
-            if let Some(record) = row::decode::<ProgressRecord>(row::STATE_TABLE, key, value) {
-                context.statuses.borrow_mut().note(JobId::from(key), record.status);
-            }
-        }
-        other => log::debug!("row of an unknown part left out part={other} key={key}"),
+        other => log::debug!("row left out part={other} key={key}"),
     }
 }
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -42,16 +42,27 @@
 pub const CONFIRM_MARGIN_MS: u64 = 1_300;
 /// Time during which submissions gather for one transaction.
 pub const SUBMIT_GATHER: Duration = Duration::from_millis(3);
-/// Submissions in one transaction; each takes two conditions and one write of the 100 entries.
-pub const SUBMIT_BATCH: usize = 30;
-/// Transactions with submissions that one entry has in flight.
-pub const SUBMIT_FLIGHTS: usize = 2;
+/// Submissions in one transaction; each takes three conditions and one write of
+/// the 100 entries, and the owner adds one condition.
+pub const SUBMIT_BATCH: usize = 24;
+/// Longest time that the owner may take to store a job for another entry, before
+/// that stores the job itself.
+pub const FORWARD_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Longest wait of one question for news of jobs.
+pub const NEWS_WAIT: Duration = Duration::from_millis(900);
+/// Pause between two questions for news, in which news gathers.
+pub const NEWS_PAUSE: Duration = Duration::from_millis(40);
+/// Changes of jobs that an owner keeps for entries that ask late.
+pub const NEWS_KEPT: usize = 20_000;
+/// Age of the last news, in milliseconds, up to which the state of a job that is not over is
+/// taken from them and not read.
+pub const NEWS_FRESH_MS: u64 = 1_500;
 /// Submissions that one entry holds; more are refused at once.
 pub const SUBMIT_BOUND: usize = 2_000;
 /// Time kept back of a caller's deadline for the answer to arrive, in milliseconds.
 pub const ANSWER_MARGIN_MS: u64 = 250;
-/// Records of progress in one transaction; each takes one condition, one write and two removals.
-pub const PROGRESS_BATCH: usize = 24;
+/// Records of progress in one transaction; each takes one condition, one write and three removals.
+pub const PROGRESS_BATCH: usize = 18;
 /// Longest time that progress of a job that is not over waits to be stored; the
 /// worker's next ends are seen only after it.
 pub const PROGRESS_INTERVAL: Duration = Duration::from_millis(80);
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -5,6 +5,7 @@
 mod orders;
 mod progress;
 mod session;
+mod submits;
 mod workers;
 
 use std::rc::Rc;
@@ -18,14 +19,14 @@
 use crate::context::SharedContext;
 use crate::limits;
 use crate::ports::{
-    AdviceCalls, PlatformRows, RowStore, RowTransaction, TransactOutcome, WorkerCalls,
+    AdviceCalls, PeerCalls, PlatformRows, RowStore, RowTransaction, TransactOutcome, WorkerCalls,
 };
 use crate::row::{self, OwnerRow};
 
 /// Everything that an owner needs of the platform.
-pub trait OwnerPorts: RowStore + WorkerCalls + AdviceCalls + PlatformRows {}
+pub trait OwnerPorts: RowStore + WorkerCalls + AdviceCalls + PeerCalls + PlatformRows {}
 
-impl<P: RowStore + WorkerCalls + AdviceCalls + PlatformRows> OwnerPorts for P {}
+impl<P: RowStore + WorkerCalls + AdviceCalls + PeerCalls + PlatformRows> OwnerPorts for P {}
 
 /// Longest pause between two looks at whether the fleet may be claimed.
 const CLAIM_INTERVAL: Duration = Duration::from_millis(150);
@@ -75,10 +76,9 @@
         instance: identity.instance.clone(),
         term,
         leased: before.as_ref().map(|row| row.leased.clone()).unwrap_or_default(),
-        waiting: before.as_ref().map(|row| row.waiting.clone()).unwrap_or_default(),
     };
     let holder = before.as_ref().map_or(ArcStr::default(), |row| row.holder.clone());
-    match write_owner(context, version, &claim).await {
+    match write_owner(context, version, &claim, true).await {
         Some(version) => {
             log::info!("fleet claimed term={term} version={version} before={holder}");
             Some(HeldOwnership { term, version, sent_at: now, before })
@@ -94,12 +94,16 @@
     context: &SharedContext<P>,
     expected: u64,
     owner: &OwnerRow,
+    new_term: bool,
 ) -> Option<u64> {
-    let transaction = RowTransaction {
+    let mut transaction = RowTransaction {
         expected: vec![(row::owner_key(), expected)],
         writes: vec![(row::owner_key(), row::encode(owner))],
         removes: Vec::new(),
     };
+    if new_term {
+        transaction.writes.push((row::term_key(), row::encode(&owner.term)));
+    }
     let outcome = context.ports.transact(&transaction, limits::STORE_TIMEOUT).await;
     let now = context.clock.now();
     match outcome {
@@ -108,7 +112,7 @@
             Some(version)
         }
         Ok(TransactOutcome::Conflict(rows)) => {
-            for found in rows {
+            for found in rows.iter().filter(|row| row.key == row::OWNER_KEY) {
                 let Some(value) = &found.value else { continue };
                 if let Some(current) = row::decode::<OwnerRow>(row::STATE_TABLE, &found.key, value)
                 {
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -6,7 +6,7 @@
 use link::failure;
 use model::name::JobId;
 use plan::job::JobSpec;
-use plan::progress::ProgressRecord;
+use plan::progress::{JobStatus, ProgressRecord};
 
 use crate::desk;
 use crate::limits;
@@ -85,22 +85,26 @@
             })
             .ok()
     };
+    let inbox = read(row::INBOX_TABLE).await?;
     let jobs = read(row::JOB_TABLE).await?;
-    let states = read(row::STATE_TABLE).await?;
+    let states = read(row::PROGRESS_TABLE).await?;
     let mut records: BTreeMap<JobId, ProgressRecord> = BTreeMap::new();
     for found in &states.rows {
         let Some(value) = &found.value else { continue };
         let id = JobId::from(found.key.as_str());
         session.progress_versions.borrow_mut().insert(id.clone(), found.version);
-        if let Some(record) = row::decode::<ProgressRecord>(row::STATE_TABLE, &found.key, value) {
-            session.context.statuses.borrow_mut().note(id.clone(), record.status);
+        if let Some(record) = row::decode::<ProgressRecord>(row::PROGRESS_TABLE, &found.key, value)
+        {
+            if record.status.is_final() {
+                session.tell(&id, record.status);
+            }
             records.insert(id, record);
         }
     }
-    for found in &jobs.rows {
+    for found in jobs.rows.iter().chain(&inbox.rows) {
         apply_job(session, found, &records);
     }
-    Some(jobs.version)
+    Some(inbox.version)
 }
 
 fn apply_job<P: OwnerPorts>(
@@ -119,14 +123,17 @@
     let age = desk::unix_ms().saturating_sub(spec.accepted_ms);
     let none = ProgressRecord::default();
     let record = records.get(&spec.id).unwrap_or(&none);
+    if !record.status.is_final() {
+        session.tell(&spec.id, JobStatus::Pending);
+    }
     session.planner.borrow_mut().add_job(&Arc::new(spec), record, now.0.saturating_sub(age));
 }
 
-/// Follows the jobs and cancellations that entries store.
+/// Follows the jobs and cancellations that other entries store.
 pub(crate) async fn follow_jobs<P: OwnerPorts>(session: SharedSession<P>, mut version: u64) {
     loop {
         let answer =
-            session.context.ports.follow(row::JOB_TABLE, version, limits::FOLLOW_WAIT).await;
+            session.context.ports.follow(row::INBOX_TABLE, version, limits::FOLLOW_WAIT).await;
         match answer {
             Ok(FeedAnswer::Changes(page)) => {
                 version = page.version;
--- a/crates/fleet/src/owner/progress.rs
+++ b/crates/fleet/src/owner/progress.rs
@@ -60,13 +60,13 @@
         transaction.writes.push((row::progress_key(id), row::encode(record)));
         if record.status.is_final() {
             transaction.removes.push(row::job_key(id));
+            transaction.removes.push(row::inbox_key(id));
             transaction.removes.push(row::cancel_key(id));
         }
     }
     match session.context.ports.transact(&transaction, limits::STORE_TIMEOUT).await {
         Ok(TransactOutcome::Done(version)) => {
             let mut versions = session.progress_versions.borrow_mut();
-            let mut statuses = session.context.statuses.borrow_mut();
             for (id, record) in &batch.records {
                 if record.status.is_final() {
                     log::info!("job over job={id} status={:?} version={version}", record.status);
@@ -74,9 +74,9 @@
                 } else {
                     versions.insert(id.clone(), version);
                 }
-                statuses.note(id.clone(), record.status);
+                session.tell(id, record.status);
             }
-            drop((versions, statuses));
+            drop(versions);
             session.planner.borrow_mut().progress_stored(batch);
             session.stored.notify_waiters();
             true
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -4,20 +4,23 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use model::name::WorkerName;
+use model::name::{JobId, WorkerName};
 use model::time::ClockMillis;
 use plan::advice::AdviceDesk;
 use plan::decision::PlanDecision;
 use plan::planner::{PlanBounds, Planner};
+use plan::progress::JobStatus;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::context::SharedContext;
 use crate::desk;
 use crate::limits;
+use crate::news::NewsBook;
 use crate::owner::workers::WorkerLink;
 use crate::owner::{
-    HeldOwnership, OwnerPorts, SharedSession, advice, load, orders, progress, workers, write_owner,
+    HeldOwnership, OwnerPorts, SharedSession, advice, load, orders, progress, submits, workers,
+    write_owner,
 };
 use crate::row::OwnerRow;
 
@@ -36,11 +39,15 @@
     /// Workers of an earlier owner that are not registered and may still run tasks.
     pub(crate) expiring: RefCell<Vec<WorkerName>>,
     /// Versions of the progress rows that exist.
-    pub(crate) progress_versions: RefCell<BTreeMap<model::name::JobId, u64>>,
+    pub(crate) progress_versions: RefCell<BTreeMap<JobId, u64>>,
     /// Version of the ownership row.
     version: Cell<u64>,
     /// When the last renewal that was stored was sent.
     renewed_at: Cell<ClockMillis>,
+    /// Changes of jobs, for the other entries.
+    pub(crate) news: Rc<RefCell<NewsBook>>,
+    /// Rung when there are new changes.
+    pub(crate) news_rung: Rc<Notify>,
     /// Rung when something has changed that decisions depend on.
     pub(crate) wake: Notify,
     /// Rung when progress waits to be stored.
@@ -72,6 +79,13 @@
         }
     }
 
+    /// Notes a change of a job for callers of this entry and of the others.
+    pub(crate) fn tell(&self, id: &JobId, status: JobStatus) {
+        self.context.statuses.borrow_mut().note(id.clone(), status);
+        self.news.borrow_mut().push(id.clone(), status);
+        self.news_rung.notify_waiters();
+    }
+
     /// Runs a task until the ownership is over.
     pub(crate) fn spawn(self: &Rc<Self>, work: impl Future<Output = ()> + 'static) {
         let over = self.over.clone();
@@ -100,6 +114,8 @@
         progress_versions: RefCell::default(),
         version: Cell::new(held.version),
         renewed_at: Cell::new(held.sent_at),
+        news: Rc::new(RefCell::new(NewsBook::new(held.term))),
+        news_rung: Rc::default(),
         wake: Notify::new(),
         progress_wake: Notify::new(),
         stored: Notify::new(),
@@ -112,19 +128,25 @@
         session.spawn(load::follow_workers(session.clone(), positions.workers));
         session.spawn(progress::run(session.clone()));
         session.spawn(watch_reach(session.clone()));
+        session.spawn(submits::run(session.clone(), held.version));
         over.run_until_cancelled(decide(&session)).await;
     }
     over.cancel();
+    context.owned.borrow_mut().take();
     release(&session).await;
 }
 
 /// Renews the ownership row, with what the next owner and callers need to know.
 async fn renew<P: OwnerPorts>(session: SharedSession<P>) {
+    let mut next = tokio::time::Instant::now();
     loop {
-        tokio::time::sleep(limits::RENEW_INTERVAL).await;
+        // From send to send, so that a slow store does not stretch the interval.
+        next = tokio::time::Instant::now().max(next + limits::RENEW_INTERVAL);
+        tokio::time::sleep_until(next).await;
         let sent_at = session.context.clock.now();
+        *session.context.waiting.borrow_mut() = session.planner.borrow().waiting_by_queue();
         let owner = owner_row(&session, session.context.identity.name.clone());
-        match write_owner(&session.context, session.version.get(), &owner).await {
+        match write_owner(&session.context, session.version.get(), &owner, false).await {
             Some(version) => {
                 session.version.set(version);
                 session.renewed_at.set(sent_at);
@@ -161,7 +183,6 @@
         instance: session.context.identity.instance.clone(),
         term: session.term,
         leased: workers::leased(session),
-        waiting: session.planner.borrow().waiting_by_queue(),
     }
 }
 
@@ -173,7 +194,7 @@
     let owner = owner_row(session, arcstr::ArcStr::default());
     let now = session.context.clock.now();
     session.context.owner.borrow_mut().bar_until(now + limits::ABDICATION_MS);
-    if write_owner(&session.context, session.version.get(), &owner).await.is_some() {
+    if write_owner(&session.context, session.version.get(), &owner, false).await.is_some() {
         log::info!("fleet released term={}", session.term);
     }
 }
--- /dev/null
+++ b/crates/fleet/src/owner/submits.rs
@@ -0,0 +1,45 @@
+//! Storing jobs that entries hand to the owner.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use plan::progress::ProgressRecord;
+use tokio::sync::mpsc;
+
+use crate::context::{OwnedFleet, SubmitCall};
+use crate::owner::{OwnerPorts, SharedSession};
+use crate::row;
+use crate::submit::{StoredJob, SubmitQueue, SubmitTarget};
+
+/// Takes jobs until the ownership is over.
+pub(crate) async fn run<P: OwnerPorts>(session: SharedSession<P>, term_version: u64) {
+    let (sender, mut calls) = mpsc::unbounded_channel();
+    *session.context.owned.borrow_mut() = Some(OwnedFleet {
+        submits: sender,
+        news: session.news.clone(),
+        news_rung: session.news_rung.clone(),
+    });
+    let queue = SubmitQueue::new(session.context.clone(), SubmitTarget::Owned(term_version));
+    while let Some(call) = calls.recv().await {
+        session.spawn(store(session.clone(), queue.clone(), call));
+    }
+}
+
+async fn store<P: OwnerPorts>(
+    session: SharedSession<P>,
+    queue: Rc<SubmitQueue<P>>,
+    call: SubmitCall,
+) {
+    let SubmitCall { spec, give_up_at, reply } = call;
+    let arrived_ms = session.context.clock.now().0;
+    let verdict = queue.store_job(spec.id.clone(), row::encode(&spec), give_up_at, false).await;
+    if verdict == Ok(StoredJob::New) {
+        session.tell(&spec.id, plan::progress::JobStatus::Pending);
+        let none = ProgressRecord::default();
+        session.planner.borrow_mut().add_job(&Arc::new(spec), &none, arrived_ms);
+        session.wake.notify_one();
+    }
+    if reply.send(verdict).is_err() {
+        log::debug!("an entry left before its job was stored");
+    }
+}
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -9,8 +9,12 @@
 use link::failure::CallFailure;
 use model::name::WorkerName;
 use plan::decision::{AdviceAnswer, AdviceAsk, StartOrder, StopOrder};
+use plan::job::JobSpec;
 use plan::worker::{RunReport, StartAnswer};
 
+use crate::news::{NewsAnswer, NewsAsk};
+use crate::submit::StoreVerdict;
+
 /// Result of a call to the platform or to a worker.
 pub type PortResult<T> = Result<T, Report<CallFailure>>;
 
@@ -177,6 +181,20 @@
     ) -> impl Future<Output = PortResult<AdviceAnswer>>;
 }
 
+/// Calls to other entries.
+pub trait PeerCalls: 'static {
+    /// Has the owner store a job.
+    fn submit_through(
+        &self,
+        address: &str,
+        spec: &JobSpec,
+        timeout: Duration,
+    ) -> impl Future<Output = PortResult<StoreVerdict>>;
+
+    /// Waits for news of jobs.
+    fn news(&self, address: &str, ask: NewsAsk) -> impl Future<Output = PortResult<NewsAnswer>>;
+}
+
 /// Reads what operators and workers keep in the table service.
 pub trait PlatformRows: 'static {
     /// Reads a row of the operators' table.
--- a/crates/fleet/src/row.rs
+++ b/crates/fleet/src/row.rs
@@ -1,31 +1,34 @@
 //! Rows that the fleet keeps in the table service.
 
-use std::collections::BTreeMap;
-
 use arcstr::ArcStr;
-use model::name::{DomainName, JobId, QueueName, WorkerName};
+use model::name::{DomainName, JobId, WorkerName};
 use serde::{Deserialize, Serialize};
 
 use crate::ports::RowKey;
 
-/// Table of jobs that are not over and of cancellations.
+/// Table of jobs that the owner stored and that are not over.
 pub const JOB_TABLE: &str = "jobs";
-/// Table of progress, of the ownership and of the entries.
+/// Table of jobs that other entries stored, and of cancellations. The owner
+/// follows it; what it writes itself it knows.
+pub const INBOX_TABLE: &str = "inbox";
+/// Table of the progress of jobs.
+pub const PROGRESS_TABLE: &str = "progress";
+/// Table of the ownership and of the entries.
 pub const STATE_TABLE: &str = "state";
 /// Table that operators write.
 pub const OPERATOR_TABLE: &str = "op";
 /// Table in which workers register.
 pub const WORKER_TABLE: &str = "servers";
-/// Part of jobs and their progress; one part, so that both change together.
-pub const JOB_PART: &str = "jobs";
-/// Part of the ownership row, apart from the jobs so that renewals do not wait for them.
-pub const OWNER_PART: &str = "owner";
+/// Part of jobs, their progress and the ownership; one part, so that they change together.
+pub const JOB_PART: &str = "fleet";
 /// Part of the rows of entries.
 pub const MEMBER_PART: &str = "members";
 /// The part that operators' and workers' rows have.
 pub const ROOT_PART: &str = "";
 /// Key of the ownership row.
-pub const OWNER_KEY: &str = "fleet";
+pub const OWNER_KEY: &str = "owner";
+/// Key of the row that changes with each claim only.
+const TERM_KEY: &str = "term";
 /// Suffix of the key of a cancellation.
 const CANCEL_SUFFIX: &str = ".cancel";
 
@@ -42,8 +45,6 @@
     /// Workers that may run tasks, whether they are registered or not:
     /// registrations can expire while the table service is down.
     pub leased: Vec<WorkerName>,
-    /// Jobs by queue of which no task has started.
-    pub waiting: BTreeMap<QueueName, u32>,
 }
 
 /// An entry that can make calls for the owner.
@@ -57,16 +58,22 @@
     pub domain: DomainName,
 }
 
-/// Returns the key of a job.
+/// Returns the key of a job that the owner stored.
 #[must_use]
 pub fn job_key(id: &JobId) -> RowKey {
     RowKey { table: JOB_TABLE, part: JOB_PART, key: id.as_str().into() }
 }
 
+/// Returns the key of a job that another entry stored.
+#[must_use]
+pub fn inbox_key(id: &JobId) -> RowKey {
+    RowKey { table: INBOX_TABLE, part: JOB_PART, key: id.as_str().into() }
+}
+
 /// Returns the key of a job's cancellation.
 #[must_use]
 pub fn cancel_key(id: &JobId) -> RowKey {
-    RowKey { table: JOB_TABLE, part: JOB_PART, key: format!("{id}{CANCEL_SUFFIX}").into() }
+    RowKey { table: INBOX_TABLE, part: JOB_PART, key: format!("{id}{CANCEL_SUFFIX}").into() }
 }
 
 /// Returns the job that a key cancels; none if it is the key of a job.
@@ -78,13 +85,22 @@
 /// Returns the key of a job's progress.
 #[must_use]
 pub fn progress_key(id: &JobId) -> RowKey {
-    RowKey { table: STATE_TABLE, part: JOB_PART, key: id.as_str().into() }
+    RowKey { table: PROGRESS_TABLE, part: JOB_PART, key: id.as_str().into() }
 }
 
 /// Returns the key of the ownership.
 #[must_use]
 pub fn owner_key() -> RowKey {
-    RowKey { table: STATE_TABLE, part: OWNER_PART, key: ArcStr::from(OWNER_KEY) }
+    RowKey { table: STATE_TABLE, part: JOB_PART, key: ArcStr::from(OWNER_KEY) }
+}
+
+/// Returns the key of the row that changes with each claim only.
+///
+/// The owner stores jobs under the condition that it has not changed, so that
+/// no job is stored behind the back of a later owner, which has read them all.
+#[must_use]
+pub fn term_key() -> RowKey {
+    RowKey { table: STATE_TABLE, part: JOB_PART, key: ArcStr::from(TERM_KEY) }
 }
 
 /// Returns the key of an entry.
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -26,6 +26,11 @@
         }
     }
 
+    /// Forgets the jobs that are not over.
+    pub fn forget_live(&mut self) {
+        self.jobs.retain(|_, status| status.is_final());
+    }
+
     /// Returns the state of a job; none if it is not known here.
     #[must_use]
     pub fn get(&self, id: &JobId) -> Option<JobStatus> {
--- a/crates/fleet/src/submit.rs
+++ b/crates/fleet/src/submit.rs
@@ -9,22 +9,41 @@
 use model::name::JobId;
 use model::time::ClockMillis;
 use plan::progress::JobStatus;
+use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
 use crate::context::SharedContext;
 use crate::limits;
-use crate::ports::{RowKey, RowStore, RowTransaction, TransactOutcome};
+use crate::ports::{RowStore, RowTransaction, TableRow, TransactOutcome};
 use crate::row;
 
 /// Whether a job was stored, or why not.
-pub type StoreVerdict = Result<(), ErrorKind>;
+pub type StoreVerdict = Result<StoredJob, ErrorKind>;
 
-/// A write of one row that must not exist, with rows that must not exist either.
+/// How a job came to be stored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StoredJob {
+    /// By this write.
+    New,
+    /// Its identifier was in use.
+    Known,
+}
+
+/// Where jobs are stored.
+#[derive(Clone, Debug)]
+pub enum SubmitTarget {
+    /// In the inbox of the owner, whoever that is.
+    Inbox,
+    /// Among the jobs of the owner, as long as the row of its term has this version.
+    Owned(u64),
+}
+
+/// A job that waits to be stored.
 #[derive(Debug)]
 struct PendingInsert {
     id: JobId,
-    absent: Vec<RowKey>,
-    write: (RowKey, Vec<u8>),
+    value: Vec<u8>,
     give_up_at: ClockMillis,
     /// Whether an earlier try may still take effect.
     maybe_done: bool,
@@ -35,56 +54,53 @@
 #[derive(Debug)]
 pub struct SubmitQueue<P> {
     context: SharedContext<P>,
+    target: SubmitTarget,
     pending: RefCell<VecDeque<PendingInsert>>,
-    flights: Cell<usize>,
+    /// Whether a transaction is on its way. One at a time: while the store is
+    /// slow, further ones would only queue up in it.
+    flying: Cell<bool>,
 }
 
 impl<P: RowStore> SubmitQueue<P> {
     /// Creates an empty queue.
     #[must_use]
-    pub fn new(context: SharedContext<P>) -> Rc<Self> {
-        Rc::new(Self { context, pending: RefCell::default(), flights: Cell::new(0) })
+    pub fn new(context: SharedContext<P>, target: SubmitTarget) -> Rc<Self> {
+        let (pending, flying) = (RefCell::default(), Cell::new(false));
+        Rc::new(Self { context, target, pending, flying })
     }
 
     /// Stores a job unless its identifier is in use, which counts as stored.
     ///
     /// # Errors
-    /// [`ErrorKind::QueueFull`] or [`ErrorKind::PlatformDown`] if the job is not stored and
-    /// never will be; [`ErrorKind::WriteUnknown`] if it may be.
+    /// [`ErrorKind::QueueFull`], [`ErrorKind::NoOwner`] or [`ErrorKind::PlatformDown`] if the
+    /// job is not stored and never will be; [`ErrorKind::WriteUnknown`] if it may be.
     pub async fn store_job(
         self: &Rc<Self>,
         id: JobId,
         value: Vec<u8>,
         give_up_at: ClockMillis,
+        maybe_done: bool,
     ) -> StoreVerdict {
         if self.pending.borrow().len() >= limits::SUBMIT_BOUND {
             return Err(ErrorKind::QueueFull);
         }
         let (reply, verdict) = oneshot::channel();
-        let absent = vec![row::job_key(&id), row::progress_key(&id)];
-        let write = (row::job_key(&id), value);
-        self.pending.borrow_mut().push_back(PendingInsert {
-            id,
-            absent,
-            write,
-            give_up_at,
-            maybe_done: false,
-            reply,
-        });
+        let insert = PendingInsert { id, value, give_up_at, maybe_done, reply };
+        self.pending.borrow_mut().push_back(insert);
         self.launch();
         verdict.await.unwrap_or(Err(ErrorKind::WriteUnknown))
     }
 
     fn launch(self: &Rc<Self>) {
-        if self.flights.get() >= limits::SUBMIT_FLIGHTS || self.pending.borrow().is_empty() {
+        if self.flying.get() || self.pending.borrow().is_empty() {
             return;
         }
-        self.flights.set(self.flights.get() + 1);
+        self.flying.set(true);
         let queue = self.clone();
         actix_rt::spawn(async move {
             tokio::time::sleep(limits::SUBMIT_GATHER).await;
             queue.fly().await;
-            queue.flights.set(queue.flights.get() - 1);
+            queue.flying.set(false);
             queue.launch();
         });
     }
@@ -108,30 +124,14 @@
         if batch.is_empty() {
             return;
         }
-        let transaction = RowTransaction {
-            expected: batch
-                .iter()
-                .flat_map(|insert| insert.absent.iter().map(|key| (key.clone(), 0)))
-                .collect(),
-            writes: batch.iter().map(|insert| insert.write.clone()).collect(),
-            removes: Vec::new(),
-        };
+        let transaction = self.transaction(&batch);
         match self.context.ports.transact(&transaction, limits::STORE_TIMEOUT).await {
             Ok(TransactOutcome::Done(version)) => {
                 for insert in batch {
-                    self.stored(insert, version);
-                }
-            }
-            Ok(TransactOutcome::Conflict(rows)) => {
-                for insert in batch {
-                    let present =
-                        rows.iter().find(|row| row.version > 0 && row.key == insert.id.as_str());
-                    match present.map(|row| row.version) {
-                        Some(version) => self.stored(insert, version),
-                        None => self.pending.borrow_mut().push_front(insert),
-                    }
+                    self.stored(insert, StoredJob::New, version);
                 }
             }
+            Ok(TransactOutcome::Conflict(rows)) => self.resolve_conflict(batch, &rows),
             Err(error) => {
                 let unknown = *error.current_context() == CallFailure::Unknown;
                 log::warn!(
@@ -148,10 +148,56 @@
         }
     }
 
-    fn stored(&self, insert: PendingInsert, version: u64) {
-        log::info!("job stored job={} version={version}", insert.id);
+    fn transaction(&self, batch: &[PendingInsert]) -> RowTransaction {
+        let mut transaction = RowTransaction::default();
+        if let SubmitTarget::Owned(version) = &self.target {
+            transaction.expected.push((row::term_key(), *version));
+        }
+        for insert in batch {
+            let keys = [
+                row::job_key(&insert.id),
+                row::inbox_key(&insert.id),
+                row::progress_key(&insert.id),
+            ];
+            transaction.expected.extend(keys.map(|key| (key, 0)));
+            let key = match self.target {
+                SubmitTarget::Inbox => row::inbox_key(&insert.id),
+                SubmitTarget::Owned(_) => row::job_key(&insert.id),
+            };
+            transaction.writes.push((key, insert.value.clone()));
+        }
+        transaction
+    }
+
+    /// Answers for jobs whose identifiers are in use; the others are tried again.
+    fn resolve_conflict(&self, batch: Vec<PendingInsert>, rows: &[TableRow]) {
+        let term = rows.iter().find(|row| row.key == row::term_key().key);
+        let deposed = match (&self.target, term) {
+            (SubmitTarget::Owned(version), Some(row)) => row.version != *version,
+            _ => false,
+        };
+        for insert in batch {
+            let used = rows.iter().find(|row| row.version > 0 && row.key == insert.id.as_str());
+            match used {
+                Some(row) => self.stored(insert, StoredJob::Known, row.version),
+                None if deposed => {
+                    log::info!("job not stored job={} kind=no-owner", insert.id);
+                    let kind = if insert.maybe_done {
+                        ErrorKind::WriteUnknown
+                    } else {
+                        ErrorKind::NoOwner
+                    };
+                    reply(insert.reply, Err(kind));
+                }
+                None => self.pending.borrow_mut().push_front(insert),
+            }
+        }
+    }
+
+    fn stored(&self, insert: PendingInsert, how: StoredJob, version: u64) {
+        log::info!("job stored job={} how={how:?} version={version}", insert.id);
         self.context.statuses.borrow_mut().note(insert.id, JobStatus::Pending);
-        reply(insert.reply, Ok(()));
+        reply(insert.reply, Ok(how));
     }
 }
 
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -26,6 +26,9 @@
 const GANG_ASK_WORKERS: usize = 30;
 /// Gangs for which room is kept at the same time; more would idle the fleet.
 const RESERVED_GANGS: usize = 3;
+/// Gangs that may have a question open at the same time. With more, the calls
+/// queue up, and the room that they found is gone when they are answered.
+const GANG_ASKS: usize = 8;
 /// Milliseconds between two questions about one step.
 const ASK_PAUSE_MS: u64 = 60;
 
@@ -69,7 +72,10 @@
 struct PlacePass {
     /// Workers whose room is kept for gangs that come first.
     reserved: BTreeSet<WorkerName>,
+    /// Gangs for which room is kept.
     gangs: usize,
+    /// Gangs with an open question.
+    gang_asks: usize,
 }
 
 impl Planner {
@@ -291,7 +297,15 @@
             return;
         }
         if rule.advice.is_some() {
-            self.ask(key, step, rule, &all, step.count);
+            if pass.gang_asks < GANG_ASKS {
+                self.ask(key, step, rule, &all, step.count);
+            }
+            if let Some(state) = self.step_mut(key)
+                && state.advice.asked_at.is_some()
+            {
+                pass.gang_asks += 1;
+                pass.reserved.extend(state.advice.held.iter().cloned());
+            }
         }
         if rank.class == 0 && pass.gangs < RESERVED_GANGS {
             pass.gangs += 1;
@@ -438,6 +452,8 @@
         }
         state.advice.asked_at = Some(now);
         state.advice.not_before = now + ASK_PAUSE_MS;
+        let renewal = workers.iter().all(|name| state.advice.good.contains_key(name));
+        state.advice.held = if step.gang && renewal { workers.clone() } else { Vec::new() };
         let duration_ms = cost.duration_ms(workers.len());
         self.out.push(PlanDecision::Ask(AdviceAsk {
             step: key.clone(),
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -76,6 +76,8 @@
     pub(crate) not_before: u64,
     pub(crate) good: BTreeMap<WorkerName, IssuedTicket>,
     pub(crate) bad: BTreeSet<WorkerName>,
+    /// Workers whose room is kept for a gang while their tickets are on the way.
+    pub(crate) held: Vec<WorkerName>,
 }
 
 /// A ticket and when it stops being accepted.
