--- a/crates/fleet/src/context.rs
+++ b/crates/fleet/src/context.rs
@@ -69,7 +69,9 @@
     /// Configuration in force.
     pub view: RefCell<ConfigView>,
     /// When the question was sent to which the table service last confirmed the configuration.
-    pub confirmed_at: Cell<Option<ClockMillis>>,
+    confirmed_at: Cell<Option<ClockMillis>>,
+    /// When the table service last answered a read of the configuration.
+    contact_at: Cell<Option<ClockMillis>>,
     /// Ownership as last read.
     pub owner: RefCell<OwnerWatch>,
     /// Entries by name.
@@ -107,6 +109,7 @@
             clock: ProcessClock,
             view: RefCell::default(),
             confirmed_at: Cell::new(None),
+            contact_at: Cell::new(None),
             owner: RefCell::default(),
             members: RefCell::default(),
             statuses: RefCell::default(),
@@ -118,6 +121,20 @@
         })
     }
 
+    /// Notes that the table service has answered a read of the configuration sent at `sent_at`.
+    pub fn note_contact(&self, sent_at: ClockMillis) {
+        self.confirmed_at.set(Some(sent_at));
+        self.contact_at.set(Some(self.clock.now()));
+    }
+
+    /// Tells whether the table service answers this entry. An entry that it does not
+    /// answer sends callers on at once instead of trying until their time is over.
+    #[must_use]
+    pub fn is_connected(&self) -> bool {
+        let now = self.clock.now();
+        self.contact_at.get().is_some_and(|at| now.since(at) < limits::CONTACT_LOST_MS)
+    }
+
     /// Returns the age of the configuration's confirmation in milliseconds; none before the first.
     #[must_use]
     pub fn confirmation_age(&self) -> Option<u64> {
--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -118,6 +118,12 @@
             return Err((ErrorKind::ConfigStale, message.to_owned()));
         }
         let (queue, team, rest) = admit(&config, &request)?;
+        let needs_store = !matches!(request.ask, CallerAsk::Inspect);
+        if needs_store && !self.context.is_connected() {
+            log::info!("request refused path={} kind=platform-down", request.path);
+            let message = "this entry cannot reach the store; try another entry";
+            return Err((ErrorKind::PlatformDown, message.to_owned()));
+        }
         match request.ask {
             CallerAsk::Submit(draft) => {
                 let id = job_id(&rest)?;
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -18,7 +18,7 @@
             match read {
                 Ok(page) => {
                     apply_operator_page(&context, &page);
-                    context.confirmed_at.set(Some(sent_at));
+                    context.note_contact(sent_at);
                     follow_operator_changes(&context, page.version).await;
                 }
                 Err(error) => {
@@ -52,7 +52,7 @@
                     context.view.borrow_mut().apply(context.ports.operator_row(row));
                 }
                 version = page.version;
-                context.confirmed_at.set(Some(sent_at));
+                context.note_contact(sent_at);
                 if !page.rows.is_empty() {
                     context.changed.notify_waiters();
                 }
@@ -86,7 +86,7 @@
 /// Reads ownership and entries.
 async fn read_state<P: RowStore>(context: &SharedContext<P>) -> Option<u64> {
     let mut first = None;
-    for part in [row::JOB_PART, row::MEMBER_PART] {
+    for part in [row::OWNER_PART, row::MEMBER_PART] {
         let read = context.ports.read(row::STATE_TABLE, part, None, limits::STORE_TIMEOUT).await;
         match read {
             Ok(page) => {
@@ -132,7 +132,7 @@
 fn apply_state<P>(context: &SharedContext<P>, changed: &TableRow) {
     let key = changed.key.as_str();
     match changed.part.as_str() {
-        row::JOB_PART if key == row::OWNER_KEY => {
+        row::OWNER_PART => {
             let Some(value) = &changed.value else { return };
             if let Some(owner) = row::decode::<OwnerRow>(row::STATE_TABLE, key, value) {
                 let now = context.clock.now();
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -25,9 +25,19 @@
 pub const LOOK_WAIT: Duration = Duration::from_millis(1_800);
 /// Time for an answer to a call to the table service.
 pub const STORE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time for an answer to a write of jobs or progress: a part of the table service refuses calls
+/// when more than a second of them waits, and an answer is better than none.
+pub const SUBMIT_TIMEOUT: Duration = Duration::from_millis(1_700);
+/// Failed tries after which a job that is surely not stored is refused.
+pub const SUBMIT_TRIES: u32 = 4;
+/// Tries without an answer after which a caller is told that its job may be stored.
+pub const UNKNOWN_TRIES: u32 = 2;
+/// Time without an answer of the table service after which an entry counts as cut off from it,
+/// in milliseconds; a little over the wait and the time for an answer of one read of changes.
+pub const CONTACT_LOST_MS: u64 = 1_500;
 /// Longest wait of one read of changes; with the time for an answer it bounds
 /// the age of the confirmation that keyed work needs.
-pub const FOLLOW_WAIT: Duration = Duration::from_millis(900);
+pub const FOLLOW_WAIT: Duration = Duration::from_millis(700);
 /// Pause between two reads of the workers' table: every worker writes its row at
 /// each heartbeat, and only a drain needs to be known within a second or two.
 pub const WORKER_FEED_PAUSE: Duration = Duration::from_millis(500);
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -78,7 +78,7 @@
         leased: before.as_ref().map(|row| row.leased.clone()).unwrap_or_default(),
     };
     let holder = before.as_ref().map_or(ArcStr::default(), |row| row.holder.clone());
-    match write_owner(context, version, &claim, true).await {
+    match write_owner(context, version, &claim).await {
         Some(version) => {
             log::info!("fleet claimed term={term} version={version} before={holder}");
             Some(HeldOwnership { term, version, sent_at: now, before })
@@ -94,16 +94,12 @@
     context: &SharedContext<P>,
     expected: u64,
     owner: &OwnerRow,
-    new_term: bool,
 ) -> Option<u64> {
-    let mut transaction = RowTransaction {
+    let transaction = RowTransaction {
         expected: vec![(row::owner_key(), expected)],
         writes: vec![(row::owner_key(), row::encode(owner))],
         removes: Vec::new(),
     };
-    if new_term {
-        transaction.writes.push((row::term_key(), row::encode(&owner.term)));
-    }
     let outcome = context.ports.transact(&transaction, limits::STORE_TIMEOUT).await;
     let now = context.clock.now();
     match outcome {
@@ -112,7 +108,7 @@
             Some(version)
         }
         Ok(TransactOutcome::Conflict(rows)) => {
-            for found in rows.iter().filter(|row| row.key == row::OWNER_KEY) {
+            for found in rows {
                 let Some(value) = &found.value else { continue };
                 if let Some(current) = row::decode::<OwnerRow>(row::STATE_TABLE, &found.key, value)
                 {
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -11,14 +11,15 @@
 use crate::desk;
 use crate::limits;
 use crate::owner::{OwnerPorts, SharedSession, advice, workers};
-use crate::ports::{FeedAnswer, TableRow};
+use crate::ports::{FeedAnswer, RowTransaction, TableRow, TransactOutcome};
 use crate::row::{self, OwnerRow};
 
-/// Versions from which the tables are followed.
+/// Versions from which the tables are followed, and that of this term's row.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FeedPositions {
     pub(crate) jobs: u64,
     pub(crate) workers: u64,
+    pub(crate) term: u64,
 }
 
 /// Reads jobs, progress and workers, and hands them to the planner.
@@ -40,6 +41,7 @@
 ) -> Option<FeedPositions> {
     let plan = session.context.view.borrow().plan();
     session.planner.borrow_mut().set_config(plan);
+    let term = write_term(session).await?;
     // Workers report as soon as they are known, and an end counts only for a known job.
     let job_position = read_jobs(session).await?;
     let worker_position = read_workers(session).await?;
@@ -51,7 +53,27 @@
     advice::refresh_callers(session);
     let (jobs, workers) = (session.planner.borrow().live_jobs(), session.links.borrow().len());
     log::info!("fleet loaded term={} jobs={jobs} workers={workers}", session.term);
-    Some(FeedPositions { jobs: job_position, workers: worker_position })
+    Some(FeedPositions { jobs: job_position, workers: worker_position, term })
+}
+
+/// Writes the row of this term, after which no earlier owner can store jobs.
+async fn write_term<P: OwnerPorts>(session: &SharedSession<P>) -> Option<u64> {
+    let transaction = RowTransaction {
+        writes: vec![(row::term_key(), row::encode(&session.term))],
+        ..RowTransaction::default()
+    };
+    match session.context.ports.transact(&transaction, limits::SUBMIT_TIMEOUT).await {
+        Ok(TransactOutcome::Done(version)) => Some(version),
+        Ok(TransactOutcome::Conflict(_)) => None,
+        Err(error) => {
+            log::warn!(
+                "term not written term={} error=\"{}\"",
+                session.term,
+                failure::brief(&error)
+            );
+            None
+        }
+    }
 }
 
 /// Reads the workers; those that are not listed any more are gone.
--- a/crates/fleet/src/owner/progress.rs
+++ b/crates/fleet/src/owner/progress.rs
@@ -64,7 +64,7 @@
             transaction.removes.push(row::cancel_key(id));
         }
     }
-    match session.context.ports.transact(&transaction, limits::STORE_TIMEOUT).await {
+    match session.context.ports.transact(&transaction, limits::SUBMIT_TIMEOUT).await {
         Ok(TransactOutcome::Done(version)) => {
             let mut versions = session.progress_versions.borrow_mut();
             for (id, record) in &batch.records {
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -128,7 +128,7 @@
         session.spawn(load::follow_workers(session.clone(), positions.workers));
         session.spawn(progress::run(session.clone()));
         session.spawn(watch_reach(session.clone()));
-        session.spawn(submits::run(session.clone(), held.version));
+        session.spawn(submits::run(session.clone(), positions.term));
         over.run_until_cancelled(decide(&session)).await;
     }
     over.cancel();
@@ -146,7 +146,7 @@
         let sent_at = session.context.clock.now();
         *session.context.waiting.borrow_mut() = session.planner.borrow().waiting_by_queue();
         let owner = owner_row(&session, session.context.identity.name.clone());
-        match write_owner(&session.context, session.version.get(), &owner, false).await {
+        match write_owner(&session.context, session.version.get(), &owner).await {
             Some(version) => {
                 session.version.set(version);
                 session.renewed_at.set(sent_at);
@@ -194,7 +194,7 @@
     let owner = owner_row(session, arcstr::ArcStr::default());
     let now = session.context.clock.now();
     session.context.owner.borrow_mut().bar_until(now + limits::ABDICATION_MS);
-    if write_owner(&session.context, session.version.get(), &owner, false).await.is_some() {
+    if write_owner(&session.context, session.version.get(), &owner).await.is_some() {
         log::info!("fleet released term={}", session.term);
     }
 }
--- a/crates/fleet/src/row.rs
+++ b/crates/fleet/src/row.rs
@@ -19,15 +19,18 @@
 pub const OPERATOR_TABLE: &str = "op";
 /// Table in which workers register.
 pub const WORKER_TABLE: &str = "servers";
-/// Part of jobs, their progress and the ownership; one part, so that they change together.
+/// Part of jobs and their progress; one part, so that they change together.
 pub const JOB_PART: &str = "fleet";
+/// Part of the ownership row. A part refuses calls when too many wait, and a
+/// claim must not wait behind jobs.
+pub const OWNER_PART: &str = "owner";
 /// Part of the rows of entries.
 pub const MEMBER_PART: &str = "members";
 /// The part that operators' and workers' rows have.
 pub const ROOT_PART: &str = "";
 /// Key of the ownership row.
 pub const OWNER_KEY: &str = "owner";
-/// Key of the row that changes with each claim only.
+/// Key of the row that changes with each term only.
 const TERM_KEY: &str = "term";
 /// Suffix of the key of a cancellation.
 const CANCEL_SUFFIX: &str = ".cancel";
@@ -91,10 +94,10 @@
 /// Returns the key of the ownership.
 #[must_use]
 pub fn owner_key() -> RowKey {
-    RowKey { table: STATE_TABLE, part: JOB_PART, key: ArcStr::from(OWNER_KEY) }
+    RowKey { table: STATE_TABLE, part: OWNER_PART, key: ArcStr::from(OWNER_KEY) }
 }
 
-/// Returns the key of the row that changes with each claim only.
+/// Returns the key of the row that each owner writes before it reads the jobs.
 ///
 /// The owner stores jobs under the condition that it has not changed, so that
 /// no job is stored behind the back of a later owner, which has read them all.
--- a/crates/fleet/src/submit.rs
+++ b/crates/fleet/src/submit.rs
@@ -47,6 +47,8 @@
     give_up_at: ClockMillis,
     /// Whether an earlier try may still take effect.
     maybe_done: bool,
+    /// Tries that failed.
+    tries: u32,
     reply: oneshot::Sender<StoreVerdict>,
 }
 
@@ -85,7 +87,7 @@
             return Err(ErrorKind::QueueFull);
         }
         let (reply, verdict) = oneshot::channel();
-        let insert = PendingInsert { id, value, give_up_at, maybe_done, reply };
+        let insert = PendingInsert { id, value, give_up_at, maybe_done, tries: 0, reply };
         self.pending.borrow_mut().push_back(insert);
         self.launch();
         verdict.await.unwrap_or(Err(ErrorKind::WriteUnknown))
@@ -125,7 +127,7 @@
             return;
         }
         let transaction = self.transaction(&batch);
-        match self.context.ports.transact(&transaction, limits::STORE_TIMEOUT).await {
+        match self.context.ports.transact(&transaction, limits::SUBMIT_TIMEOUT).await {
             Ok(TransactOutcome::Done(version)) => {
                 for insert in batch {
                     self.stored(insert, StoredJob::New, version);
@@ -141,9 +143,21 @@
                 );
                 for mut insert in batch.into_iter().rev() {
                     insert.maybe_done |= unknown;
-                    self.pending.borrow_mut().push_front(insert);
+                    insert.tries += 1;
+                    let most = if insert.maybe_done {
+                        limits::UNKNOWN_TRIES
+                    } else {
+                        limits::SUBMIT_TRIES
+                    };
+                    if insert.tries < most && self.context.is_connected() {
+                        self.pending.borrow_mut().push_front(insert);
+                    } else {
+                        give_up(insert);
+                    }
                 }
-                tokio::time::sleep(limits::STORE_PAUSE).await;
+                // Entries that were refused together must not come back together.
+                let pause = limits::STORE_PAUSE.mul_f64(rand::random_range(0.5..1.5));
+                tokio::time::sleep(pause).await;
             }
         }
     }
