--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -84,6 +84,9 @@
 pub const DECIDE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for an answer to a start or a stop; the way takes under 10 ms.
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
+/// Orders to one worker at a time. Each takes a connection, of which a worker allows some dozens;
+/// those of owners that lost power count until the worker notices.
+pub const ORDER_FLIGHTS: usize = 3;
 /// Pause before a stop without an answer is sent again.
 pub const STOP_PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause between two looks at a worker while its ends are being stored,
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -61,8 +61,11 @@
 }
 
 async fn try_claim<P: OwnerPorts>(context: &SharedContext<P>) -> Option<HeldOwnership> {
-    // Without the configuration nothing can be decided.
+    // Without the configuration nothing can be decided, and without the store nothing kept.
     context.view.borrow().config.as_ref()?;
+    if !context.is_connected() {
+        return None;
+    }
     let now = context.clock.now();
     let identity = &context.identity;
     let (version, before) = {
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -11,15 +11,14 @@
 use crate::desk;
 use crate::limits;
 use crate::owner::{OwnerPorts, SharedSession, advice, workers};
-use crate::ports::{FeedAnswer, RowTransaction, TableRow, TransactOutcome};
+use crate::ports::{FeedAnswer, RowPage, RowTransaction, TableRow, TransactOutcome};
 use crate::row::{self, OwnerRow};
 
-/// Versions from which the tables are followed, and that of this term's row.
+/// Versions from which the tables are followed.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FeedPositions {
     pub(crate) jobs: u64,
     pub(crate) workers: u64,
-    pub(crate) term: u64,
 }
 
 /// Reads jobs, progress and workers, and hands them to the planner.
@@ -42,6 +41,7 @@
     let plan = session.context.view.borrow().plan();
     session.planner.borrow_mut().set_config(plan);
     let term = write_term(session).await?;
+    session.term_version.set(term);
     // Workers report as soon as they are known, and an end counts only for a known job.
     let job_position = read_jobs(session).await?;
     let worker_position = read_workers(session).await?;
@@ -53,7 +53,7 @@
     advice::refresh_callers(session);
     let (jobs, workers) = (session.planner.borrow().live_jobs(), session.links.borrow().len());
     log::info!("fleet loaded term={} jobs={jobs} workers={workers}", session.term);
-    Some(FeedPositions { jobs: job_position, workers: worker_position, term })
+    Some(FeedPositions { jobs: job_position, workers: worker_position })
 }
 
 /// Writes the row of this term, after which no earlier owner can store jobs.
@@ -96,20 +96,9 @@
 /// Reads jobs and their progress. Jobs come first, so that the progress of a job
 /// that ends meanwhile is found.
 async fn read_jobs<P: OwnerPorts>(session: &SharedSession<P>) -> Option<u64> {
-    let read = async |table| {
-        session
-            .context
-            .ports
-            .read(table, row::JOB_PART, None, limits::STORE_TIMEOUT)
-            .await
-            .inspect_err(|error| {
-                log::warn!("jobs not read table={table} error=\"{}\"", failure::brief(error));
-            })
-            .ok()
-    };
-    let inbox = read(row::INBOX_TABLE).await?;
-    let jobs = read(row::JOB_TABLE).await?;
-    let states = read(row::PROGRESS_TABLE).await?;
+    let inbox = read_part(session, row::INBOX_TABLE).await?;
+    let jobs = read_part(session, row::JOB_TABLE).await?;
+    let states = read_part(session, row::PROGRESS_TABLE).await?;
     let mut records: BTreeMap<JobId, ProgressRecord> = BTreeMap::new();
     for found in &states.rows {
         let Some(value) = &found.value else { continue };
@@ -129,6 +118,21 @@
     Some(inbox.version)
 }
 
+async fn read_part<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    table: &'static str,
+) -> Option<RowPage> {
+    session
+        .context
+        .ports
+        .read(table, row::JOB_PART, None, limits::STORE_TIMEOUT)
+        .await
+        .inspect_err(|error| {
+            log::warn!("jobs not read table={table} error=\"{}\"", failure::brief(error));
+        })
+        .ok()
+}
+
 fn apply_job<P: OwnerPorts>(
     session: &SharedSession<P>,
     found: &TableRow,
@@ -140,14 +144,17 @@
         return;
     }
     let Some(spec) = row::decode::<JobSpec>(row::JOB_TABLE, &found.key, value) else { return };
+    // A row may have been read before its job ended.
+    let known = session.context.statuses.borrow().get(&spec.id);
+    if known.is_some_and(JobStatus::is_final) {
+        return;
+    }
     let now = session.context.clock.now();
     // The clocks of VMs differ a little; a job cannot have come in the future.
     let age = desk::unix_ms().saturating_sub(spec.accepted_ms);
     let none = ProgressRecord::default();
     let record = records.get(&spec.id).unwrap_or(&none);
-    if !record.status.is_final() {
-        session.tell(&spec.id, JobStatus::Pending);
-    }
+    session.tell(&spec.id, JobStatus::Pending);
     session.planner.borrow_mut().add_job(&Arc::new(spec), record, now.0.saturating_sub(age));
 }
 
@@ -168,7 +175,7 @@
                     tokio::time::sleep(limits::JOB_FEED_PAUSE).await;
                 }
             }
-            Ok(FeedAnswer::Forgotten) => version = reread_jobs(&session).await,
+            Ok(FeedAnswer::Forgotten) => version = reread_inbox(&session).await,
             Err(error) => {
                 log::warn!("jobs not followed error=\"{}\"", failure::brief(&error));
                 tokio::time::sleep(limits::STORE_PAUSE).await;
@@ -177,11 +184,17 @@
     }
 }
 
-async fn reread_jobs<P: OwnerPorts>(session: &SharedSession<P>) -> u64 {
+/// Reads the inbox again after its changes were forgotten. What the owner stored
+/// itself it knows.
+async fn reread_inbox<P: OwnerPorts>(session: &SharedSession<P>) -> u64 {
     loop {
-        if let Some(version) = read_jobs(session).await {
+        if let Some(page) = read_part(session, row::INBOX_TABLE).await {
+            let fresh = BTreeMap::new();
+            for found in &page.rows {
+                apply_job(session, found, &fresh);
+            }
             session.wake.notify_one();
-            return version;
+            return page.version;
         }
         tokio::time::sleep(limits::STORE_PAUSE).await;
     }
--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -11,6 +11,7 @@
 pub(crate) fn start<P: OwnerPorts>(session: &SharedSession<P>, order: StartOrder) {
     let sender = session.clone();
     session.spawn(async move {
+        let permit = workers::order_permit(&sender, &order.worker).await;
         let stamp = workers::order_stamp(&sender, &order.worker);
         let answer = match stamp {
             // The lease is checked again at the last moment: the process may have been suspended.
@@ -29,6 +30,7 @@
             }
             _ => StartAnswer::Refused(RefusalKind::Unhealthy),
         };
+        drop(permit);
         if answer == StartAnswer::Refused(RefusalKind::Fenced) {
             sender.depose("fenced-by-worker");
             return;
@@ -51,9 +53,11 @@
 pub(crate) fn stop<P: OwnerPorts>(session: &SharedSession<P>, order: StopOrder) {
     let sender = session.clone();
     session.spawn(async move {
+        let permit = workers::order_permit(&sender, &order.worker).await;
         let address = sender.links.borrow().get(&order.worker).map(|link| link.address.clone());
         let Some(address) = address else { return };
         let answer = sender.context.ports.stop(&address, &order, sender.term).await;
+        drop(permit);
         log::info!(
             "stop task={} run={} worker={} reason={} confirmed={}",
             order.task,
@@ -69,7 +73,12 @@
                 planner.stop_confirmed(&order.worker, &order.task, order.run, now.0);
             }
             Err(error) => {
-                log::debug!("stop without answer error=\"{}\"", failure::brief(&error));
+                log::warn!(
+                    "stop without answer task={} worker={} error=\"{}\"",
+                    order.task,
+                    order.worker,
+                    failure::brief(&error)
+                );
                 tokio::time::sleep(limits::STOP_PAUSE).await;
                 let mut planner = sender.planner.borrow_mut();
                 planner.stop_failed(&order.worker, &order.task, order.run);
--- a/crates/fleet/src/owner/progress.rs
+++ b/crates/fleet/src/owner/progress.rs
@@ -50,10 +50,12 @@
 
 /// Stores one batch; false if it has to be stored again.
 ///
-/// Every write names the version that it replaces. A write that is carried out
-/// late, or by an earlier owner, can then not replace a newer one.
+/// Every write names the version that it replaces, and that of the term's row. A
+/// write that is carried out late can then not replace a newer one, and nothing
+/// that an earlier owner writes is missed by a later one.
 async fn store<P: OwnerPorts>(session: &SharedSession<P>, batch: &ProgressBatch) -> bool {
     let mut transaction = RowTransaction::default();
+    transaction.expected.push((row::term_key(), session.term_version.get()));
     for (id, record) in &batch.records {
         let known = session.progress_versions.borrow().get(id).copied().unwrap_or(0);
         transaction.expected.push((row::progress_key(id), known));
@@ -82,6 +84,11 @@
             true
         }
         Ok(TransactOutcome::Conflict(rows)) => {
+            let term = rows.iter().find(|row| row.key == row::term_key().key);
+            if term.is_some_and(|row| row.version != session.term_version.get()) {
+                session.depose("a later owner has begun");
+                return false;
+            }
             let mut versions = session.progress_versions.borrow_mut();
             for (id, _) in &batch.records {
                 versions.remove(id);
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -40,6 +40,8 @@
     pub(crate) expiring: RefCell<Vec<WorkerName>>,
     /// Versions of the progress rows that exist.
     pub(crate) progress_versions: RefCell<BTreeMap<JobId, u64>>,
+    /// Version of the row of this term, under which jobs and progress are stored.
+    pub(crate) term_version: Cell<u64>,
     /// Version of the ownership row.
     version: Cell<u64>,
     /// When the last renewal that was stored was sent.
@@ -112,6 +114,7 @@
         links: RefCell::default(),
         expiring: RefCell::default(),
         progress_versions: RefCell::default(),
+        term_version: Cell::new(0),
         version: Cell::new(held.version),
         renewed_at: Cell::new(held.sent_at),
         news: Rc::new(RefCell::new(NewsBook::new(held.term))),
@@ -128,7 +131,7 @@
         session.spawn(load::follow_workers(session.clone(), positions.workers));
         session.spawn(progress::run(session.clone()));
         session.spawn(watch_reach(session.clone()));
-        session.spawn(submits::run(session.clone(), positions.term));
+        session.spawn(submits::run(session.clone()));
         over.run_until_cancelled(decide(&session)).await;
     }
     over.cancel();
--- a/crates/fleet/src/owner/submits.rs
+++ b/crates/fleet/src/owner/submits.rs
@@ -12,14 +12,15 @@
 use crate::submit::{StoredJob, SubmitQueue, SubmitTarget};
 
 /// Takes jobs until the ownership is over.
-pub(crate) async fn run<P: OwnerPorts>(session: SharedSession<P>, term_version: u64) {
+pub(crate) async fn run<P: OwnerPorts>(session: SharedSession<P>) {
     let (sender, mut calls) = mpsc::unbounded_channel();
     *session.context.owned.borrow_mut() = Some(OwnedFleet {
         submits: sender,
         news: session.news.clone(),
         news_rung: session.news_rung.clone(),
     });
-    let queue = SubmitQueue::new(session.context.clone(), SubmitTarget::Owned(term_version));
+    let target = SubmitTarget::Owned(session.term_version.get());
+    let queue = SubmitQueue::new(session.context.clone(), target);
     while let Some(call) = calls.recv().await {
         session.spawn(store(session.clone(), queue.clone(), call));
     }
--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -1,11 +1,13 @@
 //! Contact with each worker: its lease, its runs and its ends.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use arcstr::ArcStr;
 use link::failure;
 use model::name::WorkerName;
 use model::time::ClockMillis;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 
 use crate::lease::WorkerLease;
@@ -18,6 +20,8 @@
 pub(crate) struct WorkerLink {
     pub(crate) address: ArcStr,
     pub(crate) lease: WorkerLease,
+    /// Bounds the orders that are on their way.
+    pub(crate) flights: Arc<Semaphore>,
     /// Whether the worker is registered.
     listed: bool,
     /// When looks began to fail.
@@ -46,7 +50,14 @@
     }
     let over = session.over.child_token();
     let lease = WorkerLease::inherited(session.context.bounds.worker_lease_ms, session.claimed_at);
-    let link = WorkerLink { address, lease, listed: true, failing_since: None, over: over.clone() };
+    let link = WorkerLink {
+        address,
+        lease,
+        flights: Arc::new(Semaphore::new(limits::ORDER_FLIGHTS)),
+        listed: true,
+        failing_since: None,
+        over: over.clone(),
+    };
     links.insert(name.clone(), link);
     let watch = watch(session.clone(), name);
     actix_rt::spawn(async move {
@@ -234,6 +245,15 @@
     true
 }
 
+/// Waits until an order to a worker may be sent; none if the worker is gone.
+pub(crate) async fn order_permit<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    name: &WorkerName,
+) -> Option<OwnedSemaphorePermit> {
+    let flights = session.links.borrow().get(name)?.flights.clone();
+    flights.acquire_owned().await.ok()
+}
+
 /// Returns the address of a worker and a deadline for an order to it.
 pub(crate) fn order_stamp<P: OwnerPorts>(
     session: &SharedSession<P>,
