Hand the fleet over when the store refuses its owner

Cause: an owner that the store turned away kept the fleet until its lease expired, and nothing started for 1.5 s. It now asks another entry whether the store answers it, stops, and has that entry claim.

--- a/crates/fleet/src/context.rs
+++ b/crates/fleet/src/context.rs
@@ -16,7 +16,8 @@
 use crate::lease::OwnerWatch;
 use crate::limits::{self, FleetBounds};
 use crate::news::{NewsAnswer, NewsAsk, NewsBook};
-use crate::row::MemberRow;
+use crate::ports::{GivenUp, RowStore};
+use crate::row::{self, MemberRow};
 use crate::status::StatusBook;
 use crate::submit::StoreVerdict;
 
@@ -164,13 +165,34 @@
     #[must_use]
     pub fn has_fresh_news(&self) -> bool {
         let now = self.clock.now();
-        self.owned.borrow().is_some()
+        (self.owned.borrow().is_some() && self.is_connected())
             || self.news_at.get().is_some_and(|at| now.since(at) < limits::NEWS_FRESH_MS)
     }
 
-    /// Waits for news as the owner of the fleet; none if this entry does not own it.
+    /// Tells whether the table service answers this entry now.
+    pub async fn can_own(&self) -> bool
+    where
+        P: RowStore,
+    {
+        let read =
+            self.ports.read(row::STATE_TABLE, row::OWNER_PART, None, limits::PROBE_TIMEOUT).await;
+        self.view.borrow().config.is_some() && read.is_ok()
+    }
+
+    /// Takes up the offer of a fleet that its holder has given up.
+    pub fn offer(&self, given: GivenUp) {
+        log::info!("fleet offered term={} version={}", given.term, given.version);
+        self.owner.borrow_mut().give_up(given);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits for news as the owner of the fleet; none if this entry does not own it
+    /// or cannot reach the table service, so that fresh news mean that the fleet takes jobs.
     pub async fn wait_news(&self, ask: NewsAsk) -> Option<NewsAnswer> {
         let owned = self.owned.borrow().clone()?;
+        if !self.is_connected() {
+            return None;
+        }
         if !owned.news.borrow().has_news(ask) {
             let rung = owned.news_rung.notified();
             if tokio::time::timeout(limits::NEWS_WAIT, rung).await.is_err() {
--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -75,6 +75,8 @@
     Waiting(u32),
     /// There is no such job.
     NoJob,
+    /// Refused here, while the fleet takes work through other entries.
+    Elsewhere(String),
     /// Refused or failed.
     Failed(ErrorKind, String),
 }
@@ -98,6 +100,11 @@
     pub async fn answer(&self, request: CallerRequest) -> CallerAnswer {
         match self.handle(request).await {
             Ok(answer) => answer,
+            Err((ErrorKind::ConfigStale | ErrorKind::PlatformDown, message))
+                if self.context.has_fresh_news() =>
+            {
+                CallerAnswer::Elsewhere(message)
+            }
             Err((kind, message)) => CallerAnswer::Failed(kind, message),
         }
     }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -3,6 +3,7 @@
 use model::time::{self, ClockMillis};
 
 use crate::limits;
+use crate::ports::GivenUp;
 use crate::row::OwnerRow;
 
 /// What an entry knows of the ownership row.
@@ -11,6 +12,7 @@
     row: Option<(u64, OwnerRow)>,
     seen_at: ClockMillis,
     barred_until: ClockMillis,
+    given_up: Option<GivenUp>,
 }
 
 impl OwnerWatch {
@@ -28,6 +30,11 @@
         self.row.as_ref()
     }
 
+    /// Notes that a holder has given the fleet up without being able to write so.
+    pub fn give_up(&mut self, given: GivenUp) {
+        self.given_up = Some(given);
+    }
+
     /// Keeps this entry from claiming until `instant`.
     pub fn bar_until(&mut self, instant: ClockMillis) {
         self.barred_until = instant;
@@ -43,7 +50,9 @@
             return None;
         }
         let Some((version, row)) = &self.row else { return Some(0) };
-        let released = row.holder.is_empty();
+        let handed =
+            self.given_up.is_some_and(|given| given.term == row.term && given.version >= *version);
+        let released = row.holder.is_empty() || handed;
         // A process that runs at the holder's address has replaced the holder.
         let replaced = row.holder == me && row.instance != instance;
         let expired = now.since(self.seen_at) > time::with_margin(limits::OWNER_TTL_MS);
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -7,6 +7,12 @@
 /// How long an owner holds the fleet after it sent a renewal, in milliseconds.
 /// A killed owner is replaced after this time and the margin for clock rates.
 pub const OWNER_TTL_MS: u64 = 1_600;
+/// Time for an answer to a renewal; after one that failed the owner looks for a successor.
+pub const RENEW_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for an answer to the question whether another entry can own the fleet.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
+/// Entries that are asked, one after the other, to take the fleet over.
+pub const SUCCESSORS_ASKED: usize = 3;
 /// Time between two renewals; three may be lost before the ownership is.
 pub const RENEW_INTERVAL: Duration = Duration::from_millis(400);
 /// How long an owner without a confirmed lease goes on prolonging the leases of
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -103,7 +103,7 @@
         writes: vec![(row::owner_key(), row::encode(owner))],
         removes: Vec::new(),
     };
-    let outcome = context.ports.transact(&transaction, limits::STORE_TIMEOUT).await;
+    let outcome = context.ports.transact(&transaction, limits::RENEW_TIMEOUT).await;
     let now = context.clock.now();
     match outcome {
         Ok(TransactOutcome::Done(version)) => {
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -10,6 +10,7 @@
 use plan::decision::PlanDecision;
 use plan::planner::{PlanBounds, Planner};
 use plan::progress::JobStatus;
+use rand::seq::SliceRandom;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
@@ -22,6 +23,7 @@
     HeldOwnership, OwnerPorts, SharedSession, advice, load, orders, progress, submits, workers,
     write_owner,
 };
+use crate::ports::GivenUp;
 use crate::row::OwnerRow;
 
 /// Run numbers that one term leaves for the next; a task has far fewer runs in a term.
@@ -42,6 +44,8 @@
     pub(crate) progress_versions: RefCell<BTreeMap<JobId, u64>>,
     /// Version of the row of this term, under which jobs and progress are stored.
     pub(crate) term_version: Cell<u64>,
+    /// Whether another entry was told to claim.
+    handed_over: Cell<bool>,
     /// Version of the ownership row.
     version: Cell<u64>,
     /// When the last renewal that was stored was sent.
@@ -115,6 +119,7 @@
         expiring: RefCell::default(),
         progress_versions: RefCell::default(),
         term_version: Cell::new(0),
+        handed_over: Cell::new(false),
         version: Cell::new(held.version),
         renewed_at: Cell::new(held.sent_at),
         news: Rc::new(RefCell::new(NewsBook::new(held.term))),
@@ -124,7 +129,8 @@
         stored: Notify::new(),
         over: over.clone(),
     });
-    session.spawn(renew(session.clone()));
+    // The hand-over goes on after the ownership has ended.
+    actix_rt::spawn(renew(session.clone()));
     let loaded = over.run_until_cancelled(load::load(&session, held.before.as_ref())).await;
     if let Some(positions) = loaded {
         session.spawn(load::follow_jobs(session.clone(), positions.jobs));
@@ -146,15 +152,18 @@
         // From send to send, so that a slow store does not stretch the interval.
         next = tokio::time::Instant::now().max(next + limits::RENEW_INTERVAL);
         tokio::time::sleep_until(next).await;
+        if session.over.is_cancelled() {
+            return;
+        }
         let sent_at = session.context.clock.now();
         *session.context.waiting.borrow_mut() = session.planner.borrow().waiting_by_queue();
         let owner = owner_row(&session, session.context.identity.name.clone());
-        match write_owner(&session.context, session.version.get(), &owner).await {
-            Some(version) => {
-                session.version.set(version);
-                session.renewed_at.set(sent_at);
-            }
-            None => adopt_row(&session),
+        if let Some(version) = write_owner(&session.context, session.version.get(), &owner).await {
+            session.version.set(version);
+            session.renewed_at.set(sent_at);
+        } else {
+            adopt_row(&session);
+            hand_over(&session).await;
         }
         if !session.may_prolong() {
             session.depose("lease-expired");
@@ -162,6 +171,39 @@
     }
 }
 
+/// Looks for an entry that the table service answers, after a renewal has failed here,
+/// and gives the fleet up to it. Without one the service is away for all, and
+/// this owner goes on when it is back.
+async fn hand_over<P: OwnerPorts>(session: &SharedSession<P>) {
+    let context = &session.context;
+    let mut others: Vec<_> = {
+        let members = context.members.borrow();
+        members
+            .iter()
+            .filter(|(name, _)| **name != context.identity.name)
+            .map(|(name, member)| (name.clone(), member.address.clone()))
+            .collect()
+    };
+    others.shuffle(&mut rand::rng());
+    let given = GivenUp { term: session.term, version: session.version.get() };
+    for (name, address) in others.into_iter().take(limits::SUCCESSORS_ASKED) {
+        match context.ports.can_own(&address).await {
+            Ok(true) => {}
+            Ok(false) => continue,
+            Err(error) => {
+                log::debug!("no answer of a successor name={name} error={error:?}");
+                continue;
+            }
+        }
+        // Nothing is decided or sent any more before the other entry may claim.
+        session.depose("handed-over");
+        session.handed_over.set(true);
+        let answer = context.ports.hand_over(&address, given).await;
+        log::info!("fleet handed over term={} to={name} told={}", session.term, answer.is_ok());
+        return;
+    }
+}
+
 /// Takes the version of a renewal whose answer was lost, or ends the ownership.
 fn adopt_row<P: OwnerPorts>(session: &SharedSession<P>) {
     let identity = &session.context.identity;
@@ -191,7 +233,7 @@
 
 /// Gives the fleet up so that another entry need not wait for the lease to expire.
 async fn release<P: OwnerPorts>(session: &SharedSession<P>) {
-    if !session.is_held() {
+    if !session.is_held() || session.handed_over.get() {
         return;
     }
     let owner = owner_row(session, arcstr::ArcStr::default());
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -11,6 +11,7 @@
 use plan::decision::{AdviceAnswer, AdviceAsk, StartOrder, StopOrder};
 use plan::job::JobSpec;
 use plan::worker::{RunReport, StartAnswer};
+use serde::{Deserialize, Serialize};
 
 use crate::news::{NewsAnswer, NewsAsk};
 use crate::submit::StoreVerdict;
@@ -181,6 +182,15 @@
     ) -> impl Future<Output = PortResult<AdviceAnswer>>;
 }
 
+/// An ownership that its holder has given up without being able to write so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GivenUp {
+    /// Its term.
+    pub term: u64,
+    /// Version of the ownership row.
+    pub version: u64,
+}
+
 /// Calls to other entries.
 pub trait PeerCalls: 'static {
     /// Has the owner store a job.
@@ -191,6 +201,12 @@
         timeout: Duration,
     ) -> impl Future<Output = PortResult<StoreVerdict>>;
 
+    /// Asks an entry whether the table service answers it now.
+    fn can_own(&self, address: &str) -> impl Future<Output = PortResult<bool>>;
+
+    /// Tells an entry that the ownership of this term has been given up at this version.
+    fn hand_over(&self, address: &str, given: GivenUp) -> impl Future<Output = PortResult<()>>;
+
     /// Waits for news of jobs.
     fn news(&self, address: &str, ask: NewsAsk) -> impl Future<Output = PortResult<NewsAnswer>>;
 }
