--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -8,7 +8,7 @@
 /// A killed owner is replaced after this time and the margin for clock rates.
 pub const OWNER_TTL_MS: u64 = 1_600;
 /// Time for an answer to a renewal; after one that failed the owner looks for a successor.
-pub const RENEW_TIMEOUT: Duration = Duration::from_millis(500);
+pub const RENEW_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time for an answer to the question whether another entry can own the fleet.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
 /// Entries that are asked, one after the other, to take the fleet over.
@@ -58,12 +58,18 @@
 pub const CONFIRM_MARGIN_MS: u64 = 1_300;
 /// Time during which submissions gather for one transaction.
 pub const SUBMIT_GATHER: Duration = Duration::from_millis(3);
+/// Transactions with submissions that the owner has on their way: a slow store takes
+/// half a second for one.
+pub const OWNED_FLIGHTS: usize = 3;
+/// Transactions with submissions that another entry has on their way. While the store
+/// is slow, more of them would only fill the queue of the jobs' part.
+pub const INBOX_FLIGHTS: usize = 1;
 /// Submissions in one transaction; each takes three conditions and one write of
 /// the 100 entries, and the owner adds one condition.
 pub const SUBMIT_BATCH: usize = 24;
 /// Longest time that the owner may take to store a job for another entry, before
 /// that stores the job itself.
-pub const FORWARD_TIMEOUT: Duration = Duration::from_millis(1_200);
+pub const FORWARD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest wait of one question for news of jobs.
 pub const NEWS_WAIT: Duration = Duration::from_millis(900);
 /// Pause between two questions for news, in which news gathers.
--- a/crates/fleet/src/submit.rs
+++ b/crates/fleet/src/submit.rs
@@ -58,17 +58,16 @@
     context: SharedContext<P>,
     target: SubmitTarget,
     pending: RefCell<VecDeque<PendingInsert>>,
-    /// Whether a transaction is on its way. One at a time: while the store is
-    /// slow, further ones would only queue up in it.
-    flying: Cell<bool>,
+    /// Transactions on their way.
+    flights: Cell<usize>,
 }
 
 impl<P: RowStore> SubmitQueue<P> {
     /// Creates an empty queue.
     #[must_use]
     pub fn new(context: SharedContext<P>, target: SubmitTarget) -> Rc<Self> {
-        let (pending, flying) = (RefCell::default(), Cell::new(false));
-        Rc::new(Self { context, target, pending, flying })
+        let (pending, flights) = (RefCell::default(), Cell::new(0));
+        Rc::new(Self { context, target, pending, flights })
     }
 
     /// Stores a job unless its identifier is in use, which counts as stored.
@@ -94,15 +93,19 @@
     }
 
     fn launch(self: &Rc<Self>) {
-        if self.flying.get() || self.pending.borrow().is_empty() {
+        let most = match self.target {
+            SubmitTarget::Inbox => limits::INBOX_FLIGHTS,
+            SubmitTarget::Owned(_) => limits::OWNED_FLIGHTS,
+        };
+        if self.flights.get() >= most || self.pending.borrow().is_empty() {
             return;
         }
-        self.flying.set(true);
+        self.flights.set(self.flights.get() + 1);
         let queue = self.clone();
         actix_rt::spawn(async move {
             tokio::time::sleep(limits::SUBMIT_GATHER).await;
             queue.fly().await;
-            queue.flying.set(false);
+            queue.flights.set(queue.flights.get() - 1);
             queue.launch();
         });
     }
--- a/crates/plan/src/order.rs
+++ b/crates/plan/src/order.rs
@@ -6,15 +6,29 @@
 /// Factor on the objective past which a finished job is of no more use to its caller.
 pub const USELESS_FACTOR: u64 = 3;
 
+/// Use of a job, the most useful first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RankClass {
+    /// It can be done by its due time.
+    OnTime,
+    /// It will be late, and somebody still waits for it.
+    Late,
+    /// Its team has sent more than its share.
+    BeyondShare,
+    /// Nobody waits for it any more.
+    Useless,
+}
+
 /// Place of a job in the order; smaller comes first.
 ///
-/// The classes answer overload: when not everything can be on time, jobs that
-/// still can be go before those that cannot, and what a team sends beyond its
-/// share goes after what it is owed.
+/// The classes answer overload. Ordered by due time alone, a fleet that has fallen
+/// behind would only ever run jobs that are late already, so jobs that can still
+/// be on time go before those that cannot, and these before jobs that nobody
+/// waits for any more. What a team sends beyond its share goes after what it is owed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct JobRank {
-    /// 0 for work that can be of use, 1 for what is beyond the team's share, 2 for what is too late.
-    pub class: u8,
+    /// How much use the job is.
+    pub class: RankClass,
     /// Priority of the queue.
     pub priority: u32,
     /// Instant on the planner's clock by which the job should be done.
@@ -58,17 +72,36 @@
     (longest_chain_ms(spec, rule) as f64 * rule.stretch) as u64 + rule.target_ms
 }
 
-/// Ranks a job that came at `arrived_ms`.
+/// What the rank of a job depends on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RankInput {
+    /// The present.
+    pub now_ms: u64,
+    /// When the job came.
+    pub arrived_ms: u64,
+    /// Its time objective.
+    pub objective_ms: u64,
+    /// Declared work that is left on its longest chain.
+    pub left_ms: u64,
+    /// Whether it came on top of its team's share.
+    pub beyond_share: bool,
+    /// Priority of its queue.
+    pub priority: u32,
+}
+
+/// Ranks a job.
 #[must_use]
-pub fn rank_job(
-    now_ms: u64,
-    arrived_ms: u64,
-    objective_ms: u64,
-    beyond_share: bool,
-    priority: u32,
-) -> JobRank {
-    let due_ms = arrived_ms + objective_ms;
-    let useless = now_ms > arrived_ms + USELESS_FACTOR * objective_ms;
-    let class = if useless { 2 } else { u8::from(beyond_share) };
-    JobRank { class, priority, due_ms }
+pub fn rank_job(input: RankInput) -> JobRank {
+    let due_ms = input.arrived_ms + input.objective_ms;
+    let useless_ms = input.arrived_ms + USELESS_FACTOR * input.objective_ms;
+    let class = if input.now_ms > useless_ms {
+        RankClass::Useless
+    } else if input.beyond_share {
+        RankClass::BeyondShare
+    } else if input.now_ms + input.left_ms > due_ms {
+        RankClass::Late
+    } else {
+        RankClass::OnTime
+    };
+    JobRank { class, priority: input.priority, due_ms }
 }
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -1,18 +1,18 @@
 //! Placement of waiting steps, in order, under room, limits and advice.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use arcstr::ArcStr;
-use model::name::WorkerName;
+use model::name::{TeamName, WorkerName};
 use model::resource::ResourceAmounts;
 
 use crate::config::QueueRule;
 use crate::decision::{AdviceAsk, PlanDecision, StartOrder};
 use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
-use crate::order::JobRank;
+use crate::order::{JobRank, RankClass};
 use crate::planner::Planner;
-use crate::state::{RunPhase, RunState};
+use crate::state::{RunPhase, RunState, WorkerState};
 
 /// Most workers that one call for advice may name.
 const ASK_LIMIT: usize = 100;
@@ -67,9 +67,19 @@
     ratios.min().unwrap_or(u64::from(u32::MAX)).try_into().unwrap_or(u32::MAX)
 }
 
+/// Free room of the workers of one pool.
+#[derive(Clone, Copy, Debug, Default)]
+struct PoolRoom {
+    /// The most of each resource that one worker has.
+    largest: ResourceAmounts,
+    /// What all workers have, less what open questions are about.
+    unasked: ResourceAmounts,
+}
+
 /// State of one pass over the waiting steps.
 #[derive(Debug, Default)]
 struct PlacePass {
+    rooms: BTreeMap<ArcStr, PoolRoom>,
     /// Workers whose room is kept for gangs that come first.
     reserved: BTreeSet<WorkerName>,
     /// Gangs for which room is kept.
@@ -88,6 +98,27 @@
         }
     }
 
+    /// Tells whether starts on a worker are possible at all.
+    fn is_usable(&self, worker: &WorkerState) -> bool {
+        worker.born.is_some()
+            && !worker.silent
+            && !worker.unlisted
+            && !worker.info.draining
+            && worker.quarantined_until <= self.now_ms
+            && !self.config.out.contains(&worker.info.domain)
+    }
+
+    fn pool_room(&self, pool: &ArcStr) -> PoolRoom {
+        let usable = self
+            .workers
+            .values()
+            .filter(|worker| worker.info.pool == *pool && self.is_usable(worker));
+        usable.fold(PoolRoom::default(), |room, worker| PoolRoom {
+            largest: room.largest.max(worker.free()),
+            unasked: room.unasked.plus(worker.free()),
+        })
+    }
+
     fn waiting_steps(&mut self) -> Vec<(JobRank, StepKey)> {
         let mut keys = Vec::new();
         for (id, job) in &self.jobs {
@@ -106,7 +137,7 @@
                 }
             }
         }
-        keys.into_iter().filter_map(|key| Some((self.rank(&key.job)?.0, key))).collect()
+        keys.into_iter().filter_map(|key| Some((self.rank(&key.job)?, key))).collect()
     }
 
     fn place_step(&mut self, rank: JobRank, key: &StepKey, pass: &mut PlacePass) {
@@ -118,11 +149,24 @@
         if allowed == 0 {
             return;
         }
+        let room = match pass.rooms.get(&rule.pool) {
+            Some(room) => *room,
+            None => self.pool_room(&rule.pool),
+        };
+        pass.rooms.insert(rule.pool.clone(), room);
+        let fits = step.occupied().fits_in(room.largest);
+        let before = self.out.len();
         if step.gang {
             self.place_gang(rank, key, &spec, &rule, allowed, pass);
-        } else {
+        } else if fits {
             self.place_tasks(key, &spec, &rule, allowed, pass);
         }
+        if self.out.len() > before {
+            let asked = pass.rooms[&rule.pool].unasked;
+            let now = self.pool_room(&rule.pool);
+            let now = PoolRoom { unasked: now.unasked.min(asked), ..now };
+            pass.rooms.insert(rule.pool.clone(), now);
+        }
     }
 
     /// Returns how many more tasks the team's limit allows.
@@ -130,13 +174,36 @@
         let Some(team) = &spec.team else { return u32::MAX };
         let Some(rule) = self.config.teams.get(team) else { return 0 };
         let used = self.used.get(team).copied().unwrap_or_default();
-        // What runs on workers that have not reported may belong to any team.
-        let unknown = self
+        let unknown = self.unknown_use(team);
+        fit_count(rule.limit.minus(used).minus(unknown), step.amounts)
+    }
+
+    /// Returns what a team may have running on workers that have not reported to this owner.
+    ///
+    /// Only tasks of inherited jobs that are neither done nor known to run can be
+    /// there, and they fit the workers' capacity.
+    fn unknown_use(&self, team: &TeamName) -> ResourceAmounts {
+        if self.unseen.is_empty() {
+            return ResourceAmounts::ZERO;
+        }
+        let capacity = self
             .unseen
             .iter()
-            .filter_map(|name| self.workers.get(name))
-            .fold(ResourceAmounts::ZERO, |sum, worker| sum.plus(worker.info.capacity));
-        fit_count(rule.limit.minus(used).minus(unknown), step.amounts)
+            .map(|name| self.workers.get(name).map(|worker| worker.info.capacity))
+            .try_fold(ResourceAmounts::ZERO, |sum, capacity| Some(sum.plus(capacity?)))
+            .unwrap_or(ResourceAmounts::UNLIMITED);
+        let mut waiting = ResourceAmounts::ZERO;
+        for job in self.inherited.iter().filter_map(|id| self.jobs.get(id)) {
+            if job.spec.team.as_ref() != Some(team) {
+                continue;
+            }
+            for occurrence in job.occurrences.values() {
+                for (spec, state) in job.spec.steps.iter().zip(&occurrence.steps) {
+                    waiting = waiting.plus(spec.amounts.times(u64::from(state.waiting)));
+                }
+            }
+        }
+        waiting.min(capacity)
     }
 
     fn options(
@@ -157,14 +224,8 @@
         let occupied = step.occupied();
         let mut options = Vec::new();
         for (name, worker) in &self.workers {
-            let usable = worker.born.is_some()
-                && !worker.silent
-                && !worker.unlisted
-                && !worker.info.draining
-                && worker.quarantined_until <= self.now_ms
-                && worker.info.pool == rule.pool
-                && !self.config.out.contains(&worker.info.domain)
-                && !reserved.contains(name);
+            let usable =
+                worker.info.pool == rule.pool && self.is_usable(worker) && !reserved.contains(name);
             if !usable || !occupied.fits_in(worker.free()) {
                 continue;
             }
@@ -207,7 +268,7 @@
         spec: &Arc<JobSpec>,
         rule: &QueueRule,
         allowed: u32,
-        pass: &PlacePass,
+        pass: &mut PlacePass,
     ) {
         let step = &spec.steps[key.step as usize];
         let all = self.options(key, step, rule, &pass.reserved);
@@ -232,8 +293,30 @@
         let waiting = self.step_mut(key).map_or(0, |state| state.waiting);
         let need = waiting.min(allowed - placed);
         if need > 0 && rule.advice.is_some() {
-            self.ask(key, step, rule, &all, need);
+            self.ask_within(key, step, rule, &all, need, pass);
+        }
+    }
+
+    /// Asks about as many tasks as there is room for that no open question is about.
+    ///
+    /// Under overload everything waits, and asking for all of it would keep the
+    /// advice service busy with tickets that expire before there is room.
+    fn ask_within(
+        &mut self,
+        key: &StepKey,
+        step: &StepSpec,
+        rule: &QueueRule,
+        options: &[WorkerOption],
+        need: u32,
+        pass: &mut PlacePass,
+    ) {
+        let Some(room) = pass.rooms.get_mut(&rule.pool) else { return };
+        let need = need.min(fit_count(room.unasked, step.occupied()));
+        if need == 0 || (step.gang && need < step.count) {
+            return;
         }
+        room.unasked = room.unasked.minus(step.occupied().times(u64::from(need)));
+        self.ask(key, step, rule, options, need);
     }
 
     fn waiting_tasks(&self, key: &StepKey) -> Vec<u32> {
@@ -298,7 +381,7 @@
         }
         if rule.advice.is_some() {
             if pass.gang_asks < GANG_ASKS {
-                self.ask(key, step, rule, &all, step.count);
+                self.ask_within(key, step, rule, &all, step.count, pass);
             }
             if let Some(state) = self.step_mut(key)
                 && state.advice.asked_at.is_some()
@@ -307,7 +390,7 @@
                 pass.reserved.extend(state.advice.held.iter().cloned());
             }
         }
-        if rank.class == 0 && pass.gangs < RESERVED_GANGS {
+        if rank.class == RankClass::OnTime && pass.gangs < RESERVED_GANGS {
             pass.gangs += 1;
             self.reserve(key, step, rule, &mut pass.reserved);
         }
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -6,11 +6,12 @@
 use arcstr::ArcStr;
 use model::name::{JobId, QueueName, TeamName, WorkerName};
 use model::resource::ResourceAmounts;
+use smallvec::SmallVec;
 
-use crate::config::{PlanConfig, QueueRule};
+use crate::config::PlanConfig;
 use crate::decision::{PlanDecision, StopOrder};
 use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
-use crate::order::{self, JobRank};
+use crate::order::{self, JobRank, RankInput};
 use crate::progress::{JobStatus, ProgressRecord, StepProgress};
 use crate::state::{
     AdviceState, JobState, OccurrenceState, PendingAcks, RunPhase, RunState, StepState, TaskState,
@@ -307,19 +308,21 @@
         }
     }
 
-    pub(crate) fn rank(&mut self, id: &JobId) -> Option<(JobRank, QueueRule)> {
+    pub(crate) fn rank(&mut self, id: &JobId) -> Option<JobRank> {
         let job = self.jobs.get_mut(id)?;
         let rule = self.config.queues.get(&job.spec.queue)?;
         let objective =
             *job.objective_ms.get_or_insert_with(|| order::objective_ms(&job.spec, rule));
-        let rank = order::rank_job(
-            self.now_ms,
-            job.arrived_ms,
-            objective,
-            job.beyond_share,
-            rule.priority,
-        );
-        Some((rank, rule.clone()))
+        let left_ms = chain_left_ms(job);
+        let rank = order::rank_job(RankInput {
+            now_ms: self.now_ms,
+            arrived_ms: job.arrived_ms,
+            objective_ms: objective,
+            left_ms,
+            beyond_share: job.beyond_share,
+            priority: rule.priority,
+        });
+        Some(rank)
     }
 
     pub(crate) fn step_spec(&self, key: &StepKey) -> Option<&StepSpec> {
@@ -448,6 +451,20 @@
     }
 }
 
+/// Returns the declared work on the longest chain of steps that are not done, in milliseconds.
+fn chain_left_ms(job: &JobState) -> u64 {
+    let chain = |occurrence: &OccurrenceState| {
+        let mut ends: SmallVec<[u64; 4]> = SmallVec::new();
+        for (spec, state) in job.spec.steps.iter().zip(&occurrence.steps) {
+            let before = spec.after.iter().filter_map(|step| ends.get(*step as usize)).max();
+            let own = if state.left == 0 { 0 } else { spec.estimate_ms };
+            ends.push(before.copied().unwrap_or(0) + own);
+        }
+        ends.into_iter().max().unwrap_or(0)
+    };
+    job.occurrences.values().map(chain).max().unwrap_or(0)
+}
+
 fn new_occurrence(spec: &JobSpec) -> OccurrenceState {
     let steps = spec
         .steps
--- a/crates/plan/tests/place.rs
+++ b/crates/plan/tests/place.rs
@@ -8,7 +8,7 @@
 use plan::advice::AdviceDesk;
 use plan::decision::AdviceAsk;
 use plan::job::{StepKey, StepSpec};
-use plan::order;
+use plan::order::{self, RankInput};
 use plan::worker::{EndKind, StartAnswer};
 use support::{PlanBench, asks, config, cpu, job, rule, step, stops, worker};
 
@@ -160,16 +160,40 @@
     assert_eq!(bench.starts()[0].worker, worker(1).name);
 }
 
-/// Guards against late work that keeps work from being on time, when not all can be.
+fn rank(now_ms: u64, arrived_ms: u64, beyond_share: bool, priority: u32) -> order::JobRank {
+    let (objective_ms, left_ms) = (3_000, 1_000);
+    order::rank_job(RankInput { now_ms, arrived_ms, objective_ms, left_ms, beyond_share, priority })
+}
+
+/// Guards against an objective that leaves out the chain of steps.
 #[test]
-fn useless_work_goes_last() {
-    let spec = job("j", "normal", vec![step(1, cpu(100))]);
+fn the_objective_follows_the_longest_chain() {
+    let second = StepSpec { after: [0].into_iter().collect(), ..step(1, cpu(100)) };
+    let spec = job("j", "normal", vec![step(1, cpu(100)), second, step(1, cpu(100))]);
     let objective = order::objective_ms(&spec, &rule(1, None));
-    assert_eq!(objective, 3_000, "twice the chain of one second, and the target");
-    let late = order::rank_job(10_000, 0, objective, false, 0);
-    let fresh = order::rank_job(10_000, 9_000, objective, false, 2);
-    let beyond = order::rank_job(10_000, 9_000, objective, true, 0);
-    assert!(fresh < beyond && beyond < late);
+    assert_eq!(objective, 5_000, "twice the chain of two seconds, and the target");
+}
+
+/// Guards against a fleet that, once behind, only runs what is late already.
+#[test]
+fn work_that_can_be_on_time_goes_first() {
+    let fresh = rank(10_000, 9_500, false, 2);
+    let late = rank(10_000, 7_500, false, 0);
+    let beyond = rank(10_000, 9_500, true, 0);
+    let useless = rank(10_000, 0, false, 0);
+    assert!(fresh < late && late < beyond && beyond < useless);
+}
+
+/// Guards against questions about room that there is not, which under overload
+/// would keep the advice service busy for nothing.
+#[test]
+fn questions_are_bounded_by_room() {
+    let mut bench = PlanBench::new(2, config());
+    for number in 0..50 {
+        bench.add(job(&format!("j{number:02}"), "advised", vec![step(1, cpu(4_000))]));
+    }
+    assert_eq!(asks(bench.decide()).len(), 4, "two workers of 8 cores have room for four");
+    assert!(asks(bench.decide()).is_empty(), "the open questions are about all of it");
 }
 
 fn ask(duration_ms: f64, priority: u32) -> AdviceAsk {
--- a/crates/plan/tests/runs.rs
+++ b/crates/plan/tests/runs.rs
@@ -169,3 +169,28 @@
     assert_eq!(starts.len(), 1);
     assert_ne!(starts[0].worker, order.worker, "the refusing worker pauses");
 }
+
+/// Guards against a team above its limit by what a worker out of reach may run, and
+/// against teams that may start nothing because of what it cannot run.
+#[test]
+fn unreported_workers_count_by_what_they_may_run() {
+    let mut config = config();
+    let limit = model::resource::ResourceAmounts {
+        cpu_millis: 4_000,
+        ..model::resource::ResourceAmounts::UNLIMITED
+    };
+    for rule in config.teams.values_mut() {
+        rule.limit = limit;
+    }
+    let mut bench = PlanBench::unreported(2, config);
+    bench.add(job("old", "normal", vec![step(3, cpu(1_000))]));
+    bench.planner.inherit(Vec::new());
+    bench.report(&worker(0).name, Vec::new(), Vec::new());
+    bench.add(job("red", "normal", vec![step(4, cpu(1_000))]));
+    let mut blue = job("blue", "normal", vec![step(4, cpu(1_000))]);
+    blue.team = Some("blue".into());
+    bench.add(blue);
+    let starts = bench.starts();
+    let count = |id: &str| starts.iter().filter(|order| order.job.id.as_str() == id).count();
+    assert_eq!((count("red"), count("blue")), (1, 4));
+}
