Test the whole path with real processes, and find jobs whose write was not answered

The stand-in standin-site speaks the platform's table service, workers and advice; tests judge by the runs that its workers record. It now reads the jobs again after such a write, until the service can carry it out no more.

--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -79,6 +79,14 @@
 /// Age of the last news, in milliseconds, up to which the state of a job that is not over is
 /// taken from them and not read.
 pub const NEWS_FRESH_MS: u64 = 1_500;
+/// Pauses before the jobs are read again after a write that was not answered; the
+/// table service may carry such a write out some seconds later.
+pub const DOUBT_PAUSES: [Duration; 4] = [
+    Duration::from_millis(200),
+    Duration::from_secs(1),
+    Duration::from_secs(3),
+    Duration::from_secs(5),
+];
 /// Submissions that one entry holds; more are refused at once.
 pub const SUBMIT_BOUND: usize = 2_000;
 /// Time kept back of a caller's deadline for the answer to arrive, in milliseconds.
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -146,7 +146,7 @@
     let Some(spec) = row::decode::<JobSpec>(row::JOB_TABLE, &found.key, value) else { return };
     // A row may have been read before its job ended.
     let known = session.context.statuses.borrow().get(&spec.id);
-    if known.is_some_and(JobStatus::is_final) {
+    if known.is_some_and(JobStatus::is_final) || session.planner.borrow().is_known(&spec.id) {
         return;
     }
     let now = session.context.clock.now();
@@ -184,6 +184,16 @@
     }
 }
 
+/// Takes jobs that are stored and not known.
+pub(crate) async fn reread_stored<P: OwnerPorts>(session: &SharedSession<P>) {
+    let Some(page) = read_part(session, row::JOB_TABLE).await else { return };
+    let fresh = BTreeMap::new();
+    for found in &page.rows {
+        apply_job(session, found, &fresh);
+    }
+    session.wake.notify_one();
+}
+
 /// Reads the inbox again after its changes were forgotten. What the owner stored
 /// itself it knows.
 async fn reread_inbox<P: OwnerPorts>(session: &SharedSession<P>) -> u64 {
--- a/crates/fleet/src/owner/submits.rs
+++ b/crates/fleet/src/owner/submits.rs
@@ -7,7 +7,8 @@
 use tokio::sync::mpsc;
 
 use crate::context::{OwnedFleet, SubmitCall};
-use crate::owner::{OwnerPorts, SharedSession};
+use crate::limits;
+use crate::owner::{OwnerPorts, SharedSession, load};
 use crate::row;
 use crate::submit::{StoredJob, SubmitQueue, SubmitTarget};
 
@@ -21,11 +22,24 @@
     });
     let target = SubmitTarget::Owned(session.term_version.get());
     let queue = SubmitQueue::new(session.context.clone(), target);
+    session.spawn(resolve_doubts(session.clone(), queue.clone()));
     while let Some(call) = calls.recv().await {
         session.spawn(store(session.clone(), queue.clone(), call));
     }
 }
 
+/// Reads the jobs again after writes that were not answered: such a write may take
+/// effect seconds later, and nobody else tells the owner of it.
+async fn resolve_doubts<P: OwnerPorts>(session: SharedSession<P>, queue: Rc<SubmitQueue<P>>) {
+    loop {
+        queue.doubt.notified().await;
+        for pause in limits::DOUBT_PAUSES {
+            tokio::time::sleep(pause).await;
+            load::reread_stored(&session).await;
+        }
+    }
+}
+
 async fn store<P: OwnerPorts>(
     session: SharedSession<P>,
     queue: Rc<SubmitQueue<P>>,
@@ -34,6 +48,9 @@
     let SubmitCall { spec, give_up_at, reply } = call;
     let arrived_ms = session.context.clock.now().0;
     let verdict = queue.store_job(spec.id.clone(), row::encode(&spec), give_up_at, false).await;
+    if verdict == Ok(StoredJob::Known) && !session.planner.borrow().is_known(&spec.id) {
+        queue.doubt.notify_one();
+    }
     if verdict == Ok(StoredJob::New) {
         session.tell(&spec.id, plan::progress::JobStatus::Pending);
         let none = ProgressRecord::default();
--- a/crates/fleet/src/submit.rs
+++ b/crates/fleet/src/submit.rs
@@ -10,7 +10,7 @@
 use model::time::ClockMillis;
 use plan::progress::JobStatus;
 use serde::{Deserialize, Serialize};
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use crate::context::SharedContext;
 use crate::limits;
@@ -60,6 +60,8 @@
     pending: RefCell<VecDeque<PendingInsert>>,
     /// Transactions on their way.
     flights: Cell<usize>,
+    /// Rung when jobs may have been stored by a write that was not answered.
+    pub doubt: Notify,
 }
 
 impl<P: RowStore> SubmitQueue<P> {
@@ -67,7 +69,7 @@
     #[must_use]
     pub fn new(context: SharedContext<P>, target: SubmitTarget) -> Rc<Self> {
         let (pending, flights) = (RefCell::default(), Cell::new(0));
-        Rc::new(Self { context, target, pending, flights })
+        Rc::new(Self { context, target, pending, flights, doubt: Notify::new() })
     }
 
     /// Stores a job unless its identifier is in use, which counts as stored.
@@ -144,6 +146,9 @@
                     batch.len(),
                     failure::brief(&error)
                 );
+                if unknown {
+                    self.doubt.notify_one();
+                }
                 for mut insert in batch.into_iter().rev() {
                     insert.maybe_done |= unknown;
                     insert.tries += 1;
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -194,6 +194,12 @@
         }
     }
 
+    /// Tells whether a job is known, also if it is over and that is not stored yet.
+    #[must_use]
+    pub fn is_known(&self, id: &JobId) -> bool {
+        self.jobs.contains_key(id)
+    }
+
     /// Tells whether a job is known and not over.
     #[must_use]
     pub fn is_live(&self, id: &JobId) -> bool {
--- /dev/null
+++ b/standins/site/src/server.rs
@@ -0,0 +1,333 @@
+//! The site's HTTP interfaces, in a thread of its own.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::table::{RowTable, TxBody, TxResult};
+use crate::worker::{HistoryRun, SiteWorker, StartBody};
+
+/// How often a waiting call looks again.
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Faults that a test switches on.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SiteFaults {
+    /// The table service refuses every call.
+    pub store_down: bool,
+    /// The table service carries writes out and does not answer.
+    pub answers_lost: bool,
+}
+
+/// Everything that the site holds.
+#[derive(Debug, Default)]
+pub struct SiteState {
+    /// Rows.
+    pub table: RowTable,
+    /// Workers by the order of their listeners.
+    pub workers: Vec<SiteWorker>,
+    /// Faults.
+    pub faults: SiteFaults,
+}
+
+/// A running site.
+#[derive(Debug)]
+pub struct RunningSite {
+    state: Arc<Mutex<SiteState>>,
+    /// Address of the table service and of the advice service.
+    pub address: SocketAddr,
+    handle: actix_web::dev::ServerHandle,
+}
+
+#[derive(Clone)]
+struct SiteHandle {
+    state: Arc<Mutex<SiteState>>,
+    ports: Arc<Vec<u16>>,
+}
+
+impl SiteHandle {
+    fn lock(&self) -> MutexGuard<'_, SiteState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl RunningSite {
+    /// Starts a site with some workers on free ports of the loopback address.
+    ///
+    /// # Panics
+    /// Panics if no port can be bound.
+    #[must_use]
+    pub fn start(workers: usize) -> Self {
+        let listen = || TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let listeners: Vec<_> = (0..=workers).map(|_| listen()).collect();
+        let addresses: Vec<_> =
+            listeners.iter().map(|socket| socket.local_addr().expect("bound")).collect();
+        let state = Arc::new(Mutex::new(SiteState::default()));
+        let ports = Arc::new(addresses.iter().map(SocketAddr::port).collect());
+        let handle = SiteHandle { state: state.clone(), ports };
+        let (sender, receiver) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let data = web::Data::new(handle);
+                let mut server = HttpServer::new(move || {
+                    App::new()
+                        .app_data(data.clone())
+                        .app_data(web::PayloadConfig::new(4 << 20))
+                        .default_service(web::route().to(serve))
+                })
+                .workers(1)
+                .disable_signals();
+                for listener in listeners {
+                    server = server.listen(listener).expect("the socket listens");
+                }
+                let server = server.run();
+                sender.send(server.handle()).expect("the test waits");
+                server.await.expect("the site serves");
+            });
+        });
+        let handle = receiver.recv().expect("the site starts");
+        let site = Self { state, address: addresses[0], handle };
+        for (index, address) in addresses.iter().enumerate().skip(1) {
+            site.register_worker(index, *address);
+        }
+        site
+    }
+
+    fn register_worker(&self, index: usize, address: SocketAddr) {
+        let name = format!("i-{index:08x}");
+        let zone = if index.is_multiple_of(2) { "north" } else { "south" };
+        let entry = json!({
+            "service": "pool", "address": address.to_string(), "zone": zone, "version": "v1",
+            "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1,
+            "capacity": { "cpu": 4000, "memMb": 4000, "gpu": 0 }, "labels": ["a", "r1"],
+        });
+        let mut state = self.lock();
+        state.workers.push(SiteWorker::new(name.clone(), 1, Instant::now()));
+        state.table.put("servers", &name, STANDARD.encode(entry.to_string()));
+    }
+
+    /// Locks the state, to look at it or to change it.
+    ///
+    /// # Panics
+    /// Never; a poisoned lock is taken over.
+    pub fn lock(&self) -> MutexGuard<'_, SiteState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Writes a row of the operators.
+    pub fn operate(&self, key: &str, value: &serde_json::Value) {
+        self.lock().table.put("op", key, STANDARD.encode(value.to_string()));
+    }
+
+    /// Returns all runs of all workers.
+    #[must_use]
+    pub fn history(&self) -> Vec<HistoryRun> {
+        let mut state = self.lock();
+        for worker in &mut state.workers {
+            worker.settle();
+        }
+        state.workers.iter().flat_map(|worker| worker.history.clone()).collect()
+    }
+}
+
+impl Drop for RunningSite {
+    fn drop(&mut self) {
+        // The thread ends with the test's process at the latest.
+        drop(self.handle.stop(false));
+    }
+}
+
+async fn serve(
+    request: HttpRequest,
+    body: web::Bytes,
+    site: web::Data<SiteHandle>,
+) -> HttpResponse {
+    let port = request.app_config().local_addr().port();
+    let index = site.ports.iter().position(|known| *known == port).unwrap_or(0);
+    let call = request.path().trim_start_matches("/amaranthsaddle/").to_owned();
+    match (index, call.as_str()) {
+        (0, "rows-tx") => transact(&body, &site),
+        (0, "rows-get") => read(&request, &site),
+        (0, "rows-feed") => follow(&request, &site).await,
+        (0, "advise") => advise(&body),
+        (0, _) => HttpResponse::NotFound().finish(),
+        (_, "run-start") => start(index - 1, &body, &site),
+        (_, "run-stop") => stop(index - 1, &body, &site),
+        (_, "hold") => hold(index - 1, &body, &site).await,
+        _ => HttpResponse::NotFound().finish(),
+    }
+}
+
+fn transact(body: &[u8], site: &SiteHandle) -> HttpResponse {
+    let mut state = site.lock();
+    if state.faults.store_down {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let Ok(body) = serde_json::from_slice::<TxBody>(body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let result = state.table.transact(&body);
+    if state.faults.answers_lost {
+        return HttpResponse::InternalServerError().finish();
+    }
+    match result {
+        TxResult::Done(version) => HttpResponse::Ok().json(json!({ "ver": version, "nowMs": 0 })),
+        TxResult::Conflict(rows) => {
+            HttpResponse::PreconditionFailed().json(json!({ "rows": rows, "ver": 0, "nowMs": 0 }))
+        }
+        TxResult::Refused(403) => HttpResponse::Forbidden().finish(),
+        TxResult::Refused(_) => HttpResponse::BadRequest().finish(),
+    }
+}
+
+#[derive(Deserialize)]
+struct ReadQuery {
+    table: String,
+    part: String,
+    #[serde(default)]
+    from: String,
+    to: Option<String>,
+    #[serde(default = "page_rows")]
+    limit: usize,
+}
+
+const fn page_rows() -> usize {
+    500
+}
+
+fn read(request: &HttpRequest, site: &SiteHandle) -> HttpResponse {
+    let Ok(query) = web::Query::<ReadQuery>::from_query(request.query_string()) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let state = site.lock();
+    if state.faults.store_down {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
+    let range = (query.from.as_str(), query.to.as_deref());
+    let (rows, more) = state.table.read(&query.table, &query.part, range, query.limit);
+    let version = state.table.version;
+    HttpResponse::Ok().json(json!({ "rows": rows, "hasMore": more, "ver": version, "nowMs": 0 }))
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct FeedQuery {
+    table: String,
+    after: u64,
+    wait_ms: u64,
+}
+
+async fn follow(request: &HttpRequest, site: &SiteHandle) -> HttpResponse {
+    let Ok(query) = web::Query::<FeedQuery>::from_query(request.query_string()) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let until = Instant::now() + Duration::from_millis(query.wait_ms);
+    loop {
+        {
+            let state = site.lock();
+            if state.faults.store_down {
+                return HttpResponse::ServiceUnavailable().finish();
+            }
+            let Some(rows) = state.table.changes(&query.table, query.after) else {
+                return HttpResponse::Gone().finish();
+            };
+            if !rows.is_empty() || Instant::now() >= until {
+                let version = state.table.version;
+                return HttpResponse::Ok()
+                    .json(json!({ "rows": rows, "ver": version, "nowMs": 0 }));
+            }
+        }
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+}
+
+#[derive(Deserialize)]
+struct AdviseBody {
+    workers: Vec<String>,
+}
+
+/// Names the workers with an odd number as good; the answer never changes.
+fn advise(body: &[u8]) -> HttpResponse {
+    let Ok(body) = serde_json::from_slice::<AdviseBody>(body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let odd = |name: &&String| name.ends_with(['1', '3', '5', '7', '9']);
+    let good: Vec<_> = body.workers.iter().filter(odd).map(|name| (name, "ticket")).collect();
+    HttpResponse::Ok().json(json!({ "good": good, "validMs": 1500 }))
+}
+
+fn start(index: usize, body: &[u8], site: &SiteHandle) -> HttpResponse {
+    let Ok(body) = serde_json::from_slice::<StartBody>(body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let mut state = site.lock();
+    let worker = &mut state.workers[index];
+    match worker.start(&body) {
+        Ok(()) => HttpResponse::Ok().json(json!({ "clockMs": worker.clock_ms() })),
+        Err(reason) => {
+            HttpResponse::Conflict().json(json!({ "clockMs": worker.clock_ms(), "reason": reason }))
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct StopBody {
+    task: String,
+    run: u32,
+    fencing_token: u64,
+}
+
+fn stop(index: usize, body: &[u8], site: &SiteHandle) -> HttpResponse {
+    let Ok(body) = serde_json::from_slice::<StopBody>(body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let mut state = site.lock();
+    let worker = &mut state.workers[index];
+    if !worker.take_token(body.fencing_token) {
+        return HttpResponse::Conflict().json(json!({ "reason": "fence" }));
+    }
+    worker.stop(&body.task, body.run);
+    HttpResponse::Ok().json(json!({ "clockMs": worker.clock_ms() }))
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct HoldBody {
+    fencing_token: u64,
+    acked_upto: u64,
+    deadline_ms: Option<u64>,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+async fn hold(index: usize, body: &[u8], site: &SiteHandle) -> HttpResponse {
+    let Ok(body) = serde_json::from_slice::<HoldBody>(body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let until = Instant::now() + Duration::from_millis(body.wait_ms);
+    loop {
+        {
+            let mut state = site.lock();
+            let worker = &mut state.workers[index];
+            if !worker.take_token(body.fencing_token) {
+                return HttpResponse::Conflict().json(json!({ "reason": "fence" }));
+            }
+            worker.acknowledge(body.acked_upto);
+            if let Some(deadline_ms) = body.deadline_ms {
+                worker.prolong(deadline_ms);
+            }
+            worker.settle();
+            if worker.has_ends() || Instant::now() >= until {
+                return HttpResponse::Ok().json(worker.lists());
+            }
+        }
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/standins/site/tests/site.rs
@@ -0,0 +1,72 @@
+//! What the stand-in promises of rows and runs, so that tests can rest on it.
+
+use std::time::Instant;
+
+use site::table::{RowTable, TxBody, TxEntry, TxResult};
+use site::worker::{SiteWorker, StartBody};
+
+fn entry(part: &str, key: &str, ver: u64) -> TxEntry {
+    TxEntry { table: "t".into(), part: part.into(), key: key.into(), ver, value: "dg==".into() }
+}
+
+/// Guards against a write whose condition does not hold.
+#[test]
+fn a_transaction_keeps_its_conditions() {
+    let mut table = RowTable::default();
+    let insert = TxBody {
+        expected: vec![entry("p", "k", 0)],
+        writes: vec![entry("p", "k", 0)],
+        ..TxBody::default()
+    };
+    assert!(matches!(table.transact(&insert), TxResult::Done(1)));
+    match table.transact(&insert) {
+        TxResult::Conflict(rows) => assert_eq!(rows[0].ver, 1),
+        other => panic!("unexpected {other:?}"),
+    }
+}
+
+/// Guards against tests that pass although the real service would refuse a call.
+#[test]
+fn foreign_tables_and_several_parts_are_refused() {
+    let mut table = RowTable::default();
+    let mut foreign = entry("", "k", 0);
+    foreign.table = "op".into();
+    let body = TxBody { writes: vec![foreign], ..TxBody::default() };
+    assert!(matches!(table.transact(&body), TxResult::Refused(403)));
+    let body = TxBody { writes: vec![entry("p", "k", 0), entry("q", "k", 0)], ..TxBody::default() };
+    assert!(matches!(table.transact(&body), TxResult::Refused(400)));
+}
+
+/// Guards against changes that are given although they were forgotten.
+#[test]
+fn forgotten_changes_are_refused() {
+    let mut table = RowTable::default();
+    table.put("op", "a", "dg==".into());
+    table.forgotten = 1;
+    assert!(table.changes("op", 0).is_none());
+    assert!(table.changes("op", 1).is_some());
+}
+
+fn start(run: u32, token: u64, deadline_ms: u64) -> StartBody {
+    StartBody {
+        task: "j.0.0.0".into(),
+        run,
+        spec: "60000".into(),
+        deadline_ms,
+        fencing_token: token,
+        ticket: String::new(),
+    }
+}
+
+/// Guards against runs that a fence, a stop or a deadline rules out.
+#[test]
+fn a_worker_refuses_what_is_ruled_out() {
+    let mut worker = SiteWorker::new("w".into(), 1, Instant::now());
+    assert_eq!(worker.start(&start(2, 5, 60_000)), Ok(()));
+    assert_eq!(worker.start(&start(2, 5, 60_000)), Ok(()), "the run is already there");
+    assert_eq!(worker.start(&start(3, 4, 60_000)), Err("fence"));
+    worker.stop("j.0.0.0", 3);
+    assert_eq!(worker.start(&start(3, 5, 60_000)), Err("old"));
+    std::thread::sleep(std::time::Duration::from_millis(5));
+    assert_eq!(worker.start(&start(4, 5, 1)), Err("late"));
+}
