--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -34,8 +34,9 @@
 /// Time for an answer to a write of jobs or progress: a part of the table service refuses calls
 /// when more than a second of them waits, and an answer is better than none.
 pub const SUBMIT_TIMEOUT: Duration = Duration::from_millis(1_700);
-/// Failed tries after which a job that is surely not stored is refused.
-pub const SUBMIT_TRIES: u32 = 4;
+/// Pause after a failed write of jobs, on average; a part that refuses writes has a
+/// second of them waiting.
+pub const REFUSED_PAUSE: Duration = Duration::from_millis(250);
 /// Tries without an answer after which a caller is told that its job may be stored.
 pub const UNKNOWN_TRIES: u32 = 2;
 /// Time without an answer of the table service after which an entry counts as cut off from it,
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -42,9 +42,10 @@
     session.planner.borrow_mut().set_config(plan);
     let term = write_term(session).await?;
     session.term_version.set(term);
+    let (workers, jobs) = futures_util::join!(read_worker_rows(session), read_jobs(session));
+    let (worker_page, job_position) = (workers?, jobs?);
     // Workers report as soon as they are known, and an end counts only for a known job.
-    let job_position = read_jobs(session).await?;
-    let worker_position = read_workers(session).await?;
+    apply_workers(session, &worker_page);
     // Before the first owner nothing can run.
     if let Some(before) = before {
         session.planner.borrow_mut().inherit(before.leased.clone());
@@ -53,7 +54,7 @@
     advice::refresh_callers(session);
     let (jobs, workers) = (session.planner.borrow().live_jobs(), session.links.borrow().len());
     log::info!("fleet loaded term={} jobs={jobs} workers={workers}", session.term);
-    Some(FeedPositions { jobs: job_position, workers: worker_position })
+    Some(FeedPositions { jobs: job_position, workers: worker_page.version })
 }
 
 /// Writes the row of this term, after which no earlier owner can store jobs.
@@ -76,29 +77,34 @@
     }
 }
 
-/// Reads the workers; those that are not listed any more are gone.
-async fn read_workers<P: OwnerPorts>(session: &SharedSession<P>) -> Option<u64> {
-    let page = session
+async fn read_worker_rows<P: OwnerPorts>(session: &SharedSession<P>) -> Option<RowPage> {
+    session
         .context
         .ports
         .read(row::WORKER_TABLE, row::ROOT_PART, None, limits::STORE_TIMEOUT)
         .await
         .inspect_err(|error| log::warn!("workers not read error=\"{}\"", failure::brief(error)))
-        .ok()?;
+        .ok()
+}
+
+/// Takes a whole read of the workers; those that are not listed any more are gone.
+fn apply_workers<P: OwnerPorts>(session: &SharedSession<P>, page: &RowPage) {
     let listed: Vec<_> = page.rows.iter().map(|row| row.key.clone()).collect();
     workers::retain(session, &listed);
     for found in &page.rows {
         workers::apply_row(session, found);
     }
-    Some(page.version)
 }
 
-/// Reads jobs and their progress. Jobs come first, so that the progress of a job
-/// that ends meanwhile is found.
+/// Reads jobs and their progress. No earlier owner can change them any more, so
+/// that the order of the reads does not matter.
 async fn read_jobs<P: OwnerPorts>(session: &SharedSession<P>) -> Option<u64> {
-    let inbox = read_part(session, row::INBOX_TABLE).await?;
-    let jobs = read_part(session, row::JOB_TABLE).await?;
-    let states = read_part(session, row::PROGRESS_TABLE).await?;
+    let (inbox, jobs, states) = futures_util::join!(
+        read_part(session, row::INBOX_TABLE),
+        read_part(session, row::JOB_TABLE),
+        read_part(session, row::PROGRESS_TABLE)
+    );
+    let (inbox, jobs, states) = (inbox?, jobs?, states?);
     let mut records: BTreeMap<JobId, ProgressRecord> = BTreeMap::new();
     for found in &states.rows {
         let Some(value) = &found.value else { continue };
@@ -227,8 +233,9 @@
                 }
             }
             Ok(FeedAnswer::Forgotten) => {
-                if let Some(read) = read_workers(&session).await {
-                    version = read;
+                if let Some(page) = read_worker_rows(&session).await {
+                    apply_workers(&session, &page);
+                    version = page.version;
                     session.wake.notify_one();
                 } else {
                     tokio::time::sleep(limits::STORE_PAUSE).await;
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use link::failure;
 use model::name::{JobId, WorkerName};
 use model::time::ClockMillis;
 use plan::advice::AdviceDesk;
@@ -176,17 +177,8 @@
 /// this owner goes on when it is back.
 async fn hand_over<P: OwnerPorts>(session: &SharedSession<P>) {
     let context = &session.context;
-    let mut others: Vec<_> = {
-        let members = context.members.borrow();
-        members
-            .iter()
-            .filter(|(name, _)| **name != context.identity.name)
-            .map(|(name, member)| (name.clone(), member.address.clone()))
-            .collect()
-    };
-    others.shuffle(&mut rand::rng());
     let given = GivenUp { term: session.term, version: session.version.get() };
-    for (name, address) in others.into_iter().take(limits::SUCCESSORS_ASKED) {
+    for (name, address) in shuffled_others(context).into_iter().take(limits::SUCCESSORS_ASKED) {
         match context.ports.can_own(&address).await {
             Ok(true) => {}
             Ok(false) => continue,
@@ -239,11 +231,35 @@
     let owner = owner_row(session, arcstr::ArcStr::default());
     let now = session.context.clock.now();
     session.context.owner.borrow_mut().bar_until(now + limits::ABDICATION_MS);
-    if write_owner(&session.context, session.version.get(), &owner).await.is_some() {
-        log::info!("fleet released term={}", session.term);
+    // One entry is told at once; the others see the row.
+    let told = tell_successor(session);
+    let written = write_owner(&session.context, session.version.get(), &owner);
+    let ((), written) = futures_util::join!(told, written);
+    log::info!("fleet released term={} written={}", session.term, written.is_some());
+}
+
+async fn tell_successor<P: OwnerPorts>(session: &SharedSession<P>) {
+    let given = GivenUp { term: session.term, version: session.version.get() };
+    let Some((name, address)) = shuffled_others(&session.context).into_iter().next() else {
+        return;
+    };
+    if let Err(error) = session.context.ports.hand_over(&address, given).await {
+        log::info!("no successor told name={name} error=\"{}\"", failure::brief(&error));
     }
 }
 
+/// Returns name and address of the other entries, in an order that spreads the load.
+fn shuffled_others<P>(context: &SharedContext<P>) -> Vec<(arcstr::ArcStr, arcstr::ArcStr)> {
+    let members = context.members.borrow();
+    let mut others: Vec<_> = members
+        .iter()
+        .filter(|(name, _)| **name != context.identity.name)
+        .map(|(name, member)| (name.clone(), member.address.clone()))
+        .collect();
+    others.shuffle(&mut rand::rng());
+    others
+}
+
 /// Gives the fleet up when most workers cannot be reached from here.
 async fn watch_reach<P: OwnerPorts>(session: SharedSession<P>) {
     let mut since: Option<ClockMillis> = None;
--- a/crates/fleet/src/submit.rs
+++ b/crates/fleet/src/submit.rs
@@ -152,19 +152,16 @@
                 for mut insert in batch.into_iter().rev() {
                     insert.maybe_done |= unknown;
                     insert.tries += 1;
-                    let most = if insert.maybe_done {
-                        limits::UNKNOWN_TRIES
-                    } else {
-                        limits::SUBMIT_TRIES
-                    };
-                    if insert.tries < most && self.context.is_connected() {
+                    // A refusal costs nothing to repeat, and the caller would only ask again.
+                    let again = !insert.maybe_done || insert.tries < limits::UNKNOWN_TRIES;
+                    if again && self.context.is_connected() {
                         self.pending.borrow_mut().push_front(insert);
                     } else {
                         give_up(insert);
                     }
                 }
                 // Entries that were refused together must not come back together.
-                let pause = limits::STORE_PAUSE.mul_f64(rand::random_range(0.5..1.5));
+                let pause = limits::REFUSED_PAUSE.mul_f64(rand::random_range(0.5..1.5));
                 tokio::time::sleep(pause).await;
             }
         }
