--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,15 +1,13 @@
 //! Counters and histograms, served in Prometheus text format.
 
+use link::meter::MeterRegistry;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, TextEncoder};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 /// Everything that an entry measures.
 #[derive(Debug)]
 pub struct EntryMetrics {
-    registry: prometheus::Registry,
-    provider: SdkMeterProvider,
+    registry: MeterRegistry,
     /// Requests of callers by `outcome` and `kind`.
     pub requests: Counter<u64>,
     /// Attempts at endpoints by `result`.
@@ -56,11 +54,8 @@
     /// # Errors
     /// An error if the exporter cannot be registered.
     pub fn new() -> Result<Self, Box<dyn std::error::Error>> {
-        let registry = prometheus::Registry::new();
-        let exporter =
-            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("amaranthsaddle");
+        let registry = MeterRegistry::new()?;
+        let meter = registry.meter();
         Ok(Self {
             requests: meter.u64_counter("requests").build(),
             attempts: meter.u64_counter("endpoint_attempts").build(),
@@ -82,25 +77,18 @@
             team_used: meter.u64_gauge("team_used").build(),
             team_allotment: meter.u64_gauge("team_allotment").build(),
             registry,
-            provider,
         })
     }
 
     /// Returns all metrics as text.
     #[must_use]
     pub fn render(&self) -> String {
-        let mut text = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::warn!("metrics cannot be encoded: {error}");
-        }
-        String::from_utf8(text).unwrap_or_default()
+        self.registry.render()
     }
 
     /// Flushes the instruments at the end of the process.
     pub fn shut_down(&self) {
-        if let Err(error) = self.provider.shutdown() {
-            log::debug!("metrics provider did not shut down cleanly: {error}");
-        }
+        self.registry.shut_down();
     }
 }
 
--- a/crates/fleet/src/context.rs
+++ b/crates/fleet/src/context.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use arcstr::ArcStr;
 use link::clock::ProcessClock;
@@ -15,6 +16,7 @@
 use crate::config::ConfigView;
 use crate::lease::OwnerWatch;
 use crate::limits::{self, FleetBounds};
+use crate::metrics::FleetMetrics;
 use crate::news::{NewsAnswer, NewsAsk, NewsBook};
 use crate::ports::{GivenUp, RowStore};
 use crate::row::{self, MemberRow};
@@ -67,6 +69,8 @@
     pub ports: P,
     /// Clock of all leases.
     pub clock: ProcessClock,
+    /// Instruments.
+    pub metrics: Arc<FleetMetrics>,
     /// Configuration in force.
     pub view: RefCell<ConfigView>,
     /// When the question was sent to which the table service last confirmed the configuration.
@@ -101,6 +105,7 @@
         identity: EntryIdentity,
         bounds: FleetBounds,
         ports: P,
+        metrics: Arc<FleetMetrics>,
         stop: CancellationToken,
     ) -> SharedContext<P> {
         Rc::new(Self {
@@ -108,6 +113,7 @@
             bounds,
             ports,
             clock: ProcessClock,
+            metrics,
             view: RefCell::default(),
             confirmed_at: Cell::new(None),
             contact_at: Cell::new(None),
--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -16,6 +16,7 @@
 use crate::config::FleetConfig;
 use crate::context::{SharedContext, SubmitCall};
 use crate::limits;
+use crate::metrics;
 use crate::ports::{PeerCalls, PlatformRows, RowStore, RowTransaction, TransactOutcome};
 use crate::row;
 use crate::submit::{StoreVerdict, SubmitQueue, SubmitTarget};
@@ -51,6 +52,16 @@
     Cancel,
 }
 
+impl CallerAsk {
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::Submit(_) => "submit",
+            Self::Inspect => "inspect",
+            Self::Cancel => "cancel",
+        }
+    }
+}
+
 /// A job as a caller describes it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct JobDraft {
@@ -81,6 +92,20 @@
     Failed(ErrorKind, String),
 }
 
+impl CallerAnswer {
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Cancelled => "cancelled",
+            Self::State(_) => "state",
+            Self::Waiting(_) => "waiting",
+            Self::NoJob => "no-job",
+            Self::Elsewhere(_) => "elsewhere",
+            Self::Failed(kind, _) => kind.code(),
+        }
+    }
+}
+
 /// Answers callers.
 #[derive(Debug)]
 pub struct CallerDesk<P> {
@@ -98,6 +123,19 @@
 
     /// Answers one request.
     pub async fn answer(&self, request: CallerRequest) -> CallerAnswer {
+        let started = self.context.clock.now();
+        let ask = request.ask.name();
+        let answer = self.try_answer(request).await;
+        let metrics = &self.context.metrics;
+        let labels = [metrics::label("ask", ask), metrics::label("answer", answer.name())];
+        metrics.requests.add(1, &labels);
+        #[expect(clippy::cast_precision_loss, reason = "requests take seconds at most")]
+        let time = self.context.clock.now().since(started) as f64;
+        metrics.request_time.record(time, &labels[..1]);
+        answer
+    }
+
+    async fn try_answer(&self, request: CallerRequest) -> CallerAnswer {
         match self.handle(request).await {
             Ok(answer) => answer,
             Err((ErrorKind::ConfigStale | ErrorKind::PlatformDown, message))
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -53,6 +53,9 @@
                 }
                 version = page.version;
                 context.note_contact(sent_at);
+                if let Some(config) = &context.view.borrow().config {
+                    context.metrics.config_version.record(config.version, &[]);
+                }
                 if !page.rows.is_empty() {
                     context.changed.notify_waiters();
                 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod lease;
 pub mod limits;
 pub mod member;
+pub mod metrics;
 pub mod news;
 pub mod owner;
 pub mod ports;
--- /dev/null
+++ b/crates/fleet/src/metrics.rs
@@ -0,0 +1,79 @@
+//! Counters and histograms of an entry, for operators.
+
+use link::meter::MeterRegistry;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
+
+/// Everything that an entry measures.
+#[derive(Debug)]
+pub struct FleetMetrics {
+    registry: MeterRegistry,
+    /// Requests of callers by `ask` and `answer`.
+    pub requests: Counter<u64>,
+    /// Milliseconds from a request to its answer, by `ask`.
+    pub request_time: Histogram<f64>,
+    /// Starts sent by this owner, by `answer`.
+    pub starts: Counter<u64>,
+    /// Stops sent by this owner, by `reason`.
+    pub stops: Counter<u64>,
+    /// Ends of runs heard by this owner, by `kind`.
+    pub ends: Counter<u64>,
+    /// Jobs that are over, by `status`.
+    pub jobs_over: Counter<u64>,
+    /// Milliseconds that an answer of the advice service took.
+    pub advice_time: Histogram<f64>,
+    /// Microseconds that one decision took.
+    pub decision_time: Histogram<f64>,
+    /// Changes of ownership, by `change`.
+    pub ownership: Counter<u64>,
+    /// 1 while this entry owns the fleet.
+    pub is_owner: Gauge<u64>,
+    /// Version of the configuration in force.
+    pub config_version: Gauge<u64>,
+    /// Jobs that are not over, at the owner.
+    pub jobs_live: Gauge<u64>,
+    /// Runs that may be present, at the owner.
+    pub runs_present: Gauge<u64>,
+    /// Registered workers that do not answer, at the owner.
+    pub workers_silent: Gauge<u64>,
+}
+
+impl FleetMetrics {
+    /// Creates the instruments of one entry.
+    ///
+    /// # Errors
+    /// An error if the exporter cannot be registered.
+    pub fn new() -> Result<Self, Box<dyn std::error::Error>> {
+        let registry = MeterRegistry::new()?;
+        let meter = registry.meter();
+        Ok(Self {
+            requests: meter.u64_counter("fleet_requests").build(),
+            request_time: meter.f64_histogram("fleet_request_time_ms").build(),
+            starts: meter.u64_counter("fleet_starts").build(),
+            stops: meter.u64_counter("fleet_stops").build(),
+            ends: meter.u64_counter("fleet_ends").build(),
+            jobs_over: meter.u64_counter("fleet_jobs_over").build(),
+            advice_time: meter.f64_histogram("fleet_advice_time_ms").build(),
+            decision_time: meter.f64_histogram("fleet_decision_time_us").build(),
+            ownership: meter.u64_counter("fleet_ownership_changes").build(),
+            is_owner: meter.u64_gauge("fleet_is_owner").build(),
+            config_version: meter.u64_gauge("fleet_config_version").build(),
+            jobs_live: meter.u64_gauge("fleet_jobs_live").build(),
+            runs_present: meter.u64_gauge("fleet_runs_present").build(),
+            workers_silent: meter.u64_gauge("fleet_workers_silent").build(),
+            registry,
+        })
+    }
+
+    /// Returns all metrics as text.
+    #[must_use]
+    pub fn render(&self) -> String {
+        self.registry.render()
+    }
+}
+
+/// Builds one attribute of a measurement.
+#[must_use]
+pub fn label(key: &'static str, value: impl Into<String>) -> KeyValue {
+    KeyValue::new(key, value.into())
+}
--- a/crates/fleet/src/owner/advice.rs
+++ b/crates/fleet/src/owner/advice.rs
@@ -30,8 +30,11 @@
 }
 
 async fn call<P: OwnerPorts>(session: SharedSession<P>, caller: ArcStr, ask: AdviceAsk) {
+    let started = session.context.clock.now();
     let answer = ask_through(&session, &caller, &ask).await;
     let now = session.context.clock.now();
+    #[expect(clippy::cast_precision_loss, reason = "calls take seconds at most")]
+    session.context.metrics.advice_time.record(now.since(started) as f64, &[]);
     session.desk.borrow_mut().ended(&caller, answer.is_some(), now.0);
     let answer = answer.unwrap_or_else(|| AdviceAnswer {
         step: ask.step.clone(),
--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -5,6 +5,7 @@
 use plan::worker::{RefusalKind, StartAnswer};
 
 use crate::limits;
+use crate::metrics;
 use crate::owner::{OwnerPorts, SharedSession, workers};
 
 /// Sends a start; the planner learns the answer.
@@ -31,6 +32,8 @@
             _ => StartAnswer::Refused(RefusalKind::Unhealthy),
         };
         drop(permit);
+        let label = metrics::label("answer", format!("{answer:?}"));
+        sender.context.metrics.starts.add(1, &[label]);
         if answer == StartAnswer::Refused(RefusalKind::Fenced) {
             sender.depose("fenced-by-worker");
             return;
@@ -66,6 +69,7 @@
             order.reason,
             answer.is_ok()
         );
+        sender.context.metrics.stops.add(1, &[metrics::label("reason", order.reason)]);
         match answer {
             Ok(()) => {
                 let now = sender.context.clock.now();
--- a/crates/fleet/src/owner/progress.rs
+++ b/crates/fleet/src/owner/progress.rs
@@ -4,6 +4,7 @@
 use plan::planner::ProgressBatch;
 
 use crate::limits;
+use crate::metrics;
 use crate::owner::{OwnerPorts, SharedSession};
 use crate::ports::{RowTransaction, TransactOutcome};
 use crate::row;
@@ -72,6 +73,8 @@
             for (id, record) in &batch.records {
                 if record.status.is_final() {
                     log::info!("job over job={id} status={:?} version={version}", record.status);
+                    let label = metrics::label("status", format!("{:?}", record.status));
+                    session.context.metrics.jobs_over.add(1, &[label]);
                     versions.remove(id);
                 } else {
                     versions.insert(id.clone(), version);
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -18,6 +18,7 @@
 use crate::context::SharedContext;
 use crate::desk;
 use crate::limits;
+use crate::metrics;
 use crate::news::NewsBook;
 use crate::owner::workers::WorkerLink;
 use crate::owner::{
@@ -108,6 +109,8 @@
     held: HeldOwnership,
     retire: &CancellationToken,
 ) {
+    context.metrics.is_owner.record(1, &[]);
+    context.metrics.ownership.add(1, &[metrics::label("change", "acquired")]);
     let over = retire.child_token();
     let first_run = u32::try_from((held.term - 1) * RUNS_PER_TERM + 1).unwrap_or(1);
     let session = Rc::new(OwnerSession {
@@ -142,6 +145,8 @@
         over.run_until_cancelled(decide(&session)).await;
     }
     over.cancel();
+    context.metrics.is_owner.record(0, &[]);
+    context.metrics.ownership.add(1, &[metrics::label("change", "lost")]);
     context.owned.borrow_mut().take();
     release(&session).await;
 }
@@ -158,6 +163,7 @@
         }
         let sent_at = session.context.clock.now();
         *session.context.waiting.borrow_mut() = session.planner.borrow().waiting_by_queue();
+        record_gauges(&session);
         let owner = owner_row(&session, session.context.identity.name.clone());
         if let Some(version) = write_owner(&session.context, session.version.get(), &owner).await {
             session.version.set(version);
@@ -172,6 +178,15 @@
     }
 }
 
+fn record_gauges<P: OwnerPorts>(session: &SharedSession<P>) {
+    let metrics = &session.context.metrics;
+    let count = |number: usize| u64::try_from(number).unwrap_or(u64::MAX);
+    let planner = session.planner.borrow();
+    metrics.jobs_live.record(count(planner.live_jobs()), &[]);
+    metrics.runs_present.record(count(planner.present_runs()), &[]);
+    metrics.workers_silent.record(count(workers::count_silent(session).0), &[]);
+}
+
 /// Looks for an entry that the table service answers, after a renewal has failed here,
 /// and gives the fleet up to it. Without one the service is away for all, and
 /// this owner goes on when it is back.
@@ -301,7 +316,10 @@
         if !session.is_held() {
             continue;
         }
+        let started = std::time::Instant::now();
         let decisions = session.planner.borrow_mut().decide(now.0, desk::unix_ms());
+        let micros = started.elapsed().as_secs_f64() * 1e6;
+        session.context.metrics.decision_time.record(micros, &[]);
         for decision in decisions {
             match decision {
                 PlanDecision::Start(order) => orders::start(session, order),
--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -12,6 +12,7 @@
 
 use crate::lease::WorkerLease;
 use crate::limits;
+use crate::metrics;
 use crate::owner::{OwnerPorts, SharedSession};
 use crate::ports::{LookAnswer, LookOrder, OrderStamp, TableRow};
 
@@ -158,6 +159,8 @@
                         end.run,
                         end.kind
                     );
+                    let label = metrics::label("kind", format!("{:?}", end.kind));
+                    session.context.metrics.ends.add(1, &[label]);
                 }
                 session.planner.borrow_mut().report(&name, &report, sent_at.0, now.0);
                 session.wake.notify_one();
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod endpoint;
 pub mod failure;
 pub mod http;
+pub mod meter;
 pub mod peer;
 pub mod platform;
 pub mod worker;
--- /dev/null
+++ b/crates/link/src/meter.rs
@@ -0,0 +1,52 @@
+//! Instruments of one process, served in Prometheus text format.
+
+use opentelemetry::metrics::{Meter, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, TextEncoder};
+
+/// Name of the scope of all instruments.
+const SCOPE: &str = "amaranthsaddle";
+
+/// Collects the instruments of one process.
+#[derive(Debug)]
+pub struct MeterRegistry {
+    registry: prometheus::Registry,
+    provider: SdkMeterProvider,
+}
+
+impl MeterRegistry {
+    /// Creates a registry without instruments.
+    ///
+    /// # Errors
+    /// An error if the exporter cannot be registered.
+    pub fn new() -> Result<Self, Box<dyn std::error::Error>> {
+        let registry = prometheus::Registry::new();
+        let exporter =
+            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Ok(Self { registry, provider })
+    }
+
+    /// Returns the meter that builds instruments.
+    #[must_use]
+    pub fn meter(&self) -> Meter {
+        self.provider.meter(SCOPE)
+    }
+
+    /// Returns all metrics as text.
+    #[must_use]
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!("metrics cannot be encoded: {error}");
+        }
+        String::from_utf8(text).unwrap_or_default()
+    }
+
+    /// Flushes the instruments at the end of the process.
+    pub fn shut_down(&self) {
+        if let Err(error) = self.provider.shutdown() {
+            log::debug!("metrics provider did not shut down cleanly: {error}");
+        }
+    }
+}
