--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -99,6 +99,14 @@
 pub const PROGRESS_INTERVAL: Duration = Duration::from_millis(80);
 /// Time during which ends of jobs gather for one transaction.
 pub const PROGRESS_GATHER: Duration = Duration::from_millis(25);
+/// Pause between two removals of old states.
+pub const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
+/// States that one transaction removes; each takes one condition and one removal.
+pub const SWEEP_BATCH: usize = 48;
+/// Time beyond the promised one for which states are kept, in milliseconds: VMs
+/// differ by seconds in their time of day, and late repeats of a submission still
+/// have to find the state.
+pub const KEEP_MARGIN_MS: u64 = 30_000;
 /// Time during which events gather before the planner decides.
 pub const DECIDE_GATHER: Duration = Duration::from_millis(2);
 /// Longest time between two decisions; pauses of workers and questions end by time alone.
@@ -129,4 +137,6 @@
     pub worker_lease_ms: u64,
     /// Time after which a withdrawn key must not work, in milliseconds.
     pub revoke_ms: u64,
+    /// Time for which the state of a job that is over is kept, in milliseconds.
+    pub keep_ms: u64,
 }
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -114,10 +114,13 @@
         {
             if record.status.is_final() {
                 session.tell(&id, record.status);
+                let end = (record.ended_ms, id.clone(), found.version);
+                session.ended.borrow_mut().push_back(end);
             }
             records.insert(id, record);
         }
     }
+    session.ended.borrow_mut().make_contiguous().sort_unstable();
     for found in jobs.rows.iter().chain(&inbox.rows) {
         apply_job(session, found, &records);
     }
--- a/crates/fleet/src/owner/progress.rs
+++ b/crates/fleet/src/owner/progress.rs
@@ -1,8 +1,10 @@
 //! Storing progress before the ends that it counts are acknowledged.
 
 use link::failure::{self, CallFailure};
+use model::name::JobId;
 use plan::planner::ProgressBatch;
 
+use crate::desk;
 use crate::limits;
 use crate::metrics;
 use crate::owner::{OwnerPorts, SharedSession};
@@ -75,6 +77,8 @@
                     log::info!("job over job={id} status={:?} version={version}", record.status);
                     let label = metrics::label("status", format!("{:?}", record.status));
                     session.context.metrics.jobs_over.add(1, &[label]);
+                    let end = (record.ended_ms, id.clone(), version);
+                    session.ended.borrow_mut().push_back(end);
                     versions.remove(id);
                 } else {
                     versions.insert(id.clone(), version);
@@ -112,3 +116,39 @@
         }
     }
 }
+
+/// Removes the states of jobs that were over long ago.
+pub(crate) async fn sweep<P: OwnerPorts>(session: SharedSession<P>) {
+    let keep_ms = session.context.bounds.keep_ms + limits::KEEP_MARGIN_MS;
+    loop {
+        tokio::time::sleep(limits::SWEEP_INTERVAL).await;
+        let old = take_old(&session, desk::unix_ms().saturating_sub(keep_ms));
+        if old.is_empty() {
+            continue;
+        }
+        let mut transaction = RowTransaction::default();
+        for (_, id, version) in &old {
+            transaction.expected.push((row::progress_key(id), *version));
+            transaction.removes.push(row::progress_key(id));
+        }
+        match session.context.ports.transact(&transaction, limits::SUBMIT_TIMEOUT).await {
+            Ok(TransactOutcome::Done(_)) => log::debug!("old states removed jobs={}", old.len()),
+            // The next owner reads what is left and removes it.
+            Ok(TransactOutcome::Conflict(_)) => log::warn!("old states changed jobs={}", old.len()),
+            Err(error) => {
+                log::warn!("old states not removed error=\"{}\"", failure::brief(&error));
+                session.ended.borrow_mut().extend(old);
+            }
+        }
+    }
+}
+
+fn take_old<P: OwnerPorts>(session: &SharedSession<P>, before_ms: u64) -> Vec<(u64, JobId, u64)> {
+    let mut ended = session.ended.borrow_mut();
+    let mut old = Vec::new();
+    while old.len() < limits::SWEEP_BATCH && ended.front().is_some_and(|(at, _, _)| *at < before_ms)
+    {
+        old.extend(ended.pop_front());
+    }
+    old
+}
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -1,7 +1,7 @@
 //! One ownership, from the claim to its end.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
 use link::failure;
@@ -44,6 +44,8 @@
     pub(crate) expiring: RefCell<Vec<WorkerName>>,
     /// Versions of the progress rows that exist.
     pub(crate) progress_versions: RefCell<BTreeMap<JobId, u64>>,
+    /// Jobs that are over: time of the end, and version of the row.
+    pub(crate) ended: RefCell<VecDeque<(u64, JobId, u64)>>,
     /// Version of the row of this term, under which jobs and progress are stored.
     pub(crate) term_version: Cell<u64>,
     /// Whether another entry was told to claim.
@@ -122,6 +124,7 @@
         links: RefCell::default(),
         expiring: RefCell::default(),
         progress_versions: RefCell::default(),
+        ended: RefCell::default(),
         term_version: Cell::new(0),
         handed_over: Cell::new(false),
         version: Cell::new(held.version),
@@ -140,6 +143,7 @@
         session.spawn(load::follow_jobs(session.clone(), positions.jobs));
         session.spawn(load::follow_workers(session.clone(), positions.workers));
         session.spawn(progress::run(session.clone()));
+        session.spawn(progress::sweep(session.clone()));
         session.spawn(watch_reach(session.clone()));
         session.spawn(submits::run(session.clone()));
         over.run_until_cancelled(decide(&session)).await;
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -12,7 +12,7 @@
 use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
 use crate::order::{JobRank, RankClass};
 use crate::planner::Planner;
-use crate::state::{RunPhase, RunState, WorkerState};
+use crate::state::{RunPhase, RunState, SharingKind, WorkerState};
 
 /// Most workers that one call for advice may name.
 const ASK_LIMIT: usize = 100;
@@ -38,6 +38,8 @@
     name: WorkerName,
     free: ResourceAmounts,
     near_data: bool,
+    /// Whether fillers run here that would slow a service.
+    has_fillers: bool,
     rack: Option<ArcStr>,
     ticket: ArcStr,
     /// Tasks of the step that may still be placed here because of the spread.
@@ -229,6 +231,10 @@
             if !usable || !occupied.fits_in(worker.free()) {
                 continue;
             }
+            // Fillers slow services by amounts that nobody knows beforehand.
+            if step.filler && worker.has_sharing(SharingKind::Serving) {
+                continue;
+            }
             if step.label.as_ref().is_some_and(|label| !worker.info.labels.contains(label)) {
                 continue;
             }
@@ -254,6 +260,7 @@
                 free: worker.free(),
                 near_data: step.data_rack.is_some()
                     && step.data_rack.as_ref() == worker.info.rack(),
+                has_fillers: worker.has_sharing(SharingKind::Filler),
                 rack: worker.info.rack().cloned(),
                 ticket,
                 spread_left,
@@ -346,7 +353,8 @@
             .enumerate()
             .filter(|(_, option)| option.fits(occupied) > 0)
             .min_by_key(|(_, option)| {
-                (avoid.contains(&option.name), !option.near_data, option.free.cpu_millis)
+                let disturbed = step.tail_target_ms > 0 && option.has_fillers;
+                (avoid.contains(&option.name), disturbed, !option.near_data, option.free.cpu_millis)
             })
             .map(|(index, _)| index)
     }
@@ -438,6 +446,20 @@
         }
     }
 
+    /// Stops the fillers of a worker on which a service starts; they go on elsewhere.
+    fn stop_fillers(&mut self, name: &WorkerName) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let fillers: Vec<_> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| run.sharing == SharingKind::Filler)
+            .map(|(task, _)| task.clone())
+            .collect();
+        for task in fillers {
+            self.stop_run(name, &task, "service-starts");
+        }
+    }
+
     fn next_gang_run(&mut self, key: &StepKey) -> u32 {
         let base = self.run_base;
         let Some(state) = self.step_mut(key) else { return base };
@@ -455,6 +477,9 @@
     ) {
         let step = &spec.steps[task.step.step as usize];
         let base = self.run_base;
+        if step.tail_target_ms > 0 {
+            self.stop_fillers(name);
+        }
         let Some(state) = self.step_mut(&task.step) else { return };
         let gang_saved = state.gang_saved.clone();
         let Some(waiting) = state.tasks.get(task.index as usize) else { return };
@@ -469,6 +494,7 @@
             charged: step.amounts,
             team: spec.team.clone(),
             stop_sent: false,
+            sharing: SharingKind::of(step),
             gauge: 0,
         };
         self.add_run(name, task, state);
--- a/crates/plan/src/progress.rs
+++ b/crates/plan/src/progress.rs
@@ -37,11 +37,19 @@
 pub struct ProgressRecord {
     /// State.
     pub status: JobStatus,
+    /// Time of the end in milliseconds since 1970; 0 for a job that is not over.
+    #[serde(skip_serializing_if = "is_zero")]
+    pub ended_ms: u64,
     /// Done and failed tasks by occurrence and step; left out once the job is over.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub steps: Vec<StepProgress>,
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 /// Progress of one occurrence of one step.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -8,7 +8,7 @@
 use crate::job::TaskKey;
 use crate::planner::Planner;
 use crate::progress::JobStatus;
-use crate::state::{IssuedTicket, RunPhase, RunState};
+use crate::state::{IssuedTicket, RunPhase, RunState, SharingKind};
 use crate::worker::{EndKind, ListedEnd, ListedRun, RefusalKind, RunReport, StartAnswer};
 
 /// First failures without a success after which a worker gets no work for a while.
@@ -222,14 +222,14 @@
         let wanted = self.wants(listed);
         let capacity =
             self.workers.get(name).map_or(ResourceAmounts::ZERO, |worker| worker.info.capacity);
-        let (occupied, charged, team) = match self.jobs.get(&listed.task.step.job) {
-            Some(job) => match job.spec.steps.get(listed.task.step.step as usize) {
-                Some(step) => (step.occupied(), step.amounts, job.spec.team.clone()),
-                None => (capacity, ResourceAmounts::ZERO, None),
-            },
+        let job = self.jobs.get(&listed.task.step.job);
+        let step = job.and_then(|job| job.spec.steps.get(listed.task.step.step as usize));
+        let (occupied, charged, sharing) = match step {
+            Some(step) => (step.occupied(), step.amounts, SharingKind::of(step)),
             // The job is over and its sizes are forgotten, so that the run may take everything.
-            None => (capacity, ResourceAmounts::ZERO, None),
+            None => (capacity, ResourceAmounts::ZERO, SharingKind::Plain),
         };
+        let team = job.and_then(|job| job.spec.team.clone());
         let run = RunState {
             run: listed.run,
             phase: RunPhase::Running,
@@ -239,6 +239,7 @@
             charged,
             team,
             stop_sent: false,
+            sharing,
             gauge: listed.gauge,
         };
         self.add_run(name, &listed.task, run);
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -8,7 +8,7 @@
 use model::resource::ResourceAmounts;
 use smallvec::SmallVec;
 
-use crate::job::{JobSpec, TaskKey};
+use crate::job::{JobSpec, StepSpec, TaskKey};
 use crate::progress::JobStatus;
 use crate::worker::WorkerInfo;
 
@@ -19,6 +19,8 @@
     /// When the job was submitted, on the planner's clock.
     pub(crate) arrived_ms: u64,
     pub(crate) status: JobStatus,
+    /// Time of the end in milliseconds since 1970; 0 before it.
+    pub(crate) ended_ms: u64,
     pub(crate) occurrences: BTreeMap<u32, OccurrenceState>,
     /// First occurrence that was not yet due.
     pub(crate) next_occurrence: u32,
@@ -98,6 +100,29 @@
     Stopping,
 }
 
+/// How a run gets along with others on its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SharingKind {
+    /// It neither disturbs nor is disturbed beyond its size.
+    Plain,
+    /// It uses what others leave and slows those that serve.
+    Filler,
+    /// It serves users and has a target for its tail.
+    Serving,
+}
+
+impl SharingKind {
+    pub(crate) fn of(step: &StepSpec) -> Self {
+        if step.filler {
+            Self::Filler
+        } else if step.tail_target_ms > 0 {
+            Self::Serving
+        } else {
+            Self::Plain
+        }
+    }
+}
+
 /// A run that may be present on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct RunState {
@@ -112,9 +137,11 @@
     /// What the run counts against the team's limit.
     pub(crate) charged: ResourceAmounts,
     pub(crate) team: Option<TeamName>,
-    /// Whether the stop was sent and not confirmed.
+    /// Whether the stop was sent.
     pub(crate) stop_sent: bool,
-    /// Whether the run is overdue and was reported as such.
+    /// How the run gets along with others on its worker.
+    pub(crate) sharing: SharingKind,
+    /// Tail response time in milliseconds of a service, processor use of any other task.
     pub(crate) gauge: u64,
 }
 
@@ -156,6 +183,11 @@
         }
     }
 
+    /// Tells whether a run of this kind is present.
+    pub(crate) fn has_sharing(&self, kind: SharingKind) -> bool {
+        self.runs.values().any(|run| run.sharing == kind)
+    }
+
     /// Returns what is free.
     pub(crate) fn free(&self) -> ResourceAmounts {
         self.info.capacity.minus(self.occupied)
--- a/crates/plan/tests/place.rs
+++ b/crates/plan/tests/place.rs
@@ -235,3 +235,53 @@
         now += pause;
     }
 }
+
+/// Guards against fillers that slow the services beside them.
+#[test]
+fn fillers_and_services_do_not_share_a_worker() {
+    let filler = StepSpec { filler: true, ..step(2, cpu(8_000)) };
+    let service = StepSpec { service: true, tail_target_ms: 50, ..step(1, cpu(1_000)) };
+    let mut bench = PlanBench::new(1, config());
+    bench.add(job("fill", "batch", vec![filler]));
+    assert_eq!(bench.run_starts(StartAnswer::Started).len(), 2, "fillers need no processor room");
+    bench.add(job("serve", "normal", vec![service]));
+    let decisions = bench.decide();
+    assert_eq!(stops(decisions.clone()).len(), 2, "the only worker is cleared of fillers");
+    assert_eq!(support::starts(decisions).len(), 1);
+    assert!(bench.starts().is_empty());
+}
+
+/// Guards against a service that is taken for done when a run of it ends.
+#[test]
+fn a_service_starts_again_however_it_ends() {
+    let service = StepSpec { service: true, ..step(1, cpu(1_000)) };
+    let mut bench = PlanBench::new(2, config());
+    bench.add(job("serve", "normal", vec![service]));
+    for kind in [EndKind::Done, EndKind::Failed, EndKind::Failed, EndKind::Lapsed] {
+        let order = bench.run_starts(StartAnswer::Started).remove(0);
+        bench.end(&order, kind);
+    }
+    assert_eq!(bench.starts().len(), 1);
+}
+
+/// Guards against an occurrence that starts before it is due, or not at all.
+#[test]
+fn occurrences_start_when_they_are_due() {
+    let mut bench = PlanBench::new(1, config());
+    let mut spec = job("timed", "normal", vec![step(1, cpu(100))]);
+    spec.schedule =
+        Some(plan::job::JobSchedule { start_ms: 1_000, interval_ms: 500, occurrences: 2 });
+    bench.add(spec);
+    assert!(bench.starts().is_empty());
+    bench.now_ms = 1_000;
+    let first = bench.run_starts(StartAnswer::Started);
+    assert_eq!(first.len(), 1);
+    bench.now_ms = 1_600;
+    let second = bench.run_starts(StartAnswer::Started);
+    assert_eq!(second[0].task.step.occurrence, 1, "occurrences may overlap");
+    bench.end(&first[0], EndKind::Done);
+    assert!(bench.planner.is_known(&"timed".into()));
+    bench.end(&second[0], EndKind::Done);
+    assert_eq!(bench.store().len(), 1);
+    assert!(!bench.planner.is_known(&"timed".into()));
+}
