--- a/crates/entry/tests/operator_signs.rs
+++ b/crates/entry/tests/operator_signs.rs
@@ -1,4 +1,4 @@
-//! Log lines and metrics that `docs/operations.md` tells operators to look for.
+//! Log lines and metrics that `docs/OPERATIONS.md` tells operators to look for.
 
 use std::time::{Duration, Instant};
 
--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -136,7 +136,20 @@
     }
 
     async fn try_answer(&self, request: CallerRequest) -> CallerAnswer {
-        match self.handle(request).await {
+        let (ask, path) = (request.ask.name(), request.path.clone());
+        let result = self.handle(request).await;
+        if let Err((kind, message)) = &result {
+            let context = &self.context;
+            log::info!(
+                "request refused ask={ask} path={path} kind={kind} config={} confirmed_ms_ago={} \
+                 connected={} news={} message=\"{message}\"",
+                context.view.borrow().config.as_ref().map_or(0, |config| config.version),
+                context.confirmation_age().map_or(-1, u64::cast_signed),
+                context.is_connected(),
+                context.has_fresh_news(),
+            );
+        }
+        match result {
             Ok(answer) => answer,
             Err((ErrorKind::ConfigStale | ErrorKind::PlatformDown, message))
                 if self.context.has_fresh_news() =>
@@ -153,19 +166,12 @@
             return Err((ErrorKind::ConfigStale, "no configuration is known yet".to_owned()));
         };
         if !self.context.is_confirmed() {
-            let age = self.context.confirmation_age();
-            log::info!(
-                "request refused path={} kind=config-stale version={} age_ms={age:?}",
-                request.path,
-                config.version
-            );
             let message = "the configuration could not be confirmed; try another entry";
             return Err((ErrorKind::ConfigStale, message.to_owned()));
         }
         let (queue, team, rest) = admit(&config, &request)?;
         let needs_store = !matches!(request.ask, CallerAsk::Inspect);
         if needs_store && !self.context.is_connected() {
-            log::info!("request refused path={} kind=platform-down", request.path);
             let message = "this entry cannot reach the store; try another entry";
             return Err((ErrorKind::PlatformDown, message.to_owned()));
         }
--- a/crates/fleet/src/owner/progress.rs
+++ b/crates/fleet/src/owner/progress.rs
@@ -3,6 +3,7 @@
 use link::failure::{self, CallFailure};
 use model::name::JobId;
 use plan::planner::ProgressBatch;
+use plan::progress::ProgressRecord;
 
 use crate::desk;
 use crate::limits;
@@ -59,10 +60,13 @@
 async fn store<P: OwnerPorts>(session: &SharedSession<P>, batch: &ProgressBatch) -> bool {
     let mut transaction = RowTransaction::default();
     transaction.expected.push((row::term_key(), session.term_version.get()));
+    let now_ms = desk::unix_ms();
     for (id, record) in &batch.records {
+        let ended_ms = if record.status.is_final() { now_ms } else { 0 };
+        let record = ProgressRecord { ended_ms, ..record.clone() };
         let known = session.progress_versions.borrow().get(id).copied().unwrap_or(0);
         transaction.expected.push((row::progress_key(id), known));
-        transaction.writes.push((row::progress_key(id), row::encode(record)));
+        transaction.writes.push((row::progress_key(id), row::encode(&record)));
         if record.status.is_final() {
             transaction.removes.push(row::job_key(id));
             transaction.removes.push(row::inbox_key(id));
@@ -77,7 +81,7 @@
                     log::info!("job over job={id} status={:?} version={version}", record.status);
                     let label = metrics::label("status", format!("{:?}", record.status));
                     session.context.metrics.jobs_over.add(1, &[label]);
-                    let end = (record.ended_ms, id.clone(), version);
+                    let end = (now_ms, id.clone(), version);
                     session.ended.borrow_mut().push_back(end);
                     versions.remove(id);
                 } else {
--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -7,6 +7,7 @@
 use link::failure;
 use model::name::WorkerName;
 use model::time::ClockMillis;
+use plan::worker::{EndKind, ListedEnd};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 
@@ -153,14 +154,7 @@
                     link.failing_since = None;
                 }
                 for end in &report.ended {
-                    log::debug!(
-                        "run ended worker={name} task={} run={} end={:?}",
-                        end.task,
-                        end.run,
-                        end.kind
-                    );
-                    let label = metrics::label("kind", format!("{:?}", end.kind));
-                    session.context.metrics.ends.add(1, &[label]);
+                    record_end(&session, &name, end);
                 }
                 session.planner.borrow_mut().report(&name, &report, sent_at.0, now.0);
                 session.wake.notify_one();
@@ -195,6 +189,22 @@
     }
 }
 
+/// Logs and counts an end; only what did not go well is worth a line of its own.
+fn record_end<P: OwnerPorts>(session: &SharedSession<P>, name: &WorkerName, end: &ListedEnd) {
+    let level = if end.kind == EndKind::Done { log::Level::Debug } else { log::Level::Info };
+    log::log!(
+        level,
+        "run ended job={} task={} run={} worker={name} end={:?} number={}",
+        end.task.step.job,
+        end.task,
+        end.run,
+        end.kind,
+        end.number
+    );
+    let label = metrics::label("kind", format!("{:?}", end.kind));
+    session.context.metrics.ends.add(1, &[label]);
+}
+
 fn next_look<P: OwnerPorts>(
     session: &SharedSession<P>,
     name: &WorkerName,
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -495,7 +495,6 @@
             team: spec.team.clone(),
             stop_sent: false,
             sharing: SharingKind::of(step),
-            gauge: 0,
         };
         self.add_run(name, task, state);
         self.out.push(PlanDecision::Start(StartOrder {
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -49,8 +49,6 @@
     pub(crate) bounds: PlanBounds,
     pub(crate) run_base: u32,
     pub(crate) now_ms: u64,
-    /// Time of day in milliseconds since 1970.
-    pub(crate) unix_ms: u64,
     pub(crate) config: Arc<PlanConfig>,
     pub(crate) workers: BTreeMap<WorkerName, WorkerState>,
     pub(crate) jobs: BTreeMap<JobId, JobState>,
@@ -155,7 +153,6 @@
         let mut job = JobState {
             arrived_ms,
             status: progress.status,
-            ended_ms: 0,
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
             beyond_share,
@@ -295,7 +292,6 @@
     /// Decides what to do now. `unix_ms` is the time of day, for jobs with due times.
     pub fn decide(&mut self, now_ms: u64, unix_ms: u64) -> Vec<PlanDecision> {
         self.now_ms = self.now_ms.max(now_ms);
-        self.unix_ms = unix_ms;
         self.open_occurrences(unix_ms);
         self.place_waiting();
         std::mem::take(&mut self.out)
@@ -355,7 +351,6 @@
             return;
         }
         job.status = status;
-        job.ended_ms = self.unix_ms;
         job.occurrences.clear();
         let steps = job.spec.clone();
         self.dirty.insert(id.clone());
@@ -517,8 +512,7 @@
 }
 
 fn job_record(job: &JobState) -> ProgressRecord {
-    let mut record =
-        ProgressRecord { status: job.status, ended_ms: job.ended_ms, steps: Vec::new() };
+    let mut record = ProgressRecord { status: job.status, ..ProgressRecord::default() };
     if job.status.is_final() {
         return record;
     }
--- a/crates/plan/src/progress.rs
+++ b/crates/plan/src/progress.rs
@@ -37,7 +37,8 @@
 pub struct ProgressRecord {
     /// State.
     pub status: JobStatus,
-    /// Time of the end in milliseconds since 1970; 0 for a job that is not over.
+    /// When the state of a job that is over was first stored, in milliseconds since
+    /// 1970; 0 for a job that is not over.
     #[serde(skip_serializing_if = "is_zero")]
     pub ended_ms: u64,
     /// Done and failed tasks by occurrence and step; left out once the job is over.
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -200,7 +200,6 @@
         let Some(worker) = self.workers.get_mut(name) else { return };
         if let Some(run) = worker.runs.get_mut(&listed.task) {
             if run.run == listed.run {
-                run.gauge = listed.gauge;
                 if run.phase == RunPhase::Starting {
                     run.phase = RunPhase::Running;
                     run.confirmed_ms = Some(now);
@@ -240,7 +239,6 @@
             team,
             stop_sent: false,
             sharing,
-            gauge: listed.gauge,
         };
         self.add_run(name, &listed.task, run);
         if wanted {
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -19,8 +19,6 @@
     /// When the job was submitted, on the planner's clock.
     pub(crate) arrived_ms: u64,
     pub(crate) status: JobStatus,
-    /// Time of the end in milliseconds since 1970; 0 before it.
-    pub(crate) ended_ms: u64,
     pub(crate) occurrences: BTreeMap<u32, OccurrenceState>,
     /// First occurrence that was not yet due.
     pub(crate) next_occurrence: u32,
@@ -141,8 +139,6 @@
     pub(crate) stop_sent: bool,
     /// How the run gets along with others on its worker.
     pub(crate) sharing: SharingKind,
-    /// Tail response time in milliseconds of a service, processor use of any other task.
-    pub(crate) gauge: u64,
 }
 
 /// A worker and what may run there.
