Refuse what cannot be stored before its deadline, and stop no run that has ended

Cause: repeats of a submission came with a few hundred milliseconds left, of which 250 were kept back, so that a job of which nothing was sent got a 504. A task's last failed run was stopped after its end.

--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -206,7 +206,12 @@
             schedule: draft.schedule,
             accepted_ms: unix_ms(),
         };
-        let give_up_at = self.context.clock.now() + patience_ms(patience);
+        let patience_ms = patience_ms(patience);
+        if patience_ms < limits::LEAST_PATIENCE_MS {
+            let message = "the deadline is too close to store the job";
+            return Err((ErrorKind::DeadlineNotMet, message.to_owned()));
+        }
+        let give_up_at = self.context.clock.now() + patience_ms;
         match self.store(spec, give_up_at).await {
             Ok(_) => Ok(CallerAnswer::Accepted),
             Err(kind) => Err((kind, "the job could not be stored".to_owned())),
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -91,7 +91,10 @@
 /// Submissions that one entry holds; more are refused at once.
 pub const SUBMIT_BOUND: usize = 2_000;
 /// Time kept back of a caller's deadline for the answer to arrive, in milliseconds.
-pub const ANSWER_MARGIN_MS: u64 = 250;
+pub const ANSWER_MARGIN_MS: u64 = 60;
+/// Least time for storing a job, in milliseconds; with less, the caller is refused
+/// before anything is sent.
+pub const LEAST_PATIENCE_MS: u64 = 20;
 /// Records of progress in one transaction; each takes one condition, one write and three removals.
 pub const PROGRESS_BATCH: usize = 18;
 /// Longest time that progress of a job that is not over waits to be stored; the
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -80,15 +80,21 @@
         self.acks.ends.push_back((name.clone(), born, end.number));
         let run = worker.runs.get(&end.task).filter(|run| run.run == end.run).cloned();
         self.keep_saved(&end.task, &end.saved);
-        match end.kind {
-            EndKind::Done => self.task_done(name, end, run.as_ref()),
+        let exhausted = match end.kind {
+            EndKind::Done => {
+                self.task_done(name, end, run.as_ref());
+                false
+            }
             EndKind::Failed => self.task_failed(name, end),
-            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {}
-        }
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => false,
+        };
+        // The ended run goes first, so that the end of its job does not stop it.
         if run.is_some() {
             self.drop_run(name, &end.task);
         }
-        if end.kind == EndKind::Done {
+        if exhausted {
+            self.finish_job(&end.task.step.job, JobStatus::Failed);
+        } else if end.kind == EndKind::Done {
             self.finish_if_done(&end.task);
         }
     }
@@ -153,15 +159,16 @@
         }
     }
 
-    fn task_failed(&mut self, name: &WorkerName, end: &ListedEnd) {
-        let Some(job) = self.jobs.get(&end.task.step.job) else { return };
+    /// Counts a failed run; true if the task has no attempt left.
+    fn task_failed(&mut self, name: &WorkerName, end: &ListedEnd) -> bool {
+        let Some(job) = self.jobs.get(&end.task.step.job) else { return false };
         let attempts = self.config.queues.get(&job.spec.queue).map(|rule| rule.attempts);
-        let Some(spec) = self.step_spec(&end.task.step) else { return };
+        let Some(spec) = self.step_spec(&end.task.step) else { return false };
         let (gang, service) = (spec.gang, spec.service);
-        let Some(step) = self.step_mut(&end.task.step) else { return };
-        let Some(state) = step.tasks.get_mut(end.task.index as usize) else { return };
+        let Some(step) = self.step_mut(&end.task.step) else { return false };
+        let Some(state) = step.tasks.get_mut(end.task.index as usize) else { return false };
         if state.failed_runs.contains(&end.run) {
-            return;
+            return false;
         }
         if !service {
             state.failed_runs.push(end.run);
@@ -179,9 +186,7 @@
         if first {
             self.strike(name);
         }
-        if !service && attempts.is_some_and(|attempts| failures >= attempts as usize) {
-            self.finish_job(&end.task.step.job, JobStatus::Failed);
-        }
+        !service && attempts.is_some_and(|attempts| failures >= attempts as usize)
     }
 
     /// Counts a first failure; a task that fails everywhere counts once.
--- a/crates/plan/tests/runs.rs
+++ b/crates/plan/tests/runs.rs
@@ -143,6 +143,12 @@
     assert!(stops(bench.decide()).is_empty());
     let records: Vec<ProgressRecord> = bench.store().into_values().collect();
     assert_eq!(records[0].status, JobStatus::Completed);
+    bench.add(job("failing", "normal", vec![step(1, cpu(1_000))]));
+    for _ in 0..2 {
+        let order = bench.run_starts(StartAnswer::Started).remove(0);
+        bench.end(&order, EndKind::Failed);
+    }
+    assert!(stops(bench.decide()).is_empty(), "the failed run has ended as well");
 }
 
 /// Guards against runs that go on after their job was cancelled, known or adopted.
