--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -153,18 +153,29 @@
         return;
     }
     let Some(spec) = row::decode::<JobSpec>(row::JOB_TABLE, &found.key, value) else { return };
-    // A row may have been read before its job ended.
-    let known = session.context.statuses.borrow().get(&spec.id);
-    if known.is_some_and(JobStatus::is_final) || session.planner.borrow().is_known(&spec.id) {
-        return;
-    }
     let now = session.context.clock.now();
     // The clocks of VMs differ a little; a job cannot have come in the future.
     let age = desk::unix_ms().saturating_sub(spec.accepted_ms);
     let none = ProgressRecord::default();
     let record = records.get(&spec.id).unwrap_or(&none);
+    admit(session, spec, record, now.0.saturating_sub(age));
+}
+
+/// Hands a stored job to the planner, unless it is known or over: a row may have been
+/// read, and an answer of the store may come, after the job has run.
+pub(crate) fn admit<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    spec: JobSpec,
+    record: &ProgressRecord,
+    arrived_ms: u64,
+) {
+    let status = session.context.statuses.borrow().get(&spec.id);
+    let over = status.is_some_and(JobStatus::is_final);
+    if over || session.planner.borrow().is_known(&spec.id) {
+        return;
+    }
     session.tell(&spec.id, JobStatus::Pending);
-    session.planner.borrow_mut().add_job(&Arc::new(spec), record, now.0.saturating_sub(age));
+    session.planner.borrow_mut().add_job(&Arc::new(spec), record, arrived_ms);
 }
 
 /// Follows the jobs and cancellations that other entries store.
--- a/crates/fleet/src/owner/submits.rs
+++ b/crates/fleet/src/owner/submits.rs
@@ -1,7 +1,6 @@
 //! Storing jobs that entries hand to the owner.
 
 use std::rc::Rc;
-use std::sync::Arc;
 
 use plan::progress::ProgressRecord;
 use tokio::sync::mpsc;
@@ -52,9 +51,7 @@
         queue.doubt.notify_one();
     }
     if verdict == Ok(StoredJob::New) {
-        session.tell(&spec.id, plan::progress::JobStatus::Pending);
-        let none = ProgressRecord::default();
-        session.planner.borrow_mut().add_job(&Arc::new(spec), &none, arrived_ms);
+        load::admit(&session, spec, &ProgressRecord::default(), arrived_ms);
         session.wake.notify_one();
     }
     if reply.send(verdict).is_err() {
