--- a/crates/fleet/src/row.rs
+++ b/crates/fleet/src/row.rs
@@ -16,9 +16,9 @@
 /// Table of the ownership and of the entries.
 pub const STATE_TABLE: &str = "state";
 /// Table that operators write.
-pub const OPERATOR_TABLE: &str = "op";
+pub const OPERATOR_TABLE: &str = "operators";
 /// Table in which workers register.
-pub const WORKER_TABLE: &str = "servers";
+pub const WORKER_TABLE: &str = "workers";
 /// Part of jobs and their progress; one part, so that they change together.
 pub const JOB_PART: &str = "fleet";
 /// Part of the ownership row. A part refuses calls when too many wait, and a
