--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -180,9 +180,7 @@
                 let id = job_id(&rest)?;
                 self.submit(id, queue, team, draft, request.patience).await
             }
-            CallerAsk::Inspect if rest.is_empty() => {
-                Ok(CallerAnswer::Waiting(self.waiting(&queue)))
-            }
+            CallerAsk::Inspect if rest.is_empty() => self.waiting(&queue),
             CallerAsk::Inspect => self.inspect(&job_id(&rest)?).await,
             CallerAsk::Cancel => self.cancel(&job_id(&rest)?, request.patience).await,
         }
@@ -271,8 +269,14 @@
         }))
     }
 
-    fn waiting(&self, queue: &QueueName) -> u32 {
-        self.context.waiting.borrow().get(queue).copied().unwrap_or(0)
+    /// Counts are the owner's; an entry that has not heard of it lately knows none.
+    fn waiting(&self, queue: &QueueName) -> Result<CallerAnswer, (ErrorKind, String)> {
+        if !self.context.has_fresh_news() {
+            let message = "the owner of the fleet does not answer; the count is not known";
+            return Err((ErrorKind::NoOwner, message.to_owned()));
+        }
+        let count = self.context.waiting.borrow().get(queue).copied().unwrap_or(0);
+        Ok(CallerAnswer::Waiting(count))
     }
 
     async fn inspect(&self, id: &JobId) -> Result<CallerAnswer, (ErrorKind, String)> {
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -140,6 +140,7 @@
     actix_rt::spawn(renew(session.clone()));
     let loaded = over.run_until_cancelled(load::load(&session, held.before.as_ref())).await;
     if let Some(positions) = loaded {
+        *context.waiting.borrow_mut() = session.planner.borrow().waiting_by_queue();
         session.spawn(load::follow_jobs(session.clone(), positions.jobs));
         session.spawn(load::follow_workers(session.clone(), positions.workers));
         session.spawn(progress::run(session.clone()));
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -215,12 +215,7 @@
         rule: &QueueRule,
         reserved: &BTreeSet<WorkerName>,
     ) -> Vec<WorkerOption> {
-        let Some(state) = self
-            .jobs
-            .get(&key.job)
-            .and_then(|job| job.occurrences.get(&key.occurrence))
-            .and_then(|occurrence| occurrence.steps.get(key.step as usize))
-        else {
+        let Some(state) = self.step_state(key) else {
             return Vec::new();
         };
         let occupied = step.occupied();
@@ -327,10 +322,7 @@
     }
 
     fn waiting_tasks(&self, key: &StepKey) -> Vec<u32> {
-        self.jobs
-            .get(&key.job)
-            .and_then(|job| job.occurrences.get(&key.occurrence))
-            .and_then(|occurrence| occurrence.steps.get(key.step as usize))
+        self.step_state(key)
             .map(|step| {
                 let waits =
                     |(task, index): (&crate::state::TaskState, u32)| task.waits().then_some(index);
@@ -412,12 +404,7 @@
         rule: &QueueRule,
         reserved: &mut BTreeSet<WorkerName>,
     ) {
-        let Some(state) = self
-            .jobs
-            .get(&key.job)
-            .and_then(|job| job.occurrences.get(&key.occurrence))
-            .and_then(|occurrence| occurrence.steps.get(key.step as usize))
-        else {
+        let Some(state) = self.step_state(key) else {
             return;
         };
         let mut workers: Vec<_> = self
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -335,6 +335,11 @@
         self.jobs.get(&key.job)?.spec.steps.get(key.step as usize)
     }
 
+    pub(crate) fn step_state(&self, key: &StepKey) -> Option<&StepState> {
+        let job = self.jobs.get(&key.job)?;
+        job.occurrences.get(&key.occurrence)?.steps.get(key.step as usize)
+    }
+
     pub(crate) fn step_mut(&mut self, key: &StepKey) -> Option<&mut StepState> {
         let job = self.jobs.get_mut(&key.job)?;
         job.occurrences.get_mut(&key.occurrence)?.steps.get_mut(key.step as usize)
