--- a/standins/site/src/server.rs
+++ b/standins/site/src/server.rs
@@ -23,6 +23,8 @@
     pub store_down: bool,
     /// The table service carries writes out and does not answer.
     pub answers_lost: bool,
+    /// Time between the moment that a read shows and its answer.
+    pub read_delay: Duration,
 }
 
 /// Everything that the site holds.
@@ -153,7 +155,7 @@
     let call = request.path().trim_start_matches("/amaranthsaddle/").to_owned();
     match (index, call.as_str()) {
         (0, "rows-tx") => transact(&body, &site),
-        (0, "rows-get") => read(&request, &site),
+        (0, "rows-get") => read(&request, &site).await,
         (0, "rows-feed") => follow(&request, &site).await,
         (0, "advise") => advise(&body),
         (0, _) => HttpResponse::NotFound().finish(),
@@ -201,17 +203,20 @@
     500
 }
 
-fn read(request: &HttpRequest, site: &SiteHandle) -> HttpResponse {
+async fn read(request: &HttpRequest, site: &SiteHandle) -> HttpResponse {
     let Ok(query) = web::Query::<ReadQuery>::from_query(request.query_string()) else {
         return HttpResponse::BadRequest().finish();
     };
-    let state = site.lock();
-    if state.faults.store_down {
-        return HttpResponse::ServiceUnavailable().finish();
-    }
-    let range = (query.from.as_str(), query.to.as_deref());
-    let (rows, more) = state.table.read(&query.table, &query.part, range, query.limit);
-    let version = state.table.version;
+    let (rows, more, version, delay) = {
+        let state = site.lock();
+        if state.faults.store_down {
+            return HttpResponse::ServiceUnavailable().finish();
+        }
+        let range = (query.from.as_str(), query.to.as_deref());
+        let (rows, more) = state.table.read(&query.table, &query.part, range, query.limit);
+        (rows, more, state.table.version, state.faults.read_delay)
+    };
+    tokio::time::sleep(delay).await;
     HttpResponse::Ok().json(json!({ "rows": rows, "hasMore": more, "ver": version, "nowMs": 0 }))
 }
 
