Leave the fleet to larger VMs

A small VM now waits 1.5 s longer before it claims, offers go to the strongest entries first, and an owner on a small VM hands the fleet to a larger one that can own it. Strength is the scarcer of processor time and link, from the settings.

Tests: a_small_vm_claims_later, the_scarcer_resource_counts.

--- a/crates/fleet/src/context.rs
+++ b/crates/fleet/src/context.rs
@@ -21,6 +21,7 @@
 use crate::ports::{GivenUp, RowStore};
 use crate::row::{self, MemberRow};
 use crate::status::StatusBook;
+use crate::strength::{self, VmStrength};
 use crate::submit::StoreVerdict;
 
 /// Who this entry is.
@@ -34,6 +35,8 @@
     pub domain: DomainName,
     /// Address of the peer interface.
     pub peer_address: ArcStr,
+    /// What the VM can carry.
+    pub strength: VmStrength,
 }
 
 /// A job that the owner is asked to store.
@@ -167,6 +170,18 @@
         self.members.borrow().get(&row.holder).map(|member| member.address.clone())
     }
 
+    /// Returns how long this entry waits before it claims a fleet that nobody holds, in milliseconds.
+    #[must_use]
+    pub fn claim_delay_ms(&self) -> u64 {
+        let members = self.members.borrow();
+        let others = members.values().map(|member| member.strength);
+        let delay_ms = strength::claim_delay_ms(self.identity.strength, others);
+        if self.owner.borrow().row().is_none() {
+            return delay_ms.max(strength::FIRST_CLAIM_DELAY_MS);
+        }
+        delay_ms
+    }
+
     /// Tells whether states of jobs are up to date without a read.
     #[must_use]
     pub fn has_fresh_news(&self) -> bool {
@@ -175,11 +190,14 @@
             || self.news_at.get().is_some_and(|at| now.since(at) < limits::NEWS_FRESH_MS)
     }
 
-    /// Tells whether the table service answers this entry now.
+    /// Tells whether this entry may claim the fleet and the table service answers it now.
     pub async fn can_own(&self) -> bool
     where
         P: RowStore,
     {
+        if self.owner.borrow().is_barred(self.clock.now()) {
+            return false;
+        }
         let read =
             self.ports.read(row::STATE_TABLE, row::OWNER_PART, None, limits::PROBE_TIMEOUT).await;
         self.view.borrow().config.is_some() && read.is_ok()
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -13,6 +13,8 @@
     seen_at: ClockMillis,
     barred_until: ClockMillis,
     given_up: Option<GivenUp>,
+    /// Version that nobody holds, and since when that is known.
+    open_since: Option<(u64, ClockMillis)>,
 }
 
 impl OwnerWatch {
@@ -40,23 +42,50 @@
         self.barred_until = instant;
     }
 
-    /// Returns the version that a claim must find, if the fleet may be claimed now.
-    ///
-    /// The holder's lease counts from before its renewal was sent, and this
-    /// entry's wait from when it saw the renewal, so that the lease is over first.
+    /// Tells whether this entry is kept from claiming.
+    #[must_use]
+    pub fn is_barred(&self, now: ClockMillis) -> bool {
+        now < self.barred_until
+    }
+
+    /// Returns the version that a claim must find, if the fleet may be claimed now:
+    /// nobody has held it for `delay_ms`, or its holder has offered it to this entry.
     #[must_use]
-    pub fn claimable(&self, me: &str, instance: &str, now: ClockMillis) -> Option<u64> {
-        if now < self.barred_until {
+    pub fn claimable(
+        &mut self,
+        me: &str,
+        instance: &str,
+        now: ClockMillis,
+        delay_ms: u64,
+    ) -> Option<u64> {
+        if self.is_barred(now) {
             return None;
         }
-        let Some((version, row)) = &self.row else { return Some(0) };
+        let Some((version, offered)) = self.open_version(me, instance, now) else {
+            self.open_since = None;
+            return None;
+        };
+        let since = match self.open_since {
+            Some((known, since)) if known == version => since,
+            _ => now,
+        };
+        self.open_since = Some((version, since));
+        (offered || now.since(since) >= delay_ms).then_some(version)
+    }
+
+    /// Returns the version of a row that nobody holds, and whether it was offered to this entry.
+    ///
+    /// The holder's lease counts from before its renewal was sent, and this
+    /// entry's wait from when it saw the renewal, so that the lease is over first.
+    fn open_version(&self, me: &str, instance: &str, now: ClockMillis) -> Option<(u64, bool)> {
+        let Some((version, row)) = &self.row else { return Some((0, false)) };
         let handed =
             self.given_up.is_some_and(|given| given.term == row.term && given.version >= *version);
-        let released = row.holder.is_empty() || handed;
+        let released = row.holder.is_empty();
         // A process that runs at the holder's address has replaced the holder.
         let replaced = row.holder == me && row.instance != instance;
         let expired = now.since(self.seen_at) > time::with_margin(limits::OWNER_TTL_MS);
-        (released || replaced || expired).then_some(*version)
+        (handed || released || replaced || expired).then_some((*version, handed))
     }
 }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod ports;
 pub mod row;
 pub mod status;
+pub mod strength;
 pub mod submit;
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -11,6 +11,8 @@
 pub const RENEW_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time for an answer to the question whether another entry can own the fleet.
 pub const PROBE_TIMEOUT: Duration = Duration::from_millis(350);
+/// Time between two looks of a small VM's owner for a larger VM, in milliseconds.
+pub const PREFER_INTERVAL_MS: u64 = 2_000;
 /// Entries that are asked, one after the other, to take the fleet over.
 pub const SUCCESSORS_ASKED: usize = 3;
 /// Time between two renewals; three may be lost before the ownership is.
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -13,6 +13,7 @@
         address: identity.peer_address.clone(),
         instance: identity.instance.clone(),
         domain: identity.domain.clone(),
+        strength: identity.strength,
     };
     let transaction = RowTransaction {
         writes: vec![(row::member_key(&identity.name), row::encode(&member))],
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -69,8 +69,9 @@
     let now = context.clock.now();
     let identity = &context.identity;
     let (version, before) = {
-        let owner = context.owner.borrow();
-        let version = owner.claimable(&identity.name, &identity.instance, now)?;
+        let delay_ms = context.claim_delay_ms();
+        let mut owner = context.owner.borrow_mut();
+        let version = owner.claimable(&identity.name, &identity.instance, now, delay_ms)?;
         (version, owner.row().map(|(_, row)| row.clone()))
     };
     let term = before.as_ref().map_or(0, |row| row.term) + 1;
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -1,9 +1,11 @@
 //! One ownership, from the claim to its end.
 
 use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
+use arcstr::ArcStr;
 use link::failure;
 use model::name::{JobId, WorkerName};
 use model::time::ClockMillis;
@@ -27,6 +29,7 @@
 };
 use crate::ports::GivenUp;
 use crate::row::OwnerRow;
+use crate::strength::VmStrength;
 use crate::submit::TermVersions;
 
 /// Run numbers that one term leaves for the next; a task has far fewer runs in a term.
@@ -163,6 +166,7 @@
 /// Renews the ownership row, with what the next owner and callers need to know.
 async fn renew<P: OwnerPorts>(session: SharedSession<P>) {
     let mut next = tokio::time::Instant::now();
+    let mut looked_at = session.claimed_at;
     loop {
         // From send to send, so that a slow store does not stretch the interval.
         next = tokio::time::Instant::now().max(next + limits::RENEW_INTERVAL);
@@ -177,9 +181,14 @@
         if let Some(version) = write_owner(&session.context, session.version.get(), &owner).await {
             session.version.set(version);
             session.renewed_at.set(sent_at);
+            // Between two renewals, so that the version that is offered is the row's.
+            if sent_at.since(looked_at) >= limits::PREFER_INTERVAL_MS {
+                looked_at = sent_at;
+                hand_over(&session, larger_successors(&session.context)).await;
+            }
         } else {
             adopt_row(&session);
-            hand_over(&session).await;
+            hand_over(&session, successors(&session.context)).await;
         }
         if !session.may_prolong() {
             session.depose("lease-expired");
@@ -196,13 +205,13 @@
     metrics.workers_silent.record(count(workers::count_silent(session).0), &[]);
 }
 
-/// Looks for an entry that the table service answers, after a renewal has failed here,
-/// and gives the fleet up to it. Without one the service is away for all, and
-/// this owner goes on when it is back.
-async fn hand_over<P: OwnerPorts>(session: &SharedSession<P>) {
+/// Gives the fleet up to the first entry that the table service answers. After a renewal that
+/// failed here, none means that the service is away for all, and this owner goes on
+/// when it is back.
+async fn hand_over<P: OwnerPorts>(session: &SharedSession<P>, successors: Vec<Successor>) {
     let context = &session.context;
     let given = GivenUp { term: session.term, version: session.version.get() };
-    for (name, address) in shuffled_others(context).into_iter().take(limits::SUCCESSORS_ASKED) {
+    for Successor { name, address, .. } in successors.into_iter().take(limits::SUCCESSORS_ASKED) {
         match context.ports.can_own(&address).await {
             Ok(true) => {}
             Ok(false) => continue,
@@ -238,7 +247,7 @@
     }
 }
 
-fn owner_row<P: OwnerPorts>(session: &SharedSession<P>, holder: arcstr::ArcStr) -> OwnerRow {
+fn owner_row<P: OwnerPorts>(session: &SharedSession<P>, holder: ArcStr) -> OwnerRow {
     OwnerRow {
         holder,
         instance: session.context.identity.instance.clone(),
@@ -252,7 +261,7 @@
     if !session.is_held() || session.handed_over.get() {
         return;
     }
-    let owner = owner_row(session, arcstr::ArcStr::default());
+    let owner = owner_row(session, ArcStr::default());
     let now = session.context.clock.now();
     session.context.owner.borrow_mut().bar_until(now + limits::ABDICATION_MS);
     // One entry is told at once; the others see the row.
@@ -264,7 +273,8 @@
 
 async fn tell_successor<P: OwnerPorts>(session: &SharedSession<P>) {
     let given = GivenUp { term: session.term, version: session.version.get() };
-    let Some((name, address)) = shuffled_others(&session.context).into_iter().next() else {
+    let Some(Successor { name, address, .. }) = successors(&session.context).into_iter().next()
+    else {
         return;
     };
     if let Err(error) = session.context.ports.hand_over(&address, given).await {
@@ -272,18 +282,39 @@
     }
 }
 
-/// Returns name and address of the other entries, in an order that spreads the load.
-fn shuffled_others<P>(context: &SharedContext<P>) -> Vec<(arcstr::ArcStr, arcstr::ArcStr)> {
+/// An entry that may own the fleet next.
+#[derive(Debug)]
+struct Successor {
+    name: ArcStr,
+    address: ArcStr,
+    strength: VmStrength,
+}
+
+/// Returns the other entries: the strongest first, and equal ones in an order that
+/// spreads the load.
+fn successors<P>(context: &SharedContext<P>) -> Vec<Successor> {
     let members = context.members.borrow();
     let mut others: Vec<_> = members
         .iter()
         .filter(|(name, _)| **name != context.identity.name)
-        .map(|(name, member)| (name.clone(), member.address.clone()))
+        .map(|(name, member)| Successor {
+            name: name.clone(),
+            address: member.address.clone(),
+            strength: member.strength,
+        })
         .collect();
     others.shuffle(&mut rand::rng());
+    others.sort_by_key(|successor| Reverse(successor.strength));
     others
 }
 
+/// Returns the entries on much larger VMs than this one.
+fn larger_successors<P>(context: &SharedContext<P>) -> Vec<Successor> {
+    let mut larger = successors(context);
+    larger.retain(|successor| successor.strength.far_exceeds(context.identity.strength));
+    larger
+}
+
 /// Gives the fleet up when most workers cannot be reached from here.
 async fn watch_reach<P: OwnerPorts>(session: SharedSession<P>) {
     let mut since: Option<ClockMillis> = None;
--- a/crates/fleet/src/row.rs
+++ b/crates/fleet/src/row.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ports::RowKey;
+use crate::strength::VmStrength;
 
 /// Table of jobs that the owner stored and that are not over.
 pub const JOB_TABLE: &str = "jobs";
@@ -67,6 +68,9 @@
     pub instance: ArcStr,
     /// Its failure domain.
     pub domain: DomainName,
+    /// What its VM can carry.
+    #[serde(default)]
+    pub strength: VmStrength,
 }
 
 /// Returns the number of the part that a job lies in; the same in every build, as all
--- /dev/null
+++ b/crates/fleet/src/strength.rs
@@ -0,0 +1,50 @@
+//! Which VMs should own the fleet, as pure logic.
+//!
+//! The owner calls every worker, so that a VM with little processor time or a narrow
+//! link cannot carry a large fleet (docs/platform.md, "Ownership"). Small VMs serve callers and
+//! own the fleet only while no larger one does.
+
+use serde::{Deserialize, Serialize};
+
+/// Thousandths of a core that count like one Mbit/s: an owner of 350 workers uses a
+/// quarter of a core and some 20 Mbit/s at its peak.
+const MILLIS_PER_MBPS: f64 = 12.0;
+/// How long a VM leaves the fleet to larger ones before it claims it, in milliseconds;
+/// a larger one that lives claims within a fifth of that.
+pub const SMALL_CLAIM_DELAY_MS: u64 = 1_500;
+/// How long the first claim of all waits for the other VMs to make themselves known, in
+/// milliseconds; all processes start within 300 ms.
+pub const FIRST_CLAIM_DELAY_MS: u64 = 600;
+
+/// What a VM can carry; higher is more.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct VmStrength(u32);
+
+impl VmStrength {
+    /// Rates a VM by the scarcer of its processor time, in thousandths of a core, and its link.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "links have some thousands of Mbit/s at most"
+    )]
+    pub fn new(cpu_millis: u32, link_mbps: f64) -> Self {
+        let link = (link_mbps * MILLIS_PER_MBPS).max(0.0) as u32;
+        Self(cpu_millis.min(link))
+    }
+
+    /// Tells whether a VM can carry so much more that the fleet should be left to it.
+    #[must_use]
+    pub fn far_exceeds(self, other: Self) -> bool {
+        u64::from(self.0) * 2 > u64::from(other.0) * 3
+    }
+}
+
+/// Returns how long a VM waits before it claims a fleet that nobody holds, in milliseconds.
+#[must_use]
+pub fn claim_delay_ms(own: VmStrength, mut others: impl Iterator<Item = VmStrength>) -> u64 {
+    if others.any(|other| other.far_exceeds(own)) { SMALL_CLAIM_DELAY_MS } else { 0 }
+}
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -2,7 +2,9 @@
 
 use fleet::lease::{OwnerWatch, WorkerLease};
 use fleet::limits;
+use fleet::ports::GivenUp;
 use fleet::row::OwnerRow;
+use fleet::strength::{self, VmStrength};
 use model::time::ClockMillis;
 
 fn held_by(holder: &str, instance: &str) -> OwnerRow {
@@ -13,11 +15,11 @@
 #[test]
 fn a_row_is_claimed_after_its_lease() {
     let mut watch = OwnerWatch::default();
-    assert_eq!(watch.claimable("a", "a1", ClockMillis(0)), Some(0), "there is no row yet");
+    assert_eq!(watch.claimable("a", "a1", ClockMillis(0), 0), Some(0), "there is no row yet");
     watch.observe(7, held_by("b", "b1"), ClockMillis(1_000));
     let end = 1_000 + limits::OWNER_TTL_MS;
-    assert_eq!(watch.claimable("a", "a1", ClockMillis(end)), None);
-    assert_eq!(watch.claimable("a", "a1", ClockMillis(end + limits::OWNER_TTL_MS)), Some(7));
+    assert_eq!(watch.claimable("a", "a1", ClockMillis(end), 0), None);
+    assert_eq!(watch.claimable("a", "a1", ClockMillis(end + limits::OWNER_TTL_MS), 0), Some(7));
 }
 
 /// Guards against a renewal that is seen late and shortens the wait of a later one.
@@ -34,8 +36,8 @@
 fn a_restarted_holder_claims_at_once() {
     let mut watch = OwnerWatch::default();
     watch.observe(7, held_by("a", "a1"), ClockMillis(1_000));
-    assert_eq!(watch.claimable("a", "a2", ClockMillis(1_001)), Some(7));
-    assert_eq!(watch.claimable("a", "a1", ClockMillis(1_001)), None);
+    assert_eq!(watch.claimable("a", "a2", ClockMillis(1_001), 0), Some(7));
+    assert_eq!(watch.claimable("a", "a1", ClockMillis(1_001), 0), None);
 }
 
 /// Guards against an entry that takes back at once what it gave up.
@@ -44,8 +46,40 @@
     let mut watch = OwnerWatch::default();
     watch.observe(7, held_by("", ""), ClockMillis(1_000));
     watch.bar_until(ClockMillis(2_000));
-    assert_eq!(watch.claimable("a", "a1", ClockMillis(1_999)), None);
-    assert_eq!(watch.claimable("a", "a1", ClockMillis(2_000)), Some(7));
+    assert_eq!(watch.claimable("a", "a1", ClockMillis(1_999), 0), None);
+    assert_eq!(watch.claimable("a", "a1", ClockMillis(2_000), 0), Some(7));
+}
+
+/// Guards against a small VM that owns a fleet which it cannot carry: it leaves the row
+/// to larger ones for a while, unless it was offered the fleet.
+#[test]
+fn a_small_vm_claims_later() {
+    let small = VmStrength::new(120, 10.0);
+    let large = VmStrength::new(500, 200.0);
+    assert_eq!(strength::claim_delay_ms(large, [small, large].into_iter()), 0);
+    let delay_ms = strength::claim_delay_ms(small, [small, large].into_iter());
+    assert!(delay_ms > 0, "a larger VM is known");
+    assert_eq!(strength::claim_delay_ms(small, [small].into_iter()), 0);
+
+    let mut watch = OwnerWatch::default();
+    watch.observe(7, held_by("", ""), ClockMillis(1_000));
+    assert_eq!(watch.claimable("a", "a1", ClockMillis(1_000), delay_ms), None);
+    assert_eq!(watch.claimable("a", "a1", ClockMillis(999 + delay_ms), delay_ms), None);
+    assert_eq!(watch.claimable("a", "a1", ClockMillis(1_000 + delay_ms), delay_ms), Some(7));
+
+    let mut watch = OwnerWatch::default();
+    watch.observe(7, held_by("", ""), ClockMillis(1_000));
+    watch.give_up(GivenUp { term: 1, version: 7 });
+    assert_eq!(watch.claimable("a", "a1", ClockMillis(1_000), delay_ms), Some(7));
+}
+
+/// Guards against a VM that counts as large although its link is too narrow.
+#[test]
+fn the_scarcer_resource_counts() {
+    let narrow = VmStrength::new(4_000, 10.0);
+    let even = VmStrength::new(500, 200.0);
+    assert!(even.far_exceeds(narrow));
+    assert!(!even.far_exceeds(even));
 }
 
 /// Longest lease of a worker in these tests, in milliseconds.
