Look at workers only for steps that can start or ask

Cause: on grown sites under overload each decision looked at all 350 workers for each of thousands of waiting steps; the owner used 0.38 of 0.5 core in the mean. The ranks were computed for each step, ends searched all runs of all workers. Ruled out: calls to workers (445 a second) and the table service (busy for 4 s only). Test: waiting_steps_do_not_look_at_every_worker (fails without the check). Removed: code without callers (is_live, declared_work, longest_run, since_ms).

--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -116,6 +116,9 @@
 pub const KEEP_MARGIN_MS: u64 = 30_000;
 /// Time during which events gather before the planner decides.
 pub const DECIDE_GATHER: Duration = Duration::from_millis(2);
+/// Length of the pause after a decision, relative to the decision: under overload, the calls to
+/// workers and the answers to callers need most of the owner's processor time.
+pub const DECIDE_PAUSE_FACTOR: u32 = 3;
 /// Longest time between two decisions; pauses of workers and questions end by time alone.
 pub const DECIDE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for an answer to a start or a stop; the way takes under 10 ms.
--- a/crates/plan/src/job.rs
+++ b/crates/plan/src/job.rs
@@ -111,12 +111,6 @@
     pub fn occupied(&self) -> ResourceAmounts {
         if self.filler { ResourceAmounts { cpu_millis: 0, ..self.amounts } } else { self.amounts }
     }
-
-    /// Returns the declared work of the step in core-milliseconds, in thousandths.
-    #[must_use]
-    pub fn declared_work(&self) -> u64 {
-        u64::from(self.count) * self.amounts.cpu_millis * self.estimate_ms.max(1)
-    }
 }
 
 /// Names one occurrence of one step.
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -6,13 +6,14 @@
 use arcstr::ArcStr;
 use model::name::{TeamName, WorkerName};
 use model::resource::ResourceAmounts;
+use smallvec::SmallVec;
 
 use crate::config::QueueRule;
 use crate::decision::{AdviceAsk, PlanDecision, StartOrder};
 use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
 use crate::order::{JobRank, RankClass};
 use crate::planner::Planner;
-use crate::state::{RunPhase, RunState, SharingKind, WorkerState};
+use crate::state::{JobState, RunPhase, RunState, SharingKind, WorkerState};
 
 /// Most workers that one call for advice may name.
 const ASK_LIMIT: usize = 100;
@@ -90,6 +91,20 @@
     gang_asks: usize,
 }
 
+impl PlacePass {
+    /// Takes room for a question about so many tasks from what no open question is about, and
+    /// returns for how many there was room: all or none of a gang.
+    fn claim_room(&mut self, pool: &ArcStr, step: &StepSpec, need: u32) -> u32 {
+        let Some(room) = self.rooms.get_mut(pool) else { return 0 };
+        let need = need.min(fit_count(room.unasked, step.occupied()));
+        if step.gang && need < step.count {
+            return 0;
+        }
+        room.unasked = room.unasked.minus(step.occupied().times(u64::from(need)));
+        need
+    }
+}
+
 impl Planner {
     pub(crate) fn place_waiting(&mut self) {
         let mut steps = self.waiting_steps();
@@ -100,13 +115,17 @@
         }
     }
 
-    /// Tells whether starts on a worker are possible at all.
+    /// Tells whether starts on a worker are possible now.
     fn is_usable(&self, worker: &WorkerState) -> bool {
+        worker.quarantined_until <= self.now_ms && self.can_run(worker)
+    }
+
+    /// Tells whether starts on a worker are possible now or after its quarantine.
+    fn can_run(&self, worker: &WorkerState) -> bool {
         worker.born.is_some()
             && !worker.silent
             && !worker.unlisted
             && !worker.info.draining
-            && worker.quarantined_until <= self.now_ms
             && !self.config.out.contains(&worker.info.domain)
     }
 
@@ -122,30 +141,30 @@
     }
 
     fn waiting_steps(&mut self) -> Vec<(JobRank, StepKey)> {
-        let mut keys = Vec::new();
-        for (id, job) in &self.jobs {
+        let config = self.config.clone();
+        let mut steps = Vec::new();
+        for (id, job) in &mut self.jobs {
             if job.status.is_final() || self.inherited.contains(id) {
                 continue;
             }
-            for (number, occurrence) in &job.occurrences {
-                for (index, step) in (0_u32..).zip(&occurrence.steps) {
-                    let ready = job.spec.steps[index as usize].after.iter().all(|before| {
-                        occurrence.steps.get(*before as usize).is_none_or(|step| step.left == 0)
-                    });
-                    if step.waiting > 0 && ready {
-                        let key = StepKey { job: id.clone(), occurrence: *number, step: index };
-                        keys.push(key);
-                    }
-                }
+            let Some(rule) = config.queues.get(&job.spec.queue) else { continue };
+            let waiting = ready_steps(job);
+            if waiting.is_empty() {
+                continue;
             }
+            let rank = job.rank(rule, self.now_ms);
+            steps.extend(waiting.into_iter().map(|(occurrence, step)| {
+                (rank, StepKey { job: id.clone(), occurrence, step })
+            }));
         }
-        keys.into_iter().filter_map(|key| Some((self.rank(&key.job)?, key))).collect()
+        steps
     }
 
     fn place_step(&mut self, rank: JobRank, key: &StepKey, pass: &mut PlacePass) {
         let Some(job) = self.jobs.get(&key.job) else { return };
         let spec = job.spec.clone();
-        let Some(rule) = self.config.queues.get(&spec.queue).cloned() else { return };
+        let config = self.config.clone();
+        let Some(rule) = config.queues.get(&spec.queue) else { return };
         let step = &spec.steps[key.step as usize];
         let allowed = self.team_room(&spec, step);
         if allowed == 0 {
@@ -159,9 +178,9 @@
         let fits = step.occupied().fits_in(room.largest);
         let before = self.out.len();
         if step.gang {
-            self.place_gang(rank, key, &spec, &rule, allowed, pass);
+            self.place_gang(rank, key, &spec, rule, allowed, pass);
         } else if fits {
-            self.place_tasks(key, &spec, &rule, allowed, pass);
+            self.place_tasks(key, &spec, rule, allowed, pass);
         }
         if self.out.len() > before {
             let asked = pass.rooms[&rule.pool].unasked;
@@ -208,13 +227,33 @@
         waiting.min(capacity)
     }
 
+    /// Tells whether looking at the workers can lead to a start or a question of a step.
+    ///
+    /// Under overload thousands of steps wait. Looking at every worker for each of them
+    /// at each decision would take the owner longer than the tasks do.
+    fn can_act(&self, key: &StepKey, step: &StepSpec, rule: &QueueRule, pass: &PlacePass) -> bool {
+        if rule.advice.is_none() {
+            return true;
+        }
+        let Some(state) = self.step_state(key) else { return false };
+        let mut tickets = state.advice.good.values();
+        if tickets.any(|ticket| ticket.expires_ms > self.now_ms) {
+            return true;
+        }
+        let may_ask = state.advice.asked_at.is_none() && state.advice.not_before <= self.now_ms;
+        let need = if step.gang { step.count } else { 1 };
+        let room = pass.rooms.get(&rule.pool).map_or(ResourceAmounts::ZERO, |room| room.unasked);
+        may_ask && fit_count(room, step.occupied()) >= need
+    }
+
     fn options(
-        &self,
+        &mut self,
         key: &StepKey,
         step: &StepSpec,
         rule: &QueueRule,
         reserved: &BTreeSet<WorkerName>,
     ) -> Vec<WorkerOption> {
+        self.examined += self.workers.len() as u64;
         let Some(state) = self.step_state(key) else {
             return Vec::new();
         };
@@ -273,6 +312,11 @@
         pass: &mut PlacePass,
     ) {
         let step = &spec.steps[key.step as usize];
+        if !self.can_act(key, step, rule, pass) {
+            let waiting = self.step_state(key).map_or(0, |state| state.waiting);
+            pass.claim_room(&rule.pool, step, waiting.min(allowed));
+            return;
+        }
         let all = self.options(key, step, rule, &pass.reserved);
         let mut options: Vec<_> = if rule.advice.is_some() {
             all.iter().filter(|option| !option.ticket.is_empty()).cloned().collect()
@@ -312,13 +356,10 @@
         need: u32,
         pass: &mut PlacePass,
     ) {
-        let Some(room) = pass.rooms.get_mut(&rule.pool) else { return };
-        let need = need.min(fit_count(room.unasked, step.occupied()));
-        if need == 0 || (step.gang && need < step.count) {
-            return;
+        let need = pass.claim_room(&rule.pool, step, need);
+        if need > 0 {
+            self.ask(key, step, rule, options, need);
         }
-        room.unasked = room.unasked.minus(step.occupied().times(u64::from(need)));
-        self.ask(key, step, rule, options, need);
     }
 
     fn waiting_tasks(&self, key: &StepKey) -> Vec<u32> {
@@ -365,30 +406,33 @@
         if !idle || allowed < step.count {
             return;
         }
-        let all = self.options(key, step, rule, &pass.reserved);
-        let options: Vec<_> = if rule.advice.is_some() {
-            all.iter().filter(|option| !option.ticket.is_empty()).cloned().collect()
-        } else {
-            all.clone()
-        };
-        if let Some(places) = pack_gang(step, options) {
-            let run = self.next_gang_run(key);
-            for (index, (name, ticket)) in (0_u32..).zip(places) {
-                let task = TaskKey { step: key.clone(), index };
-                self.start_task(&task, spec, &name, ticket, Some(run));
+        if self.can_act(key, step, rule, pass) {
+            let all = self.options(key, step, rule, &pass.reserved);
+            let options: Vec<_> = if rule.advice.is_some() {
+                all.iter().filter(|option| !option.ticket.is_empty()).cloned().collect()
+            } else {
+                all.clone()
+            };
+            if let Some(places) = pack_gang(step, options) {
+                let run = self.next_gang_run(key);
+                for (index, (name, ticket)) in (0_u32..).zip(places) {
+                    let task = TaskKey { step: key.clone(), index };
+                    self.start_task(&task, spec, &name, ticket, Some(run));
+                }
+                return;
             }
-            return;
-        }
-        if rule.advice.is_some() {
-            if pass.gang_asks < GANG_ASKS {
+            if rule.advice.is_some() && pass.gang_asks < GANG_ASKS {
                 self.ask_within(key, step, rule, &all, step.count, pass);
             }
-            if let Some(state) = self.step_mut(key)
-                && state.advice.asked_at.is_some()
-            {
-                pass.gang_asks += 1;
-                pass.reserved.extend(state.advice.held.iter().cloned());
-            }
+        } else if pass.gang_asks < GANG_ASKS {
+            pass.claim_room(&rule.pool, step, step.count);
+        }
+        if rule.advice.is_some()
+            && let Some(state) = self.step_mut(key)
+            && state.advice.asked_at.is_some()
+        {
+            pass.gang_asks += 1;
+            pass.reserved.extend(state.advice.held.iter().cloned());
         }
         if rank.class == RankClass::OnTime && pass.gangs < RESERVED_GANGS {
             pass.gangs += 1;
@@ -410,9 +454,7 @@
         let mut workers: Vec<_> = self
             .workers
             .values()
-            .filter(|worker| worker.info.pool == rule.pool && !worker.info.draining)
-            .filter(|worker| !worker.silent && !worker.unlisted && worker.born.is_some())
-            .filter(|worker| !self.config.out.contains(&worker.info.domain))
+            .filter(|worker| worker.info.pool == rule.pool && self.can_run(worker))
             .filter(|worker| !reserved.contains(&worker.info.name))
             .filter(|worker| {
                 rule.advice.is_none() || state.advice.good.contains_key(&worker.info.name)
@@ -475,7 +517,6 @@
         let state = RunState {
             run,
             phase: RunPhase::Starting,
-            since_ms: self.now_ms,
             confirmed_ms: None,
             occupied: step.occupied(),
             charged: step.amounts,
@@ -559,6 +600,22 @@
     }
 }
 
+/// Returns occurrence and number of the steps that have waiting tasks and may start.
+fn ready_steps(job: &JobState) -> SmallVec<[(u32, u32); 2]> {
+    let mut ready = SmallVec::new();
+    for (number, occurrence) in &job.occurrences {
+        for (index, step) in (0_u32..).zip(&occurrence.steps) {
+            let done = |before: &u32| {
+                occurrence.steps.get(*before as usize).is_none_or(|step| step.left == 0)
+            };
+            if step.waiting > 0 && job.spec.steps[index as usize].after.iter().all(done) {
+                ready.push((*number, index));
+            }
+        }
+    }
+    ready
+}
+
 /// Places a whole gang, on one rack if it wants that and one has the room; none if it does not fit.
 fn pack_gang(step: &StepSpec, options: Vec<WorkerOption>) -> Option<Vec<(WorkerName, ArcStr)>> {
     if step.same_rack {
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -8,7 +8,7 @@
 use model::resource::ResourceAmounts;
 use smallvec::SmallVec;
 
-use crate::config::PlanConfig;
+use crate::config::{PlanConfig, QueueRule};
 use crate::decision::{PlanDecision, StopOrder};
 use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
 use crate::order::{self, JobRank, RankInput};
@@ -62,8 +62,8 @@
     pub(crate) unseen: BTreeSet<WorkerName>,
     /// Shares of good answers of the advice service by queue.
     pub(crate) good_share: BTreeMap<QueueName, f64>,
-    /// Longest durations of runs seen by queue, in milliseconds.
-    pub(crate) longest_run: BTreeMap<QueueName, u64>,
+    /// Workers that were looked at for steps, over all decisions.
+    pub(crate) examined: u64,
     pub(crate) share_tokens: BTreeMap<TeamName, (f64, u64)>,
     pub(crate) out: Vec<PlanDecision>,
 }
@@ -200,12 +200,6 @@
         self.jobs.contains_key(id)
     }
 
-    /// Tells whether a job is known and not over.
-    #[must_use]
-    pub fn is_live(&self, id: &JobId) -> bool {
-        self.jobs.get(id).is_some_and(|job| !job.status.is_final())
-    }
-
     /// Returns the number of jobs that are not over.
     #[must_use]
     pub fn live_jobs(&self) -> usize {
@@ -218,6 +212,12 @@
         self.workers.values().map(|worker| worker.runs.len()).sum()
     }
 
+    /// Returns how many workers were looked at for waiting steps, over all decisions.
+    #[must_use]
+    pub fn examined_workers(&self) -> u64 {
+        self.examined
+    }
+
     /// Counts the jobs of each queue of which no task has started.
     #[must_use]
     pub fn waiting_by_queue(&self) -> BTreeMap<QueueName, u32> {
@@ -319,23 +319,6 @@
         }
     }
 
-    pub(crate) fn rank(&mut self, id: &JobId) -> Option<JobRank> {
-        let job = self.jobs.get_mut(id)?;
-        let rule = self.config.queues.get(&job.spec.queue)?;
-        let objective =
-            *job.objective_ms.get_or_insert_with(|| order::objective_ms(&job.spec, rule));
-        let left_ms = chain_left_ms(job);
-        let rank = order::rank_job(RankInput {
-            now_ms: self.now_ms,
-            arrived_ms: job.arrived_ms,
-            objective_ms: objective,
-            left_ms,
-            beyond_share: job.beyond_share,
-            priority: rule.priority,
-        });
-        Some(rank)
-    }
-
     pub(crate) fn step_spec(&self, key: &StepKey) -> Option<&StepSpec> {
         self.jobs.get(&key.job)?.spec.steps.get(key.step as usize)
     }
@@ -361,28 +344,27 @@
             return;
         }
         job.status = status;
-        job.occurrences.clear();
-        let steps = job.spec.clone();
+        let spec = job.spec.clone();
+        let occurrences = std::mem::take(&mut job.occurrences);
         self.dirty.insert(id.clone());
         let reason = match status {
             JobStatus::Cancelled => "job-cancelled",
             _ => "job-over",
         };
-        // The members of a gang end together, so that a completed one has none left to stop.
-        let left = |task: &&TaskKey| {
-            let gang = steps.steps.get(task.step.step as usize).is_some_and(|step| step.gang);
-            task.step.job == *id && !(gang && status == JobStatus::Completed)
-        };
-        let runs: Vec<_> = self
-            .workers
-            .iter()
-            .flat_map(|(name, worker)| {
-                let tasks = worker.runs.keys().filter(left);
-                tasks.map(|task| (name.clone(), task.clone()))
-            })
-            .collect();
-        for (worker, task) in runs {
-            self.stop_run(&worker, &task, reason);
+        for (occurrence, state) in occurrences {
+            for (step, (state, index)) in spec.steps.iter().zip(state.steps.iter().zip(0_u32..)) {
+                // The members of a gang end together, so that a completed one has none left to stop.
+                if step.gang && status == JobStatus::Completed {
+                    continue;
+                }
+                let key = StepKey { job: id.clone(), occurrence, step: index };
+                for (task, index) in state.tasks.iter().zip(0_u32..) {
+                    let task_key = TaskKey { step: key.clone(), index };
+                    for (worker, _) in &task.runs {
+                        self.stop_run(worker, &task_key, reason);
+                    }
+                }
+            }
         }
     }
 
@@ -467,6 +449,22 @@
     }
 }
 
+impl JobState {
+    /// Ranks the job among those that wait.
+    pub(crate) fn rank(&mut self, rule: &QueueRule, now_ms: u64) -> JobRank {
+        let objective_ms =
+            *self.objective_ms.get_or_insert_with(|| order::objective_ms(&self.spec, rule));
+        order::rank_job(RankInput {
+            now_ms,
+            arrived_ms: self.arrived_ms,
+            objective_ms,
+            left_ms: chain_left_ms(self),
+            beyond_share: self.beyond_share,
+            priority: rule.priority,
+        })
+    }
+}
+
 /// Returns the declared work on the longest chain of steps that are not done, in milliseconds.
 fn chain_left_ms(job: &JobState) -> u64 {
     let chain = |occurrence: &OccurrenceState| {
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -82,7 +82,7 @@
         self.keep_saved(&end.task, &end.saved);
         let exhausted = match end.kind {
             EndKind::Done => {
-                self.task_done(name, end, run.as_ref());
+                self.task_done(name, end);
                 false
             }
             EndKind::Failed => self.task_failed(name, end),
@@ -112,7 +112,7 @@
         }
     }
 
-    fn task_done(&mut self, name: &WorkerName, end: &ListedEnd, run: Option<&RunState>) {
+    fn task_done(&mut self, name: &WorkerName, end: &ListedEnd) {
         if let Some(worker) = self.workers.get_mut(name) {
             worker.strikes = 0;
         }
@@ -121,9 +121,6 @@
         if service {
             return;
         }
-        if let Some(run) = run {
-            self.note_duration(&end.task, self.now_ms.saturating_sub(run.since_ms));
-        }
         let Some(step) = self.step_mut(&end.task.step) else { return };
         let indices = if gang {
             0..step.tasks.len()
@@ -140,12 +137,6 @@
         self.dirty.insert(end.task.step.job.clone());
     }
 
-    fn note_duration(&mut self, task: &TaskKey, duration_ms: u64) {
-        let Some(job) = self.jobs.get(&task.step.job) else { return };
-        let longest = self.longest_run.entry(job.spec.queue.clone()).or_insert(0);
-        *longest = duration_ms.max(*longest);
-    }
-
     fn finish_if_done(&mut self, task: &TaskKey) {
         let Some(job) = self.jobs.get(&task.step.job) else { return };
         let total = job.spec.schedule.map_or(1, |schedule| schedule.occurrences);
@@ -237,7 +228,6 @@
         let run = RunState {
             run: listed.run,
             phase: RunPhase::Running,
-            since_ms: self.now_ms,
             confirmed_ms: Some(self.now_ms),
             occupied,
             charged,
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -126,7 +126,6 @@
 pub(crate) struct RunState {
     pub(crate) run: u32,
     pub(crate) phase: RunPhase,
-    pub(crate) since_ms: u64,
     /// When the worker confirmed the start or the stop; a report that was asked
     /// for later lists the run, or the run is not there.
     pub(crate) confirmed_ms: Option<u64>,
--- a/crates/plan/tests/place.rs
+++ b/crates/plan/tests/place.rs
@@ -196,6 +196,23 @@
     assert!(asks(bench.decide()).is_empty(), "the open questions are about all of it");
 }
 
+/// Guards against an owner that is too slow under overload: while questions are open for all
+/// the room there is, no worker needs to be looked at again for the steps that wait.
+#[test]
+fn waiting_steps_do_not_look_at_every_worker() {
+    const JOBS: u64 = 500;
+    const WORKERS: usize = 40;
+    let mut bench = PlanBench::new(WORKERS, config());
+    for number in 0..JOBS {
+        bench.add(job(&format!("j{number}"), "advised", vec![step(8, cpu(2_000))]));
+    }
+    let questions = asks(bench.decide()).len() as u64;
+    assert!(questions > 0 && questions < JOBS / 4, "the room bounds the questions: {questions}");
+    let before = bench.planner.examined_workers();
+    assert!(bench.decide().is_empty());
+    assert_eq!(bench.planner.examined_workers(), before);
+}
+
 fn ask(duration_ms: f64, priority: u32) -> AdviceAsk {
     let step = StepKey { job: "j".into(), occurrence: 0, step: 0 };
     AdviceAsk { step, workers: Vec::new(), duration_ms, priority }
