Spread questions for advice over workers

Cause: under overload every open question named the emptiest workers, so that most tickets were for room that another step had taken when they came. Ruled out: too few calls (24 of 36 callers free), processor time of the owner (mean 0.18 core). Now a question prefers workers that fewer open questions name, steps with tickets look only at the workers of these, and the room of a pool is measured once per 16 actions.

--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -1,5 +1,6 @@
 //! Placement of waiting steps, in order, under room, limits and advice.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -45,6 +46,8 @@
     ticket: ArcStr,
     /// Tasks of the step that may still be placed here because of the spread.
     spread_left: u32,
+    /// Open questions that name the worker.
+    questions: u32,
 }
 
 impl WorkerOption {
@@ -70,10 +73,16 @@
     ratios.min().unwrap_or(u64::from(u32::MAX)).try_into().unwrap_or(u32::MAX)
 }
 
+/// Actions after which the largest free room is measured again. In between, a step may look for
+/// room that was just taken, which costs less than measuring all workers each time.
+const ACTIONS_PER_MEASURE: usize = 16;
+
 /// Free room of the workers of one pool.
 #[derive(Clone, Copy, Debug, Default)]
 struct PoolRoom {
-    /// The most of each resource that one worker has.
+    /// Actions since the room was measured.
+    actions: usize,
+    /// The most of each resource that one worker had.
     largest: ResourceAmounts,
     /// What all workers have, less what open questions are about.
     unasked: ResourceAmounts,
@@ -135,6 +144,7 @@
             .values()
             .filter(|worker| worker.info.pool == *pool && self.is_usable(worker));
         usable.fold(PoolRoom::default(), |room, worker| PoolRoom {
+            actions: 0,
             largest: room.largest.max(worker.free()),
             unasked: room.unasked.plus(worker.free()),
         })
@@ -153,9 +163,11 @@
                 continue;
             }
             let rank = job.rank(rule, self.now_ms);
-            steps.extend(waiting.into_iter().map(|(occurrence, step)| {
-                (rank, StepKey { job: id.clone(), occurrence, step })
-            }));
+            steps.extend(
+                waiting.into_iter().map(|(occurrence, step)| {
+                    (rank, StepKey { job: id.clone(), occurrence, step })
+                }),
+            );
         }
         steps
     }
@@ -182,11 +194,15 @@
         } else if fits {
             self.place_tasks(key, &spec, rule, allowed, pass);
         }
-        if self.out.len() > before {
-            let asked = pass.rooms[&rule.pool].unasked;
-            let now = self.pool_room(&rule.pool);
-            let now = PoolRoom { unasked: now.unasked.min(asked), ..now };
-            pass.rooms.insert(rule.pool.clone(), now);
+        let actions = self.out.len() - before;
+        if let Some(room) = pass.rooms.get_mut(&rule.pool)
+            && actions > 0
+        {
+            room.actions += actions;
+            if room.actions >= ACTIONS_PER_MEASURE {
+                let measured = self.pool_room(&rule.pool);
+                *room = PoolRoom { unasked: measured.unasked.min(room.unasked), ..measured };
+            }
         }
     }
 
@@ -227,80 +243,91 @@
         waiting.min(capacity)
     }
 
-    /// Tells whether looking at the workers can lead to a start or a question of a step.
+    /// Tells whether a step may ask for advice now.
+    fn may_ask(&self, key: &StepKey, rule: &QueueRule) -> bool {
+        rule.advice.is_some()
+            && self.step_state(key).is_some_and(|state| {
+                state.advice.asked_at.is_none() && state.advice.not_before <= self.now_ms
+            })
+    }
+
+    /// Returns the workers on which tasks of a step may start now: of a step that needs advice,
+    /// those with a ticket.
     ///
     /// Under overload thousands of steps wait. Looking at every worker for each of them
     /// at each decision would take the owner longer than the tasks do.
-    fn can_act(&self, key: &StepKey, step: &StepSpec, rule: &QueueRule, pass: &PlacePass) -> bool {
+    fn start_options(
+        &mut self,
+        key: &StepKey,
+        step: &StepSpec,
+        rule: &QueueRule,
+        pass: &PlacePass,
+    ) -> Vec<WorkerOption> {
         if rule.advice.is_none() {
-            return true;
+            return self.all_options(key, step, rule, pass);
         }
-        let Some(state) = self.step_state(key) else { return false };
-        let mut tickets = state.advice.good.values();
-        if tickets.any(|ticket| ticket.expires_ms > self.now_ms) {
-            return true;
+        let Some(state) = self.step_state(key) else { return Vec::new() };
+        let mut options = Vec::new();
+        for (name, ticket) in &state.advice.good {
+            if ticket.expires_ms > self.now_ms
+                && let Some(worker) = self.workers.get(name)
+                && let Some(option) = self.option(key, step, rule, worker, pass)
+            {
+                options.push(WorkerOption { ticket: ticket.text.clone(), ..option });
+            }
         }
-        let may_ask = state.advice.asked_at.is_none() && state.advice.not_before <= self.now_ms;
-        let need = if step.gang { step.count } else { 1 };
-        let room = pass.rooms.get(&rule.pool).map_or(ResourceAmounts::ZERO, |room| room.unasked);
-        may_ask && fit_count(room, step.occupied()) >= need
+        self.examined += state.advice.good.len() as u64;
+        options
     }
 
-    fn options(
+    /// Returns all workers that have room for a task of a step.
+    fn all_options(
         &mut self,
         key: &StepKey,
         step: &StepSpec,
         rule: &QueueRule,
-        reserved: &BTreeSet<WorkerName>,
+        pass: &PlacePass,
     ) -> Vec<WorkerOption> {
         self.examined += self.workers.len() as u64;
-        let Some(state) = self.step_state(key) else {
-            return Vec::new();
-        };
-        let occupied = step.occupied();
-        let mut options = Vec::new();
-        for (name, worker) in &self.workers {
-            let usable =
-                worker.info.pool == rule.pool && self.is_usable(worker) && !reserved.contains(name);
-            if !usable || !occupied.fits_in(worker.free()) {
-                continue;
-            }
-            // Fillers slow services by amounts that nobody knows beforehand.
-            if step.filler && worker.has_sharing(SharingKind::Serving) {
-                continue;
-            }
-            if step.label.as_ref().is_some_and(|label| !worker.info.labels.contains(label)) {
-                continue;
-            }
-            let ticket = if rule.advice.is_some() {
-                match state.advice.good.get(name) {
-                    Some(ticket) if ticket.expires_ms > self.now_ms => ticket.text.clone(),
-                    _ => ArcStr::default(),
-                }
-            } else {
-                ArcStr::default()
-            };
-            let spread_left = if step.max_per_worker == 0 {
-                u32::MAX
-            } else {
-                let here = worker.runs.keys().filter(|task| task.step == *key).count();
-                step.max_per_worker.saturating_sub(u32::try_from(here).unwrap_or(u32::MAX))
-            };
-            if spread_left == 0 {
-                continue;
-            }
-            options.push(WorkerOption {
-                name: name.clone(),
-                free: worker.free(),
-                near_data: step.data_rack.is_some()
-                    && step.data_rack.as_ref() == worker.info.rack(),
-                has_fillers: worker.has_sharing(SharingKind::Filler),
-                rack: worker.info.rack().cloned(),
-                ticket,
-                spread_left,
-            });
+        let workers = self.workers.values();
+        workers.filter_map(|worker| self.option(key, step, rule, worker, pass)).collect()
+    }
+
+    fn option(
+        &self,
+        key: &StepKey,
+        step: &StepSpec,
+        rule: &QueueRule,
+        worker: &WorkerState,
+        pass: &PlacePass,
+    ) -> Option<WorkerOption> {
+        let name = &worker.info.name;
+        let has_room = step.occupied().fits_in(worker.free())
+            && worker.info.pool == rule.pool
+            && self.is_usable(worker)
+            && !pass.reserved.contains(name);
+        // Fillers slow services by amounts that nobody knows beforehand.
+        let disturbs = step.filler && worker.has_sharing(SharingKind::Serving);
+        let labelled = step.label.as_ref().is_none_or(|label| worker.info.labels.contains(label));
+        if !has_room || disturbs || !labelled {
+            return None;
         }
-        options
+        let spread_left = if step.max_per_worker == 0 {
+            u32::MAX
+        } else {
+            let here = worker.runs.keys().filter(|task| task.step == *key).count();
+            step.max_per_worker.saturating_sub(u32::try_from(here).unwrap_or(u32::MAX))
+        };
+        (spread_left > 0).then(|| WorkerOption {
+            name: name.clone(),
+            free: worker.free(),
+            near_data: step.data_rack.is_some() && step.data_rack.as_ref() == worker.info.rack(),
+            has_fillers: worker.has_sharing(SharingKind::Filler),
+            rack: worker.info.rack().cloned(),
+            ticket: ArcStr::default(),
+            spread_left,
+            questions: worker.questions,
+        })
     }
 
     fn place_tasks(
@@ -312,17 +339,7 @@
         pass: &mut PlacePass,
     ) {
         let step = &spec.steps[key.step as usize];
-        if !self.can_act(key, step, rule, pass) {
-            let waiting = self.step_state(key).map_or(0, |state| state.waiting);
-            pass.claim_room(&rule.pool, step, waiting.min(allowed));
-            return;
-        }
-        let all = self.options(key, step, rule, &pass.reserved);
-        let mut options: Vec<_> = if rule.advice.is_some() {
-            all.iter().filter(|option| !option.ticket.is_empty()).cloned().collect()
-        } else {
-            all.clone()
-        };
+        let mut options = self.start_options(key, step, rule, pass);
         let mut placed = 0;
         for index in self.waiting_tasks(key) {
             if placed == allowed {
@@ -339,7 +356,7 @@
         let waiting = self.step_mut(key).map_or(0, |state| state.waiting);
         let need = waiting.min(allowed - placed);
         if need > 0 && rule.advice.is_some() {
-            self.ask_within(key, step, rule, &all, need, pass);
+            self.ask_within(key, step, rule, need, pass);
         }
     }
 
@@ -352,13 +369,13 @@
         key: &StepKey,
         step: &StepSpec,
         rule: &QueueRule,
-        options: &[WorkerOption],
         need: u32,
         pass: &mut PlacePass,
     ) {
         let need = pass.claim_room(&rule.pool, step, need);
-        if need > 0 {
-            self.ask(key, step, rule, options, need);
+        if need > 0 && self.may_ask(key, rule) {
+            let options = self.all_options(key, step, rule, pass);
+            self.ask(key, step, rule, &options, need);
         }
     }
 
@@ -406,26 +423,17 @@
         if !idle || allowed < step.count {
             return;
         }
-        if self.can_act(key, step, rule, pass) {
-            let all = self.options(key, step, rule, &pass.reserved);
-            let options: Vec<_> = if rule.advice.is_some() {
-                all.iter().filter(|option| !option.ticket.is_empty()).cloned().collect()
-            } else {
-                all.clone()
-            };
-            if let Some(places) = pack_gang(step, options) {
-                let run = self.next_gang_run(key);
-                for (index, (name, ticket)) in (0_u32..).zip(places) {
-                    let task = TaskKey { step: key.clone(), index };
-                    self.start_task(&task, spec, &name, ticket, Some(run));
-                }
-                return;
-            }
-            if rule.advice.is_some() && pass.gang_asks < GANG_ASKS {
-                self.ask_within(key, step, rule, &all, step.count, pass);
+        let options = self.start_options(key, step, rule, pass);
+        if let Some(places) = pack_gang(step, options) {
+            let run = self.next_gang_run(key);
+            for (index, (name, ticket)) in (0_u32..).zip(places) {
+                let task = TaskKey { step: key.clone(), index };
+                self.start_task(&task, spec, &name, ticket, Some(run));
             }
-        } else if pass.gang_asks < GANG_ASKS {
-            pass.claim_room(&rule.pool, step, step.count);
+            return;
+        }
+        if rule.advice.is_some() && pass.gang_asks < GANG_ASKS {
+            self.ask_within(key, step, rule, step.count, pass);
         }
         if rule.advice.is_some()
             && let Some(state) = self.step_mut(key)
@@ -460,7 +468,7 @@
                 rule.advice.is_none() || state.advice.good.contains_key(&worker.info.name)
             })
             .collect();
-        workers.sort_by_key(|worker| std::cmp::Reverse(worker.free().cpu_millis));
+        workers.sort_by_key(|worker| Reverse(worker.free().cpu_millis));
         let mut room = 0;
         let mut names = Vec::new();
         for worker in workers {
@@ -552,26 +560,24 @@
             .max(0.05);
         let now = self.now_ms;
         let Some(state) = self.step_mut(key) else { return };
-        if state.advice.asked_at.is_some() || state.advice.not_before > now {
-            return;
-        }
         let occupied = step.occupied();
         let mut ranked: Vec<_> = options
             .iter()
             .filter(|option| !state.advice.bad.contains(&option.name))
             .map(|option| {
                 let known = state.advice.good.contains_key(&option.name);
-                (known, option.fits(occupied).min(need), &option.name)
+                (Reverse(known), option.questions, Reverse(option.fits(occupied).min(need)), option)
             })
             .collect();
-        ranked.sort_by_key(|(known, fits, name)| {
-            (std::cmp::Reverse(*known), std::cmp::Reverse(*fits), (*name).clone())
+        // Questions that all named the emptiest workers would get tickets for the same room.
+        ranked.sort_by_key(|(known, questions, fits, option)| {
+            (*known, *questions, *fits, option.name.clone())
         });
         let wanted = f64::from(need) * ASK_MARGIN;
         let mut expected = 0.0;
         let mut room = 0.0;
         let mut workers: Vec<WorkerName> = Vec::new();
-        for (known, fits, name) in ranked {
+        for (Reverse(known), _, Reverse(fits), WorkerOption { name, .. }) in ranked {
             let enough =
                 expected >= wanted && (!step.gang || known || workers.len() >= GANG_ASK_WORKERS);
             if enough || workers.len() >= ASK_LIMIT {
@@ -590,6 +596,12 @@
         state.advice.not_before = now + ASK_PAUSE_MS;
         let renewal = workers.iter().all(|name| state.advice.good.contains_key(name));
         state.advice.held = if step.gang && renewal { workers.clone() } else { Vec::new() };
+        for name in &workers {
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.questions += 1;
+            }
+        }
+        self.open_asks.insert(key.clone(), workers.clone());
         let duration_ms = cost.duration_ms(workers.len());
         self.out.push(PlanDecision::Ask(AdviceAsk {
             step: key.clone(),
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -336,6 +336,11 @@
     pub fn advised(&mut self, answer: &AdviceAnswer, now_ms: u64) {
         self.now_ms = self.now_ms.max(now_ms);
         let now = self.now_ms;
+        for name in self.open_asks.remove(&answer.step).into_iter().flatten() {
+            if let Some(worker) = self.workers.get_mut(&name) {
+                worker.questions = worker.questions.saturating_sub(1);
+            }
+        }
         let Some(job) = self.jobs.get(&answer.step.job) else { return };
         let queue = job.spec.queue.clone();
         let valid = self
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -156,6 +156,8 @@
     pub(crate) counted_end: u64,
     /// Highest end that may be acknowledged.
     pub(crate) stored_end: u64,
+    /// Open questions to the advice service that name the worker.
+    pub(crate) questions: u32,
     /// First failures of tasks here since the last success.
     pub(crate) strikes: u32,
     /// No start before this instant.
@@ -173,6 +175,7 @@
             occupied: ResourceAmounts::ZERO,
             counted_end: 0,
             stored_end: 0,
+            questions: 0,
             strikes: 0,
             quarantined_until: 0,
         }
--- /dev/null
+++ b/crates/plan/tests/load.rs
@@ -0,0 +1,140 @@
+//! Load patterns replayed against the planner, with a service that gives advice slowly.
+
+#[allow(dead_code, reason = "each test file uses a part of the shorthands")]
+mod support;
+
+use std::collections::{BTreeMap, VecDeque};
+
+use arcstr::ArcStr;
+use model::name::WorkerName;
+use plan::config::AdviceCost;
+use plan::decision::{AdviceAnswer, AdviceAsk, PlanDecision, StartOrder};
+use plan::worker::{EndKind, ListedEnd, RunReport, StartAnswer};
+use support::{BORN, PlanBench, WORKER_CPU, config, cpu, job, rule, step, worker};
+
+/// Workers of the replayed fleet.
+const WORKERS: usize = 60;
+/// Time between two decisions, in milliseconds.
+const TICK_MS: u64 = 10;
+/// How long a task runs, in milliseconds.
+const RUN_MS: u64 = 1_000;
+/// Processor time of a task, in thousandths of a core.
+const TASK_CPU: u64 = 2_000;
+/// Calls that the advice service works on at the same time.
+const CALLS: usize = 9;
+
+/// Workers, runs and advice, played in steps of one tick.
+struct LoadReplay {
+    bench: PlanBench,
+    /// Runs with the instant of their end.
+    running: Vec<(u64, StartOrder)>,
+    ends: BTreeMap<WorkerName, u64>,
+    waiting: VecDeque<AdviceAsk>,
+    /// Calls with the instant of their answer.
+    calls: Vec<(u64, AdviceAsk)>,
+}
+
+impl LoadReplay {
+    fn new() -> Self {
+        let mut config = config();
+        let cost = AdviceCost { call_ms: 80.0, worker_ms: 1.0, valid_ms: 1_500 };
+        config.queues.insert("advised".into(), rule(1, Some(cost)));
+        Self {
+            bench: PlanBench::new(WORKERS, config),
+            running: Vec::new(),
+            ends: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            calls: Vec::new(),
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.bench.now_ms + TICK_MS;
+        self.bench.now_ms = now;
+        for decision in self.bench.planner.decide(now, now) {
+            match decision {
+                PlanDecision::Start(order) => {
+                    self.bench.answer(&order, StartAnswer::Started);
+                    self.running.push((now + RUN_MS, order));
+                }
+                PlanDecision::Ask(ask) => self.waiting.push_back(ask),
+                PlanDecision::Stop(order) => panic!("nothing is cancelled: {order:?}"),
+            }
+        }
+        self.answer_calls(now);
+        self.end_runs(now);
+        self.bench.store();
+    }
+
+    /// Every second worker is good for a step, which ones depends on its job.
+    fn answer_calls(&mut self, now: u64) {
+        while self.calls.len() < CALLS
+            && let Some(ask) = self.waiting.pop_front()
+        {
+            #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "small")]
+            let at = now + ask.duration_ms as u64;
+            self.calls.push((at, ask));
+        }
+        for (_, ask) in self.calls.extract_if(.., |(at, _)| *at <= now) {
+            let parity = ask.step.job.as_str().len() + usize::from(ask.step.job.as_str() < "j5");
+            let good = |(index, name): (usize, &WorkerName)| {
+                (index % 2 == parity % 2).then(|| (name.clone(), ArcStr::from("ticket")))
+            };
+            let good = ask.workers.iter().enumerate().filter_map(good).collect();
+            let answer = AdviceAnswer { step: ask.step, asked: ask.workers, good };
+            self.bench.planner.advised(&answer, now);
+        }
+    }
+
+    fn end_runs(&mut self, now: u64) {
+        let mut reports: BTreeMap<WorkerName, Vec<ListedEnd>> = BTreeMap::new();
+        for (_, order) in self.running.extract_if(.., |(at, _)| *at <= now) {
+            let number = self.ends.entry(order.worker.clone()).or_insert(0);
+            *number += 1;
+            reports.entry(order.worker).or_default().push(ListedEnd {
+                number: *number,
+                task: order.task,
+                run: order.run,
+                kind: EndKind::Done,
+                saved: ArcStr::default(),
+            });
+        }
+        for (name, ended) in reports {
+            let here = self.running.iter().filter(|(_, order)| order.worker == name);
+            let running = here.map(|(_, order)| support::listed(order)).collect();
+            let report = RunReport { born: BORN, running, ended };
+            self.bench.planner.report(&name, &report, now, now);
+        }
+    }
+}
+
+/// Guards against a fleet that stands idle while jobs wait. Questions that all name the emptiest
+/// workers bring tickets for the same room, so that most of them are of no use.
+#[test]
+fn overload_keeps_the_fleet_busy() {
+    let mut replay = LoadReplay::new();
+    let capacity = WORKERS as u64 * WORKER_CPU / TASK_CPU;
+    let mut busy = 0;
+    let mut ticks = 0;
+    for number in 0..400 {
+        // 3 jobs of 4 tasks at each tick are five times what the fleet can run.
+        for part in 0..3 {
+            replay.bench.add(job(
+                &format!("j{number}-{part}"),
+                "advised",
+                vec![step(4, cpu(TASK_CPU))],
+            ));
+        }
+        replay.tick();
+        if number >= 100 {
+            busy += replay.running.len() as u64;
+            ticks += 1;
+        }
+    }
+    // A run that ends leaves its room for at least one call, which is 85 ms of a second, and the
+    // service answers about a hundred calls a second, each for up to four tasks. Three fifths
+    // of the room leave time for a second question where half of the workers are not good.
+    let answered = CALLS as u64 * 1_000 / 85 * 4 * RUN_MS / 1_000;
+    let possible = capacity.min(answered);
+    assert!(busy * 10 >= possible * ticks * 6, "{} of {possible} runs in the mean", busy / ticks);
+}
