--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -71,10 +71,7 @@
     Some(())
 }
 
-async fn write_term<P: OwnerPorts>(
-    session: &SharedSession<P>,
-    part: &'static str,
-) -> Option<u64> {
+async fn write_term<P: OwnerPorts>(session: &SharedSession<P>, part: &'static str) -> Option<u64> {
     let transaction = RowTransaction {
         writes: vec![(row::term_key(part), row::encode(&session.term))],
         ..RowTransaction::default()
--- a/crates/fleet/src/strength.rs
+++ b/crates/fleet/src/strength.rs
@@ -17,9 +17,7 @@
 pub const FIRST_CLAIM_DELAY_MS: u64 = 600;
 
 /// What a VM can carry; higher is more.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct VmStrength(u32);
 
