Keep leased workers apart from the ownership row, and look at idle workers less often

Names are now written when they change, into a row that only the next owner reads; idle workers are looked at 300 times a second together; entries ask for news 900 times a second together. Before, the names were also written empty while a fleet was being loaded.

--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -75,8 +75,19 @@
 pub const FORWARD_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest wait of one question for news of jobs.
 pub const NEWS_WAIT: Duration = Duration::from_millis(900);
-/// Pause between two questions for news, in which news gathers.
-pub const NEWS_PAUSE: Duration = Duration::from_millis(40);
+/// Least pause between two questions for news, in which news gathers.
+const NEWS_PAUSE: Duration = Duration::from_millis(40);
+/// Questions for news that all entries together put to the owner in a second, at most.
+const NEWS_ASKS_PER_S: u32 = 900;
+
+/// Returns the pause between two questions for news of one entry among so many. The owner answers
+/// all of them, so that the pause grows with their number.
+#[must_use]
+pub fn news_pause(entries: usize) -> Duration {
+    let entries = u32::try_from(entries).unwrap_or(u32::MAX);
+    NEWS_PAUSE.max(Duration::from_secs(1) * entries / NEWS_ASKS_PER_S)
+}
+
 /// Changes of jobs that an owner keeps for entries that ask late.
 pub const NEWS_KEPT: usize = 20_000;
 /// Age of the last news, in milliseconds, up to which the state of a job that is not over is
@@ -131,6 +142,12 @@
 /// Longest pause between two looks at a worker while its ends are being stored,
 /// so that its lease is prolonged meanwhile.
 pub const STORED_WAIT: Duration = Duration::from_millis(400);
+/// Looks at idle workers in a second, over the whole fleet; a look takes about a tenth of a
+/// millisecond, and the smallest owner that is planned for has a quarter of a core.
+pub const IDLE_LOOKS_PER_S: u32 = 300;
+/// Longest time between two looks at an idle worker; a worker whose clock is 2 % slow then
+/// ends its leases less than 0.2 s later than planned, which its longest lease allows.
+pub const LONGEST_IDLE_PAUSE: Duration = Duration::from_secs(9);
 /// Pause after a look that failed.
 pub const LOOK_PAUSE: Duration = Duration::from_millis(250);
 /// Time beyond the expected one for an answer of the advice service.
--- a/crates/fleet/src/news.rs
+++ b/crates/fleet/src/news.rs
@@ -93,7 +93,8 @@
                 Ok(answer) => {
                     ask = NewsAsk { term: answer.term, after: answer.last };
                     take_answer(&context, answer);
-                    tokio::time::sleep(limits::NEWS_PAUSE).await;
+                    let pause = limits::news_pause(context.members.borrow().len());
+                    tokio::time::sleep(pause).await;
                 }
                 Err(error) => {
                     log::debug!("no news owner={address} error={error:?}");
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -21,7 +21,7 @@
 use crate::ports::{
     AdviceCalls, PeerCalls, PlatformRows, RowStore, RowTransaction, TransactOutcome, WorkerCalls,
 };
-use crate::row::{self, OwnerRow};
+use crate::row::{self, LeasedWorkers, OwnerRow};
 
 /// Everything that an owner needs of the platform.
 pub trait OwnerPorts: RowStore + WorkerCalls + AdviceCalls + PeerCalls + PlatformRows {}
@@ -75,14 +75,10 @@
         (version, owner.row().map(|(_, row)| row.clone()))
     };
     let term = before.as_ref().map_or(0, |row| row.term) + 1;
-    let claim = OwnerRow {
-        holder: identity.name.clone(),
-        instance: identity.instance.clone(),
-        term,
-        leased: before.as_ref().map(|row| row.leased.clone()).unwrap_or_default(),
-    };
+    let claim =
+        OwnerRow { holder: identity.name.clone(), instance: identity.instance.clone(), term };
     let holder = before.as_ref().map_or(ArcStr::default(), |row| row.holder.clone());
-    match write_owner(context, version, &claim).await {
+    match write_owner(context, version, &claim, None).await {
         Some(version) => {
             log::info!("fleet claimed term={term} version={version} before={holder}");
             Some(HeldOwnership { term, version, sent_at: now, before })
@@ -91,19 +87,22 @@
     }
 }
 
-/// Writes the ownership row if it has `expected`; returns its new version.
+/// Writes the ownership row if it has `expected`, and the workers that may run tasks if they have
+/// changed; returns its new version.
 ///
 /// A write without an answer is resolved by what the row says when it is followed.
 pub(crate) async fn write_owner<P: OwnerPorts>(
     context: &SharedContext<P>,
     expected: u64,
     owner: &OwnerRow,
+    leased: Option<&LeasedWorkers>,
 ) -> Option<u64> {
-    let transaction = RowTransaction {
+    let mut transaction = RowTransaction {
         expected: vec![(row::owner_key(), expected)],
         writes: vec![(row::owner_key(), row::encode(owner))],
         removes: Vec::new(),
     };
+    transaction.writes.extend(leased.map(|leased| (row::lease_key(), row::encode(leased))));
     let outcome = context.ports.transact(&transaction, limits::RENEW_TIMEOUT).await;
     let now = context.clock.now();
     match outcome {
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -13,7 +13,7 @@
 use crate::limits;
 use crate::owner::{OwnerPorts, SharedSession, advice, workers};
 use crate::ports::{FeedAnswer, PortResult, RowPage, RowTransaction, TableRow, TransactOutcome};
-use crate::row::{self, OwnerRow};
+use crate::row::{self, LeasedWorkers};
 use crate::submit::TermVersions;
 
 /// Versions from which the tables are followed.
@@ -26,10 +26,10 @@
 /// Reads jobs, progress and workers, and hands them to the planner.
 pub(crate) async fn load<P: OwnerPorts>(
     session: &SharedSession<P>,
-    before: Option<&OwnerRow>,
+    had_owner: bool,
 ) -> FeedPositions {
     loop {
-        match try_load(session, before).await {
+        match try_load(session, had_owner).await {
             Some(positions) => return positions,
             None => tokio::time::sleep(limits::STORE_PAUSE).await,
         }
@@ -38,20 +38,24 @@
 
 async fn try_load<P: OwnerPorts>(
     session: &SharedSession<P>,
-    before: Option<&OwnerRow>,
+    had_owner: bool,
 ) -> Option<FeedPositions> {
     let plan = session.context.view.borrow().plan();
     session.planner.borrow_mut().set_config(plan);
     write_terms(session).await?;
-    let (worker_page, job_pages) =
-        futures_util::try_join!(read_worker_rows(session), read_jobs(session)).ok()?;
+    let (worker_page, job_pages, leased) = futures_util::try_join!(
+        read_worker_rows(session),
+        read_jobs(session),
+        read_leases(session)
+    )
+    .ok()?;
     apply_jobs(session, &job_pages);
     // Workers report as soon as they are known, and an end counts only for a known job.
     apply_workers(session, &worker_page);
     // Before the first owner nothing can run.
-    if let Some(before) = before {
-        session.planner.borrow_mut().inherit(before.leased.clone());
-        workers::expire_unlisted(session, &before.leased);
+    if had_owner {
+        workers::expire_unlisted(session, &leased.0);
+        session.planner.borrow_mut().inherit(leased.0);
     }
     advice::refresh_callers(session);
     let (jobs, workers) = (session.planner.borrow().live_jobs(), session.links.borrow().len());
@@ -99,6 +103,21 @@
         .inspect_err(|error| log::warn!("workers not read error=\"{}\"", failure::brief(error)))
 }
 
+/// Reads the workers on which earlier owners may have started tasks.
+async fn read_leases<P: OwnerPorts>(session: &SharedSession<P>) -> PortResult<LeasedWorkers> {
+    let page = session
+        .context
+        .ports
+        .read(row::LEASE_TABLE, row::OWNER_PART, None, limits::STORE_TIMEOUT)
+        .await
+        .inspect_err(|error| log::warn!("leases not read error=\"{}\"", failure::brief(error)))?;
+    let leased = page
+        .rows
+        .iter()
+        .find_map(|found| row::decode(row::LEASE_TABLE, &found.key, found.value.as_ref()?));
+    Ok(leased.unwrap_or_default())
+}
+
 /// Takes a whole read of the workers; those that are not listed any more are gone.
 fn apply_workers<P: OwnerPorts>(session: &SharedSession<P>, page: &RowPage) {
     let listed: Vec<_> = page.rows.iter().map(|row| row.key.clone()).collect();
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -28,7 +28,7 @@
     write_owner,
 };
 use crate::ports::GivenUp;
-use crate::row::OwnerRow;
+use crate::row::{LeasedWorkers, OwnerRow};
 use crate::strength::VmStrength;
 use crate::submit::TermVersions;
 
@@ -55,6 +55,10 @@
     pub(crate) ended: RefCell<VecDeque<EndedJob>>,
     /// Versions of the rows of this term, under which jobs and progress are stored.
     pub(crate) term_versions: Cell<TermVersions>,
+    /// Whether jobs and workers are known.
+    loaded: Cell<bool>,
+    /// Workers that may run tasks, as stored.
+    leased: RefCell<Option<LeasedWorkers>>,
     /// Whether another entry was told to claim.
     handed_over: Cell<bool>,
     /// Version of the ownership row.
@@ -133,6 +137,8 @@
         progress_versions: RefCell::default(),
         ended: RefCell::default(),
         term_versions: Cell::default(),
+        loaded: Cell::new(false),
+        leased: RefCell::default(),
         handed_over: Cell::new(false),
         version: Cell::new(held.version),
         renewed_at: Cell::new(held.sent_at),
@@ -145,8 +151,9 @@
     });
     // The hand-over goes on after the ownership has ended.
     actix_rt::spawn(renew(session.clone()));
-    let loaded = over.run_until_cancelled(load::load(&session, held.before.as_ref())).await;
+    let loaded = over.run_until_cancelled(load::load(&session, held.before.is_some())).await;
     if let Some(positions) = loaded {
+        session.loaded.set(true);
         *context.waiting.borrow_mut() = session.planner.borrow().waiting_by_queue();
         session.spawn(load::follow_jobs(session.clone(), positions.jobs));
         session.spawn(load::follow_workers(session.clone(), positions.workers));
@@ -178,7 +185,13 @@
         *session.context.waiting.borrow_mut() = session.planner.borrow().waiting_by_queue();
         record_gauges(&session);
         let owner = owner_row(&session, session.context.identity.name.clone());
-        if let Some(version) = write_owner(&session.context, session.version.get(), &owner).await {
+        let leased = changed_leases(&session);
+        let version = session.version.get();
+        let written = write_owner(&session.context, version, &owner, leased.as_ref()).await;
+        if let Some(version) = written {
+            if let Some(leased) = leased {
+                *session.leased.borrow_mut() = Some(leased);
+            }
             session.version.set(version);
             session.renewed_at.set(sent_at);
             // Between two renewals, so that the version that is offered is the row's.
@@ -248,12 +261,15 @@
 }
 
 fn owner_row<P: OwnerPorts>(session: &SharedSession<P>, holder: ArcStr) -> OwnerRow {
-    OwnerRow {
-        holder,
-        instance: session.context.identity.instance.clone(),
-        term: session.term,
-        leased: workers::leased(session),
-    }
+    OwnerRow { holder, instance: session.context.identity.instance.clone(), term: session.term }
+}
+
+/// Returns the workers that may run tasks if the stored ones differ; none before the fleet is
+/// loaded, when the workers of the earlier owner are not all known.
+fn changed_leases<P: OwnerPorts>(session: &SharedSession<P>) -> Option<LeasedWorkers> {
+    let leased = LeasedWorkers(workers::leased(session));
+    let stored = session.leased.borrow();
+    (session.loaded.get() && stored.as_ref() != Some(&leased)).then_some(leased)
 }
 
 /// Gives the fleet up so that another entry need not wait for the lease to expire.
@@ -266,7 +282,7 @@
     session.context.owner.borrow_mut().bar_until(now + limits::ABDICATION_MS);
     // One entry is told at once; the others see the row.
     let told = tell_successor(session);
-    let written = write_owner(&session.context, session.version.get(), &owner);
+    let written = write_owner(&session.context, session.version.get(), &owner, None);
     let ((), written) = futures_util::join!(told, written);
     log::info!("fleet released term={} written={}", session.term, written.is_some());
 }
--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -1,5 +1,6 @@
 //! Contact with each worker: its lease, its runs and its ends.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 use model::name::WorkerName;
 use model::time::ClockMillis;
 use plan::worker::{EndKind, ListedEnd};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 
 use crate::lease::WorkerLease;
@@ -28,6 +29,8 @@
     listed: bool,
     /// When looks began to fail.
     failing_since: Option<ClockMillis>,
+    /// Rung when a task is started.
+    started: Rc<Notify>,
     /// Ends the looks at this worker.
     over: CancellationToken,
 }
@@ -58,6 +61,7 @@
         flights: Arc::new(Semaphore::new(limits::ORDER_FLIGHTS)),
         listed: true,
         failing_since: None,
+        started: Rc::default(),
         over: over.clone(),
     };
     links.insert(name.clone(), link);
@@ -160,6 +164,8 @@
                 session.wake.notify_one();
                 if let Some(last) = report.ended.last() {
                     wait_stored(&session, &name, last.number).await;
+                } else if report.running.is_empty() {
+                    wait_started(&session, &name).await;
                 }
             }
             Ok(LookAnswer::Fenced) => {
@@ -189,6 +195,25 @@
     }
 }
 
+/// Leaves a worker that runs nothing alone for a while, so that the looks at the idle workers
+/// of a large fleet do not take the owner's time; there is nothing to see and no lease to prolong.
+async fn wait_started<P: OwnerPorts>(session: &SharedSession<P>, name: &WorkerName) {
+    let (started, workers) = {
+        let links = session.links.borrow();
+        let Some(link) = links.get(name) else { return };
+        (link.started.clone(), links.len())
+    };
+    let interval = Duration::from_secs(1) * u32::try_from(workers).unwrap_or(u32::MAX)
+        / limits::IDLE_LOOKS_PER_S;
+    let pause = interval.min(limits::LONGEST_IDLE_PAUSE).saturating_sub(limits::LOOK_WAIT);
+    if pause.is_zero() || session.planner.borrow().has_runs(name) {
+        return;
+    }
+    if tokio::time::timeout(pause, started.notified()).await.is_ok() {
+        log::debug!("idle worker gets work worker={name}");
+    }
+}
+
 /// Logs and counts an end; only what did not go well is worth a line of its own.
 fn record_end<P: OwnerPorts>(session: &SharedSession<P>, name: &WorkerName, end: &ListedEnd) {
     let level = if end.kind == EndKind::Done { log::Level::Debug } else { log::Level::Info };
@@ -267,7 +292,7 @@
     flights.acquire_owned().await.ok()
 }
 
-/// Returns the address of a worker and a deadline for an order to it.
+/// Returns the address of a worker and a deadline for a start there.
 pub(crate) fn order_stamp<P: OwnerPorts>(
     session: &SharedSession<P>,
     name: &WorkerName,
@@ -276,5 +301,6 @@
     let mut links = session.links.borrow_mut();
     let link = links.get_mut(name)?;
     let deadline_ms = link.lease.next_deadline(now);
+    link.started.notify_one();
     Some((link.address.clone(), OrderStamp { token: session.term, deadline_ms }))
 }
--- a/crates/fleet/src/row.rs
+++ b/crates/fleet/src/row.rs
@@ -19,6 +19,8 @@
 pub const PROGRESS_TABLE: &str = "progress";
 /// Table of the ownership and of the entries.
 pub const STATE_TABLE: &str = "state";
+/// Table of the workers that may run tasks.
+pub const LEASE_TABLE: &str = "leases";
 /// Table that operators write.
 pub const OPERATOR_TABLE: &str = "operators";
 /// Table in which workers register.
@@ -54,11 +56,17 @@
     pub instance: ArcStr,
     /// Number of the ownership; the fencing token of its orders.
     pub term: u64,
-    /// Workers that may run tasks, whether they are registered or not:
-    /// registrations can expire while the table service is down.
-    pub leased: Vec<WorkerName>,
 }
 
+/// Workers that may run tasks, whether they are registered or not: registrations can
+/// expire while the table service is down.
+///
+/// Only the next owner reads them. In the ownership row, which every entry follows, the
+/// names of 3,000 workers would be most of what entries read.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct LeasedWorkers(pub Vec<WorkerName>);
+
 /// An entry that can make calls for the owner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRow {
@@ -125,6 +133,13 @@
     RowKey { table: STATE_TABLE, part: OWNER_PART, key: ArcStr::from(OWNER_KEY) }
 }
 
+/// Returns the key of the workers that may run tasks. It lies in the part of the ownership row, so
+/// that both change together.
+#[must_use]
+pub fn lease_key() -> RowKey {
+    RowKey { table: LEASE_TABLE, part: OWNER_PART, key: ArcStr::from(OWNER_KEY) }
+}
+
 /// Returns the key of the row that each owner writes into a part before it reads the jobs there.
 ///
 /// The owner stores jobs under the condition that it has not changed, so that
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -8,7 +8,7 @@
 use model::time::ClockMillis;
 
 fn held_by(holder: &str, instance: &str) -> OwnerRow {
-    OwnerRow { holder: holder.into(), instance: instance.into(), term: 1, ..OwnerRow::default() }
+    OwnerRow { holder: holder.into(), instance: instance.into(), term: 1 }
 }
 
 /// Guards against two owners: the row is claimed only when its holder's lease is over.
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -214,6 +214,12 @@
         self.workers.values().map(|worker| worker.runs.len()).sum()
     }
 
+    /// Tells whether runs may be present on a worker.
+    #[must_use]
+    pub fn has_runs(&self, name: &WorkerName) -> bool {
+        self.workers.get(name).is_some_and(|worker| !worker.runs.is_empty())
+    }
+
     /// Returns how many workers were looked at for waiting steps, over all decisions.
     #[must_use]
     pub fn examined_workers(&self) -> u64 {
