--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -156,7 +156,7 @@
         if let Some(record) = row::decode::<ProgressRecord>(row::PROGRESS_TABLE, &found.key, value)
         {
             if record.status.is_final() {
-                session.tell(&id, record.status);
+                session.publish(&id, record.status);
                 let end = (record.ended_ms, id.clone(), found.version);
                 session.ended.borrow_mut().push_back(end);
             }
@@ -217,7 +217,7 @@
     if over || session.planner.borrow().is_known(&spec.id) {
         return;
     }
-    session.tell(&spec.id, JobStatus::Pending);
+    session.publish(&spec.id, JobStatus::Pending);
     session.planner.borrow_mut().add_job(&Arc::new(spec), record, arrived_ms);
 }
 
--- a/crates/fleet/src/owner/progress.rs
+++ b/crates/fleet/src/owner/progress.rs
@@ -126,7 +126,7 @@
                 } else {
                     versions.insert(id.clone(), version);
                 }
-                session.tell(id, record.status);
+                session.publish(id, record.status);
             }
             drop(versions);
             session.planner.borrow_mut().records_stored(&group.records);
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -101,7 +101,7 @@
     }
 
     /// Notes a change of a job for callers of this entry and of the others.
-    pub(crate) fn tell(&self, id: &JobId, status: JobStatus) {
+    pub(crate) fn publish(&self, id: &JobId, status: JobStatus) {
         self.context.statuses.borrow_mut().note(id.clone(), status);
         self.news.borrow_mut().push(id.clone(), status);
         self.news_rung.notify_waiters();
--- a/crates/plan/src/worker.rs
+++ b/crates/plan/src/worker.rs
@@ -40,7 +40,7 @@
     pub run: u32,
     /// Saved progress; empty for none.
     pub saved: ArcStr,
-    /// Share of full speed at which the task works, in per cent.
+    /// Progress in per cent; of a service, 100 while it is at work.
     pub percent: u32,
     /// Tail response time in milliseconds of a service, processor use of any other task.
     pub gauge: u64,
--- a/crates/plan/tests/load.rs
+++ b/crates/plan/tests/load.rs
@@ -10,7 +10,7 @@
 use plan::config::AdviceCost;
 use plan::decision::{AdviceAnswer, AdviceAsk, PlanDecision, StartOrder};
 use plan::worker::{EndKind, ListedEnd, RunReport, StartAnswer};
-use support::{BORN, PlanBench, WORKER_CPU, config, cpu, job, rule, step, worker};
+use support::{BORN, PlanBench, WORKER_CPU, config, cpu, job, rule, step};
 
 /// Workers of the replayed fleet.
 const WORKERS: usize = 60;
