Hold back only the jobs of lost workers after a takeover

Cause: the leased workers were stored by name alone. After a takeover all jobs of the earlier owner waited until the longest lease of each worker that was not registered any more had surely ended, about 12 s, and each further takeover began that wait anew.

Change: a worker that is not registered is stored with the jobs whose tasks it may run; nothing is started there, so the list only shrinks. Only these jobs wait. A worker that registers again gets no starts until the row names it without a list. A row that cannot be decoded counts as a worker that may run anything. The list is bounded.

--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -56,7 +56,7 @@
     apply_workers(session, &worker_page);
     // The first owner of a fleet finds no runs.
     if had_owner {
-        workers::await_unregistered_leases(session, &leased.0);
+        workers::await_unregistered_leases(session, &leased);
         session.planner.borrow_mut().inherit_workers(leased.0);
     }
     advice::refresh_advice_entries(session);
@@ -121,11 +121,10 @@
         .inspect_err(|error| {
             log::warn!("leases not read error=\"{}\"", failure::format_one_line(error));
         })?;
-    let leased = page
-        .rows
-        .iter()
-        .find_map(|row| row::decode(row::LEASE_TABLE, &row.key, row.value.as_ref()?));
-    Ok(leased.unwrap_or_default())
+    let row = page.rows.iter().find_map(|row| Some((&row.key, row.value.as_ref()?)));
+    Ok(row.map_or_else(LeasedWorkers::default, |(key, value)| {
+        row::decode(row::LEASE_TABLE, key, value).unwrap_or_else(LeasedWorkers::unknown)
+    }))
 }
 
 /// Applies a complete read of the workers' table and deregisters workers without a row.
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -57,7 +57,7 @@
     pub(crate) dispatcher: RefCell<AdviceDispatcher>,
     pub(crate) links: RefCell<BTreeMap<WorkerName, WorkerLink>>,
     /// Workers that are not registered and may still run tasks of an earlier owner.
-    pub(crate) expiring_workers: RefCell<Vec<WorkerName>>,
+    pub(crate) expiring_workers: RefCell<BTreeSet<WorkerName>>,
     /// Versions of the progress rows that exist.
     pub(crate) progress_versions: RefCell<BTreeMap<JobId, u64>>,
     /// Finished jobs, the earliest end first.
@@ -215,6 +215,7 @@
             if let Some(leases) = changed_leases {
                 *session.stored_leases.borrow_mut() = Some(leases);
             }
+            workers::confirm_registrations(&session, sent_at);
             session.version.set(version);
             session.renewed_at.set(sent_at);
             // No renewal is in flight here, so a handover names the row's present version.
@@ -316,7 +317,7 @@
 /// Returns the leased workers if they differ from the stored ones; none before the fleet is
 /// loaded, as the workers of the earlier owner are not all known until then.
 fn find_changed_leases<P: OwnerPorts>(session: &SharedSession<P>) -> Option<LeasedWorkers> {
-    let leased = LeasedWorkers(workers::list_leased_workers(session));
+    let leased = workers::list_leased_workers(session);
     let stored = session.stored_leases.borrow();
     (session.is_loaded.get() && stored.as_ref() != Some(&leased)).then_some(leased)
 }
--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -1,5 +1,6 @@
 //! Polls each worker, which extends its lease and reports its runs and run ends.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use link::failure;
 use model::name::WorkerName;
 use model::time::ClockMillis;
-use plan::worker::{EndKind, EndedRun};
+use plan::worker::{EndKind, EndedRun, InheritedRuns};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 
@@ -17,6 +18,7 @@
 use crate::metrics;
 use crate::owner::{OwnerPorts, SharedSession};
 use crate::ports::{OrderStamp, PollAnswer, PollOrder, TableRow};
+use crate::row::LeasedWorkers;
 
 /// Connection state of one worker: address, lease and reachability.
 #[derive(Debug)]
@@ -26,6 +28,9 @@
     /// Permits that bound the orders in flight.
     pub(crate) orders_in_flight: Arc<Semaphore>,
     is_registered: bool,
+    /// When the worker registered again; none once the leased workers have been stored since.
+    /// The stored list names only some jobs for it, so that nothing may be started there before.
+    registered_again_at: Option<ClockMillis>,
     /// When the polls began to fail; none while they succeed.
     failing_since: Option<ClockMillis>,
     /// Notified when a task is started on the worker.
@@ -49,6 +54,9 @@
     let mut links = session.links.borrow_mut();
     if let Some(link) = links.get_mut(&name) {
         link.address = address;
+        if !link.is_registered {
+            link.registered_again_at = Some(session.context.clock.now());
+        }
         link.is_registered = true;
         return;
     }
@@ -59,6 +67,7 @@
         lease,
         orders_in_flight: Arc::new(Semaphore::new(limits::MAX_ORDERS_IN_FLIGHT)),
         is_registered: true,
+        registered_again_at: None,
         failing_since: None,
         started_notify: Rc::default(),
         cancellation: cancellation.clone(),
@@ -95,10 +104,32 @@
 }
 
 /// Returns the workers that may run tasks of this or an earlier owner.
-pub(crate) fn list_leased_workers<P: OwnerPorts>(session: &SharedSession<P>) -> Vec<WorkerName> {
-    let mut names: Vec<_> = session.links.borrow().keys().cloned().collect();
-    names.extend(session.expiring_workers.borrow().iter().cloned());
-    names
+pub(crate) fn list_leased_workers<P: OwnerPorts>(session: &SharedSession<P>) -> LeasedWorkers {
+    let planner = session.planner.borrow();
+    let links = session.links.borrow();
+    let linked = links.iter().map(|(name, link)| {
+        let runs =
+            if link.is_registered { InheritedRuns::Any } else { planner.possible_runs(name) };
+        (name.clone(), runs)
+    });
+    let mut leased = LeasedWorkers(linked.collect());
+    for name in session.expiring_workers.borrow().iter() {
+        leased.0.entry(name.clone()).or_insert_with(|| planner.possible_runs(name));
+    }
+    leased.limit_jobs();
+    leased
+}
+
+/// Allows starts on workers that had registered again when the stored leases were listed.
+pub(crate) fn confirm_registrations<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    listed_at: ClockMillis,
+) {
+    for link in session.links.borrow_mut().values_mut() {
+        if link.registered_again_at.is_some_and(|registered_at| registered_at <= listed_at) {
+            link.registered_again_at = None;
+        }
+    }
 }
 
 /// Counts the registered workers: those that do not answer polls, and all.
@@ -114,10 +145,11 @@
 /// now.
 pub(crate) fn await_unregistered_leases<P: OwnerPorts>(
     session: &SharedSession<P>,
-    leased: &[WorkerName],
+    leased: &LeasedWorkers,
 ) {
     let links = session.links.borrow();
-    let names: Vec<_> = leased.iter().filter(|name| !links.contains_key(*name)).cloned().collect();
+    let names: BTreeSet<_> =
+        leased.0.keys().filter(|name| !links.contains_key(*name)).cloned().collect();
     drop(links);
     if names.is_empty() {
         return;
@@ -133,7 +165,7 @@
 
 /// Waits until the inherited leases of unregistered workers have expired, and reports that to
 /// the planner for those that have not registered meanwhile.
-async fn wait_for_leases<P: OwnerPorts>(session: SharedSession<P>, names: Vec<WorkerName>) {
+async fn wait_for_leases<P: OwnerPorts>(session: SharedSession<P>, names: BTreeSet<WorkerName>) {
     let lease = WorkerLease::inherited(session.context.bounds.worker_lease_ms, session.claimed_at);
     while !lease.has_expired(session.context.clock.now()) {
         tokio::time::sleep(limits::POLL_RETRY_DELAY).await;
@@ -315,6 +347,9 @@
     let now = session.context.clock.now();
     let mut links = session.links.borrow_mut();
     let link = links.get_mut(name)?;
+    if link.registered_again_at.is_some() {
+        return None;
+    }
     let deadline_ms = link.lease.next_deadline(now);
     link.started_notify.notify_one();
     Some((link.address.clone(), OrderStamp { fencing_token: session.term, deadline_ms }))
--- a/crates/fleet/src/row.rs
+++ b/crates/fleet/src/row.rs
@@ -1,10 +1,12 @@
 //! Keys and content of the rows that the fleet keeps in the table service.
 
+use std::collections::BTreeMap;
 use std::hash::Hasher;
 
 use arcstr::ArcStr;
 use fnv::FnvHasher;
 use model::name::{DomainName, JobId, WorkerName};
+use plan::worker::InheritedRuns;
 use serde::{Deserialize, Serialize};
 
 use crate::ports::RowKey;
@@ -45,6 +47,9 @@
 pub const OWNER_KEY: &str = "owner";
 /// Key of a term row, which changes only when a term begins.
 const TERM_KEY: &str = "term";
+/// Most jobs listed with leased workers. With 1,100 workers the row then has about 40 kB; a
+/// row may have 64 kB.
+const MAX_LEASED_JOBS: usize = 1_200;
 /// Suffix of the key of a cancellation.
 const CANCEL_SUFFIX: &str = ".cancel";
 
@@ -62,13 +67,36 @@
 }
 
 /// Workers that may run tasks, whether they are registered or not: registrations can
-/// expire while the table service is down.
+/// expire while the table service is down. Those that are not registered any more are listed
+/// with the jobs whose tasks they may run, so that the next owner waits with these jobs only.
 ///
 /// Only the next owner reads them, so they have their own row. In the ownership row, which
 /// every entry follows, the names of 3,000 workers would be most of what entries read.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct LeasedWorkers(pub Vec<WorkerName>);
+pub struct LeasedWorkers(pub BTreeMap<WorkerName, InheritedRuns>);
+
+impl LeasedWorkers {
+    /// Returns a worker that stands for all those in a row that this build cannot decode.
+    #[must_use]
+    pub fn unknown() -> Self {
+        Self([(WorkerName::from("unknown"), InheritedRuns::Any)].into())
+    }
+
+    /// Lists workers without their jobs where the row would become too large for a table
+    /// service that limits the size of a row.
+    pub fn limit_jobs(&mut self) {
+        let mut listed = 0;
+        for runs in self.0.values_mut() {
+            if let InheritedRuns::OfJobs(jobs) = runs {
+                listed += jobs.len();
+                if listed > MAX_LEASED_JOBS {
+                    *runs = InheritedRuns::Any;
+                }
+            }
+        }
+    }
+}
 
 /// A registered entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- /dev/null
+++ b/crates/fleet/tests/row.rs
@@ -0,0 +1,39 @@
+//! Tests of the rows that the fleet stores.
+
+use std::collections::BTreeSet;
+
+use fleet::row::{self, LeasedWorkers};
+use model::name::{JobId, WorkerName};
+use plan::worker::InheritedRuns;
+
+fn leased(workers: usize, jobs: usize) -> LeasedWorkers {
+    let runs = |worker: usize| {
+        let ids = (0..jobs).map(|job| JobId::from(format!("{:016x}", worker * jobs + job)));
+        InheritedRuns::OfJobs(ids.collect::<BTreeSet<_>>())
+    };
+    let entries =
+        (0..workers).map(|worker| (WorkerName::from(format!("i-{worker:010x}")), runs(worker)));
+    LeasedWorkers(entries.collect())
+}
+
+/// Guards against jobs that a later owner does not read as they were stored.
+#[test]
+fn leased_workers_are_read_as_stored() {
+    let mut stored = leased(3, 2);
+    stored.0.insert("any".into(), InheritedRuns::Any);
+    let value = row::encode(&stored);
+    assert_eq!(row::decode::<LeasedWorkers>("leases", "owner", &value), Some(stored));
+    let text = row::encode(&LeasedWorkers([("any".into(), InheritedRuns::Any)].into()));
+    assert_eq!(text, br#"{"any":null}"#);
+}
+
+/// Guards against a row that exceeds the 65,536 bytes of the table service after a third of
+/// 1,100 workers was lost: the row could not be written, and the ownership not renewed.
+#[test]
+fn a_row_of_many_lost_workers_stays_small() {
+    let mut stored = leased(1_100, 8);
+    stored.limit_jobs();
+    assert!(row::encode(&stored).len() * 4 / 3 < 65_536);
+    let any = stored.0.values().filter(|runs| **runs == InheritedRuns::Any).count();
+    assert!(any > 0 && any < 1_100, "{any} workers without jobs");
+}
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -254,7 +254,7 @@
         }
         let capacity = self
             .unreported_workers
-            .iter()
+            .keys()
             .map(|name| self.workers.get(name).map(|worker| worker.info.capacity))
             .try_fold(ResourceAmounts::ZERO, |sum, capacity| Some(sum.plus(capacity?)))
             .unwrap_or(ResourceAmounts::UNLIMITED);
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -17,7 +17,7 @@
     AdviceState, JobState, OccurrenceState, PendingAcks, RunPhase, RunState, StepState, TaskState,
     WorkerState,
 };
-use crate::worker::WorkerInfo;
+use crate::worker::{InheritedRuns, WorkerInfo};
 
 /// Parameters of a planner that the configuration of the fleet does not contain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,11 +61,11 @@
     pub(crate) dirty_jobs: BTreeSet<JobId>,
     /// Run ends that were counted and whose progress is not stored.
     pub(crate) pending_acks: PendingAcks,
-    /// Jobs that start nothing until all workers have reported: a worker that has not
-    /// may still run their tasks for an earlier owner.
+    /// Jobs that start nothing yet: a worker that has not reported may still run their tasks
+    /// for an earlier owner.
     pub(crate) inherited_jobs: BTreeSet<JobId>,
     /// Workers that an earlier owner may have used and that have not reported yet.
-    pub(crate) unreported_workers: BTreeSet<WorkerName>,
+    pub(crate) unreported_workers: BTreeMap<WorkerName, InheritedRuns>,
     /// Workers that the advice requests in flight name, by step.
     pub(crate) open_advice_requests: BTreeMap<StepKey, Vec<WorkerName>>,
     /// Moving average of the share of eligible workers in the first advice answer of each
@@ -111,12 +111,42 @@
 
     /// Expects runs of earlier owners on all registered workers and on the `leased` ones.
     ///
-    /// The jobs known so far start nothing until all of these workers have reported, or
-    /// can run nothing any more. `leased` names the workers that the earlier owner knew.
-    pub fn inherit_workers(&mut self, leased: Vec<WorkerName>) {
-        self.unreported_workers = self.workers.keys().cloned().chain(leased).collect();
-        if !self.unreported_workers.is_empty() {
-            self.inherited_jobs = self.jobs.keys().cloned().collect();
+    /// A job known so far starts nothing until every worker that may run its tasks has
+    /// reported, or can run nothing any more. `leased` names the workers that the earlier
+    /// owner knew, with the jobs whose tasks it may have started there.
+    pub fn inherit_workers(&mut self, leased: BTreeMap<WorkerName, InheritedRuns>) {
+        self.unreported_workers = leased;
+        let registered = self.workers.keys().map(|name| (name.clone(), InheritedRuns::Any));
+        self.unreported_workers.extend(registered);
+        self.inherited_jobs = self.jobs.keys().cloned().collect();
+        self.release_inherited_jobs();
+    }
+
+    /// Releases the inherited jobs of which no run can be present on an unreported worker.
+    fn release_inherited_jobs(&mut self) {
+        let mut held: BTreeSet<&JobId> = BTreeSet::new();
+        for runs in self.unreported_workers.values() {
+            match runs {
+                InheritedRuns::Any => return,
+                InheritedRuns::OfJobs(jobs) => held.extend(jobs),
+            }
+        }
+        self.inherited_jobs.retain(|id| held.contains(id));
+    }
+
+    /// Returns the jobs whose tasks may run on a worker.
+    ///
+    /// Once the worker is deregistered, nothing is started there, so that the set only shrinks.
+    #[must_use]
+    pub fn possible_runs(&self, name: &WorkerName) -> InheritedRuns {
+        let known = self.workers.get(name).into_iter().flat_map(|worker| worker.runs.keys());
+        let known = known.map(|task| task.step.job.clone());
+        match self.unreported_workers.get(name) {
+            Some(InheritedRuns::Any) => InheritedRuns::Any,
+            Some(InheritedRuns::OfJobs(jobs)) => {
+                InheritedRuns::OfJobs(known.chain(jobs.iter().cloned()).collect())
+            }
+            None => InheritedRuns::OfJobs(known.collect()),
         }
     }
 
@@ -126,7 +156,7 @@
     pub fn deregister_worker(&mut self, name: &WorkerName) {
         if let Some(worker) = self.workers.get_mut(name) {
             worker.deregistered = true;
-            if worker.runs.is_empty() && !self.unreported_workers.contains(name) {
+            if worker.runs.is_empty() && !self.unreported_workers.contains_key(name) {
                 self.workers.remove(name);
             }
         }
@@ -155,8 +185,8 @@
 
     /// Records that a worker has reported, or can run nothing of an earlier owner any more.
     pub(crate) fn mark_reported(&mut self, name: &WorkerName) {
-        if self.unreported_workers.remove(name) && self.unreported_workers.is_empty() {
-            self.inherited_jobs.clear();
+        if self.unreported_workers.remove(name).is_some() {
+            self.release_inherited_jobs();
         }
     }
 
@@ -226,7 +256,7 @@
         self.jobs.len()
     }
 
-    /// Returns the number of jobs that start nothing until all workers have reported.
+    /// Returns the number of jobs that wait for workers that have not reported.
     #[must_use]
     pub fn inherited_job_count(&self) -> usize {
         self.inherited_jobs.len()
--- a/crates/plan/src/worker.rs
+++ b/crates/plan/src/worker.rs
@@ -1,8 +1,11 @@
 //! Registrations of workers, their run reports and their answers to starts.
 
+use std::collections::BTreeSet;
+
 use arcstr::ArcStr;
-use model::name::{DomainName, WorkerName};
+use model::name::{DomainName, JobId, WorkerName};
 use model::resource::ResourceAmounts;
+use serde::{Deserialize, Serialize};
 
 use crate::job::TaskKey;
 
@@ -32,6 +35,17 @@
     }
 }
 
+/// Runs of an earlier owner that may be present on a worker.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum InheritedRuns {
+    /// Only runs of these jobs: the worker was not registered any more, so that nothing was
+    /// started there since the jobs were listed.
+    OfJobs(BTreeSet<JobId>),
+    /// Runs of any job that the earlier owner knew.
+    Any,
+}
+
 /// A run that a worker reports as present.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PresentRun {
--- a/crates/plan/tests/fleet_property.rs
+++ b/crates/plan/tests/fleet_property.rs
@@ -80,7 +80,7 @@
         for index in 0..WORKERS {
             self.planner.set_worker(worker(index));
         }
-        self.planner.inherit_workers(Vec::new());
+        self.planner.inherit_workers(BTreeMap::new());
     }
 
     /// Has the planner decide and carries out its decisions. `random` chooses which orders and
--- a/crates/plan/tests/runs.rs
+++ b/crates/plan/tests/runs.rs
@@ -4,7 +4,8 @@
 mod support;
 
 use plan::progress::{JobStatus, ProgressRecord};
-use plan::worker::{EndKind, RefusalKind, RunReport, StartAnswer};
+use plan::worker::{EndKind, InheritedRuns, RefusalKind, RunReport, StartAnswer};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use support::{
     INCARNATION, PlannerFixture, config, cpu, job, present_run, step, stops, task, worker,
@@ -37,7 +38,7 @@
 
     let mut successor = PlannerFixture::unreported(1, config());
     successor.planner.add_job(&Arc::new(spec), &record, 1);
-    successor.planner.inherit_workers(Vec::new());
+    successor.planner.inherit_workers(BTreeMap::new());
     successor.end_run(&order.worker, &order.task, order.run, EndKind::Failed);
     let starts = successor.starts();
     assert_eq!(starts.len(), 1, "one attempt is left");
@@ -57,7 +58,7 @@
 
     let mut successor = PlannerFixture::unreported(1, config());
     successor.planner.add_job(&Arc::new(spec), &record, 1);
-    successor.planner.inherit_workers(Vec::new());
+    successor.planner.inherit_workers(BTreeMap::new());
     successor.report(&worker(0).name, Vec::new(), Vec::new());
     let starts = successor.starts();
     assert_eq!(starts.len(), 1);
@@ -70,7 +71,7 @@
 fn inherited_jobs_wait_for_every_worker() {
     let mut fixture = PlannerFixture::unreported(2, config());
     fixture.add(job("old", "normal", vec![step(1, cpu(1_000))]));
-    fixture.planner.inherit_workers(vec!["gone".into()]);
+    fixture.planner.inherit_workers([("gone".into(), InheritedRuns::Any)].into());
     fixture.add(job("new", "normal", vec![step(1, cpu(1_000))]));
     fixture.report(&worker(0).name, Vec::new(), Vec::new());
     fixture.report(&worker(1).name, Vec::new(), Vec::new());
@@ -80,6 +81,32 @@
     assert_eq!(fixture.starts().len(), 1);
 }
 
+/// Guards against a fleet that idles after a takeover while the leases of workers run out that
+/// had left shortly before: only the jobs that may run there have to wait.
+#[test]
+fn only_jobs_of_lost_workers_wait_for_their_leases() {
+    let mut owner = PlannerFixture::new(1, config());
+    owner.add(job("on-lost", "normal", vec![step(1, cpu(1_000))]));
+    let lost = owner.run_starts(StartAnswer::Started).remove(0).worker;
+    owner.planner.deregister_worker(&lost);
+    let runs = owner.planner.possible_runs(&lost);
+    assert_eq!(runs, InheritedRuns::OfJobs(["on-lost".into()].into()));
+
+    let mut successor = PlannerFixture::unreported(0, config());
+    let kept = worker(1);
+    successor.planner.set_worker(kept.clone());
+    successor.add(job("on-lost", "normal", vec![step(1, cpu(1_000))]));
+    successor.add(job("waiting", "normal", vec![step(1, cpu(1_000))]));
+    successor.planner.inherit_workers([(lost.clone(), runs.clone())].into());
+    assert!(successor.starts().is_empty(), "the registered worker may run any job");
+    successor.report(&kept.name, Vec::new(), Vec::new());
+    let names: Vec<_> = successor.starts().iter().map(|order| order.job.id.to_string()).collect();
+    assert_eq!(names, ["waiting"]);
+    assert_eq!(successor.planner.possible_runs(&lost), runs, "a third owner has to wait as well");
+    successor.planner.worker_lease_expired(&lost);
+    assert_eq!(successor.starts().len(), 1);
+}
+
 /// Guards against a run that is taken for lost, because the worker's report was requested
 /// before the run started and so does not contain it.
 #[test]
@@ -206,7 +233,7 @@
     }
     let mut fixture = PlannerFixture::unreported(2, config);
     fixture.add(job("old", "normal", vec![step(3, cpu(1_000))]));
-    fixture.planner.inherit_workers(Vec::new());
+    fixture.planner.inherit_workers(BTreeMap::new());
     fixture.report(&worker(0).name, Vec::new(), Vec::new());
     fixture.add(job("red", "normal", vec![step(4, cpu(1_000))]));
     let mut blue = job("blue", "normal", vec![step(4, cpu(1_000))]);
