Send entries only the states of jobs that have changed

Cause: each stored progress of a job was sent to every entry as a change of its state, though most progress leaves the state as it is.

Change: progress is published only if the state has changed.

--- a/crates/fleet/src/owner/progress.rs
+++ b/crates/fleet/src/owner/progress.rs
@@ -128,7 +128,7 @@
                 } else {
                     versions.insert(id.clone(), version);
                 }
-                session.publish(id, record.status);
+                session.publish_change(id, record.status);
             }
             drop(versions);
             session.planner.borrow_mut().confirm_records(&group.records);
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -121,6 +121,16 @@
         self.changes_notify.notify_waiters();
     }
 
+    /// Publishes the state of a job that this owner has published before, if it has changed.
+    /// Every entry receives every change, and most progress of a job leaves its state as it is.
+    pub(crate) fn publish_change(&self, id: &JobId, status: JobStatus) {
+        let is_change = self.context.statuses.borrow_mut().record_status(id.clone(), status);
+        if is_change {
+            self.job_changes.borrow_mut().push(id.clone(), status);
+            self.changes_notify.notify_waiters();
+        }
+    }
+
     /// Spawns a future that is dropped when the ownership ends.
     pub(crate) fn spawn(self: &Rc<Self>, work: impl Future<Output = ()> + 'static) {
         let cancellation = self.cancellation.clone();
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -1,6 +1,7 @@
 //! Cache of job states, from which an entry answers callers without a read.
 
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 
 use model::name::JobId;
 use plan::progress::JobStatus;
@@ -16,14 +17,23 @@
 }
 
 impl JobStatusCache {
-    /// Records the state of a job. A finished job keeps its state.
-    pub fn record_status(&mut self, id: JobId, status: JobStatus) {
+    /// Records the state of a job; returns false if it was known. A finished job keeps its state.
+    pub fn record_status(&mut self, id: JobId, status: JobStatus) -> bool {
         if self.jobs.len() >= MAX_CACHED_JOBS {
             self.jobs.clear();
         }
-        let known = self.jobs.entry(id).or_default();
-        if !known.is_final() {
-            *known = status;
+        match self.jobs.entry(id) {
+            Entry::Vacant(entry) => {
+                entry.insert(status);
+                true
+            }
+            Entry::Occupied(mut entry) => {
+                let is_change = !entry.get().is_final() && *entry.get() != status;
+                if is_change {
+                    entry.insert(status);
+                }
+                is_change
+            }
         }
     }
 
