Store when the leases of lost workers end

Cause: each owner waited for the longest lease of a worker that is not registered from its own claim on, although an earlier owner had waited for a part of it.

Change: the leased workers carry the ends of such leases on the table service's steady clock; the next owner waits for the rest, with the margin for clock rates, and for the longest lease where the clock is not known. A worker that registers again gets no starts before a list without its end is stored.

Test: a_later_owner_waits_for_the_rest_of_a_stored_lease (without the stored end it waits for the longest lease).

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -102,6 +102,69 @@
     }
 }
 
+/// A reading of the table service's steady clock, by which one owner tells the next when a
+/// lease ends. Without it, each owner would have to assume the longest lease from its own claim.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceClock {
+    /// When the read was sent.
+    pub sent_at: ClockMillis,
+    /// When its answer arrived.
+    pub received_at: ClockMillis,
+    /// The service's clock in the answer, in milliseconds; 0 if it is not known.
+    pub clock_ms: u64,
+}
+
+impl ServiceClock {
+    /// Returns the latest time that the service's clock can show at `instant`; none if the
+    /// clock is not known.
+    #[must_use]
+    pub fn latest_service_time(&self, instant: ClockMillis) -> Option<u64> {
+        let elapsed_ms = instant.since(self.sent_at);
+        (self.clock_ms > 0).then(|| self.clock_ms + with_slow_clock(elapsed_ms))
+    }
+
+    /// Returns the latest instant at which the service's clock can reach `service_ms`; none if
+    /// the clock is not known.
+    #[must_use]
+    pub fn latest_instant(&self, service_ms: u64) -> Option<ClockMillis> {
+        let remaining_ms = service_ms.saturating_sub(self.clock_ms);
+        (self.clock_ms > 0).then(|| self.received_at + with_slow_clock(remaining_ms))
+    }
+}
+
+/// A lease that an earlier owner gave to a worker that is not registered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExpiringLease {
+    /// Instant by which it has expired.
+    pub until: ClockMillis,
+    /// The same on the service's clock, for the next owner.
+    pub service_until_ms: Option<u64>,
+}
+
+impl ExpiringLease {
+    /// Creates the lease from the end that the earlier owner stored, if any, and the longest
+    /// lease that it can have given before it was replaced at `claimed_at`.
+    #[must_use]
+    pub fn new(
+        stored_until_ms: Option<u64>,
+        max_lease_ms: u64,
+        claimed_at: ClockMillis,
+        clock: &ServiceClock,
+    ) -> Self {
+        let longest_until = WorkerLease::inherited(max_lease_ms, claimed_at).inherited_until;
+        let stored_until = stored_until_ms.and_then(|until| clock.latest_instant(until));
+        match stored_until {
+            Some(until) if until < longest_until => {
+                Self { until, service_until_ms: stored_until_ms }
+            }
+            _ => Self {
+                until: longest_until,
+                service_until_ms: clock.latest_service_time(longest_until),
+            },
+        }
+    }
+}
+
 /// The lease of one worker as its owner knows it.
 #[derive(Clone, Copy, Debug)]
 pub struct WorkerLease {
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -10,6 +10,7 @@
 use plan::progress::{JobStatus, ProgressRecord};
 
 use crate::desk;
+use crate::lease::ServiceClock;
 use crate::limits;
 use crate::owner::session::FinishedJob;
 use crate::owner::{OwnerPorts, SharedSession, advice, workers};
@@ -56,8 +57,9 @@
     apply_workers(session, &worker_page);
     // The first owner of a fleet finds no runs.
     if had_owner {
-        workers::await_unregistered_leases(session, &leased);
-        session.planner.borrow_mut().inherit_workers(leased.0);
+        let (leased, store_clock) = leased;
+        workers::await_unregistered_leases(session, &leased, &store_clock);
+        session.planner.borrow_mut().inherit_workers(leased.runs);
     }
     advice::refresh_advice_entries(session);
     let (jobs, workers) =
@@ -111,8 +113,11 @@
         })
 }
 
-/// Reads the workers that may run tasks of earlier owners.
-async fn read_leases<P: OwnerPorts>(session: &SharedSession<P>) -> PortResult<LeasedWorkers> {
+/// Reads the workers that may run tasks of earlier owners, with the clock of the service.
+async fn read_leases<P: OwnerPorts>(
+    session: &SharedSession<P>,
+) -> PortResult<(LeasedWorkers, ServiceClock)> {
+    let sent_at = session.context.clock.now();
     let page = session
         .context
         .ports
@@ -122,9 +127,11 @@
             log::warn!("leases not read error=\"{}\"", failure::format_one_line(error));
         })?;
     let row = page.rows.iter().find_map(|row| Some((&row.key, row.value.as_ref()?)));
-    Ok(row.map_or_else(LeasedWorkers::default, |(key, value)| {
+    let leased = row.map_or_else(LeasedWorkers::default, |(key, value)| {
         row::decode(row::LEASE_TABLE, key, value).unwrap_or_else(LeasedWorkers::unknown)
-    }))
+    });
+    let received_at = session.context.clock.now();
+    Ok((leased, ServiceClock { sent_at, received_at, clock_ms: page.clock_ms }))
 }
 
 /// Applies a complete read of the workers' table and deregisters workers without a row.
@@ -192,7 +199,8 @@
         log::warn!("jobs not read table={table} error=\"{}\"", failure::format_one_line(error));
     })?;
     let version = pages.iter().map(|page| page.version).min().unwrap_or(0);
-    Ok(RowPage { rows: pages.into_iter().flat_map(|page| page.rows).collect(), version })
+    let clock_ms = pages.iter().map(|page| page.clock_ms).min().unwrap_or(0);
+    Ok(RowPage { rows: pages.into_iter().flat_map(|page| page.rows).collect(), version, clock_ms })
 }
 
 fn apply_job<P: OwnerPorts>(
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,6 +20,7 @@
 
 use crate::context::SharedContext;
 use crate::desk;
+use crate::lease::ExpiringLease;
 use crate::limits;
 use crate::metrics;
 use crate::news::JobChangeLog;
@@ -57,7 +58,7 @@
     pub(crate) dispatcher: RefCell<AdviceDispatcher>,
     pub(crate) links: RefCell<BTreeMap<WorkerName, WorkerLink>>,
     /// Workers that are not registered and may still run tasks of an earlier owner.
-    pub(crate) expiring_workers: RefCell<BTreeSet<WorkerName>>,
+    pub(crate) expiring_workers: RefCell<BTreeMap<WorkerName, ExpiringLease>>,
     /// Versions of the progress rows that exist.
     pub(crate) progress_versions: RefCell<BTreeMap<JobId, u64>>,
     /// Finished jobs, the earliest end first.
--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -1,6 +1,6 @@
 //! Polls each worker, which extends its lease and reports its runs and run ends.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 
-use crate::lease::WorkerLease;
+use crate::lease::{ExpiringLease, ServiceClock, WorkerLease};
 use crate::limits;
 use crate::metrics;
 use crate::owner::{OwnerPorts, SharedSession};
@@ -29,7 +29,8 @@
     pub(crate) orders_in_flight: Arc<Semaphore>,
     is_registered: bool,
     /// When the worker registered again; none once the leased workers have been stored since.
-    /// The stored list names only some jobs for it, so that nothing may be started there before.
+    /// Until then they contain an end of its lease or only some jobs, and nothing may be
+    /// started there.
     registered_again_at: Option<ClockMillis>,
     /// When the polls began to fail; none while they succeed.
     failing_since: Option<ClockMillis>,
@@ -67,7 +68,11 @@
         lease,
         orders_in_flight: Arc::new(Semaphore::new(limits::MAX_ORDERS_IN_FLIGHT)),
         is_registered: true,
-        registered_again_at: None,
+        registered_again_at: session
+            .expiring_workers
+            .borrow()
+            .contains_key(&name)
+            .then(|| session.context.clock.now()),
         failing_since: None,
         started_notify: Rc::default(),
         cancellation: cancellation.clone(),
@@ -112,11 +117,15 @@
             if link.is_registered { InheritedRuns::Any } else { planner.possible_runs(name) };
         (name.clone(), runs)
     });
-    let mut leased = LeasedWorkers(linked.collect());
-    for name in session.expiring_workers.borrow().iter() {
-        leased.0.entry(name.clone()).or_insert_with(|| planner.possible_runs(name));
+    let mut leased = LeasedWorkers { runs: linked.collect(), until_ms: BTreeMap::new() };
+    for (name, lease) in &*session.expiring_workers.borrow() {
+        if links.contains_key(name) {
+            continue;
+        }
+        leased.runs.insert(name.clone(), planner.possible_runs(name));
+        leased.until_ms.extend(lease.service_until_ms.map(|until| (name.clone(), until)));
     }
-    leased.limit_jobs();
+    leased.limit_size();
     leased
 }
 
@@ -146,37 +155,55 @@
 pub(crate) fn await_unregistered_leases<P: OwnerPorts>(
     session: &SharedSession<P>,
     leased: &LeasedWorkers,
+    clock: &ServiceClock,
 ) {
+    let max_lease_ms = session.context.bounds.worker_lease_ms;
     let links = session.links.borrow();
-    let names: BTreeSet<_> =
-        leased.0.keys().filter(|name| !links.contains_key(*name)).cloned().collect();
+    let unregistered = leased.runs.keys().filter(|name| !links.contains_key(*name));
+    let expiring: BTreeMap<_, _> = unregistered
+        .map(|name| {
+            let stored_until_ms = leased.until_ms.get(name).copied();
+            let lease =
+                ExpiringLease::new(stored_until_ms, max_lease_ms, session.claimed_at, clock);
+            (name.clone(), lease)
+        })
+        .collect();
     drop(links);
-    if names.is_empty() {
-        return;
-    }
+    let Some(last) = expiring.values().map(|lease| lease.until).max() else { return };
     log::info!(
-        "waiting for leases of unregistered workers term={} workers={}",
+        "waiting for leases of unregistered workers term={} workers={} longest_ms={}",
         session.term,
-        names.len()
+        expiring.len(),
+        last.since(session.context.clock.now())
     );
-    session.expiring_workers.borrow_mut().clone_from(&names);
-    session.spawn(wait_for_leases(session.clone(), names));
+    *session.expiring_workers.borrow_mut() = expiring;
+    session.spawn(wait_for_leases(session.clone()));
 }
 
 /// Waits until the inherited leases of unregistered workers have expired, and reports that to
 /// the planner for those that have not registered meanwhile.
-async fn wait_for_leases<P: OwnerPorts>(session: SharedSession<P>, names: BTreeSet<WorkerName>) {
-    let lease = WorkerLease::inherited(session.context.bounds.worker_lease_ms, session.claimed_at);
-    while !lease.has_expired(session.context.clock.now()) {
-        tokio::time::sleep(limits::POLL_RETRY_DELAY).await;
-    }
-    session.expiring_workers.borrow_mut().clear();
-    for name in &names {
-        if !session.links.borrow().contains_key(name) {
-            session.planner.borrow_mut().worker_lease_expired(name);
+async fn wait_for_leases<P: OwnerPorts>(session: SharedSession<P>) {
+    while !session.expiring_workers.borrow().is_empty() {
+        let now = session.context.clock.now();
+        let expired = take_expired(&mut session.expiring_workers.borrow_mut(), now);
+        for name in &expired {
+            if !session.links.borrow().contains_key(name) {
+                session.planner.borrow_mut().worker_lease_expired(name);
+            }
+        }
+        if !expired.is_empty() {
+            session.decide_notify.notify_one();
         }
+        tokio::time::sleep(limits::POLL_RETRY_DELAY).await;
     }
-    session.decide_notify.notify_one();
+}
+
+/// Removes the leases that have expired and returns their workers.
+fn take_expired(
+    leases: &mut BTreeMap<WorkerName, ExpiringLease>,
+    now: ClockMillis,
+) -> Vec<WorkerName> {
+    leases.extract_if(.., |_, lease| lease.until <= now).map(|(name, _)| name).collect()
 }
 
 /// Polls a worker until it is deregistered and its lease has expired.
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -70,6 +70,8 @@
     pub rows: Vec<TableRow>,
     /// Newest version of the whole service at the time of the snapshot.
     pub version: u64,
+    /// Steady clock of the service at that time, in milliseconds; 0 if it is not known.
+    pub clock_ms: u64,
 }
 
 /// Answer to a read of the changes since a version.
--- a/crates/fleet/src/row.rs
+++ b/crates/fleet/src/row.rs
@@ -49,7 +49,9 @@
 const TERM_KEY: &str = "term";
 /// Most jobs listed with leased workers. With 1,100 workers the row then has about 40 kB; a
 /// row may have 64 kB.
-const MAX_LEASED_JOBS: usize = 1_200;
+const MAX_LEASED_JOBS: usize = 800;
+/// Most ends of leases that are listed.
+const MAX_LEASE_ENDS: usize = 400;
 /// Suffix of the key of a cancellation.
 const CANCEL_SUFFIX: &str = ".cancel";
 
@@ -73,21 +75,31 @@
 /// Only the next owner reads them, so they have their own row. In the ownership row, which
 /// every entry follows, the names of 3,000 workers would be most of what entries read.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(transparent)]
-pub struct LeasedWorkers(pub BTreeMap<WorkerName, InheritedRuns>);
+pub struct LeasedWorkers {
+    /// Workers with the runs that may be present there.
+    pub runs: BTreeMap<WorkerName, InheritedRuns>,
+    /// When the leases end of workers that nobody extends any more, in milliseconds on the
+    /// table service's clock.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub until_ms: BTreeMap<WorkerName, u64>,
+}
 
 impl LeasedWorkers {
     /// Returns a worker that stands for all those in a row that this build cannot decode.
     #[must_use]
     pub fn unknown() -> Self {
-        Self([(WorkerName::from("unknown"), InheritedRuns::Any)].into())
+        let runs = [(WorkerName::from("unknown"), InheritedRuns::Any)].into();
+        Self { runs, until_ms: BTreeMap::new() }
     }
 
-    /// Lists workers without their jobs where the row would become too large for a table
-    /// service that limits the size of a row.
-    pub fn limit_jobs(&mut self) {
+    /// Leaves out jobs and ends of leases where the row would become too large for a table
+    /// service that limits the size of a row; the next owner then waits longer than needed.
+    pub fn limit_size(&mut self) {
+        while self.until_ms.len() > MAX_LEASE_ENDS {
+            self.until_ms.pop_last();
+        }
         let mut listed = 0;
-        for runs in self.0.values_mut() {
+        for runs in self.runs.values_mut() {
             if let InheritedRuns::OfJobs(jobs) = runs {
                 listed += jobs.len();
                 if listed > MAX_LEASED_JOBS {
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -1,6 +1,6 @@
 //! Tests of the claims of the fleet and of the leases of workers.
 
-use fleet::lease::{OwnershipTracker, WorkerLease};
+use fleet::lease::{ExpiringLease, OwnershipTracker, ServiceClock, WorkerLease};
 use fleet::limits;
 use fleet::ports::OwnershipHandover;
 use fleet::row::OwnerRow;
@@ -150,3 +150,32 @@
     lease.observe(510, 1, after_inherited_leases() + 60);
     assert!(lease.next_deadline(after_inherited_leases() + 60) >= first);
 }
+
+/// Guards against jobs that wait for a lost worker's longest lease anew after each takeover: the
+/// next owner waits only for what is left of the stored lease.
+#[test]
+fn a_later_owner_waits_for_the_rest_of_a_stored_lease() {
+    let clock = ServiceClock {
+        sent_at: ClockMillis(1_000),
+        received_at: ClockMillis(1_020),
+        clock_ms: 70_000,
+    };
+    let first = ExpiringLease::new(None, 10_000, ClockMillis(900), &clock);
+    assert!(first.until > ClockMillis(900 + 10_000 + limits::LEASE_EXTENSION_GRACE_MS));
+    let stored = first.service_until_ms.expect("the clock is known");
+    assert!(stored >= 70_000 + first.until.since(ClockMillis(1_020)), "never too early");
+
+    // The next owner reads the row 7 s later by the service's clock; its own clock differs.
+    let next_clock =
+        ServiceClock { sent_at: ClockMillis(500), received_at: ClockMillis(510), clock_ms: 77_000 };
+    let next = ExpiringLease::new(Some(stored), 10_000, ClockMillis(450), &next_clock);
+    assert!(next.until >= ClockMillis(510 + stored - 77_000), "never too early");
+    assert!(next.until < ClockMillis(450 + 10_000));
+    assert_eq!(next.service_until_ms, Some(stored));
+
+    // Without the service's clock it waits for the longest lease.
+    let unknown = ServiceClock { clock_ms: 0, ..next_clock };
+    let longest = ExpiringLease::new(Some(stored), 10_000, ClockMillis(450), &unknown);
+    assert!(longest.until >= ClockMillis(450 + 10_000 + limits::LEASE_EXTENSION_GRACE_MS));
+    assert_eq!(longest.service_until_ms, None);
+}
--- a/crates/fleet/tests/row.rs
+++ b/crates/fleet/tests/row.rs
@@ -1,6 +1,6 @@
 //! Tests of the rows that the fleet stores.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use fleet::row::{self, LeasedWorkers};
 use model::name::{JobId, WorkerName};
@@ -13,18 +13,21 @@
     };
     let entries =
         (0..workers).map(|worker| (WorkerName::from(format!("i-{worker:010x}")), runs(worker)));
-    LeasedWorkers(entries.collect())
+    LeasedWorkers { runs: entries.collect(), until_ms: BTreeMap::new() }
 }
 
 /// Guards against jobs that a later owner does not read as they were stored.
 #[test]
 fn leased_workers_are_read_as_stored() {
     let mut stored = leased(3, 2);
-    stored.0.insert("any".into(), InheritedRuns::Any);
+    stored.runs.insert("any".into(), InheritedRuns::Any);
     let value = row::encode(&stored);
     assert_eq!(row::decode::<LeasedWorkers>("leases", "owner", &value), Some(stored));
-    let text = row::encode(&LeasedWorkers([("any".into(), InheritedRuns::Any)].into()));
-    assert_eq!(text, br#"{"any":null}"#);
+    let any = LeasedWorkers {
+        runs: [("any".into(), InheritedRuns::Any)].into(),
+        until_ms: [("any".into(), 5)].into(),
+    };
+    assert_eq!(row::encode(&any), br#"{"runs":{"any":null},"until_ms":{"any":5}}"#);
 }
 
 /// Guards against a row that exceeds the 65,536 bytes of the table service after a third of
@@ -32,8 +35,9 @@
 #[test]
 fn a_row_of_many_lost_workers_stays_small() {
     let mut stored = leased(1_100, 8);
-    stored.limit_jobs();
+    stored.until_ms = stored.runs.keys().map(|name| (name.clone(), 9_999_999)).collect();
+    stored.limit_size();
     assert!(row::encode(&stored).len() * 4 / 3 < 65_536);
-    let any = stored.0.values().filter(|runs| **runs == InheritedRuns::Any).count();
+    let any = stored.runs.values().filter(|runs| **runs == InheritedRuns::Any).count();
     assert!(any > 0 && any < 1_100, "{any} workers without jobs");
 }
--- a/standins/site/src/server.rs
+++ b/standins/site/src/server.rs
@@ -1,7 +1,7 @@
 //! The site's HTTP servers, in a thread of their own.
 
 use std::net::{SocketAddr, TcpListener};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, LazyLock, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
@@ -16,6 +16,12 @@
 /// Time between two checks by a call that waits for changes or ends.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Returns the site's steady clock, in milliseconds.
+fn steady_ms() -> u128 {
+    static STARTED: LazyLock<Instant> = LazyLock::new(Instant::now);
+    STARTED.elapsed().as_millis() + 1
+}
+
 /// Faults that a test injects.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SiteFaults {
@@ -180,11 +186,10 @@
     }
     match result {
         TxResult::Committed(version) => {
-            HttpResponse::Ok().json(json!({ "ver": version, "nowMs": 0 }))
-        }
-        TxResult::Conflict(rows) => {
-            HttpResponse::PreconditionFailed().json(json!({ "rows": rows, "ver": 0, "nowMs": 0 }))
+            HttpResponse::Ok().json(json!({ "ver": version, "nowMs": steady_ms() }))
         }
+        TxResult::Conflict(rows) => HttpResponse::PreconditionFailed()
+            .json(json!({ "rows": rows, "ver": 0, "nowMs": steady_ms() })),
         TxResult::Refused(403) => HttpResponse::Forbidden().finish(),
         TxResult::Refused(_) => HttpResponse::BadRequest().finish(),
     }
@@ -221,7 +226,7 @@
     };
     tokio::time::sleep(delay).await;
     HttpResponse::Ok()
-        .json(json!({ "rows": rows, "hasMore": has_more, "ver": version, "nowMs": 0 }))
+        .json(json!({ "rows": rows, "hasMore": has_more, "ver": version, "nowMs": steady_ms() }))
 }
 
 /// Query of the call `rows-feed`, a long poll for changes after a version.
@@ -250,7 +255,7 @@
             if !rows.is_empty() || Instant::now() >= until {
                 let version = state.table.version;
                 return HttpResponse::Ok()
-                    .json(json!({ "rows": rows, "ver": version, "nowMs": 0 }));
+                    .json(json!({ "rows": rows, "ver": version, "nowMs": steady_ms() }));
             }
         }
         tokio::time::sleep(POLL_INTERVAL).await;
