Let more gangs of a large pool request advice at a time

Cause: at most 8 gangs had an advice request in flight, whatever the size of the pool. A call for a gang takes 0.6 to 1 s on large/, where 9.5 gangs a second come and a quarter of the workers is eligible; gangs waited for calls while a third of the processor time was free.

Change: one request for each 16 workers of the pool, at least 8.

Test: a_large_fleet_starts_gangs_as_they_come, 480 workers and 30 gangs a second; with 8 requests 118 of 180 gangs are unfinished at the end.

--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -30,9 +30,12 @@
 const MIN_GANG_ADVICE_WORKERS: usize = 30;
 /// Most gangs for which workers are reserved at the same time; more would idle the fleet.
 const MAX_RESERVED_GANGS: usize = 3;
-/// Most gangs with an advice request in flight at the same time. With more, the calls queue
-/// up, and the free capacity that they were made for is gone when they are answered.
-const MAX_GANG_ADVICE_REQUESTS: usize = 8;
+/// Fewest gangs that may have an advice request in flight at the same time.
+const MIN_GANG_ADVICE_REQUESTS: usize = 8;
+/// Workers of a pool for each further gang that may have an advice request in flight. With more
+/// requests, the calls queue up, and the free capacity that they were made for is gone when they
+/// are answered; with fewer, the gangs of a large pool wait for calls while workers are idle.
+const WORKERS_PER_GANG_ADVICE_REQUEST: usize = 16;
 /// Least time between two advice requests for one step, in milliseconds.
 const ADVICE_REQUEST_INTERVAL_MS: u64 = 60;
 
@@ -89,6 +92,8 @@
 struct PoolCapacity {
     /// Decisions since the capacity was computed.
     decisions: usize,
+    /// Workers on which tasks may be started.
+    workers: usize,
     /// Largest free amount of each resource on any worker.
     largest_free: ResourceAmounts,
     /// Free capacity of all workers, less what steps earlier in the pass claimed for their
@@ -113,6 +118,13 @@
 }
 
 impl PlacementPass {
+    /// Returns whether one more gang may have an advice request in flight.
+    fn may_request_gang_advice(&self, pool: &ArcStr) -> bool {
+        let workers = self.pools.get(pool).map_or(0, |capacity| capacity.workers);
+        let max_requests = MIN_GANG_ADVICE_REQUESTS.max(workers / WORKERS_PER_GANG_ADVICE_REQUEST);
+        self.gang_advice_requests < max_requests
+    }
+
     /// Claims unclaimed capacity of a pool for an advice request about `needed_tasks` tasks.
     ///
     /// Returns for how many tasks there was capacity: all or none of a gang.
@@ -161,6 +173,7 @@
             .filter(|worker| worker.info.pool == *pool && self.can_start_on(worker));
         usable.fold(PoolCapacity::default(), |capacity, worker| PoolCapacity {
             decisions: 0,
+            workers: capacity.workers + 1,
             largest_free: capacity.largest_free.max(worker.free()),
             unclaimed: capacity.unclaimed.plus(worker.free()),
         })
@@ -476,7 +489,7 @@
             }
             return;
         }
-        if rule.advice.is_some() && pass.gang_advice_requests < MAX_GANG_ADVICE_REQUESTS {
+        if rule.advice.is_some() && pass.may_request_gang_advice(&rule.pool) {
             self.request_advice_within_capacity(key, step, rule, step.count, pass);
         }
         if rule.advice.is_some()
--- a/crates/plan/tests/load.rs
+++ b/crates/plan/tests/load.rs
@@ -10,10 +10,11 @@
 use model::resource::ResourceAmounts;
 use plan::config::{AdviceCost, TeamRule};
 use plan::decision::{AdviceAnswer, AdviceRequest, PlanDecision, StartOrder};
+use plan::job::StepSpec;
 use plan::worker::{EndKind, EndedRun, RunReport, StartAnswer};
 use support::{INCARNATION, PlannerFixture, WORKER_CPU, config, cpu, job, rule, step};
 
-/// Workers of the simulated fleet.
+/// Workers of the small simulated fleet.
 const WORKERS: usize = 60;
 /// Simulated time between two decisions, in milliseconds.
 const TICK_MS: u64 = 10;
@@ -21,7 +22,7 @@
 const RUN_MS: u64 = 1_000;
 /// Processor time of a task, in thousandths of a core.
 const TASK_CPU: u64 = 2_000;
-/// Most calls that the advice service works on at the same time.
+/// Most calls that the advice service of the small fleet works on at the same time.
 const MAX_CALLS: usize = 9;
 
 /// Simulation of the workers and the advice service, in steps of one tick.
@@ -32,17 +33,19 @@
     /// Number of the last run end of each worker.
     end_numbers: BTreeMap<WorkerName, u64>,
     pending_requests: VecDeque<AdviceRequest>,
+    /// Most calls that the advice service works on at the same time.
+    max_calls: usize,
     /// Advice requests that the service works on, with the times of their answers.
     calls_in_flight: Vec<(u64, AdviceRequest)>,
 }
 
 impl LoadSimulation {
-    fn new() -> Self {
+    fn new(workers: usize, max_calls: usize, cost: AdviceCost) -> Self {
         let mut config = config();
-        let cost = AdviceCost { call_ms: 80.0, worker_ms: 1.0, valid_ms: 1_500 };
         config.queues.insert("advised".into(), rule(1, Some(cost)));
         Self {
-            fixture: PlannerFixture::new(WORKERS, config),
+            max_calls,
+            fixture: PlannerFixture::new(workers, config),
             running: Vec::new(),
             end_numbers: BTreeMap::new(),
             pending_requests: VecDeque::new(),
@@ -72,7 +75,7 @@
     /// Passes requests on to the service and applies its due answers. Every second worker is
     /// eligible for a step; the job decides which half.
     fn answer_calls(&mut self, now: u64) {
-        while self.calls_in_flight.len() < MAX_CALLS
+        while self.calls_in_flight.len() < self.max_calls
             && let Some(request) = self.pending_requests.pop_front()
         {
             #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "small")]
@@ -118,7 +121,8 @@
 /// workers, the tickets are for the same capacity, and most of them cannot be used.
 #[test]
 fn overload_keeps_the_fleet_busy() {
-    let mut simulation = LoadSimulation::new();
+    let cost = AdviceCost { call_ms: 80.0, worker_ms: 1.0, valid_ms: 1_500 };
+    let mut simulation = LoadSimulation::new(WORKERS, MAX_CALLS, cost);
     let capacity = WORKERS as u64 * WORKER_CPU / TASK_CPU;
     let mut busy = 0;
     let mut ticks = 0;
@@ -169,3 +173,26 @@
     }
     assert_eq!(fixture.planner.examined_job_count(), decisions * JOBS as u64);
 }
+
+/// Guards against gangs that wait for advice while most workers of a large fleet are idle: their
+/// calls take long, and a fixed number in flight serves a fixed number of gangs a second.
+#[test]
+fn a_large_fleet_starts_gangs_as_they_come() {
+    const LARGE_FLEET: usize = 480;
+    const GANGS_PER_S: u64 = 30;
+    const SECONDS: u64 = 6;
+    let cost = AdviceCost { call_ms: 410.0, worker_ms: 5.9, valid_ms: 1_500 };
+    let mut simulation = LoadSimulation::new(LARGE_FLEET, 60, cost);
+    let mut added = 0;
+    for tick in 0..SECONDS * 1_000 / TICK_MS {
+        while added * 1_000 < tick * TICK_MS * GANGS_PER_S {
+            let gang = StepSpec { gang: true, ..step(8, cpu(4_000)) };
+            simulation.fixture.add(job(&format!("g{added}"), "advised", vec![gang]));
+            added += 1;
+        }
+        simulation.tick();
+    }
+    // A gang is present for one call and its run, 1.6 s; the fleet has room for 120 gangs.
+    let present = simulation.fixture.planner.unfinished_job_count() as u64;
+    assert!(present <= GANGS_PER_S * 2, "{present} of {added} gangs are unfinished");
+}
