Bound what lost workers take of a team's limit by their capacity

The ends of leases of workers that had registered and left again without an answer were not stored.

Change: the leased workers carry the largest capacity among them, which bounds what a lost worker can take, and the ends of unanswered leases.

Test: a_lost_worker_takes_no_more_of_a_limit_than_its_capacity (with unlimited capacity nothing starts).

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -222,6 +222,16 @@
         Some(self.deadline_ms)
     }
 
+    /// Returns when the leases of an earlier owner have expired; none once the worker has
+    /// answered this owner, which may have extended its lease since.
+    #[must_use]
+    pub const fn inherited_end(&self) -> Option<ClockMillis> {
+        match self.reading {
+            None => Some(self.inherited_until),
+            Some(_) => None,
+        }
+    }
+
     /// Returns true if everything that was started on the worker has certainly ended.
     #[must_use]
     pub fn has_expired(&self, now: ClockMillis) -> bool {
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -59,7 +59,7 @@
     if had_owner {
         let (leased, store_clock) = leased;
         workers::await_unregistered_leases(session, &leased, &store_clock);
-        session.planner.borrow_mut().inherit_workers(leased.runs);
+        session.planner.borrow_mut().inherit_workers(leased.runs, leased.largest);
     }
     advice::refresh_advice_entries(session);
     let (jobs, workers) =
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -20,7 +20,7 @@
 
 use crate::context::SharedContext;
 use crate::desk;
-use crate::lease::ExpiringLease;
+use crate::lease::{ExpiringLease, ServiceClock};
 use crate::limits;
 use crate::metrics;
 use crate::news::JobChangeLog;
@@ -59,6 +59,8 @@
     pub(crate) links: RefCell<BTreeMap<WorkerName, WorkerLink>>,
     /// Workers that are not registered and may still run tasks of an earlier owner.
     pub(crate) expiring_workers: RefCell<BTreeMap<WorkerName, ExpiringLease>>,
+    /// Reading of the table service's clock; none before the fleet was loaded.
+    pub(crate) service_clock: Cell<Option<ServiceClock>>,
     /// Versions of the progress rows that exist.
     pub(crate) progress_versions: RefCell<BTreeMap<JobId, u64>>,
     /// Finished jobs, the earliest end first.
@@ -162,6 +164,7 @@
         dispatcher: RefCell::default(),
         links: RefCell::default(),
         expiring_workers: RefCell::default(),
+        service_clock: Cell::default(),
         progress_versions: RefCell::default(),
         finished_jobs: RefCell::default(),
         term_versions: Cell::default(),
--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -117,7 +117,16 @@
             if link.is_registered { InheritedRuns::Any } else { planner.possible_runs(name) };
         (name.clone(), runs)
     });
-    let mut leased = LeasedWorkers { runs: linked.collect(), until_ms: BTreeMap::new() };
+    let mut leased = LeasedWorkers {
+        runs: linked.collect(),
+        until_ms: BTreeMap::new(),
+        largest: planner.largest_capacity(),
+    };
+    let clock = session.service_clock.get();
+    for (name, link) in links.iter().filter(|(_, link)| !link.is_registered) {
+        let until = link.lease.inherited_end().and_then(|end| clock?.latest_service_time(end));
+        leased.until_ms.extend(until.map(|until| (name.clone(), until)));
+    }
     for (name, lease) in &*session.expiring_workers.borrow() {
         if links.contains_key(name) {
             continue;
@@ -176,6 +185,7 @@
         expiring.len(),
         last.since(session.context.clock.now())
     );
+    session.service_clock.set(Some(*clock));
     *session.expiring_workers.borrow_mut() = expiring;
     session.spawn(wait_for_leases(session.clone()));
 }
--- a/crates/fleet/src/row.rs
+++ b/crates/fleet/src/row.rs
@@ -6,6 +6,7 @@
 use arcstr::ArcStr;
 use fnv::FnvHasher;
 use model::name::{DomainName, JobId, WorkerName};
+use model::resource::ResourceAmounts;
 use plan::worker::InheritedRuns;
 use serde::{Deserialize, Serialize};
 
@@ -82,6 +83,13 @@
     /// table service's clock.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub until_ms: BTreeMap<WorkerName, u64>,
+    /// At least the capacity of each of the workers, and unlimited if it is not known.
+    #[serde(default = "unlimited")]
+    pub largest: ResourceAmounts,
+}
+
+fn unlimited() -> ResourceAmounts {
+    ResourceAmounts::UNLIMITED
 }
 
 impl LeasedWorkers {
@@ -89,7 +97,7 @@
     #[must_use]
     pub fn unknown() -> Self {
         let runs = [(WorkerName::from("unknown"), InheritedRuns::Any)].into();
-        Self { runs, until_ms: BTreeMap::new() }
+        Self { runs, until_ms: BTreeMap::new(), largest: ResourceAmounts::UNLIMITED }
     }
 
     /// Leaves out jobs and ends of leases where the row would become too large for a table
--- a/crates/fleet/tests/row.rs
+++ b/crates/fleet/tests/row.rs
@@ -1,9 +1,10 @@
 //! Tests of the rows that the fleet stores.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use fleet::row::{self, LeasedWorkers};
 use model::name::{JobId, WorkerName};
+use model::resource::ResourceAmounts;
 use plan::worker::InheritedRuns;
 
 fn leased(workers: usize, jobs: usize) -> LeasedWorkers {
@@ -13,7 +14,7 @@
     };
     let entries =
         (0..workers).map(|worker| (WorkerName::from(format!("i-{worker:010x}")), runs(worker)));
-    LeasedWorkers { runs: entries.collect(), until_ms: BTreeMap::new() }
+    LeasedWorkers { runs: entries.collect(), ..LeasedWorkers::unknown() }
 }
 
 /// Guards against jobs that a later owner does not read as they were stored.
@@ -26,8 +27,11 @@
     let any = LeasedWorkers {
         runs: [("any".into(), InheritedRuns::Any)].into(),
         until_ms: [("any".into(), 5)].into(),
+        largest: ResourceAmounts::ZERO,
     };
-    assert_eq!(row::encode(&any), br#"{"runs":{"any":null},"until_ms":{"any":5}}"#);
+    let text = String::from_utf8(row::encode(&any)).expect("JSON");
+    let expected = r#"{"runs":{"any":null},"until_ms":{"any":5},"largest":"#;
+    assert!(text.starts_with(expected), "{text}");
 }
 
 /// Guards against a row that exceeds the 65,536 bytes of the table service after a third of
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -268,9 +268,11 @@
         let capacity = self
             .unreported_workers
             .keys()
-            .map(|name| self.workers.get(name).map(|worker| worker.info.capacity))
-            .try_fold(ResourceAmounts::ZERO, |sum, capacity| Some(sum.plus(capacity?)))
-            .unwrap_or(ResourceAmounts::UNLIMITED);
+            .map(|name| {
+                let worker = self.workers.get(name);
+                worker.map_or(self.largest_inherited, |worker| worker.info.capacity)
+            })
+            .fold(ResourceAmounts::ZERO, ResourceAmounts::plus);
         self.examined_jobs += self.inherited_jobs.len() as u64;
         for job in self.inherited_jobs.iter().filter_map(|id| self.jobs.get(id)) {
             let Some(team) = &job.spec.team else { continue };
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -66,6 +66,8 @@
     pub(crate) inherited_jobs: BTreeSet<JobId>,
     /// Workers that an earlier owner may have used and that have not reported yet.
     pub(crate) unreported_workers: BTreeMap<WorkerName, InheritedRuns>,
+    /// At least the capacity of each unreported worker.
+    pub(crate) largest_inherited: ResourceAmounts,
     /// Workers that the advice requests in flight name, by step.
     pub(crate) open_advice_requests: BTreeMap<StepKey, Vec<WorkerName>>,
     /// Moving average of the share of eligible workers in the first advice answer of each
@@ -113,8 +115,14 @@
     ///
     /// A job known so far starts nothing until every worker that may run its tasks has
     /// reported, or can run nothing any more. `leased` names the workers that the earlier
-    /// owner knew, with the jobs whose tasks it may have started there.
-    pub fn inherit_workers(&mut self, leased: BTreeMap<WorkerName, InheritedRuns>) {
+    /// owner knew, with the jobs whose tasks it may have started there. None of them has more
+    /// capacity than `largest`.
+    pub fn inherit_workers(
+        &mut self,
+        leased: BTreeMap<WorkerName, InheritedRuns>,
+        largest: ResourceAmounts,
+    ) {
+        self.largest_inherited = largest.max(self.largest_capacity());
         self.unreported_workers = leased;
         let registered = self.workers.keys().map(|name| (name.clone(), InheritedRuns::Any));
         self.unreported_workers.extend(registered);
@@ -122,6 +130,19 @@
         self.release_inherited_jobs();
     }
 
+    /// Returns amounts of which no known worker has more, nor one of an earlier owner that has
+    /// not reported.
+    #[must_use]
+    pub fn largest_capacity(&self) -> ResourceAmounts {
+        let inherited = if self.unreported_workers.is_empty() {
+            ResourceAmounts::ZERO
+        } else {
+            self.largest_inherited
+        };
+        let capacities = self.workers.values().map(|worker| worker.info.capacity);
+        capacities.fold(inherited, ResourceAmounts::max)
+    }
+
     /// Releases the inherited jobs of which no run can be present on an unreported worker.
     fn release_inherited_jobs(&mut self) {
         let mut held: BTreeSet<&JobId> = BTreeSet::new();
--- a/crates/plan/tests/fleet_property.rs
+++ b/crates/plan/tests/fleet_property.rs
@@ -12,6 +12,7 @@
 
 use arcstr::ArcStr;
 use model::name::{JobId, WorkerName};
+use model::resource::ResourceAmounts;
 use plan::decision::{PlanDecision, StartOrder, StopOrder};
 use plan::job::{JobSpec, StepSpec, TaskKey};
 use plan::planner::{Planner, PlannerOptions};
@@ -80,7 +81,7 @@
         for index in 0..WORKERS {
             self.planner.set_worker(worker(index));
         }
-        self.planner.inherit_workers(BTreeMap::new());
+        self.planner.inherit_workers(BTreeMap::new(), ResourceAmounts::UNLIMITED);
     }
 
     /// Has the planner decide and carries out its decisions. `random` chooses which orders and
--- a/crates/plan/tests/load.rs
+++ b/crates/plan/tests/load.rs
@@ -163,7 +163,7 @@
     for number in 0..JOBS {
         fixture.add(job(&format!("old{number}"), "normal", vec![step(4, cpu(TASK_CPU))]));
     }
-    fixture.planner.inherit_workers(BTreeMap::new());
+    fixture.planner.inherit_workers(BTreeMap::new(), ResourceAmounts::UNLIMITED);
     for number in 0..JOBS {
         fixture.add(job(&format!("new{number}"), "normal", vec![step(4, cpu(TASK_CPU))]));
     }
--- a/crates/plan/tests/runs.rs
+++ b/crates/plan/tests/runs.rs
@@ -3,12 +3,14 @@
 #[allow(dead_code, reason = "each test file uses a part of the helpers")]
 mod support;
 
+use model::resource::ResourceAmounts;
 use plan::progress::{JobStatus, ProgressRecord};
 use plan::worker::{EndKind, InheritedRuns, RefusalKind, RunReport, StartAnswer};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use support::{
-    INCARNATION, PlannerFixture, config, cpu, job, present_run, step, stops, task, worker,
+    INCARNATION, PlannerFixture, WORKER_CPU, config, cpu, job, present_run, step, stops, task,
+    worker,
 };
 
 /// Guards against lost failures: two workers report failed runs of one task, and the report of
@@ -38,7 +40,7 @@
 
     let mut successor = PlannerFixture::unreported(1, config());
     successor.planner.add_job(&Arc::new(spec), &record, 1);
-    successor.planner.inherit_workers(BTreeMap::new());
+    successor.planner.inherit_workers(BTreeMap::new(), ResourceAmounts::UNLIMITED);
     successor.end_run(&order.worker, &order.task, order.run, EndKind::Failed);
     let starts = successor.starts();
     assert_eq!(starts.len(), 1, "one attempt is left");
@@ -58,7 +60,7 @@
 
     let mut successor = PlannerFixture::unreported(1, config());
     successor.planner.add_job(&Arc::new(spec), &record, 1);
-    successor.planner.inherit_workers(BTreeMap::new());
+    successor.planner.inherit_workers(BTreeMap::new(), ResourceAmounts::UNLIMITED);
     successor.report(&worker(0).name, Vec::new(), Vec::new());
     let starts = successor.starts();
     assert_eq!(starts.len(), 1);
@@ -71,7 +73,9 @@
 fn inherited_jobs_wait_for_every_worker() {
     let mut fixture = PlannerFixture::unreported(2, config());
     fixture.add(job("old", "normal", vec![step(1, cpu(1_000))]));
-    fixture.planner.inherit_workers([("gone".into(), InheritedRuns::Any)].into());
+    fixture
+        .planner
+        .inherit_workers([("gone".into(), InheritedRuns::Any)].into(), ResourceAmounts::UNLIMITED);
     fixture.add(job("new", "normal", vec![step(1, cpu(1_000))]));
     fixture.report(&worker(0).name, Vec::new(), Vec::new());
     fixture.report(&worker(1).name, Vec::new(), Vec::new());
@@ -97,7 +101,9 @@
     successor.planner.set_worker(kept.clone());
     successor.add(job("on-lost", "normal", vec![step(1, cpu(1_000))]));
     successor.add(job("waiting", "normal", vec![step(1, cpu(1_000))]));
-    successor.planner.inherit_workers([(lost.clone(), runs.clone())].into());
+    successor
+        .planner
+        .inherit_workers([(lost.clone(), runs.clone())].into(), ResourceAmounts::UNLIMITED);
     assert!(successor.starts().is_empty(), "the registered worker may run any job");
     successor.report(&kept.name, Vec::new(), Vec::new());
     let names: Vec<_> = successor.starts().iter().map(|order| order.job.id.to_string()).collect();
@@ -224,16 +230,13 @@
 #[test]
 fn unreported_workers_count_by_what_they_may_run() {
     let mut config = config();
-    let limit = model::resource::ResourceAmounts {
-        cpu_millis: 4_000,
-        ..model::resource::ResourceAmounts::UNLIMITED
-    };
+    let limit = ResourceAmounts { cpu_millis: 4_000, ..ResourceAmounts::UNLIMITED };
     for rule in config.teams.values_mut() {
         rule.limit = limit;
     }
     let mut fixture = PlannerFixture::unreported(2, config);
     fixture.add(job("old", "normal", vec![step(3, cpu(1_000))]));
-    fixture.planner.inherit_workers(BTreeMap::new());
+    fixture.planner.inherit_workers(BTreeMap::new(), ResourceAmounts::UNLIMITED);
     fixture.report(&worker(0).name, Vec::new(), Vec::new());
     fixture.add(job("red", "normal", vec![step(4, cpu(1_000))]));
     let mut blue = job("blue", "normal", vec![step(4, cpu(1_000))]);
@@ -243,3 +246,28 @@
     let count = |id: &str| starts.iter().filter(|order| order.job.id.as_str() == id).count();
     assert_eq!((count("red"), count("blue")), (1, 4));
 }
+
+/// Guards against a team with a long backlog that starts nothing until the lease of one lost
+/// worker has expired: its tasks there use no more than the worker's capacity.
+#[test]
+fn a_lost_worker_takes_no_more_of_a_limit_than_its_capacity() {
+    let mut config = config();
+    let limit = ResourceAmounts { cpu_millis: 2 * WORKER_CPU, ..ResourceAmounts::UNLIMITED };
+    for rule in config.teams.values_mut() {
+        rule.limit = limit;
+    }
+    let mut owner = PlannerFixture::new(1, config.clone());
+    owner.add(job("old", "normal", vec![step(40, cpu(1_000))]));
+    owner.run_starts(StartAnswer::Started);
+    let largest = owner.planner.largest_capacity();
+    assert_eq!(largest, worker(0).capacity);
+
+    let mut successor = PlannerFixture::unreported(0, config);
+    successor.planner.set_worker(worker(1));
+    successor.add(job("old", "normal", vec![step(40, cpu(1_000))]));
+    let lost = [(worker(0).name, InheritedRuns::Any)];
+    successor.planner.inherit_workers(lost.into(), largest);
+    successor.report(&worker(1).name, Vec::new(), Vec::new());
+    successor.add(job("new", "normal", vec![step(40, cpu(1_000))]));
+    assert_eq!(successor.starts().len(), 8, "the limit less the capacity of the lost worker");
+}
