Bound the requests of a decision and rank workers without copies

Cause: with more gangs asking, one decision made up to a hundred advice requests, each of which looked at 1,100 workers and sorted them by keys that copied their names.

Change: at most 24 requests in one decision, the first in rank order; the ranking compares numbers and sorts only the workers that a request may name; runs that share a worker are counted instead of searched.

Test: one_decision_makes_a_bounded_number_of_requests (without the bound the first decision examines 550,000 workers).

--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -36,6 +36,9 @@
 /// requests, the calls queue up, and the free capacity that they were made for is gone when they
 /// are answered; with fewer, the gangs of a large pool wait for calls while workers are idle.
 const WORKERS_PER_GANG_ADVICE_REQUEST: usize = 16;
+/// Most advice requests of one decision. Each looks at all workers of the pool; a decision that
+/// makes hundreds delays the starts that it has already decided.
+const MAX_ADVICE_REQUESTS_PER_DECISION: usize = 24;
 /// Least time between two advice requests for one step, in milliseconds.
 const ADVICE_REQUEST_INTERVAL_MS: u64 = 60;
 
@@ -112,6 +115,8 @@
     reserved_gangs: usize,
     /// Number of gangs with an advice request in flight.
     gang_advice_requests: usize,
+    /// Number of advice requests that this decision has made.
+    advice_requests: usize,
     /// What each team may use on workers that have not reported, computed when the first step
     /// of a team is placed; starts in the pass do not change it.
     unreported_usage: Option<BTreeMap<TeamName, ResourceAmounts>>,
@@ -354,7 +359,7 @@
             && self.can_start_on(worker)
             && !pass.reserved.contains(name);
         // How much a filler slows a service is not known beforehand.
-        let disturbs = step.filler && worker.has_run_of_kind(SharingKind::LatencySensitive);
+        let disturbs = step.filler && worker.sensitive_runs > 0;
         let has_label = step.label.as_ref().is_none_or(|label| worker.info.labels.contains(label));
         if !fits || disturbs || !has_label {
             return None;
@@ -369,7 +374,7 @@
             name: name.clone(),
             free: worker.free(),
             near_data: step.data_rack.is_some() && step.data_rack.as_ref() == worker.info.rack(),
-            has_fillers: worker.has_run_of_kind(SharingKind::Filler),
+            has_fillers: worker.filler_runs > 0,
             rack: worker.info.rack().cloned(),
             ticket: ArcStr::default(),
             remaining_tasks,
@@ -421,7 +426,11 @@
         pass: &mut PlacementPass,
     ) {
         let needed_tasks = pass.claim_capacity(&rule.pool, step, needed_tasks);
-        if needed_tasks > 0 && self.can_request_advice(key, rule) {
+        if needed_tasks > 0
+            && pass.advice_requests < MAX_ADVICE_REQUESTS_PER_DECISION
+            && self.can_request_advice(key, rule)
+        {
+            pass.advice_requests += 1;
             let candidates = self.all_candidates(key, step, rule, pass);
             self.request_advice(key, step, rule, &candidates, needed_tasks);
         }
@@ -628,36 +637,37 @@
         let now = self.now_ms;
         let Some(state) = self.step_mut(key) else { return };
         let occupied = step.occupied_amounts();
+        // The candidates are in the order of their names, which decides between equal ones.
         let mut ranked: Vec<_> = candidates
             .iter()
-            .filter(|candidate| !state.advice.ineligible.contains(&candidate.name))
-            .map(|candidate| {
+            .enumerate()
+            .filter(|(_, candidate)| !state.advice.ineligible.contains(&candidate.name))
+            .map(|(index, candidate)| {
                 let is_eligible = state.advice.eligible.contains_key(&candidate.name);
-                (
-                    Reverse(is_eligible),
-                    candidate.open_advice_requests,
-                    Reverse(candidate.placeable_tasks(occupied).min(needed_tasks)),
-                    candidate,
-                )
+                let placeable = candidate.placeable_tasks(occupied).min(needed_tasks);
+                // If all requests named the emptiest workers, they would get tickets for the
+                // same capacity.
+                (Reverse(is_eligible), candidate.open_advice_requests, Reverse(placeable), index)
             })
             .collect();
-        // If all requests named the emptiest workers, they would get tickets for the same capacity.
-        ranked.sort_by_key(|(is_eligible, open_advice_requests, placeable, candidate)| {
-            (*is_eligible, *open_advice_requests, *placeable, candidate.name.clone())
-        });
+        if ranked.len() > MAX_ADVICE_WORKERS {
+            ranked.select_nth_unstable(MAX_ADVICE_WORKERS);
+            ranked.truncate(MAX_ADVICE_WORKERS);
+        }
+        ranked.sort_unstable();
         let wanted_tasks = f64::from(needed_tasks) * ADVICE_CAPACITY_FACTOR;
         let mut expected_tasks = 0.0;
         let mut free_tasks = 0.0;
         let mut workers: Vec<WorkerName> = Vec::new();
-        for (Reverse(is_eligible), _, Reverse(placeable), WorkerCandidate { name, .. }) in ranked {
+        for (Reverse(is_eligible), _, Reverse(placeable), index) in ranked {
             let enough = expected_tasks >= wanted_tasks
                 && (!step.gang || is_eligible || workers.len() >= MIN_GANG_ADVICE_WORKERS);
-            if enough || workers.len() >= MAX_ADVICE_WORKERS {
+            if enough {
                 break;
             }
             expected_tasks += f64::from(placeable) * if is_eligible { 1.0 } else { eligible_share };
             free_tasks += f64::from(placeable);
-            workers.push(name.clone());
+            workers.push(candidates[index].name.clone());
         }
         // A gang that would not fit even if all workers were eligible has to wait for capacity.
         let gang_cannot_fit = step.gang && free_tasks < f64::from(needed_tasks);
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -495,8 +495,7 @@
         }
         let number = run.run;
         if let Some(worker) = self.workers.get_mut(name) {
-            worker.occupied = worker.occupied.plus(run.occupied);
-            worker.runs.insert(task.clone(), run);
+            worker.insert_run(task.clone(), run);
         }
         let Some(step) = self.step_mut(&task.step) else { return };
         let Some(state) = step.tasks.get_mut(task.index as usize) else { return };
@@ -511,8 +510,7 @@
     /// Removes a run that is certainly not present any more, and returns it.
     pub(crate) fn remove_run(&mut self, name: &WorkerName, task: &TaskKey) -> Option<RunState> {
         let worker = self.workers.get_mut(name)?;
-        let run = worker.runs.remove(task)?;
-        worker.occupied = worker.occupied.minus(run.occupied);
+        let run = worker.remove_run(task)?;
         if let Some(team) = &run.team
             && let Some(used) = self.team_usage.get_mut(team)
         {
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -162,6 +162,12 @@
     pub(crate) runs: BTreeMap<TaskKey, RunState>,
     /// Capacity that the runs occupy together.
     pub(crate) occupied: ResourceAmounts,
+    /// Number of runs that are neither of the next two kinds.
+    pub(crate) plain_runs: u32,
+    /// Number of runs that are fillers.
+    pub(crate) filler_runs: u32,
+    /// Number of runs of services with a target for their tail response time.
+    pub(crate) sensitive_runs: u32,
     /// Highest end number of this incarnation that was counted.
     pub(crate) last_counted_end: u64,
     /// Highest end number of this incarnation that may be acknowledged.
@@ -183,6 +189,9 @@
             silent: false,
             runs: BTreeMap::new(),
             occupied: ResourceAmounts::ZERO,
+            plain_runs: 0,
+            filler_runs: 0,
+            sensitive_runs: 0,
             last_counted_end: 0,
             ack_up_to: 0,
             open_advice_requests: 0,
@@ -191,9 +200,28 @@
         }
     }
 
-    /// Returns whether a run of this kind may be present.
-    pub(crate) fn has_run_of_kind(&self, kind: SharingKind) -> bool {
-        self.runs.values().any(|run| run.sharing == kind)
+    /// Adds a run; an earlier one of the same task is replaced.
+    pub(crate) fn insert_run(&mut self, task: TaskKey, run: RunState) {
+        self.remove_run(&task);
+        self.occupied = self.occupied.plus(run.occupied);
+        *self.kind_count(run.sharing) += 1;
+        self.runs.insert(task, run);
+    }
+
+    /// Removes the run of a task, if there is one, and returns it.
+    pub(crate) fn remove_run(&mut self, task: &TaskKey) -> Option<RunState> {
+        let run = self.runs.remove(task)?;
+        self.occupied = self.occupied.minus(run.occupied);
+        *self.kind_count(run.sharing) -= 1;
+        Some(run)
+    }
+
+    fn kind_count(&mut self, kind: SharingKind) -> &mut u32 {
+        match kind {
+            SharingKind::Plain => &mut self.plain_runs,
+            SharingKind::Filler => &mut self.filler_runs,
+            SharingKind::LatencySensitive => &mut self.sensitive_runs,
+        }
     }
 
     /// Returns the capacity that no run occupies.
--- a/crates/plan/tests/load.rs
+++ b/crates/plan/tests/load.rs
@@ -196,3 +196,26 @@
     let present = simulation.fixture.planner.unfinished_job_count() as u64;
     assert!(present <= GANGS_PER_S * 2, "{present} of {added} gangs are unfinished");
 }
+
+/// Guards against decisions that take a quarter of a second on a large fleet: a request for
+/// advice looks at all workers, and after a takeover hundreds of steps need one.
+#[test]
+fn one_decision_makes_a_bounded_number_of_requests() {
+    const LARGE_FLEET: usize = 1_100;
+    let cost = AdviceCost { call_ms: 80.0, worker_ms: 1.0, valid_ms: 1_500 };
+    let mut config = config();
+    config.queues.insert("advised".into(), rule(1, Some(cost)));
+    let mut fixture = PlannerFixture::new(LARGE_FLEET, config);
+    for number in 0..500 {
+        fixture.add(job(&format!("j{number}"), "advised", vec![step(4, cpu(TASK_CPU))]));
+    }
+    let mut requests = 0;
+    while requests < 500 {
+        let before = fixture.planner.examined_worker_count();
+        let made = support::advice_requests(fixture.decide()).len();
+        let examined = fixture.planner.examined_worker_count() - before;
+        assert!(examined <= 25 * LARGE_FLEET as u64, "{examined} workers examined");
+        assert!(made > 0, "there is room for all steps");
+        requests += made;
+    }
+}
