Pass over waiting steps for which a decision can do nothing

Cause: each decision looked up every waiting step, although under overload the first few hundred claim all capacity.

Change: a step without a ticket is passed over once earlier steps have claimed the capacity, unless workers may be reserved for it as a gang; its rule and job come with it instead of being looked up; tickets that have all expired are not walked; the entries that call the advice service are rebuilt only when they change.

--- a/crates/fleet/src/owner/advice.rs
+++ b/crates/fleet/src/owner/advice.rs
@@ -1,5 +1,6 @@
 //! Sends advice requests to the advice service through the entries.
 
+use std::ops::Bound;
 use std::time::Duration;
 
 use arcstr::ArcStr;
@@ -12,11 +13,12 @@
 /// Updates the entries that may call the advice service to the present ones.
 pub(crate) fn refresh_advice_entries<P: OwnerPorts>(session: &SharedSession<P>) {
     let members = session.context.members.borrow();
-    let mut names: Vec<ArcStr> = members.keys().cloned().collect();
-    if !names.contains(&session.context.identity.name) {
-        names.push(session.context.identity.name.clone());
-    }
-    session.dispatcher.borrow_mut().set_entries(names.iter());
+    let own_name = &session.context.identity.name;
+    let others_before = members.range::<ArcStr, _>(..own_name).map(|(name, _)| name);
+    let after = (Bound::Excluded(own_name), Bound::Unbounded);
+    let others_after = members.range::<ArcStr, _>(after).map(|(name, _)| name);
+    let names = others_before.chain(std::iter::once(own_name)).chain(others_after);
+    session.dispatcher.borrow_mut().set_entries(names);
 }
 
 /// Sends the pending advice requests for which an entry is free.
--- a/crates/plan/src/advice.rs
+++ b/crates/plan/src/advice.rs
@@ -44,8 +44,12 @@
 }
 
 impl AdviceDispatcher {
-    /// Sets the entries that can make calls. Calls in flight of other entries are forgotten.
-    pub fn set_entries<'a>(&mut self, names: impl Iterator<Item = &'a ArcStr>) {
+    /// Sets the entries that can make calls, in ascending order of names. Calls in flight of
+    /// other entries are forgotten.
+    pub fn set_entries<'a>(&mut self, names: impl Iterator<Item = &'a ArcStr> + Clone) {
+        if self.entries.keys().eq(names.clone()) {
+            return;
+        }
         let old = std::mem::take(&mut self.entries);
         self.entries =
             names.map(|name| (name.clone(), old.get(name).copied().unwrap_or_default())).collect();
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -9,7 +9,7 @@
 use model::resource::ResourceAmounts;
 use smallvec::SmallVec;
 
-use crate::config::QueueRule;
+use crate::config::{PlanConfig, QueueRule};
 use crate::decision::{AdviceRequest, PlanDecision, StartOrder};
 use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
 use crate::order::{JobRank, RankClass};
@@ -104,6 +104,19 @@
     unclaimed: ResourceAmounts,
 }
 
+/// A step with tasks that wait for a start.
+#[derive(Debug)]
+struct WaitingStep<'a> {
+    rank: JobRank,
+    key: StepKey,
+    spec: Arc<JobSpec>,
+    rule: &'a QueueRule,
+    /// Whether a ticket of the step may be used now.
+    has_tickets: bool,
+    /// Whether an advice request of the step is in flight.
+    is_requested: bool,
+}
+
 /// State of one pass over the waiting steps.
 #[derive(Debug, Default)]
 struct PlacementPass {
@@ -123,6 +136,22 @@
 }
 
 impl PlacementPass {
+    /// Returns true if nothing can be done for a step in this pass: it has no ticket, earlier
+    /// steps have claimed the capacity for which it would request some, and no workers would
+    /// be reserved for it. Under overload that holds for most of thousands of steps.
+    fn is_hopeless(&self, waiting: &WaitingStep<'_>) -> bool {
+        let WaitingStep { rank, key, spec, rule, has_tickets, is_requested } = waiting;
+        let step = &spec.steps[key.step as usize];
+        let Some(capacity) = self.pools.get(&rule.pool) else { return false };
+        let may_reserve = step.gang
+            && (*is_requested
+                || rank.class == RankClass::OnTime && self.reserved_gangs < MAX_RESERVED_GANGS);
+        rule.advice.is_some()
+            && !has_tickets
+            && !may_reserve
+            && !step.occupied_amounts().fits_in(capacity.unclaimed)
+    }
+
     /// Returns whether one more gang may have an advice request in flight.
     fn may_request_gang_advice(&self, pool: &ArcStr) -> bool {
         let workers = self.pools.get(pool).map_or(0, |capacity| capacity.workers);
@@ -148,11 +177,17 @@
 impl Planner {
     /// Places the tasks of all waiting steps, in the order of their ranks.
     pub(crate) fn place_waiting_steps(&mut self) {
-        let mut steps = self.waiting_steps();
-        steps.sort();
+        let config = self.config.clone();
+        let mut steps = self.waiting_steps(&config);
+        steps.sort_unstable_by(|left, right| {
+            left.rank.cmp(&right.rank).then_with(|| left.key.cmp(&right.key))
+        });
         let mut pass = PlacementPass::default();
-        for (rank, key) in steps {
-            self.place_step(rank, &key, &mut pass);
+        for step in steps {
+            if !pass.is_hopeless(&step) {
+                self.examined_steps += 1;
+                self.place_step(&step, &mut pass);
+            }
         }
     }
 
@@ -185,36 +220,42 @@
     }
 
     /// Returns the steps with tasks that may start, with the ranks of their jobs.
-    fn waiting_steps(&mut self) -> Vec<(JobRank, StepKey)> {
-        let config = self.config.clone();
+    fn waiting_steps<'a>(&mut self, config: &'a PlanConfig) -> Vec<WaitingStep<'a>> {
         let mut steps = Vec::new();
         for (id, job) in &mut self.jobs {
             if job.status.is_final() || self.inherited_jobs.contains(id) {
                 continue;
             }
-            let Some(rule) = config.queues.get(&job.spec.queue) else { continue };
             let waiting = ready_steps(job);
             if waiting.is_empty() {
                 continue;
             }
+            let Some(rule) = config.queues.get(&job.spec.queue) else { continue };
             let rank = job.rank(rule, self.now_ms);
-            steps.extend(
-                waiting.into_iter().map(|(occurrence, step)| {
-                    (rank, StepKey { job: id.clone(), occurrence, step })
-                }),
-            );
+            for (occurrence, step) in waiting {
+                let state = job
+                    .occurrences
+                    .get(&occurrence)
+                    .and_then(|occurrence| occurrence.steps.get(step as usize));
+                steps.push(WaitingStep {
+                    rank,
+                    key: StepKey { job: id.clone(), occurrence, step },
+                    spec: job.spec.clone(),
+                    rule,
+                    has_tickets: state
+                        .is_some_and(|state| state.advice.tickets_expire_ms > self.now_ms),
+                    is_requested: state.is_some_and(|state| state.advice.requested_ms.is_some()),
+                });
+            }
         }
         steps
     }
 
     /// Places tasks of one step as far as the team's limit and the free capacity allow.
-    fn place_step(&mut self, rank: JobRank, key: &StepKey, pass: &mut PlacementPass) {
-        let Some(job) = self.jobs.get(&key.job) else { return };
-        let spec = job.spec.clone();
-        let config = self.config.clone();
-        let Some(rule) = config.queues.get(&spec.queue) else { return };
+    fn place_step(&mut self, waiting: &WaitingStep<'_>, pass: &mut PlacementPass) {
+        let WaitingStep { rank, key, spec, rule, .. } = waiting;
         let step = &spec.steps[key.step as usize];
-        let allowed_tasks = self.remaining_team_tasks(&spec, step, pass);
+        let allowed_tasks = self.remaining_team_tasks(spec, step, pass);
         if allowed_tasks == 0 {
             return;
         }
@@ -226,9 +267,9 @@
         let may_fit = step.occupied_amounts().fits_in(capacity.largest_free);
         let before = self.decisions.len();
         if step.gang {
-            self.place_gang(rank, key, &spec, rule, allowed_tasks, pass);
+            self.place_gang(*rank, key, spec, rule, allowed_tasks, pass);
         } else if may_fit {
-            self.place_tasks(key, &spec, rule, allowed_tasks, pass);
+            self.place_tasks(key, spec, rule, allowed_tasks, pass);
         }
         let decisions = self.decisions.len() - before;
         if let Some(capacity) = pass.pools.get_mut(&rule.pool)
@@ -318,6 +359,9 @@
             return self.all_candidates(key, step, rule, pass);
         }
         let Some(state) = self.step_state(key) else { return Vec::new() };
+        if state.advice.tickets_expire_ms <= self.now_ms {
+            return Vec::new();
+        }
         let mut candidates = Vec::new();
         for (name, ticket) in &state.advice.eligible {
             if ticket.expires_ms > self.now_ms
@@ -394,7 +438,9 @@
         let step = &spec.steps[key.step as usize];
         let mut candidates = self.start_candidates(key, step, rule, pass);
         let mut placed = 0;
-        for index in self.waiting_tasks(key) {
+        let waiting_tasks =
+            if candidates.is_empty() { Vec::new() } else { self.waiting_tasks(key) };
+        for index in waiting_tasks {
             if placed == allowed_tasks {
                 return;
             }
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -75,6 +75,8 @@
     pub(crate) eligible_share: BTreeMap<QueueName, f64>,
     /// Workers examined for waiting steps, over all decisions.
     pub(crate) examined: u64,
+    /// Waiting steps for which something might have been done, over all decisions.
+    pub(crate) examined_steps: u64,
     /// Inherited jobs examined for what they may use unreported, over all decisions.
     pub(crate) examined_jobs: u64,
     /// Token buckets of the teams' shares: tokens left, and when they were computed.
@@ -308,6 +310,12 @@
         self.examined
     }
 
+    /// Returns for how many waiting steps something might have been done, over all decisions.
+    #[must_use]
+    pub fn examined_step_count(&self) -> u64 {
+        self.examined_steps
+    }
+
     /// Returns how many inherited jobs were examined for what they may use on workers that have
     /// not reported, over all decisions.
     #[must_use]
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -391,16 +391,15 @@
             step.advice.next_request_ms = now + ADVICE_RETRY_DELAY_MS;
             return;
         }
+        let expires_ms = now + valid_ms.saturating_sub(TICKET_MARGIN_MS);
+        step.advice.tickets_expire_ms = step.advice.tickets_expire_ms.max(expires_ms);
         let is_first_answer = step.advice.eligible.is_empty() && step.advice.ineligible.is_empty();
         for name in &answer.considered {
             step.advice.ineligible.insert(name.clone());
         }
         for (name, text) in &answer.eligible {
             step.advice.ineligible.remove(name);
-            let ticket = IssuedTicket {
-                text: text.clone(),
-                expires_ms: now + valid_ms.saturating_sub(TICKET_MARGIN_MS),
-            };
+            let ticket = IssuedTicket { text: text.clone(), expires_ms };
             step.advice.eligible.insert(name.clone(), ticket);
         }
         if is_first_answer {
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -78,6 +78,8 @@
     pub(crate) requested_ms: Option<u64>,
     /// Time before which no further request is made.
     pub(crate) next_request_ms: u64,
+    /// Time from which no ticket is used any more, on the planner's clock.
+    pub(crate) tickets_expire_ms: u64,
     /// Workers that may run the step, with their tickets.
     pub(crate) eligible: BTreeMap<WorkerName, IssuedTicket>,
     /// Workers that may not run the step.
--- a/crates/plan/tests/load.rs
+++ b/crates/plan/tests/load.rs
@@ -219,3 +219,26 @@
         requests += made;
     }
 }
+
+/// Guards against decisions that grow with the backlog: steps for which there is no capacity
+/// and no ticket are passed over.
+#[test]
+fn a_backlog_without_capacity_is_passed_over() {
+    let cost = AdviceCost { call_ms: 80.0, worker_ms: 1.0, valid_ms: 1_500 };
+    let mut simulation = LoadSimulation::new(WORKERS, MAX_CALLS, cost);
+    for number in 0..2_000 {
+        let spec = job(&format!("j{number}"), "advised", vec![step(4, cpu(TASK_CPU))]);
+        simulation.fixture.add(spec);
+    }
+    for _ in 0..100 {
+        simulation.tick();
+    }
+    let before = simulation.fixture.planner.examined_step_count();
+    let ticks = 50;
+    for _ in 0..ticks {
+        simulation.tick();
+    }
+    let examined = simulation.fixture.planner.examined_step_count() - before;
+    // The fleet runs 240 tasks, which are 60 steps.
+    assert!(examined <= ticks * 120, "{} steps a decision", examined / ticks);
+}
