Send only recent ends of jobs to the entries after a takeover

Cause: a new owner published the state of every finished job that the store keeps. Each of 147 entries fetched all of them; at some 7,000 jobs that are about 36 MB (computed) on a link of 25 MB a second, just when the owner has to reach all workers.

Change: ends of the last 10 s are sent; the entries know older ones or read them from the store.

--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -94,6 +94,9 @@
     MIN_JOB_CHANGES_INTERVAL.max(Duration::from_secs(1) * entries / MAX_JOB_CHANGES_QUERIES_PER_S)
 }
 
+/// Age of the ends of jobs, in milliseconds, up to which a new owner sends them to the other
+/// entries: time without an owner, and the difference between the clocks of VMs.
+pub const RECENT_END_MS: u64 = 10_000;
 /// Most job changes that an owner keeps for entries that query late.
 pub const MAX_LOGGED_JOB_CHANGES: usize = 20_000;
 /// Longest time since the owner's last answer to a query for job changes, in milliseconds,
--- a/crates/fleet/src/news.rs
+++ b/crates/fleet/src/news.rs
@@ -34,6 +34,16 @@
     pub waiting: BTreeMap<QueueName, u32>,
 }
 
+/// Returns whether a new owner tells the other entries of a job that ended at `ended_ms`, both
+/// in milliseconds since 1970.
+///
+/// They know older ends from the earlier owner or read them from the table service; sent to
+/// every entry, thousands of them would fill the new owner's link.
+#[must_use]
+pub const fn is_recent(ended_ms: u64, now_ms: u64) -> bool {
+    ended_ms + limits::RECENT_END_MS >= now_ms
+}
+
 /// Bounded log of the last job changes of one term.
 #[derive(Debug, Default)]
 pub struct JobChangeLog {
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -12,6 +12,7 @@
 use crate::desk;
 use crate::lease::ServiceClock;
 use crate::limits;
+use crate::news;
 use crate::owner::session::FinishedJob;
 use crate::owner::{OwnerPorts, SharedSession, advice, workers};
 use crate::ports::{FeedAnswer, PortResult, RowPage, RowTransaction, TableRow, TransactOutcome};
@@ -164,6 +165,7 @@
 
 fn apply_jobs<P: OwnerPorts>(session: &SharedSession<P>, pages: &JobPages) {
     let JobPages { inbox, jobs, progress } = pages;
+    let now_ms = desk::unix_ms();
     let mut records: BTreeMap<JobId, ProgressRecord> = BTreeMap::new();
     for row in &progress.rows {
         let Some(value) = &row.value else { continue };
@@ -171,7 +173,12 @@
         session.progress_versions.borrow_mut().insert(id.clone(), row.version);
         if let Some(record) = row::decode::<ProgressRecord>(row::PROGRESS_TABLE, &row.key, value) {
             if record.status.is_final() {
-                session.publish(&id, record.status);
+                if news::is_recent(record.ended_ms, now_ms) {
+                    session.publish(&id, record.status);
+                } else {
+                    let mut statuses = session.context.statuses.borrow_mut();
+                    statuses.record_status(id.clone(), record.status);
+                }
                 let finished_job =
                     FinishedJob { ended_ms: record.ended_ms, id: id.clone(), version: row.version };
                 session.finished_jobs.borrow_mut().push_back(finished_job);
