List the jobs of draining and silent workers with their leases

Cause: only workers whose registration was gone were stored with their jobs. The service's clock was not kept where every worker was registered at the takeover.

Change: nothing is started on a worker that drains or does not answer, so its jobs are listed as well; starts there wait for the next stored list once it is usable again. The service's clock is always kept.

Test: jobs_go_on_while_the_lease_of_a_lost_worker_runs_out, real processes; with the jobs of unregistered workers alone the long tasks were started again (4 instead of 2) before the short ones were done.

--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -28,10 +28,11 @@
     /// Permits that bound the orders in flight.
     pub(crate) orders_in_flight: Arc<Semaphore>,
     is_registered: bool,
-    /// When the worker registered again; none once the leased workers have been stored since.
-    /// Until then they contain an end of its lease or only some jobs, and nothing may be
-    /// started there.
-    registered_again_at: Option<ClockMillis>,
+    is_draining: bool,
+    /// When starts on the worker became possible again; none once the leased workers have been
+    /// stored since. Until then they contain an end of its lease or only some jobs, and nothing
+    /// may be started there.
+    usable_since: Option<ClockMillis>,
     /// When the polls began to fail; none while they succeed.
     failing_since: Option<ClockMillis>,
     /// Notified when a task is started on the worker.
@@ -40,6 +41,13 @@
     cancellation: CancellationToken,
 }
 
+impl WorkerLink {
+    /// Returns whether tasks may be started on the worker, as far as the planner has been told.
+    const fn takes_starts(&self) -> bool {
+        self.is_registered && !self.is_draining && self.failing_since.is_none()
+    }
+}
+
 /// Applies a row of the workers' table.
 pub(crate) fn apply_registration<P: OwnerPorts>(session: &SharedSession<P>, row: &TableRow) {
     let name = WorkerName::from(row.key.as_str());
@@ -48,6 +56,7 @@
         return;
     };
     let text = format!("worker={name} domain={} draining={}", info.domain, info.draining);
+    let is_draining = info.draining;
     // Each heartbeat writes the row; only changes that decisions depend on are logged.
     if session.planner.borrow_mut().set_worker(info) {
         log::info!("worker registered {text} version={}", row.version);
@@ -55,10 +64,11 @@
     let mut links = session.links.borrow_mut();
     if let Some(link) = links.get_mut(&name) {
         link.address = address;
-        if !link.is_registered {
-            link.registered_again_at = Some(session.context.clock.now());
+        if !link.takes_starts() {
+            link.usable_since = Some(session.context.clock.now());
         }
         link.is_registered = true;
+        link.is_draining = is_draining;
         return;
     }
     let cancellation = session.cancellation.child_token();
@@ -68,7 +78,8 @@
         lease,
         orders_in_flight: Arc::new(Semaphore::new(limits::MAX_ORDERS_IN_FLIGHT)),
         is_registered: true,
-        registered_again_at: session
+        is_draining,
+        usable_since: session
             .expiring_workers
             .borrow()
             .contains_key(&name)
@@ -114,7 +125,7 @@
     let links = session.links.borrow();
     let linked = links.iter().map(|(name, link)| {
         let runs =
-            if link.is_registered { InheritedRuns::Any } else { planner.possible_runs(name) };
+            if link.takes_starts() { InheritedRuns::Any } else { planner.possible_runs(name) };
         (name.clone(), runs)
     });
     let mut leased = LeasedWorkers {
@@ -138,14 +149,14 @@
     leased
 }
 
-/// Allows starts on workers that had registered again when the stored leases were listed.
+/// Allows starts on workers that had become usable again when the stored leases were listed.
 pub(crate) fn confirm_registrations<P: OwnerPorts>(
     session: &SharedSession<P>,
     listed_at: ClockMillis,
 ) {
     for link in session.links.borrow_mut().values_mut() {
-        if link.registered_again_at.is_some_and(|registered_at| registered_at <= listed_at) {
-            link.registered_again_at = None;
+        if link.usable_since.is_some_and(|usable_since| usable_since < listed_at) {
+            link.usable_since = None;
         }
     }
 }
@@ -178,6 +189,7 @@
         })
         .collect();
     drop(links);
+    session.service_clock.set(Some(*clock));
     let Some(last) = expiring.values().map(|lease| lease.until).max() else { return };
     log::info!(
         "waiting for leases of unregistered workers term={} workers={} longest_ms={}",
@@ -185,7 +197,6 @@
         expiring.len(),
         last.since(session.context.clock.now())
     );
-    session.service_clock.set(Some(*clock));
     *session.expiring_workers.borrow_mut() = expiring;
     session.spawn(wait_for_leases(session.clone()));
 }
@@ -230,7 +241,9 @@
                 let now = session.context.clock.now();
                 if let Some(link) = session.links.borrow_mut().get_mut(&name) {
                     link.lease.observe(clock_ms, report.incarnation, now);
-                    link.failing_since = None;
+                    if link.failing_since.take().is_some() {
+                        link.usable_since = Some(now);
+                    }
                 }
                 for end in &report.ended {
                     record_run_end(&session, &name, end);
@@ -384,7 +397,7 @@
     let now = session.context.clock.now();
     let mut links = session.links.borrow_mut();
     let link = links.get_mut(name)?;
-    if link.registered_again_at.is_some() {
+    if link.usable_since.is_some() {
         return None;
     }
     let deadline_ms = link.lease.next_deadline(now);
--- a/crates/fleet/src/row.rs
+++ b/crates/fleet/src/row.rs
@@ -70,7 +70,7 @@
 }
 
 /// Workers that may run tasks, whether they are registered or not: registrations can
-/// expire while the table service is down. Those that are not registered any more are listed
+/// expire while the table service is down. Those on which nothing is started now are listed
 /// with the jobs whose tasks they may run, so that the next owner waits with these jobs only.
 ///
 /// Only the next owner reads them, so they have their own row. In the ownership row, which
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -159,7 +159,8 @@
 
     /// Returns the jobs whose tasks may run on a worker.
     ///
-    /// Once the worker is deregistered, nothing is started there, so that the set only shrinks.
+    /// Nothing is started on a worker that is not registered, silent or draining, so that its
+    /// set only shrinks.
     #[must_use]
     pub fn possible_runs(&self, name: &WorkerName) -> InheritedRuns {
         let known = self.workers.get(name).into_iter().flat_map(|worker| worker.runs.keys());
--- a/crates/plan/src/worker.rs
+++ b/crates/plan/src/worker.rs
@@ -39,8 +39,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum InheritedRuns {
-    /// Only runs of these jobs: the worker was not registered any more, so that nothing was
-    /// started there since the jobs were listed.
+    /// Only runs of these jobs: the worker was not registered, silent or draining, so that
+    /// nothing was started there since the jobs were listed.
     OfJobs(BTreeSet<JobId>),
     /// Runs of any job that the earlier owner knew.
     Any,
--- a/standins/site/src/server.rs
+++ b/standins/site/src/server.rs
@@ -16,6 +16,16 @@
 /// Time between two checks by a call that waits for changes or ends.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Returns the registration of a worker; even ones are in the domain `north`, odd ones in `south`.
+fn build_registration(index: usize, address: SocketAddr, state: &str) -> serde_json::Value {
+    let zone = if index.is_multiple_of(2) { "north" } else { "south" };
+    json!({
+        "service": "pool", "address": address.to_string(), "zone": zone, "version": "v1",
+        "slots": 8, "state": state, "coldLeftMs": 0, "seq": 1,
+        "capacity": { "cpu": 4000, "memMb": 4000, "gpu": 0 }, "labels": ["a", "r1"],
+    })
+}
+
 /// Returns the site's steady clock, in milliseconds.
 fn steady_ms() -> u128 {
     static STARTED: LazyLock<Instant> = LazyLock::new(Instant::now);
@@ -48,6 +58,8 @@
 #[derive(Debug)]
 pub struct RunningSite {
     state: Arc<Mutex<SiteState>>,
+    /// Port of the services, then those of the workers.
+    ports: Arc<Vec<u16>>,
     /// Address of the table service and the advice service.
     pub address: SocketAddr,
     handle: actix_web::dev::ServerHandle,
@@ -79,8 +91,8 @@
         let addresses: Vec<_> =
             listeners.iter().map(|socket| socket.local_addr().expect("bound")).collect();
         let state = Arc::new(Mutex::new(SiteState::default()));
-        let ports = Arc::new(addresses.iter().map(SocketAddr::port).collect());
-        let data = SiteData { state: state.clone(), ports };
+        let ports: Arc<Vec<u16>> = Arc::new(addresses.iter().map(SocketAddr::port).collect());
+        let data = SiteData { state: state.clone(), ports: ports.clone() };
         let (sender, receiver) = std::sync::mpsc::channel();
         std::thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
@@ -102,28 +114,35 @@
             });
         });
         let handle = receiver.recv().expect("the site starts");
-        let site = Self { state, address: addresses[0], handle };
+        let site = Self { state, ports, address: addresses[0], handle };
         for (index, address) in addresses.iter().enumerate().skip(1) {
             site.register_worker(index, *address);
         }
         site
     }
 
-    /// Adds a worker and its registration; workers with an even number are in the domain `north`,
-    /// the others in `south`.
+    /// Adds a worker and its registration.
     fn register_worker(&self, index: usize, address: SocketAddr) {
         let name = format!("i-{index:08x}");
-        let zone = if index.is_multiple_of(2) { "north" } else { "south" };
-        let registration = json!({
-            "service": "pool", "address": address.to_string(), "zone": zone, "version": "v1",
-            "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": 1,
-            "capacity": { "cpu": 4000, "memMb": 4000, "gpu": 0 }, "labels": ["a", "r1"],
-        });
+        let registration = build_registration(index, address, "ready");
         let mut state = self.lock();
         state.workers.push(SiteWorker::new(name.clone(), 1, Instant::now()));
         state.table.put("servers", &name, STANDARD.encode(registration.to_string()));
     }
 
+    /// Registers a worker as draining.
+    ///
+    /// # Panics
+    /// Panics if there is no worker of this name.
+    pub fn drain_worker(&self, name: &str) {
+        let mut state = self.lock();
+        let position = state.workers.iter().position(|worker| worker.name == name);
+        let index = position.expect("the worker exists") + 1;
+        let address = SocketAddr::new(self.address.ip(), self.ports[index]);
+        let registration = build_registration(index, address, "draining");
+        state.table.put("servers", name, STANDARD.encode(registration.to_string()));
+    }
+
     /// Locks the state, to inspect or change it.
     ///
     /// # Panics
