Show that a planned restart runs scheduled tasks twice

Cause: the occurrences of a loaded scheduled job are created by the first decision, and the minions' reports come before it.

--- a/review/standin/cell.rs
+++ b/review/standin/cell.rs
@@ -2,6 +2,7 @@
 
 use std::fs::File;
 use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -21,6 +22,7 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 pub const SIGTERM: i32 = 15;
@@ -252,10 +254,21 @@
     }
 }
 
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+
 fn spawn(program: &str, settings: &PathBuf, log: &PathBuf) -> Result<Child, String> {
     let log = File::options().create(true).append(true).open(log).map_err(|e| e.to_string())?;
     let errors = log.try_clone().map_err(|error| error.to_string())?;
-    Command::new(program)
+    let mut command = Command::new(program);
+    // No entry outlives the script, also if that is killed.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+            Ok(())
+        });
+    }
+    command
         .env_clear()
         .env("AMARANTHSADDLE_NODE_FILE", settings)
         .stdin(Stdio::null())
--- a/review/standin/minion.rs
+++ b/review/standin/minion.rs
@@ -13,6 +13,8 @@
 
 const HOLD_MAX_MS: u64 = 6_000;
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// Time that a stop takes; `killGraceMs` is 900.
+const STOP_TIME: Duration = Duration::from_millis(600);
 /// Most ends in one list.
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -274,8 +276,12 @@
         let (task, run) = (body.str("task"), body.int("run").unwrap_or(0) as u32);
         let highest = life.highest.entry(task.clone()).or_insert(0);
         *highest = run.max(*highest);
-        if life.present.get(&task).is_some_and(|present| present.run <= run) {
-            self.end(life, &task, "stopped");
+        if let Some(present) = life.present.get_mut(&task).filter(|present| present.run <= run) {
+            if present.how != "stopped" {
+                present.due = Instant::now() + STOP_TIME;
+                present.how = "stopped";
+                self.record.line(&format!("run {task} {run} on {} is told to stop", self.id));
+            }
         }
         Reply::Answer(200, obj(vec![("clockMs", num(life.clock_ms()))]).render())
     }
--- a/review/standin/scenarios.rs
+++ b/review/standin/scenarios.rs
@@ -21,6 +21,7 @@
 pub fn run(scenario: &str, context: &Context) -> Outcome {
     match scenario {
         "occurrence" => occurrence(context),
+        "scheduled" => scheduled(context),
         "cancelled" => cancelled(context),
         "ends" => ends(context),
         "reborn" => reborn(context),
@@ -154,6 +155,39 @@
     Ok(broken)
 }
 
+/// Scheduled jobs whose tasks are at work when the entry that owns the fleet is restarted as
+/// planned.
+fn scheduled(context: &Context) -> Outcome {
+    let behaviour: Behaviour = Arc::new(|_, _, _| (4_000, "done"));
+    let cell = start(context, 4, behaviour)?;
+    let ids: Vec<String> = (0..6).map(|index| format!("f{index:015x}")).collect();
+    let start_ms = crate::unix_ms() + 1_500;
+    for (index, id) in ids.iter().enumerate() {
+        let body = format!(
+            "{{\"spec\":\"sheet\",\"maxRuns\":2,\"startAtMs\":{start_ms},\"intervalMs\":8000,\
+             \"steps\":[{{\"count\":2,\"cpu\":2600,\"memMb\":9600,\"estimateMs\":4000}}]}}"
+        );
+        if !cell.submit(index, id, &body) {
+            return Err(format!("{id} is not accepted"));
+        }
+    }
+    let at = start_ms + 2_000;
+    sleep_ms(at.saturating_sub(crate::unix_ms()));
+    if context.trouble {
+        let owner = cell.owner().ok_or("no owner")?;
+        cell.signal(owner, SIGTERM);
+        cell.restart(owner)?;
+    }
+    cell.wait(40, "all jobs are completed", || {
+        ids.iter().enumerate().all(|(index, id)| {
+            let answer = cell.request(index, "GET", id, "");
+            answer.is_some_and(|(_, body)| body.str("state") == "completed")
+        })
+    })?;
+    sleep_ms(2_000);
+    Ok(find_twice(&cell.past()))
+}
+
 const CANCEL_MS: u64 = 3_000;
 const KILL_GRACE_MS: u64 = 900;
 const CONTACT_MS: u64 = 3_000;
@@ -315,7 +349,7 @@
                         {\"count\":1,\"cpu\":1000,\"memMb\":1000,\"estimateMs\":300}]}";
                     cell.submit(index, &id, body);
                 }));
-                sleep_ms(50);
+                sleep_ms(270);
             }
             for client in clients {
                 let _ = client.join();
