--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/target/standin ] && [ -x target/release/amaranthsaddle ] || exit 2
-exec review/target/standin ends target/release/amaranthsaddle review/5/record.txt
+exec review/target/standin unlisted target/release/amaranthsaddle review/5/record.txt
--- a/review/standin/cell.rs
+++ b/review/standin/cell.rs
@@ -118,18 +118,8 @@
             directory,
             program: program.to_owned(),
         };
-        for index in 0..minions {
-            let id = format!("i-{index:010x}");
-            let minion = Minion::new(
-                &id,
-                ZONES[index % ZONES.len()],
-                behaviour.clone(),
-                cell.history.clone(),
-                cell.record.clone(),
-            );
-            let address = http::listen(minion.clone());
-            minion.run(address, &cell.store);
-            cell.minions.push(minion);
+        for _ in 0..minions {
+            cell.add_minion(behaviour.clone());
         }
         for index in 0..entries {
             cell.add_entry(index, store_address)?;
@@ -142,6 +132,19 @@
         Ok(cell)
     }
 
+    /// Adds a minion, which registers at once.
+    pub fn add_minion(&mut self, behaviour: Behaviour) -> Arc<Minion> {
+        let index = self.minions.len();
+        let id = format!("i-{index:010x}");
+        let zone = ZONES[index % ZONES.len()];
+        let (history, record) = (self.history.clone(), self.record.clone());
+        let minion = Minion::new(&id, zone, behaviour, history, record);
+        let address = http::listen(minion.clone());
+        minion.run(address, &self.store);
+        self.minions.push(minion.clone());
+        minion
+    }
+
     fn add_entry(&mut self, index: usize, store: SocketAddr) -> Result<(), String> {
         let zone = ZONES[index % ZONES.len()];
         let name = format!("front-{zone}-{}", index / ZONES.len() + 1);
--- a/review/standin/scenarios.rs
+++ b/review/standin/scenarios.rs
@@ -22,6 +22,7 @@
     match scenario {
         "occurrence" => occurrence(context),
         "scheduled" => scheduled(context),
+        "unlisted" => unlisted(context),
         "cancelled" => cancelled(context),
         "ends" => ends(context),
         "reborn" => reborn(context),
@@ -188,6 +189,49 @@
     Ok(find_twice(&cell.past()))
 }
 
+/// The store goes down while a new minion gets its first tasks, and registrations expire.
+fn unlisted(context: &Context) -> Outcome {
+    const HEARTBEAT_MS: u64 = 1_500;
+    let behaviour: Behaviour =
+        Arc::new(|task, _, _| (if task.starts_with('1') { 20_000 } else { 5_000 }, "done"));
+    let began = Instant::now();
+    let mut cell = start(context, 4, behaviour.clone())?;
+    let store = cell.store.clone();
+    std::thread::spawn(move || loop {
+        sleep_ms(20);
+        store.expire(Duration::from_millis(3 * HEARTBEAT_MS));
+    });
+    // The fleet is full, and eight tasks of another job wait.
+    for (id, count) in [("0000000000000000", 128), ("1000000000000000", 8)] {
+        let body = format!(
+            "{{\"spec\":\"sheet\",\"steps\":[{{\"count\":{count},\"cpu\":1000,\"memMb\":1000,\
+             \"estimateMs\":4000}}]}}"
+        );
+        if !cell.submit(0, id, &body) {
+            return Err(format!("{id} is not accepted"));
+        }
+        sleep_ms(300);
+    }
+    // The minions of before write their heartbeats 0.7 s after the new one.
+    let phase = (began.elapsed().as_millis() as u64 + 700) % HEARTBEAT_MS;
+    sleep_ms(HEARTBEAT_MS - phase);
+    let minion = cell.add_minion(behaviour);
+    cell.wait(3, "the new minion has work", || minion.present_count() > 0)?;
+    if context.trouble {
+        context.record.line("the store goes down");
+        cell.store.lock().down = true;
+        sleep_ms(4_500);
+        cell.store.lock().down = false;
+        context.record.line("the store is back");
+    }
+    cell.wait(45, "the waiting job is completed", || {
+        let answer = cell.request(0, "GET", "1000000000000000", "");
+        answer.is_some_and(|(_, body)| body.str("state") == "completed")
+    })?;
+    sleep_ms(2_000);
+    Ok(find_twice(&cell.past()))
+}
+
 const CANCEL_MS: u64 = 3_000;
 const KILL_GRACE_MS: u64 = 900;
 const CONTACT_MS: u64 = 3_000;
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -20,6 +20,8 @@
     /// Share of the write calls that are done and not answered, in thousandths.
     pub lost_per_mille: u64,
     pub lost_writes: u64,
+    /// When each minion last wrote its registration.
+    beats: BTreeMap<String, Instant>,
     /// The store refuses every call with 503.
     pub down: bool,
     random: u64,
@@ -52,11 +54,28 @@
     pub fn put(&self, table: &str, key: &str, value: &Json) {
         let mut rows = self.lock();
         rows.version += 1;
+        if table == "servers" {
+            rows.beats.insert(key.to_owned(), Instant::now());
+        }
         let name = (table.to_owned(), String::new(), key.to_owned());
         rows.write(name, Some(base64_encode(value.render().as_bytes())));
         self.changed.notify_all();
     }
 
+    /// Removes the registrations of minions that have not written for three heartbeats.
+    pub fn expire(&self, silence: Duration) {
+        let mut rows = self.lock();
+        let silent = |at: &Instant| at.elapsed() > silence;
+        let names: Vec<_> =
+            rows.beats.iter().filter(|(_, at)| silent(at)).map(|(key, _)| key.clone()).collect();
+        for key in names {
+            rows.beats.remove(&key);
+            rows.version += 1;
+            rows.write(("servers".to_owned(), String::new(), key), None);
+        }
+        self.changed.notify_all();
+    }
+
     /// Returns the content of a row.
     pub fn read(&self, table: &str, part: &str, key: &str) -> Option<Json> {
         let rows = self.lock();
