Keep the cancellation of a job that the owner does not know

Cause: the owner's write of the job had taken effect without an answer, so that the owner did not know the job. Planner::cancel_job ignored a cancellation of an unknown job, and the later read of the job's row did not look at cancellations. Ruled out: a cancellation lost in the feed (the stand-in's log shows it delivered before the job was added).

The planner now keeps such a cancellation and ends the job as soon as it is added, on whatever way; it forgets it when its row is removed. On the related path, an owner whose own entry has served the cancellation adds the job as cancelled, so that its end is stored and sent to the others.

--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -215,11 +215,11 @@
     row: &TableRow,
     records: &BTreeMap<JobId, ProgressRecord>,
 ) {
-    let Some(value) = &row.value else { return };
     if let Some(id) = row::parse_cancel_key(&row.key) {
-        session.planner.borrow_mut().cancel_job(&id);
+        apply_cancellation(session, &id, row.value.is_some());
         return;
     }
+    let Some(value) = &row.value else { return };
     let Some(spec) = row::decode::<JobSpec>(row::JOB_TABLE, &row.key, value) else { return };
     let now = session.context.clock.now();
     // The clocks of VMs differ a little: an arrival in the future counts as now.
@@ -229,21 +229,39 @@
     add_job(session, spec, record, now.0.saturating_sub(age_ms));
 }
 
+/// Applies the row of a cancellation, or its removal with the job.
+fn apply_cancellation<P: OwnerPorts>(session: &SharedSession<P>, id: &JobId, is_stored: bool) {
+    let status = session.context.statuses.borrow().get(id);
+    let mut planner = session.planner.borrow_mut();
+    if !is_stored {
+        planner.forget_cancellation(id);
+    } else if !matches!(status, Some(JobStatus::Completed | JobStatus::Failed)) {
+        planner.cancel_job(id);
+    }
+}
+
 /// Adds a stored job to the planner unless it is already known or finished: its row may be
 /// read, or the answer to its write may arrive, only after the job has run.
+///
+/// A job whose cancellation this entry has served is added as well, so that its end is stored.
 pub(crate) fn add_job<P: OwnerPorts>(
     session: &SharedSession<P>,
     spec: JobSpec,
     record: &ProgressRecord,
     arrived_ms: u64,
 ) {
-    let status = session.context.statuses.borrow().get(&spec.id);
-    let is_finished = status.is_some_and(JobStatus::is_final);
-    if is_finished || session.planner.borrow().has_job(&spec.id) {
+    let status = session.context.statuses.borrow().get(&spec.id).unwrap_or_default();
+    let is_over = matches!(status, JobStatus::Completed | JobStatus::Failed);
+    let mut planner = session.planner.borrow_mut();
+    if is_over || planner.has_job(&spec.id) {
         return;
     }
-    session.publish(&spec.id, JobStatus::Pending);
-    session.planner.borrow_mut().add_job(&Arc::new(spec), record, arrived_ms);
+    let is_cancelled = status == JobStatus::Cancelled;
+    session.publish(&spec.id, if is_cancelled { status } else { JobStatus::Pending });
+    if is_cancelled {
+        planner.cancel_job(&spec.id);
+    }
+    planner.add_job(&Arc::new(spec), record, arrived_ms);
 }
 
 /// Follows the jobs and cancellations that other entries store.
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -55,6 +55,8 @@
     pub(crate) config: Arc<PlanConfig>,
     pub(crate) workers: BTreeMap<WorkerName, WorkerState>,
     pub(crate) jobs: BTreeMap<JobId, JobState>,
+    /// Jobs that were cancelled before they were added.
+    pub(crate) cancelled_jobs: BTreeSet<JobId>,
     /// Resources that the runs of each team use up of its limit.
     pub(crate) team_usage: BTreeMap<TeamName, ResourceAmounts>,
     /// Jobs whose progress changed since it was last taken to be stored.
@@ -216,8 +218,10 @@
 
     /// Adds a job with its stored progress; a known or finished job is ignored.
     ///
-    /// `submitted_ms` is the time of its submission on the planner's clock.
+    /// `submitted_ms` is the time of its submission on the planner's clock. A job that was
+    /// cancelled before ends at once.
     pub fn add_job(&mut self, spec: &Arc<JobSpec>, progress: &ProgressRecord, submitted_ms: u64) {
+        let was_cancelled = self.cancelled_jobs.remove(&spec.id);
         if self.jobs.contains_key(&spec.id) || progress.status.is_final() {
             return;
         }
@@ -239,6 +243,9 @@
             restore_step(&mut job, step);
         }
         self.jobs.insert(spec.id.clone(), job);
+        if was_cancelled {
+            self.finish_job(&spec.id, JobStatus::Cancelled);
+        }
     }
 
     /// Charges a job to its team's share; returns true if the share is used up.
@@ -262,12 +269,22 @@
     }
 
     /// Cancels a job and stops its runs.
+    ///
+    /// The cancellation of a job that is not known is kept: the write of the job may have had no
+    /// answer, so that the job is found only later.
     pub fn cancel_job(&mut self, id: &JobId) {
         if self.jobs.contains_key(id) {
             self.finish_job(id, JobStatus::Cancelled);
+        } else {
+            self.cancelled_jobs.insert(id.clone());
         }
     }
 
+    /// Forgets the cancellation of a job that is not known, as it is not stored any more.
+    pub fn forget_cancellation(&mut self, id: &JobId) {
+        self.cancelled_jobs.remove(id);
+    }
+
     /// Returns whether the planner has a job, including finished ones that are not stored yet.
     #[must_use]
     pub fn has_job(&self, id: &JobId) -> bool {
--- a/crates/plan/tests/runs.rs
+++ b/crates/plan/tests/runs.rs
@@ -271,3 +271,20 @@
     successor.add(job("new", "normal", vec![step(40, cpu(1_000))]));
     assert_eq!(successor.starts().len(), 8, "the limit less the capacity of the lost worker");
 }
+
+/// Guards against a cancelled job that runs because its cancellation arrived before the job: the
+/// write of a job may have had no answer, so that the owner finds the job later.
+#[test]
+fn a_cancellation_waits_for_its_job() {
+    let mut fixture = PlannerFixture::new(1, config());
+    fixture.planner.cancel_job(&"j".into());
+    fixture.planner.cancel_job(&"forgotten".into());
+    fixture.planner.forget_cancellation(&"forgotten".into());
+    fixture.add(job("j", "normal", vec![step(1, cpu(1_000))]));
+    fixture.add(job("forgotten", "normal", vec![step(1, cpu(1_000))]));
+    let names: Vec<_> = fixture.starts().iter().map(|order| order.job.id.to_string()).collect();
+    assert_eq!(names, ["forgotten"], "the cancellation of the other one is not stored any more");
+    let records = fixture.store();
+    let statuses: Vec<_> = records.values().map(|record| record.status).collect();
+    assert_eq!(statuses, [JobStatus::Cancelled], "the end of the cancelled job is stored");
+}
