Start nothing on a worker before it is stored as leased

Cause: the next owner holds a task back only for workers that the stored list of leased workers names, and the owner gave a new worker tasks before a list with it was stored. Ruled out: the end of the lease (the overlap lay within it) and the reading of the list (it lacked the worker).

The planner now holds starts on a worker until the stored list allows runs of any job there. A worker that registers or becomes usable again triggers a renewal within 50 ms, which writes the list; lists are numbered, so that a worker is released only by one that was made after it had become usable. A new owner counts the list that it has read as stored, so that the workers of the earlier owner need no wait.

From the sending of a write until its success the stored list now counts as unknown.

--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -19,6 +19,9 @@
 pub const MAX_SUCCESSORS_PROBED: usize = 3;
 /// Interval between renewals; three may be lost before the owner's lease expires.
 pub const RENEW_INTERVAL: Duration = Duration::from_millis(400);
+/// Shortest interval between two renewals. One comes early when starts on a worker wait for the
+/// list of leased workers, and the changes of many workers are batched.
+pub const MIN_RENEW_INTERVAL: Duration = Duration::from_millis(50);
 /// How long after its own lease has expired an owner still extends the leases of running
 /// tasks, in milliseconds. A successor waits this long, plus one worker lease, before it
 /// restarts a task that may still run on an unreachable worker.
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -52,13 +52,16 @@
         read_leases(session)
     )
     .ok()?;
+    let (leased, store_clock) = leased;
+    // No earlier owner can change the list any more, as this owner's claim has changed the
+    // ownership row.
+    session.stored_leases.borrow_mut().record(leased.clone());
     apply_jobs(session, &job_pages);
     // Jobs come first: a worker is polled as soon as it is known, and a run end counts only
     // for a known job.
     apply_workers(session, &worker_page);
     // The first owner of a fleet finds no runs.
     if had_owner {
-        let (leased, store_clock) = leased;
         workers::await_unregistered_leases(session, &leased, &store_clock);
         session.planner.borrow_mut().inherit_workers(leased.runs, leased.largest);
     }
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -30,7 +30,7 @@
     write_owner,
 };
 use crate::ports::OwnershipHandover;
-use crate::row::{LeasedWorkers, OwnerRow};
+use crate::row::{LeasedWorkers, OwnerRow, StoredLeases};
 use crate::strength::VmStrength;
 use crate::submit::TermVersions;
 
@@ -68,9 +68,11 @@
     /// Versions of this term's rows, on which writes of jobs and progress are conditional.
     pub(crate) term_versions: Cell<TermVersions>,
     /// Whether jobs and workers have been loaded.
-    is_loaded: Cell<bool>,
-    /// Leased workers as last stored; none before the first write.
-    stored_leases: RefCell<Option<LeasedWorkers>>,
+    pub(crate) is_loaded: Cell<bool>,
+    /// Number of lists of leased workers that were made.
+    pub(crate) lease_lists: Cell<u64>,
+    /// Leased workers as the table service holds them.
+    pub(crate) stored_leases: RefCell<StoredLeases>,
     /// Whether the fleet was handed over to another entry.
     is_handed_over: Cell<bool>,
     /// Version of the ownership row.
@@ -85,6 +87,8 @@
     pub(crate) job_changes: Rc<RefCell<JobChangeLog>>,
     /// Notified when there are new job changes.
     pub(crate) changes_notify: Rc<Notify>,
+    /// Notified when starts on a worker wait until the leased workers are stored.
+    pub(crate) renew_notify: Notify,
     /// Notified when something has changed that decisions depend on.
     pub(crate) decide_notify: Notify,
     /// Notified when progress waits to be stored.
@@ -169,6 +173,7 @@
         finished_jobs: RefCell::default(),
         term_versions: Cell::default(),
         is_loaded: Cell::new(false),
+        lease_lists: Cell::default(),
         stored_leases: RefCell::default(),
         is_handed_over: Cell::new(false),
         version: Cell::new(ownership.version),
@@ -177,6 +182,7 @@
         longest_decision: Cell::default(),
         job_changes: Rc::new(RefCell::new(JobChangeLog::new(ownership.term))),
         changes_notify: Rc::default(),
+        renew_notify: Notify::new(),
         decide_notify: Notify::new(),
         progress_notify: Notify::new(),
         stored_notify: Notify::new(),
@@ -188,6 +194,9 @@
     let loaded = cancellation.run_until_cancelled(load::load(&session, had_owner)).await;
     if let Some(positions) = loaded {
         session.is_loaded.set(true);
+        if workers::has_held_starts(&session) {
+            session.renew_notify.notify_one();
+        }
         *context.waiting_by_queue.borrow_mut() = session.planner.borrow().waiting_by_queue();
         session.spawn(load::follow_jobs(session.clone(), positions.inbox));
         session.spawn(load::follow_workers(session.clone(), positions.workers));
@@ -207,12 +216,17 @@
 /// Renews the ownership row at intervals, together with the leased workers for the next owner,
 /// and hands the fleet over after a failed renewal or to an entry on a much larger VM.
 async fn renew_repeatedly<P: OwnerPorts>(session: SharedSession<P>) {
-    let mut next = tokio::time::Instant::now();
+    let mut renewed_at = tokio::time::Instant::now();
     let mut checked_at = session.claimed_at;
     loop {
         // Measured from send to send, so that a slow table service does not stretch the interval.
-        next = tokio::time::Instant::now().max(next + limits::RENEW_INTERVAL);
-        tokio::time::sleep_until(next).await;
+        tokio::select! {
+            () = tokio::time::sleep_until(renewed_at + limits::RENEW_INTERVAL) => {}
+            () = session.renew_notify.notified() => {
+                tokio::time::sleep_until(renewed_at + limits::MIN_RENEW_INTERVAL).await;
+            }
+        }
+        renewed_at = tokio::time::Instant::now();
         if session.cancellation.is_cancelled() {
             return;
         }
@@ -223,13 +237,14 @@
         log_fleet_state(&session, sent_at);
         let owner = build_owner_row(&session, session.context.identity.name.clone());
         let changed_leases = find_changed_leases(&session);
+        let list_number = session.lease_lists.get();
         let version = session.version.get();
         let written = write_owner(&session.context, version, &owner, changed_leases.as_ref()).await;
         if let Some(version) = written {
             if let Some(leases) = changed_leases {
-                *session.stored_leases.borrow_mut() = Some(leases);
+                session.stored_leases.borrow_mut().record(leases);
             }
-            workers::confirm_registrations(&session, sent_at);
+            workers::release_starts(&session, list_number);
             session.version.set(version);
             session.renewed_at.set(sent_at);
             // No renewal is in flight here, so a handover names the row's present version.
@@ -331,9 +346,12 @@
 /// Returns the leased workers if they differ from the stored ones; none before the fleet is
 /// loaded, as the workers of the earlier owner are not all known until then.
 fn find_changed_leases<P: OwnerPorts>(session: &SharedSession<P>) -> Option<LeasedWorkers> {
+    if !session.is_loaded.get() {
+        return None;
+    }
+    session.lease_lists.set(session.lease_lists.get() + 1);
     let leased = workers::list_leased_workers(session);
-    let stored = session.stored_leases.borrow();
-    (session.is_loaded.get() && stored.as_ref() != Some(&leased)).then_some(leased)
+    session.stored_leases.borrow_mut().begin_write(leased)
 }
 
 /// Releases the fleet, so that another entry need not wait for the lease to expire.
--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -29,10 +29,11 @@
     pub(crate) orders_in_flight: Arc<Semaphore>,
     is_registered: bool,
     is_draining: bool,
-    /// When starts on the worker became possible again; none once the leased workers have been
-    /// stored since. Until then they contain an end of its lease or only some jobs, and nothing
-    /// may be started there.
-    usable_since: Option<ClockMillis>,
+    /// Number of the last list of leased workers that was made before starts on the worker became
+    /// possible, for the first time or again; none once a later list is stored. Until then the
+    /// stored list does not name the worker, or names it with some jobs only, and nothing may be
+    /// started there.
+    held_since: Option<u64>,
     /// When the polls began to fail; none while they succeed.
     failing_since: Option<ClockMillis>,
     /// Notified when a task is started on the worker.
@@ -48,6 +49,24 @@
     }
 }
 
+/// Holds starts on a worker back until the leased workers have been stored.
+fn hold_starts<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    name: &WorkerName,
+    link: &mut WorkerLink,
+) {
+    link.held_since = Some(session.lease_lists.get());
+    session.planner.borrow_mut().hold_starts(name, true);
+    if session.is_loaded.get() {
+        session.renew_notify.notify_one();
+    }
+}
+
+/// Returns whether starts on any worker wait until the leased workers are stored.
+pub(crate) fn has_held_starts<P: OwnerPorts>(session: &SharedSession<P>) -> bool {
+    session.links.borrow().values().any(|link| link.held_since.is_some())
+}
+
 /// Applies a row of the workers' table.
 pub(crate) fn apply_registration<P: OwnerPorts>(session: &SharedSession<P>, row: &TableRow) {
     let name = WorkerName::from(row.key.as_str());
@@ -65,7 +84,7 @@
     if let Some(link) = links.get_mut(&name) {
         link.address = address;
         if !link.takes_starts() {
-            link.usable_since = Some(session.context.clock.now());
+            hold_starts(session, &name, link);
         }
         link.is_registered = true;
         link.is_draining = is_draining;
@@ -73,21 +92,20 @@
     }
     let cancellation = session.cancellation.child_token();
     let lease = WorkerLease::inherited(session.context.bounds.worker_lease_ms, session.claimed_at);
-    let link = WorkerLink {
+    let mut link = WorkerLink {
         address,
         lease,
         orders_in_flight: Arc::new(Semaphore::new(limits::MAX_ORDERS_IN_FLIGHT)),
         is_registered: true,
         is_draining,
-        usable_since: session
-            .expiring_workers
-            .borrow()
-            .contains_key(&name)
-            .then(|| session.context.clock.now()),
+        held_since: None,
         failing_since: None,
         started_notify: Rc::default(),
         cancellation: cancellation.clone(),
     };
+    if !session.stored_leases.borrow().allows_any_run(&name) {
+        hold_starts(session, &name, &mut link);
+    }
     links.insert(name.clone(), link);
     let polls = poll_repeatedly(session.clone(), name);
     actix_rt::spawn(async move {
@@ -149,14 +167,13 @@
     leased
 }
 
-/// Allows starts on workers that had become usable again when the stored leases were listed.
-pub(crate) fn confirm_registrations<P: OwnerPorts>(
-    session: &SharedSession<P>,
-    listed_at: ClockMillis,
-) {
-    for link in session.links.borrow_mut().values_mut() {
-        if link.usable_since.is_some_and(|usable_since| usable_since < listed_at) {
-            link.usable_since = None;
+/// Allows starts on workers that had become usable when list `number` was made, which is stored.
+pub(crate) fn release_starts<P: OwnerPorts>(session: &SharedSession<P>, number: u64) {
+    for (name, link) in session.links.borrow_mut().iter_mut() {
+        if link.held_since.is_some_and(|held_since| held_since < number) {
+            link.held_since = None;
+            session.planner.borrow_mut().hold_starts(name, false);
+            session.decide_notify.notify_one();
         }
     }
 }
@@ -242,7 +259,7 @@
                 if let Some(link) = session.links.borrow_mut().get_mut(&name) {
                     link.lease.observe(clock_ms, report.incarnation, now);
                     if link.failing_since.take().is_some() {
-                        link.usable_since = Some(now);
+                        hold_starts(&session, &name, link);
                     }
                 }
                 for end in &report.ended {
@@ -397,7 +414,7 @@
     let now = session.context.clock.now();
     let mut links = session.links.borrow_mut();
     let link = links.get_mut(name)?;
-    if link.usable_since.is_some() {
+    if link.held_since.is_some() {
         return None;
     }
     let deadline_ms = link.lease.next_deadline(now);
--- a/crates/fleet/src/row.rs
+++ b/crates/fleet/src/row.rs
@@ -118,6 +118,40 @@
     }
 }
 
+/// The list of leased workers as the table service holds it.
+#[derive(Clone, Debug, Default)]
+pub struct StoredLeases {
+    /// None while the stored list is not known: before the first read, and from the sending of a
+    /// write until its success.
+    leased: Option<LeasedWorkers>,
+}
+
+impl StoredLeases {
+    /// Records the list that was read or written.
+    pub fn record(&mut self, leased: LeasedWorkers) {
+        self.leased = Some(leased);
+    }
+
+    /// Returns `leased` if it has to be written, which leaves the stored list unknown: a write
+    /// without an answer may have taken effect.
+    #[must_use]
+    pub fn begin_write(&mut self, leased: LeasedWorkers) -> Option<LeasedWorkers> {
+        if self.leased.as_ref() == Some(&leased) {
+            return None;
+        }
+        self.leased = None;
+        Some(leased)
+    }
+
+    /// Returns true if a later owner will expect runs of any job on a worker.
+    #[must_use]
+    pub fn allows_any_run(&self, name: &WorkerName) -> bool {
+        self.leased
+            .as_ref()
+            .is_some_and(|leased| leased.runs.get(name) == Some(&InheritedRuns::Any))
+    }
+}
+
 /// A registered entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRow {
--- a/crates/fleet/tests/row.rs
+++ b/crates/fleet/tests/row.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use fleet::row::{self, LeasedWorkers};
+use fleet::row::{self, LeasedWorkers, StoredLeases};
 use model::name::{JobId, WorkerName};
 use model::resource::ResourceAmounts;
 use plan::worker::InheritedRuns;
@@ -45,3 +45,19 @@
     let any = stored.runs.values().filter(|runs| **runs == InheritedRuns::Any).count();
     assert!(any > 0 && any < 1_100, "{any} workers without jobs");
 }
+
+/// Guards against a list of leased workers that a later owner reads although it is out of date: a
+/// write without an answer may have replaced the list that the owner believes to be stored.
+#[test]
+fn an_unanswered_write_of_the_leases_is_written_over() {
+    let (before, other) = (leased(1, 1), leased(2, 1));
+    let any = LeasedWorkers { runs: [("w".into(), InheritedRuns::Any)].into(), ..before.clone() };
+    let mut stored = StoredLeases::default();
+    assert!(!stored.allows_any_run(&"w".into()), "nothing was read yet");
+    stored.record(any.clone());
+    assert!(stored.allows_any_run(&"w".into()));
+    assert_eq!(stored.begin_write(any.clone()), None, "the list is stored");
+    assert_eq!(stored.begin_write(other.clone()), Some(other));
+    assert!(!stored.allows_any_run(&"w".into()), "the write may have taken effect");
+    assert_eq!(stored.begin_write(any.clone()), Some(any));
+}
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -193,10 +193,12 @@
 
     /// Returns whether tasks may be started on a worker now.
     fn can_start_on(&self, worker: &WorkerState) -> bool {
-        worker.quarantined_until_ms <= self.now_ms && self.is_schedulable(worker)
+        worker.quarantined_until_ms <= self.now_ms
+            && !worker.starts_held
+            && self.is_schedulable(worker)
     }
 
-    /// Returns whether tasks may be started on a worker now or after its quarantine.
+    /// Returns whether tasks may be started on a worker now, or after its quarantine or hold.
     fn is_schedulable(&self, worker: &WorkerState) -> bool {
         worker.incarnation.is_some()
             && !worker.silent
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -195,6 +195,14 @@
         }
     }
 
+    /// Holds starts on a worker back, or allows them: a later owner learns only from the stored
+    /// list of leased workers that tasks may run there.
+    pub fn hold_starts(&mut self, name: &WorkerName, held: bool) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.starts_held = held;
+        }
+    }
+
     /// Records that nothing that was started on a worker can still run there.
     pub fn worker_lease_expired(&mut self, name: &WorkerName) {
         self.mark_reported(name);
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -161,6 +161,8 @@
     pub(crate) deregistered: bool,
     /// Whether the worker does not answer at present.
     pub(crate) silent: bool,
+    /// Whether nothing may be started because a later owner would not know of it.
+    pub(crate) starts_held: bool,
     pub(crate) runs: BTreeMap<TaskKey, RunState>,
     /// Capacity that the runs occupy together.
     pub(crate) occupied: ResourceAmounts,
@@ -189,6 +191,7 @@
             incarnation: None,
             deregistered: false,
             silent: false,
+            starts_held: false,
             runs: BTreeMap::new(),
             occupied: ResourceAmounts::ZERO,
             plain_runs: 0,
--- a/crates/plan/tests/place.rs
+++ b/crates/plan/tests/place.rs
@@ -323,3 +323,17 @@
     assert_eq!(fixture.store().len(), 1);
     assert!(!fixture.planner.has_job(&"timed".into()));
 }
+
+/// Guards against starts that no later owner would know of: a worker that has just registered is
+/// not in the stored list of leased workers yet.
+#[test]
+fn nothing_is_started_on_a_worker_whose_starts_are_held() {
+    let mut fixture = PlannerFixture::new(2, config());
+    fixture.planner.hold_starts(&worker(0).name, true);
+    fixture.add(job("j", "normal", vec![step(12, cpu(1_000))]));
+    let starts = fixture.run_starts(StartAnswer::Started);
+    assert_eq!(starts.len(), 8);
+    assert!(starts.iter().all(|order| order.worker == worker(1).name));
+    fixture.planner.hold_starts(&worker(0).name, false);
+    assert_eq!(fixture.starts().len(), 4);
+}
--- a/standins/site/src/server.rs
+++ b/standins/site/src/server.rs
@@ -37,6 +37,8 @@
 pub struct SiteFaults {
     /// The table service refuses every call with status 503.
     pub store_down: bool,
+    /// The table service refuses transactions with status 503, and still serves reads.
+    pub writes_refused: bool,
     /// The table service carries transactions out but answers with status 500.
     pub answers_lost: bool,
     /// Delay between a read of rows and its answer, which may then be out of date.
@@ -86,6 +88,19 @@
     /// Panics if no port can be bound.
     #[must_use]
     pub fn start(workers: usize) -> Self {
+        let site = Self::start_unregistered(workers);
+        for index in 0..workers {
+            site.register_worker(index);
+        }
+        site
+    }
+
+    /// Starts a site whose workers do not register yet.
+    ///
+    /// # Panics
+    /// Panics if no port can be bound.
+    #[must_use]
+    pub fn start_unregistered(workers: usize) -> Self {
         let listen = || TcpListener::bind("127.0.0.1:0").expect("a free port");
         let listeners: Vec<_> = (0..=workers).map(|_| listen()).collect();
         let addresses: Vec<_> =
@@ -114,19 +129,27 @@
             });
         });
         let handle = receiver.recv().expect("the site starts");
+        let names = (1..=workers).map(|index| format!("i-{index:08x}"));
+        let started = names.map(|name| SiteWorker::new(name, 1, Instant::now()));
         let site = Self { state, ports, address: addresses[0], handle };
-        for (index, address) in addresses.iter().enumerate().skip(1) {
-            site.register_worker(index, *address);
-        }
+        site.lock().workers = started.collect();
         site
     }
 
-    /// Adds a worker and its registration.
-    fn register_worker(&self, index: usize, address: SocketAddr) {
-        let name = format!("i-{index:08x}");
-        let registration = build_registration(index, address, "ready");
+    /// Writes the registration of a worker, by its position.
+    ///
+    /// # Panics
+    /// Panics if there is no such worker.
+    pub fn register_worker(&self, position: usize) {
+        self.write_registration(position, "ready");
+    }
+
+    fn write_registration(&self, position: usize, registered_state: &str) {
+        let index = position + 1;
+        let address = SocketAddr::new(self.address.ip(), self.ports[index]);
+        let registration = build_registration(index, address, registered_state);
         let mut state = self.lock();
-        state.workers.push(SiteWorker::new(name.clone(), 1, Instant::now()));
+        let name = state.workers[position].name.clone();
         state.table.put("servers", &name, STANDARD.encode(registration.to_string()));
     }
 
@@ -135,12 +158,8 @@
     /// # Panics
     /// Panics if there is no worker of this name.
     pub fn drain_worker(&self, name: &str) {
-        let mut state = self.lock();
-        let position = state.workers.iter().position(|worker| worker.name == name);
-        let index = position.expect("the worker exists") + 1;
-        let address = SocketAddr::new(self.address.ip(), self.ports[index]);
-        let registration = build_registration(index, address, "draining");
-        state.table.put("servers", name, STANDARD.encode(registration.to_string()));
+        let position = self.lock().workers.iter().position(|worker| worker.name == name);
+        self.write_registration(position.expect("the worker exists"), "draining");
     }
 
     /// Locks the state, to inspect or change it.
@@ -193,7 +212,7 @@
 
 fn transact(body: &[u8], site: &SiteData) -> HttpResponse {
     let mut state = site.lock();
-    if state.faults.store_down {
+    if state.faults.store_down || state.faults.writes_refused {
         return HttpResponse::ServiceUnavailable().finish();
     }
     let Ok(body) = serde_json::from_slice::<TxBody>(body) else {
--- a/standins/site/src/worker.rs
+++ b/standins/site/src/worker.rs
@@ -143,6 +143,12 @@
         is_accepted
     }
 
+    /// Returns whether an owner has called the worker.
+    #[must_use]
+    pub const fn was_called(&self) -> bool {
+        self.highest_token > 0
+    }
+
     /// Extends the lease to an instant of the worker's clock; never shortens it.
     pub fn extend_lease(&mut self, deadline_ms: u64) {
         let latest = self.clock_ms() + MAX_LEASE_MS;
