Add due occurrences without progress again after a takeover

Cause: the progress row names only steps with an ended task, and restore_step took the highest occurrence in it for the last one that was due. Ruled out: progress that was not stored.

Which occurrences are due now follows from the schedule alone, counted from the first one; the row only adds what has ended. A job is completed when its last occurrence is due on the owner's own clock, checked also when it becomes due: all of them may have ended before, under an owner whose clock was ahead.

--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -440,13 +440,16 @@
         std::mem::take(&mut self.decisions)
     }
 
-    /// Adds the occurrences of scheduled jobs that have become due.
+    /// Adds the occurrences of scheduled jobs that have become due, and finishes jobs of which an
+    /// earlier owner has seen all occurrences end.
     fn add_due_occurrences(&mut self, unix_ms: u64) {
-        for job in self.jobs.values_mut() {
+        let mut done_jobs = Vec::new();
+        for (id, job) in &mut self.jobs {
             let Some(schedule) = job.spec.schedule else { continue };
             if job.status.is_final() {
                 continue;
             }
+            let first = job.next_occurrence;
             while job.next_occurrence < schedule.occurrences
                 && schedule.start_ms + u64::from(job.next_occurrence) * schedule.interval_ms
                     <= unix_ms
@@ -455,6 +458,12 @@
                 job.next_occurrence += 1;
                 job.occurrences.entry(occurrence).or_insert_with(|| new_occurrence(&job.spec));
             }
+            if job.next_occurrence > first && job.is_done() {
+                done_jobs.push(id.clone());
+            }
+        }
+        for id in done_jobs {
+            self.finish_job(&id, JobStatus::Completed);
         }
     }
 
@@ -587,6 +596,14 @@
 }
 
 impl JobState {
+    /// Returns whether all occurrences have become due and all their tasks are done.
+    pub(crate) fn is_done(&self) -> bool {
+        let total = self.spec.schedule.map_or(1, |schedule| schedule.occurrences);
+        let is_done =
+            |occurrence: &OccurrenceState| occurrence.steps.iter().all(|step| step.unfinished == 0);
+        self.next_occurrence >= total && self.occurrences.values().all(is_done)
+    }
+
     /// Returns the rank of the job among those that wait.
     pub(crate) fn rank(&mut self, rule: &QueueRule, now_ms: u64) -> JobRank {
         let objective_ms =
@@ -633,11 +650,12 @@
 }
 
 /// Restores a step from its stored progress.
+///
+/// The record names only occurrences with an ended task, so it does not tell which were due.
 fn restore_step(job: &mut JobState, progress: &StepProgress) {
     let spec = job.spec.clone();
     let occurrence =
         job.occurrences.entry(progress.occurrence).or_insert_with(|| new_occurrence(&spec));
-    job.next_occurrence = job.next_occurrence.max(progress.occurrence + 1);
     let Some(step) = occurrence.steps.get_mut(progress.step as usize) else { return };
     for (first, last) in &progress.done {
         for index in *first..=*last {
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -8,7 +8,7 @@
 use crate::job::TaskKey;
 use crate::planner::Planner;
 use crate::progress::JobStatus;
-use crate::state::{IssuedTicket, RunPhase, RunState, SharingKind};
+use crate::state::{IssuedTicket, JobState, RunPhase, RunState, SharingKind};
 use crate::worker::{EndKind, EndedRun, PresentRun, RefusalKind, RunReport, StartAnswer};
 
 /// First failures of tasks, without a success in between, after which a worker is quarantined.
@@ -152,14 +152,7 @@
     }
 
     fn finish_job_if_done(&mut self, task: &TaskKey) {
-        let Some(job) = self.jobs.get(&task.step.job) else { return };
-        let total = job.spec.schedule.map_or(1, |schedule| schedule.occurrences);
-        let is_done = job.next_occurrence >= total
-            && job
-                .occurrences
-                .values()
-                .all(|occurrence| occurrence.steps.iter().all(|step| step.unfinished == 0));
-        if is_done {
+        if self.jobs.get(&task.step.job).is_some_and(JobState::is_done) {
             self.finish_job(&task.step.job.clone(), JobStatus::Completed);
         }
     }
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -20,7 +20,7 @@
     pub(crate) submitted_ms: u64,
     pub(crate) status: JobStatus,
     pub(crate) occurrences: BTreeMap<u32, OccurrenceState>,
-    /// Number of the first occurrence that was not due yet.
+    /// Number of the first occurrence that was not due yet on this owner's clock.
     pub(crate) next_occurrence: u32,
     /// Whether the team had used up its share when it submitted the job.
     pub(crate) beyond_share: bool,
--- a/crates/plan/tests/runs.rs
+++ b/crates/plan/tests/runs.rs
@@ -4,7 +4,8 @@
 mod support;
 
 use model::resource::ResourceAmounts;
-use plan::progress::{JobStatus, ProgressRecord};
+use plan::job::{JobSchedule, JobSpec};
+use plan::progress::{JobStatus, ProgressRecord, StepProgress};
 use plan::worker::{EndKind, InheritedRuns, RefusalKind, RunReport, StartAnswer};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -288,3 +289,61 @@
     let statuses: Vec<_> = records.values().map(|record| record.status).collect();
     assert_eq!(statuses, [JobStatus::Cancelled], "the end of the cancelled job is stored");
 }
+
+/// Returns a job of three occurrences of one task, all of them due.
+fn scheduled_job() -> JobSpec {
+    let schedule = JobSchedule { start_ms: 0, interval_ms: 1, occurrences: 3 };
+    JobSpec { schedule: Some(schedule), ..job("j", "normal", vec![step(1, cpu(1_000))]) }
+}
+
+/// Guards against an occurrence of a scheduled job that never runs because the owner changed
+/// before any task of it had ended, while a later occurrence had ended: the job was completed
+/// without it.
+#[test]
+fn a_due_occurrence_without_progress_is_added_again() {
+    let mut owner = PlannerFixture::new(1, config());
+    owner.now_ms = 10;
+    owner.add(scheduled_job());
+    let orders = owner.run_starts(StartAnswer::Started);
+    assert_eq!(orders.len(), 3);
+    owner.end(&orders[1], EndKind::Done);
+    let record = owner.store().into_values().next().expect("the end is recorded");
+
+    let mut successor = PlannerFixture::unreported(1, config());
+    successor.now_ms = 20;
+    successor.planner.add_job(&Arc::new(scheduled_job()), &record, 1);
+    successor.planner.inherit_workers(BTreeMap::new(), ResourceAmounts::UNLIMITED);
+    successor.report(&worker(0).name, Vec::new(), Vec::new());
+    let restarted = successor.run_starts(StartAnswer::Started);
+    let occurrences: Vec<_> = restarted.iter().map(|order| order.task.step.occurrence).collect();
+    assert_eq!(occurrences, [0, 2]);
+    successor.end(&restarted[1], EndKind::Done);
+    let record = successor.store().into_values().next().expect("the end is recorded");
+    assert_eq!(record.status, JobStatus::Running, "occurrence 0 has not ended");
+}
+
+/// Guards against a scheduled job that is never completed: an owner whose clock is ahead has seen
+/// all occurrences end, and the next one has not found them due when it loads the job.
+#[test]
+fn a_job_is_completed_when_its_last_occurrence_is_due_on_this_clock() {
+    let mut owner = PlannerFixture::new(1, config());
+    owner.now_ms = 10;
+    owner.add(scheduled_job());
+    let orders = owner.run_starts(StartAnswer::Started);
+    owner.end(&orders[0], EndKind::Done);
+    owner.end(&orders[2], EndKind::Done);
+    let mut record = owner.store().into_values().next().expect("the ends are recorded");
+    record.steps.push(StepProgress {
+        occurrence: 1,
+        done: vec![(0, 0)],
+        ..StepProgress::default()
+    });
+
+    let mut successor = PlannerFixture::new(1, config());
+    successor.planner.add_job(&Arc::new(scheduled_job()), &record, 1);
+    successor.planner.decide(20, 1);
+    assert!(successor.store().is_empty(), "occurrence 2 is not due yet");
+    successor.planner.decide(21, 2);
+    let record = successor.store().into_values().next().expect("the end is recorded");
+    assert_eq!(record.status, JobStatus::Completed);
+}
