Add the occurrence of a reported run before judging the run

Cause: occurrences were added in the first decision, and the workers report before it. apply_report then found no step for the task: a present run was stopped as not wanted and not counted, an end was acknowledged and dropped. Ruled out: orders of the old owner (all second starts carry the new term).

A reported run proves that an earlier owner found its occurrence due, so the report adds the occurrence, within the schedule's count. Adding the due occurrences at the load instead would fail where the clock of the new owner is behind.

--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -467,6 +467,18 @@
         }
     }
 
+    /// Adds the occurrence of a reported run if it is missing.
+    ///
+    /// An earlier owner has found it due, with whose clock this one may not agree yet.
+    pub(crate) fn add_reported_occurrence(&mut self, key: &StepKey) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(schedule) = job.spec.schedule else { return };
+        if !job.status.is_final() && key.occurrence < schedule.occurrences {
+            let spec = &job.spec;
+            job.occurrences.entry(key.occurrence).or_insert_with(|| new_occurrence(spec));
+        }
+    }
+
     pub(crate) fn step_spec(&self, key: &StepKey) -> Option<&StepSpec> {
         self.jobs.get(&key.job)?.spec.steps.get(key.step as usize)
     }
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -89,6 +89,8 @@
             return;
         }
         worker.last_counted_end = end.number;
+        self.add_reported_occurrence(&end.task.step);
+        let Some(worker) = self.workers.get_mut(name) else { return };
         self.pending_acks.ends.push_back((name.clone(), incarnation, end.number));
         let run = worker.runs.get(&end.task).filter(|run| run.run == end.run).cloned();
         self.record_saved_progress(&end.task, &end.saved);
@@ -204,6 +206,7 @@
 
     /// Applies one present run of a report: confirms a known run or adopts an unknown one.
     fn apply_present_run(&mut self, name: &WorkerName, present: &PresentRun) {
+        self.add_reported_occurrence(&present.task.step);
         self.record_saved_progress(&present.task, &present.saved);
         let now = self.now_ms;
         let Some(worker) = self.workers.get_mut(name) else { return };
--- a/crates/plan/tests/runs.rs
+++ b/crates/plan/tests/runs.rs
@@ -3,15 +3,16 @@
 #[allow(dead_code, reason = "each test file uses a part of the helpers")]
 mod support;
 
+use arcstr::ArcStr;
 use model::resource::ResourceAmounts;
 use plan::job::{JobSchedule, JobSpec};
 use plan::progress::{JobStatus, ProgressRecord, StepProgress};
-use plan::worker::{EndKind, InheritedRuns, RefusalKind, RunReport, StartAnswer};
+use plan::worker::{EndKind, EndedRun, InheritedRuns, RefusalKind, RunReport, StartAnswer};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use support::{
-    INCARNATION, PlannerFixture, WORKER_CPU, config, cpu, job, present_run, step, stops, task,
-    worker,
+    INCARNATION, PlannerFixture, WORKER_CPU, config, cpu, job, present_run, starts, step, stops,
+    task, worker,
 };
 
 /// Guards against lost failures: two workers report failed runs of one task, and the report of
@@ -347,3 +348,50 @@
     let record = successor.store().into_values().next().expect("the end is recorded");
     assert_eq!(record.status, JobStatus::Completed);
 }
+
+/// Guards against scheduled tasks that run twice after a takeover: workers report before the first
+/// decision, and their runs were taken for unwanted because no occurrence had been added yet.
+#[test]
+fn reported_runs_of_a_scheduled_job_are_kept() {
+    let mut owner = PlannerFixture::new(1, config());
+    owner.now_ms = 10;
+    owner.add(scheduled_job());
+    let orders = owner.run_starts(StartAnswer::Started);
+
+    let mut successor = PlannerFixture::unreported(1, config());
+    successor.now_ms = 20;
+    successor.add(scheduled_job());
+    successor.planner.inherit_workers(BTreeMap::new(), ResourceAmounts::UNLIMITED);
+    let done = EndedRun {
+        number: 1,
+        task: orders[0].task.clone(),
+        run: orders[0].run,
+        kind: EndKind::Done,
+        saved: ArcStr::default(),
+    };
+    let running = vec![present_run(&orders[1]), present_run(&orders[2])];
+    successor.report(&worker(0).name, running, vec![done]);
+    assert_eq!(successor.decide(), [], "nothing is stopped, and nothing is started again");
+    let record = successor.store().into_values().next().expect("the end is recorded");
+    assert_eq!(record.steps.iter().map(|step| step.occurrence).collect::<Vec<_>>(), [0]);
+}
+
+/// Guards against a run that is stopped and started again because the clock of the new owner is
+/// behind that of the earlier one: the occurrence of the run is not due yet.
+#[test]
+fn a_reported_run_is_kept_although_its_occurrence_is_not_due() {
+    let mut owner = PlannerFixture::new(1, config());
+    owner.now_ms = 10;
+    owner.add(scheduled_job());
+    let orders = owner.run_starts(StartAnswer::Started);
+
+    let mut successor = PlannerFixture::unreported(1, config());
+    successor.add(scheduled_job());
+    successor.planner.inherit_workers(BTreeMap::new(), ResourceAmounts::UNLIMITED);
+    let running = vec![present_run(&orders[0]), present_run(&orders[2])];
+    successor.report(&worker(0).name, running, Vec::new());
+    assert_eq!(successor.planner.decide(successor.now_ms, 0), [], "occurrence 1 is not due");
+    let later = successor.planner.decide(successor.now_ms + 1, 5);
+    let started: Vec<_> = starts(later).iter().map(|order| order.task.step.occurrence).collect();
+    assert_eq!(started, [1]);
+}
