Acknowledge run ends only on the connection that listed them

Cause: each poll acknowledged the ends of the incarnation known last. A poll hangs on the connection of a crashed worker, starts reach the new process meanwhile, and the next poll made it forget its ends 1, 2, 3 unlisted. Ruled out: X-Expect-Instance (it holds the name, which is the same); an acknowledgement only after an answered poll (a restart can still fall between the two).

The polls of each worker now have a connection of their own (link::pinned), and the adapter acknowledges ends only on the connection on which their incarnation has answered. A restart closes it, and on another connection the poll acknowledges nothing. actix-service and actix-tls, which awc uses already, become direct dependencies.

On the same path, the first report of a new incarnation removed runs that this incarnation had confirmed after the report was requested; they now follow the rule of all reports. a_restarted_worker_loses_its_runs requested its report in the millisecond of the confirmation, in which their order is not known; it now requests it a millisecond later, and the new test states what holds in between.

--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -17,7 +17,7 @@
 use crate::limits;
 use crate::metrics;
 use crate::owner::{OwnerPorts, SharedSession};
-use crate::ports::{OrderStamp, PollAnswer, PollOrder, TableRow};
+use crate::ports::{EndAck, OrderStamp, PollAnswer, PollOrder, TableRow};
 use crate::row::LeasedWorkers;
 
 /// Connection state of one worker: address, lease and reachability.
@@ -357,8 +357,12 @@
     // Without a deadline the poll only reads the worker's clock and must not be held.
     let max_wait = if deadline_ms.is_some() { limits::MAX_POLL_WAIT } else { Duration::ZERO };
     let stamp = OrderStamp { fencing_token: session.term, deadline_ms };
-    let ack_up_to = session.planner.borrow().ack_up_to(name);
-    Some((link.address.clone(), PollOrder { stamp, ack_up_to, max_wait }))
+    let planner = session.planner.borrow();
+    let ack = planner
+        .incarnation(name)
+        .map(|incarnation| EndAck { incarnation, up_to: planner.ack_up_to(name) })
+        .filter(|ack| ack.up_to > 0);
+    Some((link.address.clone(), PollOrder { stamp, ack, max_wait }))
 }
 
 /// Records a failed poll. Returns false when the worker is deregistered and its lease has
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -121,13 +121,23 @@
     pub deadline_ms: Option<u64>,
 }
 
+/// Acknowledgement of the run ends of one incarnation of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndAck {
+    /// Incarnation that listed the ends. No other may get the acknowledgement, as each numbers
+    /// its ends anew.
+    pub incarnation: u64,
+    /// Number of the last acknowledged end; the worker may forget the ends up to it.
+    pub up_to: u64,
+}
+
 /// Poll of a worker's runs, which also extends its lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PollOrder {
     /// Fencing token and new end of the lease.
     pub stamp: OrderStamp,
-    /// Acknowledges the run ends up to this number, which the worker may then forget.
-    pub ack_up_to: u64,
+    /// Acknowledges run ends; none if there are none to be acknowledged.
+    pub ack: Option<EndAck>,
     /// How long the worker may wait for a run end before it answers.
     pub max_wait: Duration,
 }
--- a/crates/link/src/http.rs
+++ b/crates/link/src/http.rs
@@ -1,10 +1,14 @@
 //! JSON calls over HTTP with a timeout.
 
+use std::fmt;
 use std::net::IpAddr;
 use std::time::Duration;
 
+use actix_rt::net::ActixStream;
+use actix_service::Service;
+use actix_tls::connect::{ConnectError as TcpConnectError, ConnectInfo, Connection};
 use awc::error::{ConnectError, SendRequestError};
-use awc::http::StatusCode;
+use awc::http::{StatusCode, Uri};
 use error_stack::Report;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -29,14 +33,29 @@
 /// cannot hold a caller longer than its own deadline.
 #[must_use]
 pub fn build_client(source: Option<IpAddr>) -> awc::Client {
-    let mut connector = awc::Connector::new()
+    let connector = configure(awc::Connector::new(), source);
+    awc::ClientBuilder::new().connector(connector).disable_timeout().finish()
+}
+
+/// Sets limits, timeouts and the source address of a connector.
+pub(crate) fn configure<S, I>(
+    connector: awc::Connector<S>,
+    source: Option<IpAddr>,
+) -> awc::Connector<S>
+where
+    S: Service<ConnectInfo<Uri>, Response = Connection<Uri, I>, Error = TcpConnectError>
+        + Clone
+        + 'static,
+    I: ActixStream + fmt::Debug + 'static,
+{
+    let connector = connector
         .limit(MAX_CONNECTIONS)
         .timeout(Duration::from_secs(1))
         .conn_keep_alive(Duration::from_secs(15));
-    if let Some(ip) = source {
-        connector = connector.local_address(ip);
+    match source {
+        Some(ip) => connector.local_address(ip),
+        None => connector,
     }
-    awc::ClientBuilder::new().connector(connector).disable_timeout().finish()
 }
 
 /// Sends `body` as JSON by `POST` and reads a JSON answer.
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod http;
 pub mod meter;
 pub mod peer;
+pub mod pinned;
 pub mod platform;
 pub mod worker;
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -411,6 +411,12 @@
         }
     }
 
+    /// Returns the incarnation of a worker that reported last; none before its first report.
+    #[must_use]
+    pub fn incarnation(&self, name: &WorkerName) -> Option<u64> {
+        self.workers.get(name)?.incarnation
+    }
+
     /// Returns the highest end number of a worker's incarnation that may be acknowledged.
     #[must_use]
     pub fn ack_up_to(&self, name: &WorkerName) -> u64 {
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -52,7 +52,8 @@
 
     /// Records the incarnation of a worker; returns false if it is an earlier one.
     ///
-    /// The runs of the previous incarnation are removed.
+    /// The runs of the previous incarnation are absent from the report and removed with it. A run
+    /// that was confirmed after the report was requested may belong to the new incarnation.
     fn apply_incarnation(&mut self, name: &WorkerName, incarnation: u64) -> bool {
         let Some(worker) = self.workers.get_mut(name) else { return false };
         worker.silent = false;
@@ -68,16 +69,6 @@
             worker.last_counted_end = 0;
             worker.ack_up_to = 0;
             worker.first_failures = 0;
-            // A start without an answer may have reached the new incarnation, so it stays.
-            let lost: Vec<_> = worker
-                .runs
-                .iter()
-                .filter(|(_, run)| run.confirmed_ms.is_some())
-                .map(|(task, _)| task.clone())
-                .collect();
-            for task in lost {
-                self.remove_run(name, &task);
-            }
         }
         true
     }
--- a/crates/plan/tests/runs.rs
+++ b/crates/plan/tests/runs.rs
@@ -157,6 +157,7 @@
     let order = fixture.run_starts(StartAnswer::Started).remove(0);
     let restarted =
         RunReport { incarnation: INCARNATION + 5, running: Vec::new(), ended: Vec::new() };
+    fixture.now_ms += 1;
     fixture.planner.apply_report(&order.worker, &restarted, fixture.now_ms, fixture.now_ms + 1);
     let starts = fixture.starts();
     assert_eq!(starts.len(), 1);
@@ -395,3 +396,23 @@
     let started: Vec<_> = starts(later).iter().map(|order| order.task.step.occurrence).collect();
     assert_eq!(started, [1]);
 }
+
+/// Guards against a run that is taken for lost: a worker started again while a poll was on its way,
+/// and confirmed the start after it had answered the poll.
+#[test]
+fn a_run_that_the_new_incarnation_confirmed_is_kept() {
+    let mut fixture = PlannerFixture::new(1, config());
+    let name = worker(0).name;
+    fixture.add(job("j", "normal", vec![step(1, cpu(1_000))]));
+    let sent_ms = fixture.now_ms;
+    let orders = fixture.run_starts(StartAnswer::Started);
+    let empty = RunReport { incarnation: INCARNATION + 1, running: vec![], ended: vec![] };
+    fixture.planner.apply_report(&name, &empty, sent_ms, fixture.now_ms);
+    assert_eq!(fixture.starts(), [], "the run may be present on the new incarnation");
+    let present = RunReport { running: vec![present_run(&orders[0])], ..empty.clone() };
+    fixture.planner.apply_report(&name, &present, fixture.now_ms, fixture.now_ms);
+    assert_eq!(fixture.starts(), []);
+    fixture.now_ms += 1;
+    fixture.planner.apply_report(&name, &empty, fixture.now_ms, fixture.now_ms);
+    assert_eq!(fixture.starts().len(), 1, "the run is not present any more");
+}
--- a/standins/site/src/server.rs
+++ b/standins/site/src/server.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, LazyLock, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use actix_rt::net::TcpStream;
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
@@ -75,7 +76,21 @@
     ports: Arc<Vec<u16>>,
 }
 
+/// Incarnation of the worker to which a connection was made; 0 for the services.
+struct ConnectedIncarnation(u64);
+
 impl SiteData {
+    /// Returns the position of a port: 0 for the services, then the workers.
+    fn index_of(&self, port: u16) -> usize {
+        self.ports.iter().position(|known| *known == port).unwrap_or(0)
+    }
+
+    fn incarnation_of(&self, index: usize) -> u64 {
+        let state = self.lock();
+        let worker = index.checked_sub(1).and_then(|position| state.workers.get(position));
+        worker.map_or(0, |worker| worker.incarnation)
+    }
+
     fn lock(&self) -> MutexGuard<'_, SiteState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -112,6 +127,7 @@
         std::thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
                 let data = web::Data::new(data);
+                let connecting = data.clone();
                 let mut server = HttpServer::new(move || {
                     App::new()
                         .app_data(data.clone())
@@ -119,6 +135,12 @@
                         .default_service(web::route().to(serve))
                 })
                 .workers(1)
+                .on_connect(move |io, extensions| {
+                    let stream = io.downcast_ref::<TcpStream>();
+                    let address = stream.and_then(|stream| stream.local_addr().ok());
+                    let index = address.map_or(0, |address| connecting.index_of(address.port()));
+                    extensions.insert(ConnectedIncarnation(connecting.incarnation_of(index)));
+                })
                 .disable_signals();
                 for listener in listeners {
                     server = server.listen(listener).expect("the socket listens");
@@ -162,6 +184,15 @@
         self.write_registration(position.expect("the worker exists"), "draining");
     }
 
+    /// Starts a worker again under its name, by its position. It knows nothing of before, and its
+    /// earlier connections stay silent.
+    ///
+    /// # Panics
+    /// Panics if there is no such worker.
+    pub fn restart_worker(&self, position: usize) {
+        self.lock().workers[position].restart();
+    }
+
     /// Locks the state, to inspect or change it.
     ///
     /// # Panics
@@ -194,9 +225,12 @@
 }
 
 async fn serve(request: HttpRequest, body: web::Bytes, site: web::Data<SiteData>) -> HttpResponse {
-    let port = request.app_config().local_addr().port();
-    let index = site.ports.iter().position(|known| *known == port).unwrap_or(0);
+    let index = site.index_of(request.app_config().local_addr().port());
     let call = request.path().trim_start_matches("/amaranthsaddle/").to_owned();
+    let connected = request.conn_data::<ConnectedIncarnation>().map_or(0, |connected| connected.0);
+    if connected != site.incarnation_of(index) {
+        return std::future::pending().await;
+    }
     match (index, call.as_str()) {
         (0, "rows-tx") => transact(&body, &site),
         (0, "rows-get") => read(&request, &site).await,
@@ -364,27 +398,51 @@
 }
 
 /// Answers the call `hold`, a poll that also extends the lease; waits for an end if asked to.
+/// There is no answer if the worker starts again meanwhile.
 async fn hold(index: usize, body: &[u8], site: &SiteData) -> HttpResponse {
     let Ok(body) = serde_json::from_slice::<HoldBody>(body) else {
         return HttpResponse::BadRequest().finish();
     };
     let until = Instant::now() + Duration::from_millis(body.wait_ms);
+    let incarnation = site.incarnation_of(index + 1);
     loop {
-        {
-            let mut state = site.lock();
-            let worker = &mut state.workers[index];
-            if !worker.accept_token(body.fencing_token) {
-                return HttpResponse::Conflict().json(json!({ "reason": "fence" }));
-            }
-            worker.acknowledge(body.acked_upto);
-            if let Some(deadline_ms) = body.deadline_ms {
-                worker.extend_lease(deadline_ms);
-            }
-            worker.end_due_runs();
-            if worker.has_unacknowledged_ends() || Instant::now() >= until {
-                return HttpResponse::Ok().json(worker.report());
-            }
+        let may_wait = Instant::now() < until;
+        let answer = try_hold(&mut site.lock().workers[index], &body, incarnation, may_wait);
+        match answer {
+            HoldAnswer::Answered(response) => return response,
+            HoldAnswer::Waiting => tokio::time::sleep(POLL_INTERVAL).await,
+            HoldAnswer::Restarted => return std::future::pending().await,
         }
-        tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
+
+/// Result of one look at the worker for a waiting call `hold`.
+enum HoldAnswer {
+    Answered(HttpResponse),
+    Waiting,
+    Restarted,
+}
+
+fn try_hold(
+    worker: &mut SiteWorker,
+    body: &HoldBody,
+    incarnation: u64,
+    may_wait: bool,
+) -> HoldAnswer {
+    if worker.incarnation != incarnation {
+        return HoldAnswer::Restarted;
+    }
+    if !worker.accept_token(body.fencing_token) {
+        let fenced = HttpResponse::Conflict().json(json!({ "reason": "fence" }));
+        return HoldAnswer::Answered(fenced);
+    }
+    worker.acknowledge(body.acked_upto);
+    if let Some(deadline_ms) = body.deadline_ms {
+        worker.extend_lease(deadline_ms);
+    }
+    worker.end_due_runs();
+    if worker.has_unacknowledged_ends() || !may_wait {
+        return HoldAnswer::Answered(HttpResponse::Ok().json(worker.report()));
+    }
+    HoldAnswer::Waiting
+}
--- a/standins/site/src/worker.rs
+++ b/standins/site/src/worker.rs
@@ -98,6 +98,20 @@
         }
     }
 
+    /// Starts the worker's process again: its runs are lost, and it numbers its ends anew. The
+    /// clock and the history of the runs go on, for the test.
+    pub fn restart(&mut self) {
+        self.end_due_runs();
+        let now = self.clock_ms();
+        for run in self.present.values() {
+            self.history[run.history_index].end_ms = Some(now);
+            self.history[run.history_index].outcome = "lost";
+        }
+        let restarted = Self::new(self.name.clone(), self.incarnation + 1, self.started);
+        let history = std::mem::take(&mut self.history);
+        *self = Self { history, ..restarted };
+    }
+
     /// Returns the worker's clock in milliseconds.
     #[must_use]
     pub fn clock_ms(&self) -> u64 {
