Take a full list of run ends for a part only

Cause: a worker lists at most 500 ends, and the owner took each report for complete. A run in neither list was removed, and the first report released the jobs that wait for the worker. Ruled out: ends that the worker forgot (it lists them after the first acknowledgement).

A report with that many ends is now partial: what it lists counts, but it proves no absence, and the worker has not reported until one lists all its ends.

--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -46,8 +46,10 @@
         for present in &report.running {
             self.apply_present_run(name, present);
         }
-        self.remove_absent_runs(name, report, sent_ms);
-        self.mark_reported(name);
+        if !report.is_partial {
+            self.remove_absent_runs(name, report, sent_ms);
+            self.mark_reported(name);
+        }
     }
 
     /// Records the incarnation of a worker; returns false if it is an earlier one.
--- a/crates/plan/src/worker.rs
+++ b/crates/plan/src/worker.rs
@@ -94,7 +94,7 @@
     pub saved: ArcStr,
 }
 
-/// All present and all unacknowledged ended runs of a worker at one moment.
+/// All present runs of a worker at one moment, and its unacknowledged ended runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunReport {
     /// Incarnation of the worker: when its process started; a later one is larger.
@@ -103,6 +103,9 @@
     pub running: Vec<PresentRun>,
     /// Runs that ended and are not acknowledged yet, in the order of their numbers.
     pub ended: Vec<EndedRun>,
+    /// Whether the worker may have further ended runs, which it lists only once these are
+    /// acknowledged. A run that is missing may then be one of them.
+    pub is_partial: bool,
 }
 
 /// How a worker answered a start.
--- a/crates/plan/tests/fleet_property.rs
+++ b/crates/plan/tests/fleet_property.rs
@@ -181,6 +181,7 @@
             incarnation: INCARNATION,
             running: running.collect(),
             ended: worker.ended.clone(),
+            is_partial: false,
         };
         self.planner.apply_report(&name, &report, sent_ms, self.now_ms);
     }
--- a/crates/plan/tests/load.rs
+++ b/crates/plan/tests/load.rs
@@ -111,7 +111,7 @@
         for (name, ended) in reports {
             let present = self.running.iter().filter(|(_, order)| order.worker == name);
             let running = present.map(|(_, order)| support::present_run(order)).collect();
-            let report = RunReport { incarnation: INCARNATION, running, ended };
+            let report = RunReport { incarnation: INCARNATION, running, ended, is_partial: false };
             self.fixture.planner.apply_report(&name, &report, now, now);
         }
     }
--- a/crates/plan/tests/runs.rs
+++ b/crates/plan/tests/runs.rs
@@ -5,6 +5,7 @@
 
 use arcstr::ArcStr;
 use model::resource::ResourceAmounts;
+use plan::decision::StartOrder;
 use plan::job::{JobSchedule, JobSpec};
 use plan::progress::{JobStatus, ProgressRecord, StepProgress};
 use plan::worker::{EndKind, EndedRun, InheritedRuns, RefusalKind, RunReport, StartAnswer};
@@ -123,7 +124,12 @@
     fixture.add(job("j", "normal", vec![step(1, cpu(1_000))]));
     let sent_ms = fixture.now_ms;
     let order = fixture.run_starts(StartAnswer::Started).remove(0);
-    let empty = RunReport { incarnation: INCARNATION, running: Vec::new(), ended: Vec::new() };
+    let empty = RunReport {
+        incarnation: INCARNATION,
+        running: Vec::new(),
+        ended: Vec::new(),
+        is_partial: false,
+    };
     fixture.planner.apply_report(&order.worker, &empty, sent_ms, fixture.now_ms + 1);
     assert!(fixture.starts().is_empty());
     assert_eq!(fixture.planner.present_run_count(), 1);
@@ -155,8 +161,12 @@
     let mut fixture = PlannerFixture::new(1, config());
     fixture.add(job("j", "normal", vec![step(1, cpu(1_000))]));
     let order = fixture.run_starts(StartAnswer::Started).remove(0);
-    let restarted =
-        RunReport { incarnation: INCARNATION + 5, running: Vec::new(), ended: Vec::new() };
+    let restarted = RunReport {
+        incarnation: INCARNATION + 5,
+        running: Vec::new(),
+        ended: Vec::new(),
+        is_partial: false,
+    };
     fixture.now_ms += 1;
     fixture.planner.apply_report(&order.worker, &restarted, fixture.now_ms, fixture.now_ms + 1);
     let starts = fixture.starts();
@@ -406,7 +416,12 @@
     fixture.add(job("j", "normal", vec![step(1, cpu(1_000))]));
     let sent_ms = fixture.now_ms;
     let orders = fixture.run_starts(StartAnswer::Started);
-    let empty = RunReport { incarnation: INCARNATION + 1, running: vec![], ended: vec![] };
+    let empty = RunReport {
+        incarnation: INCARNATION + 1,
+        running: vec![],
+        ended: vec![],
+        is_partial: false,
+    };
     fixture.planner.apply_report(&name, &empty, sent_ms, fixture.now_ms);
     assert_eq!(fixture.starts(), [], "the run may be present on the new incarnation");
     let present = RunReport { running: vec![present_run(&orders[0])], ..empty.clone() };
@@ -416,3 +431,41 @@
     fixture.planner.apply_report(&name, &empty, fixture.now_ms, fixture.now_ms);
     assert_eq!(fixture.starts().len(), 1, "the run is not present any more");
 }
+
+/// Guards against done tasks that run again because their worker lists its ends in parts: a run
+/// that is missing in a part may have ended, for a new owner as for one that knows the run.
+#[test]
+fn a_partial_report_proves_no_absence() {
+    let mut owner = PlannerFixture::new(1, config());
+    let spec = job("j", "normal", vec![step(2, cpu(1_000))]);
+    owner.add(spec.clone());
+    let orders = owner.run_starts(StartAnswer::Started);
+    let mut successor = PlannerFixture::unreported(1, config());
+    successor.add(spec);
+    successor.planner.inherit_workers(BTreeMap::new(), ResourceAmounts::UNLIMITED);
+
+    let end = |number: u64, order: &StartOrder| EndedRun {
+        number,
+        task: order.task.clone(),
+        run: order.run,
+        kind: EndKind::Done,
+        saved: ArcStr::default(),
+    };
+    let first = RunReport {
+        incarnation: INCARNATION,
+        running: Vec::new(),
+        ended: vec![end(1, &orders[0])],
+        is_partial: true,
+    };
+    let second = RunReport { ended: vec![end(2, &orders[1])], is_partial: false, ..first.clone() };
+    for fixture in [&mut owner, &mut successor] {
+        fixture.now_ms += 1;
+        fixture.planner.apply_report(&worker(0).name, &first, fixture.now_ms, fixture.now_ms);
+        assert_eq!(fixture.starts(), [], "the other task may have ended as well");
+        fixture.now_ms += 1;
+        fixture.planner.apply_report(&worker(0).name, &second, fixture.now_ms, fixture.now_ms);
+        assert_eq!(fixture.starts(), []);
+        let record = fixture.store().into_values().next().expect("the ends are recorded");
+        assert_eq!(record.status, JobStatus::Completed);
+    }
+}
--- a/crates/plan/tests/support/mod.rs
+++ b/crates/plan/tests/support/mod.rs
@@ -153,7 +153,7 @@
     /// Reports the runs of a worker.
     pub fn report(&mut self, name: &WorkerName, running: Vec<PresentRun>, ended: Vec<EndedRun>) {
         self.now_ms += 1;
-        let report = RunReport { incarnation: INCARNATION, running, ended };
+        let report = RunReport { incarnation: INCARNATION, running, ended, is_partial: false };
         self.planner.apply_report(name, &report, self.now_ms, self.now_ms);
     }
 
--- a/standins/site/src/worker.rs
+++ b/standins/site/src/worker.rs
@@ -8,6 +8,9 @@
 /// Longest lease that the worker accepts, in milliseconds; longer ones are shortened.
 const MAX_LEASE_MS: u64 = 6_000;
 
+/// Most ended runs in one answer to the call `hold`.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// Body of the call `run-start`.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -244,6 +247,7 @@
         let ended: Vec<_> = self
             .ended
             .iter()
+            .take(MAX_LISTED_ENDS)
             .map(|(number, task, run, outcome)| (number, task, run, outcome, ""))
             .collect();
         serde_json::json!({
