Extend no lease beyond the end that the store names

Found by reading, no caller has seen it: a new owner extended the lease of a worker as soon as it had registered again, while the stored list still named the end of that lease. A next owner that finds the worker unregistered starts its tasks elsewhere at that end.

Polls now leave the lease as it is while the stored list may name an end of it. The registration triggers a renewal that stores the list without the end, as for starts.

Before: no_lease_is_extended_beyond_its_stored_end fails (the deadline of the worker is raised while the store refuses writes). After: it passes, with a_new_worker_gets_no_tasks_before_it_is_stored_as_leased.

--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -34,6 +34,8 @@
     /// stored list does not name the worker, or names it with some jobs only, and nothing may be
     /// started there.
     held_since: Option<u64>,
+    /// Whether polls do not extend the lease until then, as the stored list may name an end of it.
+    is_extension_held: bool,
     /// When the polls began to fail; none while they succeed.
     failing_since: Option<ClockMillis>,
     /// Notified when a task is started on the worker.
@@ -85,6 +87,8 @@
         link.address = address;
         if !link.takes_starts() {
             hold_starts(session, &name, link);
+            link.is_extension_held = link.lease.inherited_end().is_some()
+                && session.stored_leases.borrow().may_name_end(&name);
         }
         link.is_registered = true;
         link.is_draining = is_draining;
@@ -99,11 +103,12 @@
         is_registered: true,
         is_draining,
         held_since: None,
+        is_extension_held: session.stored_leases.borrow().may_name_end(&name),
         failing_since: None,
         started_notify: Rc::default(),
         cancellation: cancellation.clone(),
     };
-    if !session.stored_leases.borrow().allows_any_run(&name) {
+    if link.is_extension_held || !session.stored_leases.borrow().allows_any_run(&name) {
         hold_starts(session, &name, &mut link);
     }
     links.insert(name.clone(), link);
@@ -172,6 +177,7 @@
     for (name, link) in session.links.borrow_mut().iter_mut() {
         if link.held_since.is_some_and(|held_since| held_since < number) {
             link.held_since = None;
+            link.is_extension_held = false;
             session.planner.borrow_mut().hold_starts(name, false);
             session.decide_notify.notify_one();
         }
@@ -272,6 +278,10 @@
                 } else if report.running.is_empty() {
                     wait_while_idle(&session, &name).await;
                 }
+                // Such polls are not held by the worker.
+                if is_extension_held(&session, &name) {
+                    tokio::time::sleep(limits::MIN_RENEW_INTERVAL).await;
+                }
             }
             Ok(PollAnswer::Fenced) => {
                 session.end_ownership("fenced-by-worker");
@@ -287,6 +297,10 @@
     }
 }
 
+fn is_extension_held<P: OwnerPorts>(session: &SharedSession<P>, name: &WorkerName) -> bool {
+    session.links.borrow().get(name).is_some_and(|link| link.is_extension_held)
+}
+
 /// Waits until a run end may be acknowledged. A worker answers a poll at once while it has
 /// ends that are not acknowledged, so an earlier poll would only return the same report.
 async fn wait_until_stored<P: OwnerPorts>(
@@ -352,8 +366,8 @@
     let link = links.get_mut(name)?;
     // A poll without an answer may still extend the lease. Polls of an unreachable worker
     // carry no deadline, as its lease must expire at some time.
-    let deadline_ms =
-        if link.failing_since.is_none() { link.lease.next_deadline(now) } else { None };
+    let may_extend = link.failing_since.is_none() && !link.is_extension_held;
+    let deadline_ms = if may_extend { link.lease.next_deadline(now) } else { None };
     // Without a deadline the poll only reads the worker's clock and must not be held.
     let max_wait = if deadline_ms.is_some() { limits::MAX_POLL_WAIT } else { Duration::ZERO };
     let stamp = OrderStamp { fencing_token: session.term, deadline_ms };
--- a/crates/fleet/src/row.rs
+++ b/crates/fleet/src/row.rs
@@ -143,6 +143,13 @@
         Some(leased)
     }
 
+    /// Returns true if a later owner may expect that nothing extends the lease of a worker any
+    /// more: the list names an end of it, or is not known.
+    #[must_use]
+    pub fn may_name_end(&self, name: &WorkerName) -> bool {
+        self.leased.as_ref().is_none_or(|leased| leased.until_ms.contains_key(name))
+    }
+
     /// Returns true if a later owner will expect runs of any job on a worker.
     #[must_use]
     pub fn allows_any_run(&self, name: &WorkerName) -> bool {
--- a/standins/site/src/worker.rs
+++ b/standins/site/src/worker.rs
@@ -160,10 +160,16 @@
         is_accepted
     }
 
-    /// Returns whether an owner has called the worker.
+    /// Returns the highest fencing token that an owner has sent; 0 for none.
     #[must_use]
-    pub const fn was_called(&self) -> bool {
-        self.highest_token > 0
+    pub const fn highest_token(&self) -> u64 {
+        self.highest_token
+    }
+
+    /// Returns the end of the lease, on the worker's clock in milliseconds.
+    #[must_use]
+    pub const fn deadline_ms(&self) -> u64 {
+        self.deadline_ms
     }
 
     /// Extends the lease to an instant of the worker's clock; never shortens it.
