Ask again whether a start is wanted when its turn comes

Cause: at most three orders to a worker are in flight, for up to 0.6 s each, and when a start got its turn only the owner's lease was checked.

The planner is now asked when the turn comes. A start that is not wanted any more is withdrawn, which frees its room at once; a stop for a run that is not there is not sent.

--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -11,8 +11,12 @@
 /// Sends a start and applies the worker's answer to the planner.
 pub(crate) async fn send_start<P: OwnerPorts>(session: SharedSession<P>, order: StartOrder) {
     let permit = workers::acquire_order_permit(&session, &order.worker).await;
-    let stamp = workers::stamp_start(&session, &order.worker);
+    // Orders to a worker that does not answer wait for seconds, in which the job may have been
+    // cancelled, or the worker or its domain may have been taken out of use.
+    let is_wanted = session.planner.borrow().is_start_wanted(&order.worker, &order.task, order.run);
+    let stamp = if is_wanted { workers::stamp_start(&session, &order.worker) } else { None };
     let answer = match stamp {
+        None if !is_wanted => StartAnswer::Refused(RefusalKind::Withdrawn),
         // Checks the ownership again, as the process may have been suspended meanwhile.
         Some((address, stamp)) if session.is_held() && stamp.deadline_ms.is_some() => {
             let answer = session.context.ports.start(&address, &order, stamp).await;
@@ -59,6 +63,10 @@
 /// informed after a delay and orders another one.
 pub(crate) async fn send_stop<P: OwnerPorts>(session: SharedSession<P>, order: StopOrder) {
     let permit = workers::acquire_order_permit(&session, &order.worker).await;
+    // The start was withdrawn before it was sent, or the run has ended.
+    if !session.planner.borrow().may_be_present(&order.worker, &order.task, order.run) {
+        return;
+    }
     let address = session.links.borrow().get(&order.worker).map(|link| link.address.clone());
     let Some(address) = address else { return };
     let answer = session.context.ports.stop(&address, &order, session.term).await;
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -199,7 +199,7 @@
     }
 
     /// Returns whether tasks may be started on a worker now, or after its quarantine or hold.
-    fn is_schedulable(&self, worker: &WorkerState) -> bool {
+    pub(crate) fn is_schedulable(&self, worker: &WorkerState) -> bool {
         worker.incarnation.is_some()
             && !worker.silent
             && !worker.deregistered
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -330,6 +330,26 @@
         self.workers.get(name).is_some_and(|worker| !worker.runs.is_empty())
     }
 
+    /// Returns whether a start that was decided earlier may still be sent: its run was not
+    /// stopped meanwhile, and tasks may be started on the worker.
+    #[must_use]
+    pub fn is_start_wanted(&self, name: &WorkerName, task: &TaskKey, run: u32) -> bool {
+        self.workers.get(name).is_some_and(|worker| {
+            let is_starting = worker
+                .runs
+                .get(task)
+                .is_some_and(|known| known.run == run && known.phase == RunPhase::Starting);
+            is_starting && !worker.starts_held && self.is_schedulable(worker)
+        })
+    }
+
+    /// Returns whether a run may be present on a worker.
+    #[must_use]
+    pub fn may_be_present(&self, name: &WorkerName, task: &TaskKey, run: u32) -> bool {
+        let worker = self.workers.get(name);
+        worker.and_then(|worker| worker.runs.get(task)).is_some_and(|known| known.run == run)
+    }
+
     /// Returns how many workers were examined for waiting steps, over all decisions.
     #[must_use]
     pub fn examined_worker_count(&self) -> u64 {
--- a/crates/plan/src/worker.rs
+++ b/crates/plan/src/worker.rs
@@ -134,4 +134,6 @@
     Ticket,
     /// The worker is not healthy, or another registration answered at its address.
     Unhealthy,
+    /// Not sent, as the run was not wanted any more when its turn came.
+    Withdrawn,
 }
--- a/crates/plan/tests/runs.rs
+++ b/crates/plan/tests/runs.rs
@@ -8,7 +8,9 @@
 use plan::decision::StartOrder;
 use plan::job::{JobSchedule, JobSpec};
 use plan::progress::{JobStatus, ProgressRecord, StepProgress};
-use plan::worker::{EndKind, EndedRun, InheritedRuns, RefusalKind, RunReport, StartAnswer};
+use plan::worker::{
+    EndKind, EndedRun, InheritedRuns, RefusalKind, RunReport, StartAnswer, WorkerInfo,
+};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use support::{
@@ -469,3 +471,28 @@
         assert_eq!(record.status, JobStatus::Completed);
     }
 }
+
+/// Guards against a start that is sent although it is not wanted any more: orders to a worker that
+/// does not answer wait for seconds.
+#[test]
+fn a_waiting_start_is_withdrawn() {
+    let mut fixture = PlannerFixture::new(1, config());
+    fixture.add(job("j", "normal", vec![step(1, cpu(1_000))]));
+    let order = fixture.starts().remove(0);
+    let is_wanted = |fixture: &PlannerFixture| {
+        fixture.planner.is_start_wanted(&order.worker, &order.task, order.run)
+    };
+    assert!(is_wanted(&fixture));
+    fixture.planner.set_worker(WorkerInfo { draining: true, ..worker(0) });
+    assert!(!is_wanted(&fixture), "the worker is draining");
+    fixture.planner.set_worker(worker(0));
+    fixture.planner.hold_starts(&order.worker, true);
+    assert!(!is_wanted(&fixture), "no later owner would know of the run");
+    fixture.planner.hold_starts(&order.worker, false);
+    assert!(is_wanted(&fixture));
+    fixture.planner.cancel_job(&"j".into());
+    assert!(!is_wanted(&fixture), "the job is cancelled");
+    fixture.answer(&order, StartAnswer::Refused(RefusalKind::Withdrawn));
+    assert_eq!(fixture.planner.present_run_count(), 0, "nothing was sent");
+    assert!(!fixture.planner.may_be_present(&order.worker, &order.task, order.run));
+}
--- a/standins/site/src/server.rs
+++ b/standins/site/src/server.rs
@@ -35,6 +35,7 @@
 
 /// Faults that a test injects.
 #[derive(Clone, Copy, Debug, Default)]
+#[expect(clippy::struct_excessive_bools, reason = "each is an independent fault")]
 pub struct SiteFaults {
     /// The table service refuses every call with status 503.
     pub store_down: bool,
@@ -42,6 +43,8 @@
     pub writes_refused: bool,
     /// The table service carries transactions out but answers with status 500.
     pub answers_lost: bool,
+    /// Workers neither carry starts out nor answer them.
+    pub starts_unanswered: bool,
     /// Delay between a read of rows and its answer, which may then be out of date.
     pub read_delay: Duration,
 }
@@ -237,6 +240,7 @@
         (0, "rows-feed") => follow(&request, &site).await,
         (0, "advise") => advise(&body),
         (0, _) => HttpResponse::NotFound().finish(),
+        (_, "run-start") if site.lock().faults.starts_unanswered => std::future::pending().await,
         (_, "run-start") => start(index - 1, &body, &site),
         (_, "run-stop") => stop(index - 1, &body, &site),
         (_, "hold") => hold(index - 1, &body, &site).await,
