Read jobs again on time after each unanswered write

Cause: one loop with the delays 0.2, 1, 3 and 5 s, begun anew only at its end. The reads of all writes are now scheduled together, rounded up to half a second, so that many unanswered writes cause at most two reads a second.

Before: with the loop, a write at 1.5 s after one at 0 s was read at 4.2 s.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod news;
 pub mod owner;
 pub mod ports;
+pub mod reread;
 pub mod row;
 pub mod status;
 pub mod strength;
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -113,6 +113,9 @@
     Duration::from_secs(3),
     Duration::from_secs(5),
 ];
+/// Shortest interval between two further reads of the jobs, in milliseconds. Each returns all
+/// unfinished jobs, which may be thousands.
+pub const REREAD_INTERVAL_MS: u64 = 500;
 /// Most submissions that one entry queues; more are refused at once.
 pub const MAX_PENDING_SUBMITS: usize = 2_000;
 /// Subtracted from a caller's timeout so that the answer arrives in time, in milliseconds.
--- a/crates/fleet/src/owner/submits.rs
+++ b/crates/fleet/src/owner/submits.rs
@@ -1,13 +1,14 @@
 //! Stores the jobs that entries forward to the owner.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use plan::progress::ProgressRecord;
 use tokio::sync::mpsc;
 
 use crate::context::{OwnedFleet, SubmitCall};
-use crate::limits;
 use crate::owner::{OwnerPorts, SharedSession, load};
+use crate::reread::RereadSchedule;
 use crate::row;
 use crate::submit::{StoredJob, SubmitQueue, SubmitTarget};
 
@@ -33,11 +34,18 @@
     session: SharedSession<P>,
     queue: Rc<SubmitQueue<P>>,
 ) {
+    let mut schedule = RereadSchedule::default();
     loop {
-        queue.unanswered_notify.notified().await;
-        for delay in limits::UNANSWERED_WRITE_REREAD_DELAYS {
-            tokio::time::sleep(delay).await;
-            load::reread_jobs(&session).await;
+        let now = session.context.clock.now();
+        let until_read = schedule.next_read().map(|at| Duration::from_millis(at.since(now)));
+        tokio::select! {
+            () = queue.unanswered_notify.notified() => {
+                schedule.add_write(session.context.clock.now());
+            }
+            () = tokio::time::sleep(until_read.unwrap_or_default()), if until_read.is_some() => {
+                schedule.begin_read(session.context.clock.now());
+                load::reread_jobs(&session).await;
+            }
         }
     }
 }
