--- a/standins/site/src/worker.rs
+++ b/standins/site/src/worker.rs
@@ -101,11 +101,18 @@
         }
     }
 
-    /// Starts the worker's process again: its runs are lost, and it numbers its ends anew. The
-    /// clock and the history of the runs go on, for the test.
+    /// Starts the worker's process again: its runs and the ends that were not acknowledged are
+    /// lost, and it numbers its ends anew. The clock and the history of the runs go on, for the
+    /// test.
     pub fn restart(&mut self) {
         self.end_due_runs();
         let now = self.clock_ms();
+        for (_, task, run, _) in &self.ended {
+            let ended = self.history.iter_mut().find(|past| past.task == *task && past.run == *run);
+            if let Some(past) = ended {
+                past.outcome = "lost";
+            }
+        }
         for run in self.present.values() {
             self.history[run.history_index].end_ms = Some(now);
             self.history[run.history_index].outcome = "lost";
