Renew early less often in a large fleet

Cause: the early renewals of this series write the list of leased workers, and with 1,100 workers it has 40 kB. While many workers register or answer again, the owner of the large deployment would have written it 20 times a second.

The shortest interval is now 1 ms for each worker, between 50 ms and the usual interval.

--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -20,8 +20,19 @@
 /// Interval between renewals; three may be lost before the owner's lease expires.
 pub const RENEW_INTERVAL: Duration = Duration::from_millis(400);
 /// Shortest interval between two renewals. One comes early when starts on a worker wait for the
-/// list of leased workers, and the changes of many workers are batched.
+/// list of leased workers.
 pub const MIN_RENEW_INTERVAL: Duration = Duration::from_millis(50);
+/// Part of the shortest interval for each worker, as the list grows with the workers: with 1,100
+/// of them it has about 40 kB.
+const MIN_RENEW_INTERVAL_PER_WORKER: Duration = Duration::from_millis(1);
+
+/// Returns the shortest interval between two renewals of the owner of this many workers.
+#[must_use]
+pub fn min_renew_interval(workers: usize) -> Duration {
+    let workers = u32::try_from(workers).unwrap_or(u32::MAX);
+    let interval = MIN_RENEW_INTERVAL_PER_WORKER.saturating_mul(workers);
+    interval.clamp(MIN_RENEW_INTERVAL, RENEW_INTERVAL)
+}
 /// How long after its own lease has expired an owner still extends the leases of running
 /// tasks, in milliseconds. A successor waits this long, plus one worker lease, before it
 /// restarts a task that may still run on an unreachable worker.
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -223,7 +223,8 @@
         tokio::select! {
             () = tokio::time::sleep_until(renewed_at + limits::RENEW_INTERVAL) => {}
             () = session.renew_notify.notified() => {
-                tokio::time::sleep_until(renewed_at + limits::MIN_RENEW_INTERVAL).await;
+                let workers = session.links.borrow().len();
+                tokio::time::sleep_until(renewed_at + limits::min_renew_interval(workers)).await;
             }
         }
         renewed_at = tokio::time::Instant::now();
--- a/crates/fleet/tests/lease.rs
+++ b/crates/fleet/tests/lease.rs
@@ -179,3 +179,12 @@
     assert!(longest.until >= ClockMillis(450 + 10_000 + limits::LEASE_EXTENSION_GRACE_MS));
     assert_eq!(longest.service_until_ms, None);
 }
+
+/// Guards against an owner of a large fleet that writes its list of leased workers, of 40 kB, many
+/// times a second while workers register or answer again.
+#[test]
+fn early_renewals_are_rarer_in_a_large_fleet() {
+    assert_eq!(limits::min_renew_interval(0), limits::MIN_RENEW_INTERVAL);
+    assert_eq!(limits::min_renew_interval(200).as_millis(), 200);
+    assert_eq!(limits::min_renew_interval(1_100), limits::RENEW_INTERVAL);
+}
