Review case 10: registrations of a foreign service make every owner give the fleet up

Cause: registrations of a service that no configuration names count as workers, and an owner that cannot reach most workers ends its ownership. Change: a script with seven such registrations beside six workers.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -26,6 +26,7 @@
     match case.as_str() {
         "hopeless" => run_hopeless(record, trouble),
         "failing-service" => run_failing_service(record, trouble),
+        "foreign" => run_foreign(record, trouble),
         "removed-queue" => run_removed_queue(record, trouble),
         "schedule" => run_schedule(record, trouble),
         _ => std::process::exit(2),
@@ -213,3 +214,22 @@
     let traffic_end = world.now();
     judge_lost(&world, traffic_end)
 }
+
+/// Servers of a service that no configuration names register in the store. They are up, and
+/// answer 404 to calls that they don't know.
+fn run_foreign(record: &str, trouble: bool) -> ! {
+    let world = World::start(record, 3, 6);
+    wait_until(&world, 5.0);
+    if trouble {
+        for index in 0..7 {
+            world.register_foreign(index);
+        }
+    }
+    wait_until(&world, 7.0);
+    for index in 0..100 {
+        world.submit(if index % 4 == 0 { batch(&world) } else { note(&world) });
+        thread::sleep(Duration::from_millis(250));
+    }
+    let traffic_end = world.now();
+    judge_lost(&world, traffic_end)
+}
--- a/review/standin-2/minion.rs
+++ b/review/standin-2/minion.rs
@@ -250,6 +250,6 @@
     }
 }
 
-fn capacity() -> Json {
+pub fn capacity() -> Json {
     obj([("cpu", int(CPU)), ("memMb", int(MEM_MB)), ("gpu", num(0))])
 }
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -186,6 +186,33 @@
         world
     }
 
+    /// Registers a server of another service, as another writer of the store does.
+    pub fn register_foreign(self: &Arc<Self>, index: usize) {
+        let world = self.clone();
+        let id = format!("b-{index:08x}");
+        let name = id.clone();
+        let address = http::serve(move |request| {
+            world.note(&format!("foreign server {name} gets {} {}", request.method, request.path));
+            (404, "{}".to_owned())
+        });
+        let entry = obj([
+            ("service", text("billing")),
+            ("address", text(address.to_string())),
+            ("zone", text(ZONES[index % ZONES.len()])),
+            ("version", text("v1")),
+            ("slots", num(8)),
+            ("state", text("ready")),
+            ("coldLeftMs", num(0)),
+            ("capacity", minion::capacity()),
+            ("labels", Json::Arr(vec![text("a"), text("r0-1")])),
+            ("clockMs", num(1_000)),
+            ("born", int(Self::unix_ms())),
+            ("seq", num(1)),
+        ]);
+        self.store.put("servers", &id, &entry);
+        self.note(&format!("foreign server {id} registered"));
+    }
+
     fn start_entry(&self, index: usize, store: SocketAddr, advice: SocketAddr) {
         let zone = ZONES[index % ZONES.len()];
         let name = format!("front-{zone}-{}", index / ZONES.len() + 1);
