Ignore registrations in pools that the configuration does not name

Cause: any well-formed registration named a worker. Servers of a service that no configuration names were polled and counted among the workers out of reach. After a takeover each of them also counted as a worker that has not reported, so that all inherited jobs waited for a whole lease, with a single such entry.

Change: the owner keeps all registrations and registers a worker only if its pool is named, as a service or as the target of a queue; it applies them again at each change of the configuration. Without a configuration every pool counts, as nothing is known yet. A worker that is not registered any more, also because its pool has left, is polled until nothing can be present on it; before, it was polled for good, and counted in the interval of idle polls and of renewals. The line "fleet state" shows the number of ignored registrations as "foreign".

--- a/crates/fleet/src/config.rs
+++ b/crates/fleet/src/config.rs
@@ -30,6 +30,8 @@
     pub version: u64,
     /// Routes from callers' paths to queues.
     pub routes: Vec<QueueRoute>,
+    /// Pools of workers. A registration in any other pool names no worker of the fleet.
+    pub pools: BTreeSet<ArcStr>,
     /// Teams by API key.
     pub keys: BTreeMap<ArcStr, TeamName>,
     /// Configuration of the planner.
@@ -104,6 +106,12 @@
         }
     }
 
+    /// Returns whether workers of a pool belong to the fleet; without a configuration, all do.
+    #[must_use]
+    pub fn has_pool(&self, pool: &str) -> bool {
+        self.config.as_ref().is_none_or(|config| config.pools.contains(pool))
+    }
+
     /// Returns the planner's configuration with the domains that are out of service.
     #[must_use]
     pub fn planner_config(&self) -> Arc<PlanConfig> {
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -24,7 +24,7 @@
 use crate::limits;
 use crate::metrics;
 use crate::news::JobChangeLog;
-use crate::owner::workers::WorkerLink;
+use crate::owner::workers::{WorkerLink, WorkerRegistration};
 use crate::owner::{
     ClaimedOwnership, OwnerPorts, SharedSession, advice, load, orders, progress, submits, workers,
     write_owner,
@@ -57,6 +57,8 @@
     pub(crate) planner: RefCell<Planner>,
     pub(crate) dispatcher: RefCell<AdviceDispatcher>,
     pub(crate) links: RefCell<BTreeMap<WorkerName, WorkerLink>>,
+    /// Registrations of workers in all pools, also in those that do not belong to the fleet.
+    pub(crate) registrations: RefCell<BTreeMap<WorkerName, WorkerRegistration>>,
     /// Workers that are not registered and may still run tasks of an earlier owner.
     pub(crate) expiring_workers: RefCell<BTreeMap<WorkerName, ExpiringLease>>,
     /// Reading of the table service's clock; none before the fleet was loaded.
@@ -167,6 +169,7 @@
         })),
         dispatcher: RefCell::default(),
         links: RefCell::default(),
+        registrations: RefCell::default(),
         expiring_workers: RefCell::default(),
         service_clock: Cell::default(),
         progress_versions: RefCell::default(),
@@ -282,12 +285,14 @@
     let (silent, workers) = workers::count_silent_workers(session);
     log::info!(
         "fleet state term={} loaded={} jobs={} inherited_jobs={} runs={} workers={workers} \
-         silent={silent} unreported_workers={} advice_requests={} longest_decision_us={}",
+         silent={silent} foreign={} unreported_workers={} advice_requests={} \
+         longest_decision_us={}",
         session.term,
         session.is_loaded.get(),
         planner.unfinished_job_count(),
         planner.inherited_job_count(),
         planner.present_run_count(),
+        workers::count_foreign_registrations(session),
         planner.unreported_worker_count(),
         session.dispatcher.borrow().pending_count(),
         session.longest_decision.take().as_micros(),
@@ -459,6 +464,7 @@
             generation = Some(current);
             let plan = session.context.config_view.borrow().planner_config();
             session.planner.borrow_mut().set_config(plan);
+            workers::reapply_registrations(session);
         }
         advice::refresh_advice_entries(session);
         let now = session.context.clock.now();
--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -1,6 +1,6 @@
 //! Polls each worker, which extends its lease and reports its runs and run ends.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,7 +9,7 @@
 use link::failure;
 use model::name::WorkerName;
 use model::time::ClockMillis;
-use plan::worker::{EndKind, EndedRun, InheritedRuns};
+use plan::worker::{EndKind, EndedRun, InheritedRuns, RunReport, WorkerInfo};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio_util::sync::CancellationToken;
 
@@ -20,6 +20,15 @@
 use crate::ports::{EndAck, OrderStamp, PollAnswer, PollOrder, TableRow};
 use crate::row::LeasedWorkers;
 
+/// The registration of a worker as it was last read.
+#[derive(Clone, Debug)]
+pub(crate) struct WorkerRegistration {
+    info: WorkerInfo,
+    address: ArcStr,
+    /// Version of the row.
+    version: u64,
+}
+
 /// Connection state of one worker: address, lease and reachability.
 #[derive(Debug)]
 pub(crate) struct WorkerLink {
@@ -73,14 +82,48 @@
 pub(crate) fn apply_registration<P: OwnerPorts>(session: &SharedSession<P>, row: &TableRow) {
     let name = WorkerName::from(row.key.as_str());
     let Some((info, address)) = session.context.ports.decode_worker_row(row) else {
+        session.registrations.borrow_mut().remove(&name);
         deregister(session, &name);
         return;
     };
+    let registration = WorkerRegistration { info, address, version: row.version };
+    register_if_member(session, &registration);
+    let known = session.registrations.borrow_mut().insert(name, registration.clone());
+    let WorkerInfo { name, pool, .. } = &registration.info;
+    let is_changed = known.is_none_or(|known| known.info != registration.info);
+    if is_changed && !session.context.config_view.borrow().has_pool(pool) {
+        log::warn!("registration in an unknown pool ignored worker={name} pool={pool}");
+    }
+}
+
+/// Applies all registrations again after a change of the configuration, which may have added
+/// their pools or removed them.
+pub(crate) fn reapply_registrations<P: OwnerPorts>(session: &SharedSession<P>) {
+    for registration in session.registrations.borrow().values() {
+        register_if_member(session, registration);
+    }
+}
+
+/// Registers a worker if its pool belongs to the fleet, and deregisters it otherwise.
+fn register_if_member<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    registration: &WorkerRegistration,
+) {
+    if session.context.config_view.borrow().has_pool(&registration.info.pool) {
+        register(session, registration.clone());
+    } else {
+        deregister(session, &registration.info.name);
+    }
+}
+
+fn register<P: OwnerPorts>(session: &SharedSession<P>, registration: WorkerRegistration) {
+    let WorkerRegistration { info, address, version } = registration;
+    let name = info.name.clone();
     let text = format!("worker={name} domain={} draining={}", info.domain, info.draining);
     let is_draining = info.draining;
     // Each heartbeat writes the row; only changes that decisions depend on are logged.
     if session.planner.borrow_mut().set_worker(info) {
-        log::info!("worker registered {text} version={}", row.version);
+        log::info!("worker registered {text} version={version}");
     }
     let mut links = session.links.borrow_mut();
     if let Some(link) = links.get_mut(&name) {
@@ -130,6 +173,8 @@
     for name in names {
         deregister(session, &name);
     }
+    let mut registrations = session.registrations.borrow_mut();
+    registrations.retain(|name, _| registered.iter().any(|key| key == name.as_str()));
 }
 
 fn deregister<P: OwnerPorts>(session: &SharedSession<P>, name: &WorkerName) {
@@ -184,6 +229,13 @@
     }
 }
 
+/// Counts the registrations in pools that do not belong to the fleet.
+pub(crate) fn count_foreign_registrations<P: OwnerPorts>(session: &SharedSession<P>) -> usize {
+    let view = session.context.config_view.borrow();
+    let registrations = session.registrations.borrow();
+    registrations.values().filter(|registration| !view.has_pool(&registration.info.pool)).count()
+}
+
 /// Counts the registered workers: those that do not answer polls, and all.
 pub(crate) fn count_silent_workers<P: OwnerPorts>(session: &SharedSession<P>) -> (usize, usize) {
     let links = session.links.borrow();
@@ -273,6 +325,11 @@
                 }
                 session.planner.borrow_mut().apply_report(&name, &report, sent_at.0, now.0);
                 session.decide_notify.notify_one();
+                if is_released(&session, &name, &report) {
+                    log::info!("worker without runs not polled any more worker={name}");
+                    remove_link(&session, &name);
+                    return;
+                }
                 if let Some(last) = report.ended.last() {
                     wait_until_stored(&session, &name, last.number).await;
                 } else if report.running.is_empty() {
@@ -297,6 +354,27 @@
     }
 }
 
+/// Returns whether a worker that has just reported needs no further polls: it is not registered,
+/// and nothing of any owner can be present on it.
+fn is_released<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    name: &WorkerName,
+    report: &RunReport,
+) -> bool {
+    let is_registered = session.links.borrow().get(name).is_some_and(|link| link.is_registered);
+    let is_empty = !report.is_partial && report.running.is_empty() && report.ended.is_empty();
+    let no_runs = InheritedRuns::OfJobs(BTreeSet::new());
+    !is_registered && is_empty && session.planner.borrow().possible_runs(name) == no_runs
+}
+
+/// Ends the polls of a worker on which nothing can be present.
+fn remove_link<P: OwnerPorts>(session: &SharedSession<P>, name: &WorkerName) {
+    session.planner.borrow_mut().worker_lease_expired(name);
+    if let Some(link) = session.links.borrow_mut().remove(name) {
+        link.cancellation.cancel();
+    }
+}
+
 fn is_extension_held<P: OwnerPorts>(session: &SharedSession<P>, name: &WorkerName) -> bool {
     session.links.borrow().get(name).is_some_and(|link| link.is_extension_held)
 }
@@ -399,20 +477,18 @@
         }
         (link.lease.has_expired(now), link.is_registered)
     };
-    let mut planner = session.planner.borrow_mut();
-    planner.set_silent(name, true);
-    if expired {
-        planner.worker_lease_expired(name);
-        session.decide_notify.notify_one();
-        if !is_registered {
-            log::info!("worker lease expired after deregistration worker={name}");
-            if let Some(link) = session.links.borrow_mut().remove(name) {
-                link.cancellation.cancel();
-            }
-            return false;
-        }
+    session.planner.borrow_mut().set_silent(name, true);
+    if !expired {
+        return true;
+    }
+    session.decide_notify.notify_one();
+    if is_registered {
+        session.planner.borrow_mut().worker_lease_expired(name);
+        return true;
     }
-    true
+    log::info!("worker lease expired after deregistration worker={name}");
+    remove_link(session, name);
+    false
 }
 
 /// Waits until an order to a worker may be sent; none if the worker is not known any more.
--- a/crates/fleet/tests/config.rs
+++ b/crates/fleet/tests/config.rs
@@ -52,3 +52,15 @@
     assert_eq!(found("/x"), None);
     assert!(config.route("other", "/a/1").is_none());
 }
+
+/// Guards against workers of other fleets that count as workers of this one, and against workers
+/// that are given up before the first configuration has been read.
+#[test]
+fn only_configured_pools_belong_to_the_fleet() {
+    let mut view = ConfigView::default();
+    assert!(view.has_pool("any"), "the pools are not known yet");
+    let pools = ["pool".into()].into();
+    view.apply_row(OperatorRow::Config(Box::new(FleetConfig { pools, ..FleetConfig::default() })));
+    assert!(view.has_pool("pool"));
+    assert!(!view.has_pool("any"));
+}
