Claim and reserve only capacity that a step could use

Cause: a waiting step claimed free capacity for all its tasks before the planner looked for workers to ask the advice service about. A step that nobody can run asked nobody and claimed again in each decision, so that the steps behind it were passed over. The same held for a step whose workers are busy, for one that the advice service allows no worker, for gangs that are too large or too wide, and for a step whose call failed. Workers were also reserved for a gang without regard to its label, and a gang for which none could be reserved took one of three reservations.

Change: a step claims what the free workers can run about which it can ask, and steps with one label together no more than its workers have free. A search that finds nobody is repeated after 60 ms, like a request. Workers with the label only are reserved, and only reservations that were made count, within 12 attempts a decision. A step that the known workers could not run even if all of them were free is passed over until a registration or the configuration changes. The line "fleet state" counts such steps as "unservable_steps".

--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -285,8 +285,8 @@
     let (silent, workers) = workers::count_silent_workers(session);
     log::info!(
         "fleet state term={} loaded={} jobs={} inherited_jobs={} runs={} workers={workers} \
-         silent={silent} foreign={} unreported_workers={} advice_requests={} \
-         longest_decision_us={}",
+         silent={silent} foreign={} unreported_workers={} unservable_steps={} \
+         advice_requests={} longest_decision_us={}",
         session.term,
         session.is_loaded.get(),
         planner.unfinished_job_count(),
@@ -294,6 +294,7 @@
         planner.present_run_count(),
         workers::count_foreign_registrations(session),
         planner.unreported_worker_count(),
+        planner.unservable_step_count(),
         session.dispatcher.borrow().pending_count(),
         session.longest_decision.take().as_micros(),
     );
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -36,10 +36,13 @@
 /// requests, the calls queue up, and the free capacity that they were made for is gone when they
 /// are answered; with fewer, the gangs of a large pool wait for calls while workers are idle.
 const WORKERS_PER_GANG_ADVICE_REQUEST: usize = 16;
-/// Most advice requests of one decision. Each looks at all workers of the pool; a decision that
-/// makes hundreds delays the starts that it has already decided.
-const MAX_ADVICE_REQUESTS_PER_DECISION: usize = 24;
-/// Least time between two advice requests for one step, in milliseconds.
+/// Most searches of one decision for workers to request advice about. Each looks at all workers of
+/// the pool; a decision that makes hundreds delays the starts that it has already decided.
+const MAX_ADVICE_SEARCHES_PER_DECISION: usize = 24;
+/// Most attempts of one decision to reserve workers for a gang. Each looks at all workers.
+const MAX_RESERVATION_ATTEMPTS: usize = 12;
+/// Least time between two advice requests for one step, or between two searches that find no
+/// worker to request advice about, in milliseconds.
 const ADVICE_REQUEST_INTERVAL_MS: u64 = 60;
 
 /// A worker that can run tasks of a step.
@@ -115,6 +118,8 @@
     has_tickets: bool,
     /// Whether an advice request of the step is in flight.
     is_requested: bool,
+    /// Whether no known worker can ever run the step.
+    is_unservable: bool,
 }
 
 /// State of one pass over the waiting steps.
@@ -122,34 +127,47 @@
 struct PlacementPass {
     /// Free capacity by pool, computed when the first step of a pool is placed.
     pools: BTreeMap<ArcStr, PoolCapacity>,
+    /// Unclaimed capacity of the workers with a label, by pool and label, computed when the first
+    /// step that asks for the label requests advice.
+    labelled: BTreeMap<(ArcStr, ArcStr), ResourceAmounts>,
     /// Workers that are reserved for gangs earlier in the pass.
     reserved: BTreeSet<WorkerName>,
     /// Number of gangs for which workers are reserved until they fit.
     reserved_gangs: usize,
+    /// Number of attempts to reserve workers for a gang.
+    reservation_attempts: usize,
     /// Number of gangs with an advice request in flight.
     gang_advice_requests: usize,
-    /// Number of advice requests that this decision has made.
-    advice_requests: usize,
+    /// Number of searches for workers to request advice about.
+    advice_searches: usize,
     /// What each team may use on workers that have not reported, computed when the first step
     /// of a team is placed; starts in the pass do not change it.
     unreported_usage: Option<BTreeMap<TeamName, ResourceAmounts>>,
 }
 
 impl PlacementPass {
-    /// Returns true if nothing can be done for a step in this pass: it has no ticket, earlier
-    /// steps have claimed the capacity for which it would request some, and no workers would
-    /// be reserved for it. Under overload that holds for most of thousands of steps.
+    /// Returns true if nothing can be done for a step in this pass: no worker can run it, or it has
+    /// no ticket, earlier steps have claimed the capacity for which it would request some, and no
+    /// workers would be reserved for it. Under overload that holds for most of thousands of steps.
     fn is_hopeless(&self, waiting: &WaitingStep<'_>) -> bool {
-        let WaitingStep { rank, key, spec, rule, has_tickets, is_requested } = waiting;
+        let WaitingStep { rank, key, spec, rule, has_tickets, is_requested, is_unservable } =
+            waiting;
+        if *is_unservable {
+            return true;
+        }
         let step = &spec.steps[key.step as usize];
         let Some(capacity) = self.pools.get(&rule.pool) else { return false };
-        let may_reserve = step.gang
-            && (*is_requested
-                || rank.class == RankClass::OnTime && self.reserved_gangs < MAX_RESERVED_GANGS);
-        rule.advice.is_some()
-            && !has_tickets
-            && !may_reserve
-            && !step.occupied_amounts().fits_in(capacity.unclaimed)
+        let may_reserve = step.gang && (*is_requested || self.may_reserve(*rank));
+        let may_request = self.advice_searches < MAX_ADVICE_SEARCHES_PER_DECISION
+            && step.occupied_amounts().fits_in(capacity.unclaimed);
+        rule.advice.is_some() && !has_tickets && !may_reserve && !may_request
+    }
+
+    /// Returns whether workers may be reserved for one more gang.
+    fn may_reserve(&self, rank: JobRank) -> bool {
+        rank.class == RankClass::OnTime
+            && self.reserved_gangs < MAX_RESERVED_GANGS
+            && self.reservation_attempts < MAX_RESERVATION_ATTEMPTS
     }
 
     /// Returns whether one more gang may have an advice request in flight.
@@ -159,18 +177,25 @@
         self.gang_advice_requests < max_requests
     }
 
-    /// Claims unclaimed capacity of a pool for an advice request about `needed_tasks` tasks.
-    ///
-    /// Returns for how many tasks there was capacity: all or none of a gang.
-    fn claim_capacity(&mut self, pool: &ArcStr, step: &StepSpec, needed_tasks: u32) -> u32 {
-        let Some(capacity) = self.pools.get_mut(pool) else { return 0 };
-        let needed_tasks = needed_tasks.min(fit_count(capacity.unclaimed, step.occupied_amounts()));
-        if step.gang && needed_tasks < step.count {
-            return 0;
+    /// Returns for how many of `needed_tasks` tasks of a step there is unclaimed capacity: all or
+    /// none of a gang.
+    fn claimable_tasks(&self, step: &StepSpec, rule: &QueueRule, needed_tasks: u32) -> u32 {
+        let occupied = step.occupied_amounts();
+        let fit = |unclaimed: &ResourceAmounts| fit_count(*unclaimed, occupied);
+        let in_pool = self.pools.get(&rule.pool).map_or(0, |capacity| fit(&capacity.unclaimed));
+        let labelled = label_key(step, rule).and_then(|key| self.labelled.get(&key));
+        let tasks = needed_tasks.min(in_pool).min(labelled.map_or(u32::MAX, fit));
+        if step.gang && tasks < step.count { 0 } else { tasks }
+    }
+
+    /// Claims unclaimed capacity for `tasks` tasks of a step.
+    fn claim_capacity(&mut self, step: &StepSpec, rule: &QueueRule, tasks: u32) {
+        let claimed = step.occupied_amounts().times(u64::from(tasks));
+        let in_pool = self.pools.get_mut(&rule.pool).map(|capacity| &mut capacity.unclaimed);
+        let labelled = label_key(step, rule).and_then(|key| self.labelled.get_mut(&key));
+        for unclaimed in in_pool.into_iter().chain(labelled) {
+            *unclaimed = unclaimed.minus(claimed);
         }
-        capacity.unclaimed =
-            capacity.unclaimed.minus(step.occupied_amounts().times(u64::from(needed_tasks)));
-        needed_tasks
     }
 }
 
@@ -221,6 +246,15 @@
         })
     }
 
+    /// Computes the free capacity of the workers of a pool that have a label.
+    fn scan_label(&self, (pool, label): &(ArcStr, ArcStr)) -> ResourceAmounts {
+        self.workers
+            .values()
+            .filter(|worker| worker.info.pool == *pool && worker.info.labels.contains(label))
+            .filter(|worker| self.can_start_on(worker))
+            .fold(ResourceAmounts::ZERO, |sum, worker| sum.plus(worker.free()))
+    }
+
     /// Returns the steps with tasks that may start, with the ranks of their jobs.
     fn waiting_steps<'a>(&mut self, config: &'a PlanConfig) -> Vec<WaitingStep<'a>> {
         let mut steps = Vec::new();
@@ -247,6 +281,9 @@
                     has_tickets: state
                         .is_some_and(|state| state.advice.tickets_expire_ms > self.now_ms),
                     is_requested: state.is_some_and(|state| state.advice.requested_ms.is_some()),
+                    is_unservable: state.is_some_and(|state| {
+                        state.servability == Some((self.worker_changes, false))
+                    }),
                 });
             }
         }
@@ -401,13 +438,12 @@
     ) -> Option<WorkerCandidate> {
         let name = &worker.info.name;
         let fits = step.occupied_amounts().fits_in(worker.free())
-            && worker.info.pool == rule.pool
+            && is_suitable(step, rule, worker)
             && self.can_start_on(worker)
             && !pass.reserved.contains(name);
         // How much a filler slows a service is not known beforehand.
         let disturbs = step.filler && worker.sensitive_runs > 0;
-        let has_label = step.label.as_ref().is_none_or(|label| worker.info.labels.contains(label));
-        if !fits || disturbs || !has_label {
+        if !fits || disturbs {
             return None;
         }
         let remaining_tasks = if step.max_per_worker == 0 {
@@ -465,6 +501,9 @@
     ///
     /// Under overload, requests for all waiting tasks would keep the advice service busy
     /// with tickets that expire before there is capacity to use them.
+    ///
+    /// The step claims only capacity of workers about which it can ask: one that waits for busy
+    /// workers, or for workers that do not exist, leaves the rest to the steps behind it.
     fn request_advice_within_capacity(
         &mut self,
         key: &StepKey,
@@ -473,15 +512,27 @@
         needed_tasks: u32,
         pass: &mut PlacementPass,
     ) {
-        let needed_tasks = pass.claim_capacity(&rule.pool, step, needed_tasks);
-        if needed_tasks > 0
-            && pass.advice_requests < MAX_ADVICE_REQUESTS_PER_DECISION
-            && self.can_request_advice(key, rule)
+        if let Some(key) = label_key(step, rule)
+            && !pass.labelled.contains_key(&key)
         {
-            pass.advice_requests += 1;
+            let unclaimed = self.scan_label(&key);
+            pass.labelled.insert(key, unclaimed);
+        }
+        let claimable_tasks = pass.claimable_tasks(step, rule, needed_tasks);
+        if claimable_tasks == 0 {
+            self.check_servable(key, step, rule);
+            return;
+        }
+        if self.can_request_advice(key, rule) {
+            if pass.advice_searches >= MAX_ADVICE_SEARCHES_PER_DECISION {
+                return;
+            }
+            pass.advice_searches += 1;
             let candidates = self.all_candidates(key, step, rule, pass);
-            self.request_advice(key, step, rule, &candidates, needed_tasks);
+            self.request_advice(key, step, rule, &candidates, claimable_tasks);
         }
+        let claimed_tasks = self.step_state(key).map_or(0, |state| state.advice.claimed_tasks);
+        pass.claim_capacity(step, rule, claimable_tasks.min(claimed_tasks));
     }
 
     /// Returns the indices of the tasks of a step that need a run.
@@ -558,47 +609,75 @@
             pass.gang_advice_requests += 1;
             pass.reserved.extend(state.advice.reserved_workers.iter().cloned());
         }
-        if rank.class == RankClass::OnTime && pass.reserved_gangs < MAX_RESERVED_GANGS {
-            pass.reserved_gangs += 1;
-            self.reserve_workers(key, step, rule, &mut pass.reserved);
+        if pass.may_reserve(rank) {
+            pass.reservation_attempts += 1;
+            if self.reserve_workers(key, step, rule, &mut pass.reserved) {
+                pass.reserved_gangs += 1;
+            } else {
+                self.check_servable(key, step, rule);
+            }
         }
     }
 
     /// Reserves enough workers for a gang, so that steps later in the pass leave them alone.
     ///
-    /// Chooses those with the most free processor time.
+    /// Chooses those with the most free processor time. Returns false, and reserves none, if there
+    /// are not enough.
     fn reserve_workers(
         &self,
         key: &StepKey,
         step: &StepSpec,
         rule: &QueueRule,
         reserved: &mut BTreeSet<WorkerName>,
-    ) {
+    ) -> bool {
         let Some(state) = self.step_state(key) else {
-            return;
+            return false;
         };
         let mut workers: Vec<_> = self
             .workers
             .values()
-            .filter(|worker| worker.info.pool == rule.pool && self.is_schedulable(worker))
+            .filter(|worker| is_suitable(step, rule, worker) && self.is_schedulable(worker))
             .filter(|worker| !reserved.contains(&worker.info.name))
             .filter(|worker| {
                 rule.advice.is_none() || state.advice.eligible.contains_key(&worker.info.name)
             })
             .collect();
         workers.sort_by_key(|worker| Reverse(worker.free().cpu_millis));
-        let mut reservable_tasks = 0;
+        let mut reservable_tasks = 0_u32;
         let mut names = Vec::new();
         for worker in workers {
             if reservable_tasks >= step.count {
                 break;
             }
-            reservable_tasks += fit_count(worker.info.capacity, step.occupied_amounts());
+            reservable_tasks = reservable_tasks.saturating_add(possible_tasks(step, worker));
             names.push(worker.info.name.clone());
         }
-        if reservable_tasks >= step.count {
+        let is_enough = reservable_tasks >= step.count;
+        if is_enough {
             reserved.extend(names);
         }
+        is_enough
+    }
+
+    /// Checks whether the known workers could run a step, or a whole gang, if they were all free
+    /// and in use. A step that they cannot run is passed over until a worker has changed.
+    fn check_servable(&mut self, key: &StepKey, step: &StepSpec, rule: &QueueRule) {
+        let changes = self.worker_changes;
+        let Some(state) = self.step_state(key) else { return };
+        if state.servability.is_some_and(|(checked, _)| checked == changes) {
+            return;
+        }
+        let ineligible = &state.advice.ineligible;
+        let possible_tasks = self
+            .workers
+            .values()
+            .filter(|worker| is_suitable(step, rule, worker))
+            .filter(|worker| !ineligible.contains(&worker.info.name))
+            .fold(0_u32, |sum, worker| sum.saturating_add(possible_tasks(step, worker)));
+        let needed_tasks = if step.gang { step.count } else { 1 };
+        if let Some(state) = self.step_mut(key) {
+            state.servability = Some((changes, possible_tasks >= needed_tasks));
+        }
     }
 
     /// Stops the fillers on a worker on which a latency-sensitive service starts. They are
@@ -705,7 +784,7 @@
         ranked.sort_unstable();
         let wanted_tasks = f64::from(needed_tasks) * ADVICE_CAPACITY_FACTOR;
         let mut expected_tasks = 0.0;
-        let mut free_tasks = 0.0;
+        let mut free_tasks = 0_u32;
         let mut workers: Vec<WorkerName> = Vec::new();
         for (Reverse(is_eligible), _, Reverse(placeable), index) in ranked {
             let enough = expected_tasks >= wanted_tasks
@@ -714,16 +793,18 @@
                 break;
             }
             expected_tasks += f64::from(placeable) * if is_eligible { 1.0 } else { eligible_share };
-            free_tasks += f64::from(placeable);
+            free_tasks = free_tasks.saturating_add(placeable);
             workers.push(candidates[index].name.clone());
         }
+        state.advice.claimed_tasks = needed_tasks.min(free_tasks);
+        state.advice.next_request_ms = now + ADVICE_REQUEST_INTERVAL_MS;
         // A gang that would not fit even if all workers were eligible has to wait for capacity.
-        let gang_cannot_fit = step.gang && free_tasks < f64::from(needed_tasks);
+        let gang_cannot_fit = step.gang && free_tasks < needed_tasks;
         if workers.is_empty() || gang_cannot_fit {
+            self.check_servable(key, step, rule);
             return;
         }
         state.advice.requested_ms = Some(now);
-        state.advice.next_request_ms = now + ADVICE_REQUEST_INTERVAL_MS;
         let is_renewal = workers.iter().all(|name| state.advice.eligible.contains_key(name));
         state.advice.reserved_workers =
             if step.gang && is_renewal { workers.clone() } else { Vec::new() };
@@ -743,6 +824,23 @@
     }
 }
 
+/// Returns whether a worker has what a step asks for, apart from capacity.
+fn is_suitable(step: &StepSpec, rule: &QueueRule, worker: &WorkerState) -> bool {
+    worker.info.pool == rule.pool
+        && step.label.as_ref().is_none_or(|label| worker.info.labels.contains(label))
+}
+
+/// Returns the pool and the label of the workers that a step asks for; none without a label.
+fn label_key(step: &StepSpec, rule: &QueueRule) -> Option<(ArcStr, ArcStr)> {
+    step.label.as_ref().map(|label| (rule.pool.clone(), label.clone()))
+}
+
+/// Returns how many tasks of a step a suitable worker could run if it were free.
+fn possible_tasks(step: &StepSpec, worker: &WorkerState) -> u32 {
+    let max_tasks = if step.max_per_worker == 0 { u32::MAX } else { step.max_per_worker };
+    fit_count(worker.info.capacity, step.occupied_amounts()).min(max_tasks)
+}
+
 /// Returns the occurrences and indices of the steps whose waiting tasks may start.
 fn ready_steps(job: &JobState) -> SmallVec<[(u32, u32); 2]> {
     let mut ready = SmallVec::new();
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -54,6 +54,8 @@
     pub(crate) now_ms: u64,
     pub(crate) config: Arc<PlanConfig>,
     pub(crate) workers: BTreeMap<WorkerName, WorkerState>,
+    /// Number of changes so far of workers' registrations and of the configuration.
+    pub(crate) worker_changes: u64,
     pub(crate) jobs: BTreeMap<JobId, JobState>,
     /// Jobs that were cancelled before they were added.
     pub(crate) cancelled_jobs: BTreeSet<JobId>,
@@ -97,6 +99,7 @@
     /// Puts a configuration in force.
     pub fn set_config(&mut self, config: Arc<PlanConfig>) {
         self.config = config;
+        self.worker_changes += 1;
         for job in self.jobs.values_mut() {
             job.objective_ms = None;
         }
@@ -104,7 +107,7 @@
 
     /// Adds or updates a registered worker; returns true if something has changed.
     pub fn set_worker(&mut self, info: WorkerInfo) -> bool {
-        if let Some(worker) = self.workers.get_mut(&info.name) {
+        let changed = if let Some(worker) = self.workers.get_mut(&info.name) {
             let changed = worker.deregistered || worker.info != info;
             worker.info = info;
             worker.deregistered = false;
@@ -112,7 +115,9 @@
         } else {
             self.workers.insert(info.name.clone(), WorkerState::new(info));
             true
-        }
+        };
+        self.worker_changes += u64::from(changed);
+        changed
     }
 
     /// Expects runs of earlier owners on all registered workers and on the `leased` ones.
@@ -318,6 +323,15 @@
         self.unreported_workers.len()
     }
 
+    /// Returns the number of steps that no known worker could run.
+    #[must_use]
+    pub fn unservable_step_count(&self) -> usize {
+        let unservable = Some((self.worker_changes, false));
+        let occurrences = self.jobs.values().flat_map(|job| job.occurrences.values());
+        let steps = occurrences.flat_map(|occurrence| &occurrence.steps);
+        steps.filter(|step| step.servability == unservable).count()
+    }
+
     /// Returns the number of runs that may be present on all workers.
     #[must_use]
     pub fn present_run_count(&self) -> usize {
@@ -681,6 +695,7 @@
             unfinished: step.count,
             waiting: step.count,
             advice: AdviceState::default(),
+            servability: None,
             gang_saved: ArcStr::default(),
         })
         .collect();
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -376,7 +376,9 @@
             .map_or(0, |cost| cost.valid_ms);
         let Some(step) = self.step_mut(&answer.step) else { return };
         step.advice.requested_ms = None;
+        step.servability = None;
         if answer.considered.is_empty() {
+            step.advice.claimed_tasks = 0;
             step.advice.next_request_ms = now + ADVICE_RETRY_DELAY_MS;
             return;
         }
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -44,6 +44,10 @@
     /// Number of tasks that are not done and of which no run may be present.
     pub(crate) waiting: u32,
     pub(crate) advice: AdviceState,
+    /// Whether the known workers could run the step if they were all free and in use, and the
+    /// [`Planner::worker_changes`](crate::planner::Planner) at which that was found; none if it is
+    /// not known.
+    pub(crate) servability: Option<(u64, bool)>,
     /// Saved progress of a gang, from which every member resumes.
     pub(crate) gang_saved: ArcStr,
 }
@@ -76,6 +80,9 @@
 pub(crate) struct AdviceState {
     /// When the request in flight was made; `None` if there is none.
     pub(crate) requested_ms: Option<u64>,
+    /// Tasks for which the last search found free workers to ask about; their capacity is claimed
+    /// until the next search.
+    pub(crate) claimed_tasks: u32,
     /// Time before which no further request is made.
     pub(crate) next_request_ms: u64,
     /// Time from which no ticket is used any more, on the planner's clock.
