Count a failed run of a gang as one attempt

Cause: the failed runs of a gang were added up over its members, so that one run of which two members failed was two attempts.

Change: the attempts of a gang are the different run numbers with a failed member. Members of a run share its number, and the stored progress names it for each member, so that the count is the same under a later owner to which other members' ends are reported.

--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -172,11 +172,7 @@
         if !state.avoided.contains(name) {
             state.avoided.push(name.clone());
         }
-        let failures = if gang {
-            step.tasks.iter().map(|task| task.failed_runs.len()).sum()
-        } else {
-            state.failed_runs.len()
-        };
+        let failures = if gang { step.failed_gang_runs() } else { state.failed_runs.len() };
         self.dirty_jobs.insert(end.task.step.job.clone());
         if is_first_failure {
             self.record_first_failure(name);
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -52,6 +52,15 @@
     pub(crate) gang_saved: ArcStr,
 }
 
+impl StepState {
+    /// Returns how many runs of a gang have failed. Several members of one run may end failed, in
+    /// reports to different owners; the run counts once.
+    pub(crate) fn failed_gang_runs(&self) -> usize {
+        let runs = self.tasks.iter().flat_map(|task| &task.failed_runs);
+        runs.collect::<BTreeSet<_>>().len()
+    }
+}
+
 /// One task of a step.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TaskState {
--- a/crates/plan/tests/runs.rs
+++ b/crates/plan/tests/runs.rs
@@ -6,7 +6,7 @@
 use arcstr::ArcStr;
 use model::resource::ResourceAmounts;
 use plan::decision::StartOrder;
-use plan::job::{JobSchedule, JobSpec};
+use plan::job::{JobSchedule, JobSpec, StepSpec};
 use plan::progress::{JobStatus, ProgressRecord, StepProgress};
 use plan::worker::{
     EndKind, EndedRun, InheritedRuns, RefusalKind, RunReport, StartAnswer, WorkerInfo,
@@ -52,6 +52,59 @@
     assert!(starts[0].run > order.run, "run numbers rise");
 }
 
+/// Returns a job of one gang of three.
+fn gang_job() -> JobSpec {
+    job("gang", "normal", vec![StepSpec { gang: true, ..step(3, cpu(4_000)) }])
+}
+
+/// Reports that members of a gang's run have failed together.
+fn fail_members(fixture: &mut PlannerFixture, orders: &[StartOrder]) {
+    for order in orders {
+        fixture.end_run(&order.worker, &order.task, order.run, EndKind::Failed);
+    }
+}
+
+/// Guards against a job that is shown as failed although it has attempts left: members of one run
+/// of a gang end failed together, and the run is one attempt.
+#[test]
+fn a_failed_run_of_a_gang_counts_once() {
+    let mut fixture = PlannerFixture::new(2, config());
+    fixture.add(gang_job());
+    let orders = fixture.run_starts(StartAnswer::Started);
+    fail_members(&mut fixture, &orders);
+    assert_eq!(fixture.store()["gang"].status, JobStatus::Running);
+    fixture.now_ms += 3_000;
+    let orders = fixture.run_starts(StartAnswer::Started);
+    assert_eq!(orders.len(), 3, "the queue allows two attempts");
+    fail_members(&mut fixture, &orders[1..]);
+    assert!(fixture.starts().is_empty());
+    assert_eq!(fixture.store()["gang"].status, JobStatus::Failed);
+}
+
+/// Guards against the same after a takeover: one failed member of the run is stored, and the others
+/// are reported to the next owner.
+#[test]
+fn a_failed_run_of_a_gang_counts_once_for_all_owners() {
+    let mut owner = PlannerFixture::new(2, config());
+    owner.add(gang_job());
+    let orders = owner.run_starts(StartAnswer::Started);
+    fail_members(&mut owner, &orders[..2]);
+    let record = owner.store().remove("gang").expect("the failures are recorded");
+
+    let mut successor = PlannerFixture::unreported(2, config());
+    successor.planner.add_job(&Arc::new(gang_job()), &record, 1);
+    successor.planner.inherit_workers(BTreeMap::new(), ResourceAmounts::UNLIMITED);
+    fail_members(&mut successor, &orders);
+    for index in 0..2 {
+        successor.report(&worker(index).name, Vec::new(), Vec::new());
+    }
+    successor.now_ms += 3_000;
+    let orders = successor.run_starts(StartAnswer::Started);
+    assert_eq!(orders.len(), 3, "one attempt is left");
+    fail_members(&mut successor, &orders);
+    assert_eq!(successor.store()["gang"].status, JobStatus::Failed);
+}
+
 /// Guards against done tasks that run again under a later owner, although their progress is
 /// stored.
 #[test]
