Count failures of different jobs against a worker

Cause: two first failures of tasks on a worker, without a success in between, quarantine it for 3 s. Failed runs of a service are not kept, so that each failure was a first one, and the service kept all workers in quarantine. Each task of a failing job, and each member of a failing run of a gang, was a first failure as well.

Change: the failures of two different jobs quarantine a worker, and those of one job count against the first two workers only, as a job that fails on further ones is at fault itself. A single gang no longer quarantines a faulty worker by several members; its next run prefers workers on which no member has failed.

On a_failing_job_does_not_quarantine_the_fleet, failing_jobs_count_against_few_workers and a_gang_avoids_the_worker_on_which_a_member_failed fail; all pass now.

--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -56,6 +56,8 @@
     /// Whether fillers run here; they would slow a latency-sensitive service.
     has_fillers: bool,
     rack: Option<ArcStr>,
+    /// Whether a member of the gang failed there; others are preferred.
+    avoided: bool,
     /// Ticket for the step; empty if it needs no advice.
     ticket: ArcStr,
     /// Tasks of the step that may still be placed here under [`StepSpec::max_per_worker`].
@@ -458,6 +460,7 @@
             near_data: step.data_rack.is_some() && step.data_rack.as_ref() == worker.info.rack(),
             has_fillers: worker.filler_runs > 0,
             rack: worker.info.rack().cloned(),
+            avoided: false,
             ticket: ArcStr::default(),
             remaining_tasks,
             open_advice_requests: worker.open_advice_requests,
@@ -590,7 +593,11 @@
         if !all_waiting || allowed_tasks < step.count {
             return;
         }
-        let candidates = self.start_candidates(key, step, rule, pass);
+        let mut candidates = self.start_candidates(key, step, rule, pass);
+        let avoided = self.avoided_by_gang(key);
+        for candidate in &mut candidates {
+            candidate.avoided = avoided.contains(&candidate.name);
+        }
         if let Some(places) = pack_gang(step, candidates) {
             let run = self.next_gang_run(key);
             for (index, (name, ticket)) in (0_u32..).zip(places) {
@@ -619,6 +626,12 @@
         }
     }
 
+    /// Returns the workers on which a member of a gang has failed.
+    fn avoided_by_gang(&self, key: &StepKey) -> BTreeSet<WorkerName> {
+        let tasks = self.step_state(key).into_iter().flat_map(|state| &state.tasks);
+        tasks.flat_map(|task| task.avoided.iter().cloned()).collect()
+    }
+
     /// Reserves enough workers for a gang, so that steps later in the pass leave them alone.
     ///
     /// Chooses those with the most free processor time. Returns false, and reserves none, if there
@@ -879,14 +892,16 @@
     pack_tasks(step, candidates)
 }
 
-/// Packs all tasks of a step onto the candidates, those near the data and with the least free
-/// processor time first; returns `None` if they do not fit.
+/// Packs all tasks of a step onto the candidates, those on which no member failed, near the data
+/// and with the least free processor time first; returns `None` if they do not fit.
 fn pack_tasks(
     step: &StepSpec,
     mut candidates: Vec<WorkerCandidate>,
 ) -> Option<Vec<(WorkerName, ArcStr)>> {
     let occupied = step.occupied_amounts();
-    candidates.sort_by_key(|candidate| (!candidate.near_data, candidate.free.cpu_millis));
+    candidates.sort_by_key(|candidate| {
+        (candidate.avoided, !candidate.near_data, candidate.free.cpu_millis)
+    });
     let mut places = Vec::with_capacity(step.count as usize);
     for candidate in &mut candidates {
         while places.len() < step.count as usize && candidate.placeable_tasks(occupied) > 0 {
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -245,6 +245,7 @@
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
             beyond_share,
+            blamed_workers: SmallVec::new(),
             objective_ms: None,
             spec: spec.clone(),
         };
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -1,7 +1,7 @@
 //! Events from workers and from the advice service, applied to the planner's state.
 
 use arcstr::ArcStr;
-use model::name::WorkerName;
+use model::name::{JobId, WorkerName};
 use model::resource::ResourceAmounts;
 
 use crate::decision::AdviceAnswer;
@@ -11,8 +11,11 @@
 use crate::state::{IssuedTicket, JobState, RunPhase, RunState, SharingKind};
 use crate::worker::{EndKind, EndedRun, PresentRun, RefusalKind, RunReport, StartAnswer};
 
-/// First failures of tasks, without a success in between, after which a worker is quarantined.
-const FAILURES_TO_QUARANTINE: u32 = 2;
+/// Jobs with a failure on a worker, without a success in between, after which it is quarantined.
+const FAILED_JOBS_TO_QUARANTINE: usize = 2;
+/// Most workers against which the failures of one job count. A job that fails on further ones is
+/// at fault itself.
+const MAX_BLAMED_WORKERS: usize = 2;
 /// Milliseconds for which a worker that fails its tasks gets no starts.
 const QUARANTINE_MS: u64 = 3_000;
 /// Milliseconds for which a worker that refused a start as unhealthy gets no further starts.
@@ -70,7 +73,7 @@
             worker.incarnation = Some(incarnation);
             worker.last_counted_end = 0;
             worker.ack_up_to = 0;
-            worker.first_failures = 0;
+            worker.failed_jobs.clear();
         }
         true
     }
@@ -123,7 +126,7 @@
     /// Marks a task as done, or all members of a gang. A service is never done.
     fn record_task_done(&mut self, name: &WorkerName, end: &EndedRun) {
         if let Some(worker) = self.workers.get_mut(name) {
-            worker.first_failures = 0;
+            worker.failed_jobs.clear();
         }
         let Some(spec) = self.step_spec(&end.task.step) else { return };
         let (gang, service) = (spec.gang, spec.service);
@@ -175,20 +178,27 @@
         let failures = if gang { step.failed_gang_runs() } else { state.failed_runs.len() };
         self.dirty_jobs.insert(end.task.step.job.clone());
         if is_first_failure {
-            self.record_first_failure(name);
+            self.record_first_failure(name, &end.task.step.job);
         }
         !service && attempts.is_some_and(|attempts| failures >= attempts as usize)
     }
 
     /// Counts the first failure of a task against the worker.
     ///
-    /// Only first failures count, so that a task that fails on every worker does not
-    /// quarantine all of them.
-    fn record_first_failure(&mut self, name: &WorkerName) {
+    /// A job counts once for a worker, and against few workers only: neither a service that fails
+    /// at each start, nor a job or a gang of which all tasks fail, quarantines the fleet.
+    fn record_first_failure(&mut self, name: &WorkerName, id: &JobId) {
         let now = self.now_ms;
+        let Some(job) = self.jobs.get_mut(id) else { return };
         let Some(worker) = self.workers.get_mut(name) else { return };
-        worker.first_failures += 1;
-        if worker.first_failures >= FAILURES_TO_QUARANTINE {
+        if !job.blamed_workers.contains(name) {
+            if job.blamed_workers.len() >= MAX_BLAMED_WORKERS {
+                return;
+            }
+            job.blamed_workers.push(name.clone());
+        }
+        let is_counted = worker.failed_jobs.insert(id.clone());
+        if is_counted && worker.failed_jobs.len() >= FAILED_JOBS_TO_QUARANTINE {
             worker.quarantined_until_ms = now + QUARANTINE_MS;
         }
     }
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use arcstr::ArcStr;
-use model::name::{TeamName, WorkerName};
+use model::name::{JobId, TeamName, WorkerName};
 use model::resource::ResourceAmounts;
 use smallvec::SmallVec;
 
@@ -24,6 +24,8 @@
     pub(crate) next_occurrence: u32,
     /// Whether the team had used up its share when it submitted the job.
     pub(crate) beyond_share: bool,
+    /// Workers against which failures of the job count.
+    pub(crate) blamed_workers: SmallVec<[WorkerName; 2]>,
     /// Time objective in milliseconds from the submission; `None` until it is computed
     /// from the rules of the queue.
     pub(crate) objective_ms: Option<u64>,
@@ -194,8 +196,8 @@
     pub(crate) ack_up_to: u64,
     /// Advice requests in flight that name the worker.
     pub(crate) open_advice_requests: u32,
-    /// Tasks that failed for the first time on this worker since its last success.
-    pub(crate) first_failures: u32,
+    /// Jobs whose failures here count against the worker, since its last success.
+    pub(crate) failed_jobs: BTreeSet<JobId>,
     /// Time before which nothing is started on the worker.
     pub(crate) quarantined_until_ms: u64,
 }
@@ -216,7 +218,7 @@
             last_counted_end: 0,
             ack_up_to: 0,
             open_advice_requests: 0,
-            first_failures: 0,
+            failed_jobs: BTreeSet::new(),
             quarantined_until_ms: 0,
         }
     }
--- a/crates/plan/tests/hopeless.rs
+++ b/crates/plan/tests/hopeless.rs
@@ -7,7 +7,7 @@
 use model::name::WorkerName;
 use plan::decision::AdviceRequest;
 use plan::job::{JobSpec, StepSpec};
-use plan::worker::{StartAnswer, WorkerInfo};
+use plan::worker::{EndKind, StartAnswer, WorkerInfo};
 use support::{
     PlannerFixture, WORKER_CPU, advice_requests, config, cpu, job, rule, starts, step, worker,
 };
@@ -182,3 +182,67 @@
     fixture.add(sound_job());
     assert_eq!(requested_jobs(&advice_requests(fixture.decide())), ["sound"]);
 }
+
+/// Guards against accepted jobs that never start because the whole fleet is in quarantine: a
+/// service that fails at each start, or a job or a gang of which all tasks fail, is at fault
+/// itself.
+#[test]
+fn a_failing_job_does_not_quarantine_the_fleet() {
+    const WORKERS: usize = 4;
+    let steps = [
+        ("service", StepSpec { service: true, ..step(16, cpu(2_000)) }),
+        ("tasks", step(16, cpu(2_000))),
+        ("gang", StepSpec { gang: true, ..step(16, cpu(2_000)) }),
+    ];
+    for (name, step) in steps {
+        let mut config = config();
+        config.queues.insert("first".into(), rule(0, None));
+        let mut fixture = PlannerFixture::new(WORKERS, config);
+        fixture.add(job(name, "first", vec![step]));
+        for _ in 0..2 {
+            let orders = fixture.run_starts(StartAnswer::Started);
+            assert_eq!(orders.len(), 16, "{name} is started on all workers again");
+            for order in &orders {
+                fixture.end(order, EndKind::Failed);
+            }
+        }
+        fixture.planner.cancel_job(&name.into());
+        fixture.add(job("sound", "normal", vec![full(4)]));
+        assert_eq!(fixture.starts().len(), WORKERS, "after the failures of the {name}");
+    }
+}
+
+/// Guards against the same by many failing jobs, each of which counts against few workers.
+#[test]
+fn failing_jobs_count_against_few_workers() {
+    const JOBS: usize = 3;
+    let mut fixture = PlannerFixture::new(12, config());
+    for number in 0..JOBS {
+        let service = StepSpec { service: true, ..step(8, cpu(4_000)) };
+        fixture.add(job(&format!("s{number}"), "urgent", vec![service]));
+    }
+    for _ in 0..5 {
+        for order in fixture.run_starts(StartAnswer::Started) {
+            fixture.end(&order, EndKind::Failed);
+        }
+    }
+    for number in 0..JOBS {
+        fixture.planner.cancel_job(&format!("s{number}").as_str().into());
+    }
+    fixture.add(job("sound", "normal", vec![full(12)]));
+    let free = fixture.starts().len();
+    assert!(free >= 12 - JOBS, "two jobs quarantine a worker, and each counts against two: {free}");
+}
+
+/// Guards against a gang that uses up its attempts on one faulty worker.
+#[test]
+fn a_gang_avoids_the_worker_on_which_a_member_failed() {
+    let mut fixture = PlannerFixture::new(3, config());
+    fixture.add(job("gang", "normal", vec![StepSpec { gang: true, ..full(2) }]));
+    let orders = fixture.run_starts(StartAnswer::Started);
+    fixture.end(&orders[0], EndKind::Failed);
+    fixture.end(&orders[1], EndKind::Broken);
+    let again = fixture.run_starts(StartAnswer::Started);
+    assert_eq!(again.len(), 2);
+    assert!(again.iter().all(|order| order.worker != orders[0].worker));
+}
