Reserve entries for short advice calls among those that answer

Cause: a third of the entries is reserved for short calls, by the order of names among all that have registered. Entries that have left stay in the list, and when all unreserved ones had left, nobody made long calls.

Change: entries are reserved among those whose last call was answered. The others are tried again after their backoff, if no answering entry is free.

Evidence: long_calls_are_made_when_the_unreserved_entries_are_gone fails before the change (None in place of an entry) and passes with it.

--- a/crates/plan/src/advice.rs
+++ b/crates/plan/src/advice.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 
 use arcstr::ArcStr;
+use smallvec::SmallVec;
 
 use crate::decision::AdviceRequest;
 
@@ -96,23 +97,33 @@
     }
 
     /// Returns an entry that may make a call of this duration now.
+    ///
+    /// Entries are reserved among those whose last call was answered: entries that are gone stay
+    /// in the list, and without the others nobody would make long calls.
     fn find_available_entry(&self, duration_ms: f64, now_ms: u64) -> Option<ArcStr> {
         let is_short = duration_ms <= MAX_SHORT_CALL_MS;
-        let reserved_count = if self.entries.len() > 1 {
-            self.entries.len().div_ceil(ENTRIES_PER_RESERVED_ENTRY)
-        } else {
-            0
+        let answering = self.entries.values().filter(|state| state.consecutive_failures == 0);
+        let reserved_count = match answering.count() {
+            0 | 1 => 0,
+            count => count.div_ceil(ENTRIES_PER_RESERVED_ENTRY),
         };
-        let (reserved, others): (Vec<_>, Vec<_>) =
-            self.entries.iter().enumerate().partition(|(index, _)| *index < reserved_count);
-        let least_busy = |candidates: &[(usize, (&ArcStr, &EntryState))], max_calls: u32| {
+        let mut reserved: SmallVec<[_; 4]> = SmallVec::new();
+        let mut others: SmallVec<[_; 8]> = SmallVec::new();
+        for entry in &self.entries {
+            if entry.1.consecutive_failures == 0 && reserved.len() < reserved_count {
+                reserved.push(entry);
+            } else {
+                others.push(entry);
+            }
+        }
+        let least_busy = |candidates: &[(&ArcStr, &EntryState)], max_calls: u32| {
             candidates
                 .iter()
-                .filter(|(_, (_, state))| {
+                .filter(|(_, state)| {
                     state.calls_in_flight < max_calls && state.backoff_until_ms <= now_ms
                 })
-                .min_by_key(|(_, (_, state))| state.calls_in_flight)
-                .map(|(_, (name, _))| (*name).clone())
+                .min_by_key(|(_, state)| (state.consecutive_failures, state.calls_in_flight))
+                .map(|(name, _)| (*name).clone())
         };
         if !is_short {
             return least_busy(&others, 1);
--- a/crates/plan/tests/place.rs
+++ b/crates/plan/tests/place.rs
@@ -254,6 +254,25 @@
     assert_eq!(dispatcher.next_call(0).map(|(entry, _)| entry), Some("a".into()));
 }
 
+/// Guards against long calls that nobody makes: the entries that are not reserved for short calls
+/// have left, and stay in the list.
+#[test]
+fn long_calls_are_made_when_the_unreserved_entries_are_gone() {
+    let mut dispatcher = AdviceDispatcher::default();
+    let names = ["a", "b", "c", "d", "e", "f"].map(arcstr::ArcStr::from);
+    dispatcher.set_entries(names.iter());
+    for name in &names[2..] {
+        dispatcher.record_result(name, false, 0);
+    }
+    for _ in 0..2 {
+        dispatcher.push(advice_request(600.0, 1));
+    }
+    assert_eq!(dispatcher.next_call(0).map(|(entry, _)| entry), Some("b".into()));
+    assert!(dispatcher.next_call(0).is_none(), "one entry is kept for short calls");
+    dispatcher.push(advice_request(10.0, 0));
+    assert_eq!(dispatcher.next_call(0).map(|(entry, _)| entry), Some("a".into()));
+}
+
 /// Guards against calls through an entry that is gone: it stays in the list for a while, so
 /// its backoff has to grow with each failure.
 #[test]
