Store finished occurrences of a schedule as ranges

Cause: the progress of the job named each step of each finished occurrence and outgrew a row of the table service. Its write was refused and repeated without end, and all acknowledgements waited for it.

Change: occurrences of a schedule that are done, and of which no run may be present, are kept and stored as ranges of numbers. At most 1,000 steps of one schedule are open at a time; later occurrences wait for earlier ones. Records of earlier builds are read.

--- a/crates/plan/src/job.rs
+++ b/crates/plan/src/job.rs
@@ -103,6 +103,17 @@
     *number == 0
 }
 
+impl JobSchedule {
+    /// Returns how many occurrences are due at a time since the Unix epoch.
+    #[must_use]
+    pub fn due_count(&self, unix_ms: u64) -> u32 {
+        let Some(elapsed_ms) = unix_ms.checked_sub(self.start_ms) else { return 0 };
+        let due = elapsed_ms.checked_div(self.interval_ms).map(|count| count.saturating_add(1));
+        let due = due.and_then(|count| u32::try_from(count).ok()).unwrap_or(u32::MAX);
+        due.min(self.occurrences)
+    }
+}
+
 impl StepSpec {
     /// Returns the part of a worker's capacity that a task occupies.
     ///
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod order;
 pub mod planner;
 pub mod progress;
+pub mod ranges;
 pub mod worker;
 
 mod place;
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -19,6 +19,10 @@
 };
 use crate::worker::{InheritedRuns, WorkerInfo};
 
+/// Most steps of open occurrences of one scheduled job. Their progress is stored in one row, of
+/// which each takes some 50 of 65,536 bytes.
+const MAX_OPEN_STEPS: usize = 1_000;
+
 /// Parameters of a planner that the configuration of the fleet does not contain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PlannerOptions {
@@ -243,6 +247,7 @@
             submitted_ms,
             status: progress.status,
             occurrences: BTreeMap::new(),
+            done_occurrences: progress.done_occurrences.clone(),
             next_occurrence: 0,
             beyond_share,
             blamed_workers: SmallVec::new(),
@@ -256,6 +261,7 @@
         for step in &progress.steps {
             restore_step(&mut job, step);
         }
+        job.close_done_occurrences();
         self.jobs.insert(spec.id.clone(), job);
         if was_cancelled {
             self.finish_job(&spec.id, JobStatus::Cancelled);
@@ -324,6 +330,12 @@
         self.unreported_workers.len()
     }
 
+    /// Returns the number of occurrences of all jobs that are due and not done.
+    #[must_use]
+    pub fn open_occurrence_count(&self) -> usize {
+        self.jobs.values().map(|job| job.occurrences.len()).sum()
+    }
+
     /// Returns the number of steps that no known worker could run.
     #[must_use]
     pub fn unservable_step_count(&self) -> usize {
@@ -491,13 +503,14 @@
                 continue;
             }
             let first = job.next_occurrence;
-            while job.next_occurrence < schedule.occurrences
-                && schedule.start_ms + u64::from(job.next_occurrence) * schedule.interval_ms
-                    <= unix_ms
-            {
-                let occurrence = job.next_occurrence;
-                job.next_occurrence += 1;
-                job.occurrences.entry(occurrence).or_insert_with(|| new_occurrence(&job.spec));
+            let due_count = schedule.due_count(unix_ms);
+            let max_open = (MAX_OPEN_STEPS / job.spec.steps.len().max(1)).max(1);
+            while job.next_occurrence < due_count && job.occurrences.len() < max_open {
+                let occurrence = job.done_occurrences.next_missing(job.next_occurrence);
+                job.next_occurrence = due_count.min(occurrence.saturating_add(1));
+                if occurrence < due_count {
+                    job.occurrences.entry(occurrence).or_insert_with(|| new_occurrence(&job.spec));
+                }
             }
             if job.next_occurrence > first && job.is_done() {
                 done_jobs.push(id.clone());
@@ -514,7 +527,8 @@
     pub(crate) fn add_reported_occurrence(&mut self, key: &StepKey) {
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let Some(schedule) = job.spec.schedule else { return };
-        if !job.status.is_final() && key.occurrence < schedule.occurrences {
+        let is_done = job.done_occurrences.contains(key.occurrence);
+        if !job.status.is_final() && !is_done && key.occurrence < schedule.occurrences {
             let spec = &job.spec;
             job.occurrences.entry(key.occurrence).or_insert_with(|| new_occurrence(spec));
         }
@@ -649,6 +663,27 @@
 }
 
 impl JobState {
+    /// Closes an occurrence of a scheduled job if all its tasks are done and no run of it may be
+    /// present, so that neither the state nor the stored progress grows with the schedule.
+    pub(crate) fn close_occurrence_if_done(&mut self, number: u32) {
+        let is_closed = |task: &TaskState| task.done && task.runs.is_empty();
+        let occurrence = self.occurrences.get(&number);
+        let mut steps = occurrence.into_iter().flat_map(|occurrence| &occurrence.steps);
+        let is_done = occurrence.is_some() && steps.all(|step| step.tasks.iter().all(is_closed));
+        if is_done && self.spec.schedule.is_some() {
+            self.occurrences.remove(&number);
+            self.done_occurrences.insert(number);
+        }
+    }
+
+    /// Closes all occurrences that are done.
+    fn close_done_occurrences(&mut self) {
+        let numbers: Vec<_> = self.occurrences.keys().copied().collect();
+        for number in numbers {
+            self.close_occurrence_if_done(number);
+        }
+    }
+
     /// Returns whether all occurrences have become due and all their tasks are done.
     pub(crate) fn is_done(&self) -> bool {
         let total = self.spec.schedule.map_or(1, |schedule| schedule.occurrences);
@@ -736,6 +771,7 @@
     if job.status.is_final() {
         return record;
     }
+    record.done_occurrences.clone_from(&job.done_occurrences);
     for (number, occurrence) in &job.occurrences {
         for (step, index) in occurrence.steps.iter().zip(0_u32..) {
             let mut progress =
--- a/crates/plan/src/progress.rs
+++ b/crates/plan/src/progress.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use crate::ranges::IndexRanges;
+
 /// Status of a job as callers see it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -43,7 +45,11 @@
     /// Unix epoch; 0 while the job is unfinished.
     #[serde(skip_serializing_if = "is_zero")]
     pub ended_ms: u64,
-    /// Done and failed tasks by occurrence and step; empty once the job is finished.
+    /// Occurrences of a scheduled job of which all tasks are done; empty once the job is finished.
+    #[serde(skip_serializing_if = "IndexRanges::is_empty")]
+    pub done_occurrences: IndexRanges,
+    /// Done and failed tasks by occurrence and step, for the other occurrences; empty once the job
+    /// is finished.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub steps: Vec<StepProgress>,
 }
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -102,6 +102,9 @@
         if run.is_some() {
             self.remove_run(name, &end.task);
         }
+        if let Some(job) = self.jobs.get_mut(&end.task.step.job) {
+            job.close_occurrence_if_done(end.task.step.occurrence);
+        }
         if attempts_exhausted {
             self.finish_job(&end.task.step.job, JobStatus::Failed);
         } else if end.kind == EndKind::Done {
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -10,6 +10,7 @@
 
 use crate::job::{JobSpec, StepSpec, TaskKey};
 use crate::progress::JobStatus;
+use crate::ranges::IndexRanges;
 use crate::worker::WorkerInfo;
 
 /// A job that is unfinished, or whose final status is not stored yet.
@@ -19,8 +20,12 @@
     /// When the job was submitted, on the planner's clock.
     pub(crate) submitted_ms: u64,
     pub(crate) status: JobStatus,
+    /// Open occurrences: those that were due and are not among [`Self::done_occurrences`].
     pub(crate) occurrences: BTreeMap<u32, OccurrenceState>,
-    /// Number of the first occurrence that was not due yet on this owner's clock.
+    /// Occurrences of a scheduled job of which all tasks are done.
+    pub(crate) done_occurrences: IndexRanges,
+    /// Number of the first occurrence that this owner has not opened: it is not due yet, or too
+    /// many are open.
     pub(crate) next_occurrence: u32,
     /// Whether the team had used up its share when it submitted the job.
     pub(crate) beyond_share: bool,
