Remove the registration of an entry that is stopped

Cause: entries that had been stopped stayed registered for good. A new owner sent its first calls for advice through them and waited for the timeouts, and they counted as possible successors and in the delay before a claim.

A complete read of the entries drops those without a row; before, one that left while changes were not followed would have stayed.

Evidence: a_stopped_entry_is_not_registered_any_more fails before the change (entry-1 is still listed) and passes with it.

--- a/crates/fleet/src/context.rs
+++ b/crates/fleet/src/context.rs
@@ -82,6 +82,8 @@
     answered_at: Cell<Option<ClockMillis>>,
     /// Ownership as last read.
     pub owner: RefCell<OwnershipTracker>,
+    /// Version of this entry's row among the registered entries; none if it is not known.
+    pub member_version: Cell<Option<u64>>,
     /// Registered entries by name, this one included.
     pub members: RefCell<BTreeMap<ArcStr, MemberRow>>,
     /// Cached states of jobs.
@@ -121,6 +123,7 @@
             confirmed_at: Cell::new(None),
             answered_at: Cell::new(None),
             owner: RefCell::default(),
+            member_version: Cell::new(None),
             members: RefCell::default(),
             statuses: RefCell::default(),
             waiting_by_queue: RefCell::default(),
--- a/crates/fleet/src/follow.rs
+++ b/crates/fleet/src/follow.rs
@@ -1,5 +1,7 @@
 //! Follows the tables that every entry needs: the operators' table and the state table.
 
+use arcstr::ArcStr;
+
 use crate::context::SharedContext;
 use crate::limits;
 use crate::ports::{FeedAnswer, PlatformRows, RowPage, RowStore, TableRow};
@@ -105,6 +107,11 @@
         match read {
             Ok(page) => {
                 first_version.get_or_insert(page.version);
+                if partition == row::MEMBER_PARTITION {
+                    // An entry may have left while changes were not followed.
+                    let is_listed = |name: &ArcStr| page.rows.iter().any(|row| row.key == *name);
+                    context.members.borrow_mut().retain(|name, _| is_listed(name));
+                }
                 for changed in &page.rows {
                     apply_state_row(context, changed);
                 }
