Examine hopeless steps without advice once

Cause: a step of a queue without advice that no worker can run examined all workers in each decision. With many of them decisions take longer, and all starts wait.

Change: such a step is passed over like those of queues with advice, until a registration or the configuration changes.

--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -497,6 +497,8 @@
         let needed_tasks = waiting.min(allowed_tasks - placed);
         if needed_tasks > 0 && rule.advice.is_some() {
             self.request_advice_within_capacity(key, step, rule, needed_tasks, pass);
+        } else if candidates.is_empty() {
+            self.check_servable(key, step, rule);
         }
     }
 
--- a/crates/plan/tests/hopeless.rs
+++ b/crates/plan/tests/hopeless.rs
@@ -246,3 +246,20 @@
     assert_eq!(again.len(), 2);
     assert!(again.iter().all(|order| order.worker != orders[0].worker));
 }
+
+/// Guards against decisions that take longer with each hopeless job: every worker was examined for
+/// each of them again.
+#[test]
+fn hopeless_steps_are_examined_once() {
+    const JOBS: usize = 100;
+    const WORKERS: usize = 10;
+    let mut fixture = PlannerFixture::new(WORKERS, config());
+    for number in 0..JOBS {
+        fixture.add(job(&format!("j{number}"), "normal", vec![labelled(4, MISSING_LABEL)]));
+    }
+    fixture.decide();
+    assert_eq!(fixture.planner.unservable_step_count(), JOBS);
+    let before = fixture.planner.examined_worker_count();
+    fixture.decide();
+    assert_eq!(fixture.planner.examined_worker_count(), before);
+}
