Check gangs before anything is done for them, and name hopeless steps

Cause: a gang that cannot be served was found only after it had made a search or an attempt to reserve workers, and claimed capacity once; a gang of a queue without advice that was late was never found. The line "fleet state" counted hopeless steps and did not name any.

Change: a gang that does not fit is checked at once.

--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -283,6 +283,10 @@
     session.logged_at.set(now);
     let planner = session.planner.borrow();
     let (silent, workers) = workers::count_silent_workers(session);
+    let unservable_steps: Vec<_> = planner.unservable_steps().collect();
+    if let Some(first) = unservable_steps.first() {
+        log::warn!("no worker can run some steps steps={} first={first}", unservable_steps.len());
+    }
     log::info!(
         "fleet state term={} loaded={} jobs={} inherited_jobs={} runs={} workers={workers} \
          silent={silent} foreign={} unreported_workers={} unservable_steps={} \
@@ -294,7 +298,7 @@
         planner.present_run_count(),
         workers::count_foreign_registrations(session),
         planner.unreported_worker_count(),
-        planner.unservable_step_count(),
+        unservable_steps.len(),
         session.dispatcher.borrow().pending_count(),
         session.longest_decision.take().as_micros(),
     );
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -608,6 +608,9 @@
             }
             return;
         }
+        if !self.check_servable(key, step, rule) {
+            return;
+        }
         if rule.advice.is_some() && pass.may_request_gang_advice(&rule.pool) {
             self.request_advice_within_capacity(key, step, rule, step.count, pass);
         }
@@ -622,8 +625,6 @@
             pass.reservation_attempts += 1;
             if self.reserve_workers(key, step, rule, &mut pass.reserved) {
                 pass.reserved_gangs += 1;
-            } else {
-                self.check_servable(key, step, rule);
             }
         }
     }
@@ -674,13 +675,16 @@
         is_enough
     }
 
-    /// Checks whether the known workers could run a step, or a whole gang, if they were all free
-    /// and in use. A step that they cannot run is passed over until a worker has changed.
-    fn check_servable(&mut self, key: &StepKey, step: &StepSpec, rule: &QueueRule) {
+    /// Checks whether the known workers could run a step, or a whole gang, if they were all free and
+    /// in use, and keeps the result. A step that they cannot run is passed over until a worker has
+    /// changed.
+    fn check_servable(&mut self, key: &StepKey, step: &StepSpec, rule: &QueueRule) -> bool {
         let changes = self.worker_changes;
-        let Some(state) = self.step_state(key) else { return };
-        if state.servability.is_some_and(|(checked, _)| checked == changes) {
-            return;
+        let Some(state) = self.step_state(key) else { return false };
+        if let Some((checked, is_servable)) = state.servability
+            && checked == changes
+        {
+            return is_servable;
         }
         let ineligible = &state.advice.ineligible;
         let possible_tasks = self
@@ -689,10 +693,11 @@
             .filter(|worker| is_suitable(step, rule, worker))
             .filter(|worker| !ineligible.contains(&worker.info.name))
             .fold(0_u32, |sum, worker| sum.saturating_add(possible_tasks(step, worker)));
-        let needed_tasks = if step.gang { step.count } else { 1 };
+        let is_servable = possible_tasks >= if step.gang { step.count } else { 1 };
         if let Some(state) = self.step_mut(key) {
-            state.servability = Some((changes, possible_tasks >= needed_tasks));
+            state.servability = Some((changes, is_servable));
         }
+        is_servable
     }
 
     /// Stops the fillers on a worker on which a latency-sensitive service starts. They are
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -336,13 +336,16 @@
         self.jobs.values().map(|job| job.occurrences.len()).sum()
     }
 
-    /// Returns the number of steps that no known worker could run.
-    #[must_use]
-    pub fn unservable_step_count(&self) -> usize {
+    /// Returns the steps that no known worker could run.
+    pub fn unservable_steps(&self) -> impl Iterator<Item = StepKey> {
         let unservable = Some((self.worker_changes, false));
-        let occurrences = self.jobs.values().flat_map(|job| job.occurrences.values());
-        let steps = occurrences.flat_map(|occurrence| &occurrence.steps);
-        steps.filter(|step| step.servability == unservable).count()
+        self.jobs.iter().flat_map(move |(id, job)| {
+            job.occurrences.iter().flat_map(move |(occurrence, state)| {
+                let steps = (0_u32..).zip(&state.steps);
+                let steps = steps.filter(move |(_, step)| step.servability == unservable);
+                steps.map(|(step, _)| StepKey { job: id.clone(), occurrence: *occurrence, step })
+            })
+        })
     }
 
     /// Returns the number of runs that may be present on all workers.
--- a/crates/plan/tests/hopeless.rs
+++ b/crates/plan/tests/hopeless.rs
@@ -64,7 +64,7 @@
         let requests = advice_requests(fixture.decide());
         assert_eq!(requested_jobs(&requests), ["sound"], "behind the job {name}");
         fixture.decide();
-        assert_eq!(fixture.planner.unservable_step_count(), 1, "{name}");
+        assert_eq!(fixture.planner.unservable_steps().count(), 1, "{name}");
     }
 }
 
@@ -93,7 +93,7 @@
     }
     fixture.add(sound_job());
     assert_eq!(requested_jobs(&advice_requests(fixture.decide())), ["sound"]);
-    assert_eq!(fixture.planner.unservable_step_count(), 0, "the workers exist");
+    assert_eq!(fixture.planner.unservable_steps().count(), 0, "the workers exist");
 }
 
 /// Guards against the same for free workers of a label: together, the steps that ask for it claim
@@ -258,7 +258,7 @@
         fixture.add(job(&format!("j{number}"), "normal", vec![labelled(4, MISSING_LABEL)]));
     }
     fixture.decide();
-    assert_eq!(fixture.planner.unservable_step_count(), JOBS);
+    assert_eq!(fixture.planner.unservable_steps().count(), JOBS);
     let before = fixture.planner.examined_worker_count();
     fixture.decide();
     assert_eq!(fixture.planner.examined_worker_count(), before);
