Count only workers without an answer as out of reach

Cause: each failed poll counted as a worker out of reach. A worker that answers with an error is in reach, and the next owner gets the same.

Change: the result of a poll tells an answer that is not a report from no answer. Both still silence the worker and let its lease expire; only the latter counts when the owner decides whether it is cut off. A malformed report counts as an answer.

--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -24,7 +24,7 @@
 use crate::limits;
 use crate::metrics;
 use crate::news::JobChangeLog;
-use crate::owner::workers::{WorkerLink, WorkerRegistration};
+use crate::owner::workers::{WorkerCounts, WorkerLink, WorkerRegistration};
 use crate::owner::{
     ClaimedOwnership, OwnerPorts, SharedSession, advice, load, orders, progress, submits, workers,
     write_owner,
@@ -272,7 +272,7 @@
     let planner = session.planner.borrow();
     metrics.unfinished_jobs.record(count(planner.unfinished_job_count()), &[]);
     metrics.present_runs.record(count(planner.present_run_count()), &[]);
-    metrics.silent_workers.record(count(workers::count_silent_workers(session).0), &[]);
+    metrics.silent_workers.record(count(workers::count_workers(session).silent), &[]);
 }
 
 /// Logs the state of the fleet at intervals, with what a takeover still waits for.
@@ -282,7 +282,7 @@
     }
     session.logged_at.set(now);
     let planner = session.planner.borrow();
-    let (silent, workers) = workers::count_silent_workers(session);
+    let WorkerCounts { registered: workers, silent, .. } = workers::count_workers(session);
     let unservable_steps: Vec<_> = planner.unservable_steps().collect();
     if let Some(first) = unservable_steps.first() {
         log::warn!("no worker can run some steps steps={} first={first}", unservable_steps.len());
@@ -435,15 +435,15 @@
     loop {
         tokio::time::sleep(limits::RENEW_INTERVAL).await;
         let now = session.context.clock.now();
-        let (silent, all) = workers::count_silent_workers(&session);
-        if silent * 2 <= all {
+        let WorkerCounts { registered, unanswered, .. } = workers::count_workers(&session);
+        if unanswered * 2 <= registered {
             unreachable_since = None;
             continue;
         }
         let since = *unreachable_since.get_or_insert(now);
         if now.since(since) >= limits::MAX_WORKERS_UNREACHABLE_MS {
             log::warn!(
-                "most workers unreachable term={} silent={silent} workers={all}",
+                "most workers unreachable term={} unanswered={unanswered} workers={registered}",
                 session.term
             );
             session.end_ownership("workers-out-of-reach");
--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -29,6 +29,16 @@
     version: u64,
 }
 
+/// How a poll of a worker failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PollFailure {
+    /// There was no answer: the worker may be out of reach.
+    Unanswered,
+    /// Its address answered with an error. The worker is not out of reach of this entry, and no
+    /// other one would do better.
+    Rejected,
+}
+
 /// Connection state of one worker: address, lease and reachability.
 #[derive(Debug)]
 pub(crate) struct WorkerLink {
@@ -45,8 +55,8 @@
     held_since: Option<u64>,
     /// Whether polls do not extend the lease until then, as the stored list may name an end of it.
     is_extension_held: bool,
-    /// When the polls began to fail; none while they succeed.
-    failing_since: Option<ClockMillis>,
+    /// How the last poll failed; none if it succeeded.
+    poll_failure: Option<PollFailure>,
     /// Notified when a task is started on the worker.
     started_notify: Rc<Notify>,
     /// Ends the polls of this worker.
@@ -56,7 +66,7 @@
 impl WorkerLink {
     /// Returns whether tasks may be started on the worker, as far as the planner has been told.
     const fn takes_starts(&self) -> bool {
-        self.is_registered && !self.is_draining && self.failing_since.is_none()
+        self.is_registered && !self.is_draining && self.poll_failure.is_none()
     }
 }
 
@@ -147,7 +157,7 @@
         is_draining,
         held_since: None,
         is_extension_held: session.stored_leases.borrow().may_name_end(&name),
-        failing_since: None,
+        poll_failure: None,
         started_notify: Rc::default(),
         cancellation: cancellation.clone(),
     };
@@ -236,12 +246,25 @@
     registrations.values().filter(|registration| !view.has_pool(&registration.info.pool)).count()
 }
 
-/// Counts the registered workers: those that do not answer polls, and all.
-pub(crate) fn count_silent_workers<P: OwnerPorts>(session: &SharedSession<P>) -> (usize, usize) {
+/// Numbers of registered workers.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct WorkerCounts {
+    pub(crate) registered: usize,
+    /// Workers whose last poll failed.
+    pub(crate) silent: usize,
+    /// Workers whose last poll had no answer.
+    pub(crate) unanswered: usize,
+}
+
+/// Counts the registered workers.
+pub(crate) fn count_workers<P: OwnerPorts>(session: &SharedSession<P>) -> WorkerCounts {
     let links = session.links.borrow();
     let registered = links.values().filter(|link| link.is_registered);
-    registered.fold((0, 0), |(silent, all), link| {
-        (silent + usize::from(link.failing_since.is_some()), all + 1)
+    registered.fold(WorkerCounts::default(), |counts, link| WorkerCounts {
+        registered: counts.registered + 1,
+        silent: counts.silent + usize::from(link.poll_failure.is_some()),
+        unanswered: counts.unanswered
+            + usize::from(link.poll_failure == Some(PollFailure::Unanswered)),
     })
 }
 
@@ -316,7 +339,7 @@
                 let now = session.context.clock.now();
                 if let Some(link) = session.links.borrow_mut().get_mut(&name) {
                     link.lease.observe(clock_ms, report.incarnation, now);
-                    if link.failing_since.take().is_some() {
+                    if link.poll_failure.take().is_some() {
                         hold_starts(&session, &name, link);
                     }
                 }
@@ -344,8 +367,15 @@
                 session.end_ownership("fenced-by-worker");
                 return;
             }
+            Ok(PollAnswer::Rejected(reason)) => {
+                if !record_poll_failure(&session, &name, PollFailure::Rejected, &reason) {
+                    return;
+                }
+                tokio::time::sleep(limits::POLL_RETRY_DELAY).await;
+            }
             Err(error) => {
-                if !record_poll_failure(&session, &name, &error) {
+                let reason = failure::format_one_line(&error);
+                if !record_poll_failure(&session, &name, PollFailure::Unanswered, &reason) {
                     return;
                 }
                 tokio::time::sleep(limits::POLL_RETRY_DELAY).await;
@@ -444,7 +474,7 @@
     let link = links.get_mut(name)?;
     // A poll without an answer may still extend the lease. Polls of an unreachable worker
     // carry no deadline, as its lease must expire at some time.
-    let may_extend = link.failing_since.is_none() && !link.is_extension_held;
+    let may_extend = link.poll_failure.is_none() && !link.is_extension_held;
     let deadline_ms = if may_extend { link.lease.next_deadline(now) } else { None };
     // Without a deadline the poll only reads the worker's clock and must not be held.
     let max_wait = if deadline_ms.is_some() { limits::MAX_POLL_WAIT } else { Duration::ZERO };
@@ -462,18 +492,15 @@
 fn record_poll_failure<P: OwnerPorts>(
     session: &SharedSession<P>,
     name: &WorkerName,
-    error: &error_stack::Report<link::failure::CallFailure>,
+    poll_failure: PollFailure,
+    reason: &str,
 ) -> bool {
     let now = session.context.clock.now();
     let (expired, is_registered) = {
         let mut links = session.links.borrow_mut();
         let Some(link) = links.get_mut(name) else { return false };
-        if link.failing_since.is_none() {
-            log::warn!(
-                "worker does not answer worker={name} error=\"{}\"",
-                failure::format_one_line(error)
-            );
-            link.failing_since = Some(now);
+        if link.poll_failure.replace(poll_failure).is_none() {
+            log::warn!("worker does not answer worker={name} error=\"{reason}\"");
         }
         (link.lease.has_expired(now), link.is_registered)
     };
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -154,6 +154,8 @@
     },
     /// The worker has seen a higher fencing token.
     Fenced,
+    /// The address answered, but not with the runs of the worker; holds the reason.
+    Rejected(String),
 }
 
 /// Orders to workers.
