Hold the largest number in ranges of indices

A stored record with the largest number made a debug build panic while it loaded the job. ranges_hold_the_largest_index fails before the change and passes with it. The adjacent function in the owner's polls has a name that says what it returns.

--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -348,7 +348,7 @@
                 }
                 session.planner.borrow_mut().apply_report(&name, &report, sent_at.0, now.0);
                 session.decide_notify.notify_one();
-                if is_released(&session, &name, &report) {
+                if needs_no_polls(&session, &name, &report) {
                     log::info!("worker without runs not polled any more worker={name}");
                     remove_link(&session, &name);
                     return;
@@ -386,7 +386,7 @@
 
 /// Returns whether a worker that has just reported needs no further polls: it is not registered,
 /// and nothing of any owner can be present on it.
-fn is_released<P: OwnerPorts>(
+fn needs_no_polls<P: OwnerPorts>(
     session: &SharedSession<P>,
     name: &WorkerName,
     report: &RunReport,
--- a/crates/plan/src/ranges.rs
+++ b/crates/plan/src/ranges.rs
@@ -20,17 +20,20 @@
     /// Returns whether an index is in the set.
     #[must_use]
     pub fn contains(&self, index: u32) -> bool {
-        self.next_missing(index) != index
+        self.last_of_range(index).is_some()
     }
 
-    /// Returns the lowest index from `index` on that is not in the set.
+    /// Returns the lowest index from `index` on that is not in the set; `u32::MAX` if there is none.
     #[must_use]
     pub fn next_missing(&self, index: u32) -> u32 {
+        self.last_of_range(index).map_or(index, |last| last.saturating_add(1))
+    }
+
+    /// Returns the last index of the range that holds an index.
+    fn last_of_range(&self, index: u32) -> Option<u32> {
         let position = self.ranges.partition_point(|(_, last)| *last < index);
-        match self.ranges.get(position) {
-            Some((first, last)) if *first <= index => last.saturating_add(1),
-            _ => index,
-        }
+        let (first, last) = self.ranges.get(position)?;
+        (*first <= index).then_some(*last)
     }
 
     /// Adds an index and joins the ranges that it connects.
@@ -39,9 +42,10 @@
             return;
         }
         let position = self.ranges.partition_point(|(_, last)| *last < index);
-        let joins_next = self.ranges.get(position).is_some_and(|(first, _)| *first == index + 1);
+        let (before, after) = (index.checked_sub(1), index.checked_add(1));
+        let joins_next = self.ranges.get(position).is_some_and(|(first, _)| Some(*first) == after);
         let joins_previous =
-            position.checked_sub(1).is_some_and(|previous| self.ranges[previous].1 + 1 == index);
+            position.checked_sub(1).is_some_and(|previous| Some(self.ranges[previous].1) == before);
         match (joins_previous, joins_next) {
             (true, true) => {
                 let (_, last) = self.ranges.remove(position);
--- a/crates/plan/tests/schedule.rs
+++ b/crates/plan/tests/schedule.rs
@@ -87,6 +87,17 @@
     assert_eq!(started, [0, 2]);
 }
 
+/// Guards against a stored record with the largest number that ends the process which loads it.
+#[test]
+fn ranges_hold_the_largest_index() {
+    let mut ranges: IndexRanges = serde_json::from_str("[[3,4294967295]]").expect("ranges");
+    assert!(ranges.contains(u32::MAX) && !ranges.contains(2));
+    assert_eq!(ranges.next_missing(3), u32::MAX, "there is no later index");
+    ranges.insert(2);
+    ranges.insert(0);
+    assert!(ranges.contains(0) && !ranges.contains(1));
+}
+
 /// Guards against an owner that runs out of memory and time: a schedule whose first time was long
 /// ago has a million due occurrences.
 #[test]
