Excuse ends of the soak that the lease of their worker has outlived

RULES.md allows that: "An end is taken note of when `ackedUpto` reaches it, unless the minion's lease lapsed between the two; that stands for good."

Change: the stand-in worker marks a done run in its history when its lease expires before the end is acknowledged. It also ends the runs of an expired lease before a poll extends it again, where they lived on. The checks are the same.

No program of the product changes.

--- a/standins/site/src/server.rs
+++ b/standins/site/src/server.rs
@@ -440,6 +440,8 @@
         let fenced = HttpResponse::Conflict().json(json!({ "reason": "fence" }));
         return HoldAnswer::Answered(fenced);
     }
+    // The lease may have expired before the call.
+    worker.end_due_runs();
     worker.acknowledge(body.acked_upto);
     if let Some(deadline_ms) = body.deadline_ms {
         worker.extend_lease(deadline_ms);
--- a/standins/site/src/worker.rs
+++ b/standins/site/src/worker.rs
@@ -43,7 +43,8 @@
     pub start_ms: u64,
     /// End; none while it runs.
     pub end_ms: Option<u64>,
-    /// How it ended, as the protocol names it, or `running`.
+    /// How it ended, as the protocol names it, or `running`; `lost` if the worker restarted, and
+    /// `done-lapsed` if the lease expired, before the end was acknowledged.
     pub outcome: &'static str,
 }
 
@@ -71,6 +72,8 @@
     highest_token: u64,
     /// End of the lease, on the worker's clock.
     deadline_ms: u64,
+    /// End of the last lease that expired, on the worker's clock.
+    lapsed_deadline_ms: u64,
     /// Present runs by task.
     present: BTreeMap<String, PresentRun>,
     /// Highest run number of each task that ended or was stopped here; runs up to it may not
@@ -93,6 +96,7 @@
             started,
             highest_token: 0,
             deadline_ms: 0,
+            lapsed_deadline_ms: 0,
             present: BTreeMap::new(),
             highest_ended_runs: BTreeMap::new(),
             ended: Vec::new(),
@@ -129,6 +133,9 @@
     }
 
     /// Ends the tasks whose time has come, or all runs if the lease has expired.
+    ///
+    /// An end that is not acknowledged when the lease expires does not bind the owner, which may
+    /// start the task again: the run counts as lapsed in the history.
     pub fn end_due_runs(&mut self) {
         let now = self.clock_ms();
         if now > self.deadline_ms {
@@ -136,6 +143,10 @@
             for task in all {
                 self.end(&task, "lapsed");
             }
+            if self.lapsed_deadline_ms < self.deadline_ms {
+                self.lapsed_deadline_ms = self.deadline_ms;
+                self.mark_ends_lapsed();
+            }
             return;
         }
         let due: Vec<_> = self
@@ -149,6 +160,18 @@
         }
     }
 
+    /// Marks the runs that ended done, and whose ends are not acknowledged, as lapsed.
+    fn mark_ends_lapsed(&mut self) {
+        for (_, task, run, outcome) in &self.ended {
+            let is_ended = |past: &&mut HistoryRun| past.task == *task && past.run == *run;
+            if *outcome == "done"
+                && let Some(past) = self.history.iter_mut().find(is_ended)
+            {
+                past.outcome = "done-lapsed";
+            }
+        }
+    }
+
     fn end(&mut self, task: &str, outcome: &'static str) {
         let Some(run) = self.present.remove(task) else { return };
         self.last_end_number += 1;
