Count refusals of the outage test from before the outage

The counter also has refusals of the cell's first configuration, which the test support publishes again until an entry accepts it: an entry that starts before the platform answers refuses it as platform-down.

Change: the test reads the counter before the outage, and requires exactly one more after the refused change.

Evidence: on a scratch copy whose platform answers only after 4 s, the old test fails with a counter of 4 and the new one passes.

--- a/crates/entry/tests/operator_signs.rs
+++ b/crates/entry/tests/operator_signs.rs
@@ -33,12 +33,22 @@
     std::fs::read_to_string(file).expect("the entry writes a log")
 }
 
+/// Returns how many changes of the configuration an entry has refused because of the platform.
+async fn count_refused_changes(cell: &TestCell) -> u32 {
+    let line = "refusals_total{call=\"apply\",kind=\"platform-down\"} ";
+    let text = fetch_metrics(cell, 0).await;
+    let count = text.lines().find_map(|found| found.strip_prefix(line));
+    count.map_or(0, |count| count.parse().expect("a number"))
+}
+
 /// Guards against a platform outage that operators cannot see, or a refusal without its cause.
 #[actix_rt::test]
 async fn platform_outage_is_visible() {
     let cell = TestCell::start(1, 1, 2).await;
     let steady = ["owner_by_promises 0", "starts_held 0", "workers{state=\"reported\"} 2"];
     wait_until_contains(async || fetch_metrics(&cell, 0).await, &steady).await;
+    // The cell's first configuration may have been refused until the platform answered.
+    let refused_before = count_refused_changes(&cell).await;
     cell.platform.pause();
     let by_promises = "ownership goes on by promises domain=domain-0";
     wait_until_contains(async || read_log(&cell, 0), &[by_promises]).await;
@@ -53,8 +63,9 @@
     let body = String::from_utf8(body.to_vec()).expect("UTF-8");
     assert!(body.contains("platform-down"), "{body}");
     assert!(body.len() < 400 && !body.contains("backtrace"), "not for a person: {body}");
-    let refused = "refusals_total{call=\"apply\",kind=\"platform-down\"} 1";
-    wait_until_contains(async || fetch_metrics(&cell, 0).await, &[refused]).await;
+    let refused =
+        format!("refusals_total{{call=\"apply\",kind=\"platform-down\"}} {}\n", refused_before + 1);
+    wait_until_contains(async || fetch_metrics(&cell, 0).await, &[&refused]).await;
     cell.platform.resume();
     wait_until_contains(async || read_log(&cell, 0), &["ownership renewed on the platform again"])
         .await;
