Let the stand-in's advice service take the protocol's time

Change: the service has a port for each calling VM, works on one call of each at a time for decideMs and eachMs, and answers 429 when 32 wait. Verdicts follow a share, tickets hold for one step, one life of a worker and validMs, and workers refuse starts without one. Jobs without a rule keep the short calls and the odd workers of before.

--- a/standins/site/src/lib.rs
+++ b/standins/site/src/lib.rs
@@ -4,6 +4,7 @@
 //! It runs in a thread of the test and keeps a history of all runs on its
 //! workers, which tests check.
 
+pub mod advice;
 pub mod server;
 pub mod table;
 pub mod worker;
--- a/standins/site/src/server.rs
+++ b/standins/site/src/server.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde_json::json;
 
+use crate::advice::{AdviceService, MAX_WORKERS};
 use crate::table::{RowTable, TxBody, TxResult};
 use crate::worker::{HistoryRun, SiteWorker, StartBody};
 
@@ -56,6 +57,8 @@
     pub table: RowTable,
     /// Workers, in the order of their ports.
     pub workers: Vec<SiteWorker>,
+    /// The advice service.
+    pub advice: AdviceService,
     /// Faults in force.
     pub faults: SiteFaults,
 }
@@ -64,9 +67,11 @@
 #[derive(Debug)]
 pub struct RunningSite {
     state: Arc<Mutex<SiteState>>,
-    /// Port of the services, then those of the workers.
+    /// Port of the table service, then those of the workers and of the advice service.
     ports: Arc<Vec<u16>>,
-    /// Address of the table service and the advice service.
+    /// Number of workers.
+    workers: usize,
+    /// Address of the table service.
     pub address: SocketAddr,
     handle: actix_web::dev::ServerHandle,
 }
@@ -75,15 +80,22 @@
 #[derive(Clone)]
 struct SiteData {
     state: Arc<Mutex<SiteState>>,
-    /// Port of the services, then those of the workers; the port of a call selects its handler.
+    /// Port of the table service, then those of the workers and of the advice service; the port of
+    /// a call selects its handler.
     ports: Arc<Vec<u16>>,
+    /// Number of workers.
+    workers: usize,
 }
 
+/// Most machines that call the advice service, each on a port of its own.
+const MAX_ADVICE_CALLERS: usize = 12;
+
 /// Incarnation of the worker to which a connection was made; 0 for the services.
 struct ConnectedIncarnation(u64);
 
 impl SiteData {
-    /// Returns the position of a port: 0 for the services, then the workers.
+    /// Returns the position of a port: 0 for the table service, then the workers, then the ports of
+    /// the advice service.
     fn index_of(&self, port: u16) -> usize {
         self.ports.iter().position(|known| *known == port).unwrap_or(0)
     }
@@ -120,12 +132,12 @@
     #[must_use]
     pub fn start_unregistered(workers: usize) -> Self {
         let listen = || TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let listeners: Vec<_> = (0..=workers).map(|_| listen()).collect();
+        let listeners: Vec<_> = (0..=workers + MAX_ADVICE_CALLERS).map(|_| listen()).collect();
         let addresses: Vec<_> =
             listeners.iter().map(|socket| socket.local_addr().expect("bound")).collect();
         let state = Arc::new(Mutex::new(SiteState::default()));
         let ports: Arc<Vec<u16>> = Arc::new(addresses.iter().map(SocketAddr::port).collect());
-        let data = SiteData { state: state.clone(), ports: ports.clone() };
+        let data = SiteData { state: state.clone(), ports: ports.clone(), workers };
         let (sender, receiver) = std::sync::mpsc::channel();
         std::thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
@@ -156,11 +168,21 @@
         let handle = receiver.recv().expect("the site starts");
         let names = (1..=workers).map(|index| format!("i-{index:08x}"));
         let started = names.map(|name| SiteWorker::new(name, 1, Instant::now()));
-        let site = Self { state, ports, address: addresses[0], handle };
+        let site = Self { state, ports, workers, address: addresses[0], handle };
         site.lock().workers = started.collect();
         site
     }
 
+    /// Returns the address of the advice service for one calling machine.
+    ///
+    /// # Panics
+    /// Panics if there are not as many machines.
+    #[must_use]
+    pub fn advice_address(&self, caller: usize) -> SocketAddr {
+        assert!(caller < MAX_ADVICE_CALLERS, "too many calling machines");
+        SocketAddr::new(self.address.ip(), self.ports[self.workers + 1 + caller])
+    }
+
     /// Writes the registration of a worker, by its position.
     ///
     /// # Panics
@@ -238,8 +260,9 @@
         (0, "rows-tx") => transact(&body, &site),
         (0, "rows-get") => read(&request, &site).await,
         (0, "rows-feed") => follow(&request, &site).await,
-        (0, "advise") => advise(&body),
         (0, _) => HttpResponse::NotFound().finish(),
+        (_, "advise") if index > site.workers => advise(index, &body, &site).await,
+        _ if index > site.workers => HttpResponse::NotFound().finish(),
         (_, "run-start") if site.lock().faults.starts_unanswered => std::future::pending().await,
         (_, "run-start") => start(index - 1, &body, &site),
         (_, "run-stop") => stop(index - 1, &body, &site),
@@ -341,17 +364,36 @@
 /// Body of the call `advise`.
 #[derive(Deserialize)]
 struct AdviseBody {
+    step: String,
     workers: Vec<String>,
 }
 
-/// Answers a call to the advice service: workers with an odd number may always run the step.
-fn advise(body: &[u8]) -> HttpResponse {
+/// Answers a call to the advice service once it has worked on it. A caller that has gone away
+/// does not shorten the work.
+async fn advise(caller: usize, body: &[u8], site: &SiteData) -> HttpResponse {
     let Ok(body) = serde_json::from_slice::<AdviseBody>(body) else {
         return HttpResponse::BadRequest().finish();
     };
-    let odd = |name: &&String| name.ends_with(['1', '3', '5', '7', '9']);
-    let good: Vec<_> = body.workers.iter().filter(odd).map(|name| (name, "ticket")).collect();
-    HttpResponse::Ok().json(json!({ "good": good, "validMs": 1500 }))
+    if body.workers.len() > MAX_WORKERS {
+        return HttpResponse::BadRequest().finish();
+    }
+    let now = Instant::now();
+    let answered_at = site.lock().advice.admit(caller, &body.step, body.workers.len(), now);
+    let Some(answered_at) = answered_at else {
+        return HttpResponse::TooManyRequests().finish();
+    };
+    tokio::time::sleep_until(answered_at.into()).await;
+    let mut state = site.lock();
+    let SiteState { workers, advice, .. } = &mut *state;
+    let mut good = Vec::new();
+    for worker in workers.iter().filter(|worker| body.workers.contains(&worker.name)) {
+        if advice.is_good(&body.step, &worker.name) {
+            let life = worker.incarnation;
+            let ticket = advice.issue_ticket(&body.step, &worker.name, life, Instant::now());
+            good.push((worker.name.clone(), ticket));
+        }
+    }
+    HttpResponse::Ok().json(json!({ "good": good }))
 }
 
 fn start(index: usize, body: &[u8], site: &SiteData) -> HttpResponse {
@@ -359,8 +401,13 @@
         return HttpResponse::BadRequest().finish();
     };
     let mut state = site.lock();
-    let worker = &mut state.workers[index];
-    match worker.start(&body) {
+    let SiteState { workers, advice, .. } = &mut *state;
+    let worker = &mut workers[index];
+    let has_ticket = |worker: &SiteWorker| {
+        let now = Instant::now();
+        advice.accepts(&body.task, &worker.name, worker.incarnation, &body.ticket, now)
+    };
+    match worker.start(&body, has_ticket) {
         Ok(()) => HttpResponse::Ok().json(json!({ "clockMs": worker.clock_ms() })),
         Err(reason) => {
             HttpResponse::Conflict().json(json!({ "clockMs": worker.clock_ms(), "reason": reason }))
--- a/standins/site/src/worker.rs
+++ b/standins/site/src/worker.rs
@@ -25,7 +25,7 @@
     pub deadline_ms: u64,
     /// Fencing token of the owner.
     pub fencing_token: u64,
-    /// Ticket of the advice service; not checked.
+    /// Ticket of the advice service; empty for none.
     #[serde(default)]
     pub ticket: String,
 }
@@ -208,11 +208,15 @@
         self.deadline_ms = self.deadline_ms.max(deadline_ms.min(latest));
     }
 
-    /// Starts a run.
+    /// Starts a run, if `has_ticket` holds for its ticket.
     ///
     /// # Errors
     /// Returns the reason of a refusal, as the protocol names it.
-    pub fn start(&mut self, body: &StartBody) -> Result<(), &'static str> {
+    pub fn start(
+        &mut self,
+        body: &StartBody,
+        has_ticket: impl FnOnce(&Self) -> bool,
+    ) -> Result<(), &'static str> {
         self.end_due_runs();
         if !self.accept_token(body.fencing_token) {
             return Err("fence");
@@ -229,6 +233,9 @@
         if is_old || self.present.contains_key(&body.task) {
             return Err("old");
         }
+        if !has_ticket(self) {
+            return Err("ticket");
+        }
         let (duration, outcome) = match body.spec.split_once(':') {
             Some((duration, "fail")) => (duration, "failed"),
             _ => (body.spec.as_str(), "done"),
