Accept and serve jobs by the calls that the entries can make

Cause: each entry makes one second of calls for advice in a second. Nothing bounded accepted work by that; requests were made as soon as there was capacity and waited for an entry until their workers were busy; waiting requests went by the priority of the queue alone; and late gangs got no workers reserved, so that their calls were of no use.

Change: a request is made when an entry is about to be free, by rank and with the workers that are free then. A quarter of the calls goes to the step that has waited longest. One gang that could not use two answers has workers reserved.

--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -213,6 +213,10 @@
         let deadline = self.context.clock.now() + timeout_ms;
         match self.store_job(spec, deadline).await {
             Ok(_) => Ok(CallerAnswer::Accepted),
+            Err(ErrorKind::QueueFull) => {
+                let message = "too much accepted work waits before the job; it was not stored";
+                Err((ErrorKind::QueueFull, message.to_owned()))
+            }
             Err(kind) => Err((kind, "the job could not be stored".to_owned())),
         }
     }
@@ -228,6 +232,15 @@
                 self.context.statuses.borrow_mut().record_status(id, JobStatus::Pending);
                 return Ok(stored_job);
             }
+            // The owner cannot serve the job in time, and a job in the inbox is the owner's too.
+            Some(Err(ErrorKind::QueueFull)) => {
+                let kind = ErrorKind::QueueFull;
+                return Err(if self.submits.may_store(&id) {
+                    ErrorKind::WriteUnknown
+                } else {
+                    kind
+                });
+            }
             Some(Err(kind)) => kind == ErrorKind::WriteUnknown,
             None => false,
         };
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -124,6 +124,9 @@
     Duration::from_secs(3),
     Duration::from_secs(5),
 ];
+/// Longest time after which the table service may carry out a write that it did not answer, in
+/// milliseconds.
+pub const MAX_LATE_WRITE_MS: u64 = 10_000;
 /// Shortest interval between two further reads of the jobs, in milliseconds. Each returns all
 /// unfinished jobs, which may be thousands.
 pub const REREAD_INTERVAL_MS: u64 = 500;
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -20,6 +20,8 @@
     pub run_ends: Counter<u64>,
     /// Jobs that finished under this owner, by `status`.
     pub finished_jobs: Counter<u64>,
+    /// Jobs that this owner refused because their calls for advice could not be made in time.
+    pub refused_jobs: Counter<u64>,
     /// Milliseconds that a request to the advice service took.
     pub advice_time: Histogram<f64>,
     /// Microseconds that one call of the planner took.
@@ -53,6 +55,7 @@
             stops: meter.u64_counter("fleet_stops").build(),
             run_ends: meter.u64_counter("fleet_ends").build(),
             finished_jobs: meter.u64_counter("fleet_jobs_over").build(),
+            refused_jobs: meter.u64_counter("fleet_jobs_refused").build(),
             advice_time: meter.f64_histogram("fleet_advice_time_ms").build(),
             decision_time: meter.f64_histogram("fleet_decision_time_us").build(),
             ownership_changes: meter.u64_counter("fleet_ownership_changes").build(),
--- a/crates/fleet/src/owner/advice.rs
+++ b/crates/fleet/src/owner/advice.rs
@@ -56,6 +56,8 @@
         answer.eligible.len()
     );
     session.planner.borrow_mut().apply_advice(&answer, now.0);
+    // The entry is free now, and the next decision may be tens of milliseconds away.
+    send_requests(&session);
     session.decide_notify.notify_one();
 }
 
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -303,6 +303,19 @@
     session.decide_notify.notify_one();
 }
 
+/// Returns whether the inbox surely has no job of this identifier.
+pub(crate) async fn is_absent_from_inbox<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    id: &JobId,
+) -> bool {
+    let range_end = format!("{id}\u{1}");
+    let range = Some((id.as_str(), range_end.as_str()));
+    let partition = row::job_partition(id);
+    let ports = &session.context.ports;
+    let page = ports.read(row::INBOX_TABLE, partition, range, limits::STORE_TIMEOUT).await;
+    page.is_ok_and(|page| page.rows.iter().all(|row| row.key != id.as_str()))
+}
+
 /// Reads the inbox again when its change feed does not reach back far enough. The owner's own
 /// job table needs no read, as the owner knows what it stored there.
 async fn reread_inbox<P: OwnerPorts>(session: &SharedSession<P>) -> u64 {
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -10,7 +10,7 @@
 use link::failure;
 use model::name::{JobId, WorkerName};
 use model::time::ClockMillis;
-use plan::advice::AdviceDispatcher;
+use plan::advice::{AdviceDispatcher, CallTimes};
 use plan::decision::PlanDecision;
 use plan::planner::{Planner, PlannerOptions};
 use plan::progress::JobStatus;
@@ -56,6 +56,8 @@
     pub(crate) claimed_at: ClockMillis,
     pub(crate) planner: RefCell<Planner>,
     pub(crate) dispatcher: RefCell<AdviceDispatcher>,
+    /// First calls for the jobs that are being stored.
+    pub(crate) storing_calls: RefCell<CallTimes>,
     pub(crate) links: RefCell<BTreeMap<WorkerName, WorkerLink>>,
     /// Registrations of workers in all pools, also in those that do not belong to the fleet.
     pub(crate) registrations: RefCell<BTreeMap<WorkerName, WorkerRegistration>>,
@@ -168,6 +170,7 @@
             ..PlannerOptions::default()
         })),
         dispatcher: RefCell::default(),
+        storing_calls: RefCell::default(),
         links: RefCell::default(),
         registrations: RefCell::default(),
         expiring_workers: RefCell::default(),
@@ -290,7 +293,7 @@
     log::info!(
         "fleet state term={} loaded={} jobs={} inherited_jobs={} runs={} workers={workers} \
          silent={silent} foreign={} unreported_workers={} unservable_steps={} \
-         advice_requests={} longest_decision_us={}",
+         advice_requests={} delayed_call_ms={:.0} call_slowdown={:.2} longest_decision_us={}",
         session.term,
         session.is_loaded.get(),
         planner.unfinished_job_count(),
@@ -300,6 +303,8 @@
         planner.unreported_worker_count(),
         unservable_steps.len(),
         session.dispatcher.borrow().pending_count(),
+        planner.delayed_call_ms(),
+        session.dispatcher.borrow().slowdown(),
         session.longest_decision.take().as_micros(),
     );
 }
@@ -477,6 +482,8 @@
             continue;
         }
         let started = std::time::Instant::now();
+        let queue = session.dispatcher.borrow().queue();
+        session.planner.borrow_mut().set_call_queue(queue);
         let decisions = session.planner.borrow_mut().decide(now.0, desk::unix_ms());
         let elapsed = started.elapsed();
         pause = limits::DECISION_DEBOUNCE.max(elapsed * limits::DECISION_PAUSE_FACTOR);
@@ -492,7 +499,7 @@
                     session.spawn(orders::send_stop(session.clone(), order));
                 }
                 PlanDecision::RequestAdvice(request) => {
-                    session.dispatcher.borrow_mut().push(request);
+                    session.dispatcher.borrow_mut().push(request, now.0);
                 }
             }
         }
--- a/crates/fleet/src/owner/submits.rs
+++ b/crates/fleet/src/owner/submits.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use model::kind::ErrorKind;
+use plan::job::JobSpec;
 use plan::progress::ProgressRecord;
 use tokio::sync::mpsc;
 
@@ -57,7 +59,16 @@
 ) {
     let SubmitCall { spec, deadline, reply } = call;
     let arrived_ms = session.context.clock.now().0;
-    let result = queue.store_job(spec.id.clone(), row::encode(&spec), deadline, false).await;
+    let result = if must_refuse(&session, &queue, &spec).await {
+        Err(ErrorKind::QueueFull)
+    } else {
+        let calls = session.planner.borrow().first_calls(&spec);
+        session.storing_calls.borrow_mut().add(&calls);
+        let value = row::encode(&spec);
+        let result = queue.store_job(spec.id.clone(), value, deadline, false).await;
+        session.storing_calls.borrow_mut().remove(&calls);
+        result
+    };
     if result == Ok(StoredJob::Known) && !session.planner.borrow().has_job(&spec.id) {
         queue.unanswered_notify.notify_one();
     }
@@ -69,3 +80,34 @@
         log::debug!("submission abandoned by the entry before its job was stored");
     }
 }
+
+/// Returns whether a job has to be refused because its calls for advice could not be made in time.
+///
+/// A repeated submission of a job that is stored, or that an unanswered write may yet store, is
+/// not refused: the caller would take it for a job that never runs.
+async fn must_refuse<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    queue: &SubmitQueue<P>,
+    spec: &JobSpec,
+) -> bool {
+    let refusal = {
+        let (planner, dispatcher) = (session.planner.borrow(), session.dispatcher.borrow());
+        planner.find_call_refusal(spec, &dispatcher, &session.storing_calls.borrow())
+    };
+    let Some(refusal) = refusal else { return false };
+    let is_known = session.planner.borrow().has_job(&spec.id)
+        || session.progress_versions.borrow().contains_key(&spec.id)
+        || queue.may_store(&spec.id);
+    if is_known || !load::is_absent_from_inbox(session, &spec.id).await {
+        return false;
+    }
+    log::info!(
+        "job refused job={} queue={} call_wait_ms={:.0} limit_ms={:.0}",
+        spec.id,
+        spec.queue,
+        refusal.wait_ms,
+        refusal.limit_ms,
+    );
+    session.context.metrics.refused_jobs.add(1, &[]);
+    true
+}
--- a/crates/fleet/src/submit.rs
+++ b/crates/fleet/src/submit.rs
@@ -71,6 +71,8 @@
     partitions: [PartitionQueue; row::JOB_PARTITIONS.len()],
     /// Notified when an unanswered write may have stored jobs.
     pub unanswered_notify: Notify,
+    /// Jobs that an unanswered write may yet store, the earliest write first.
+    unanswered: RefCell<VecDeque<(ClockMillis, JobId)>>,
 }
 
 impl<P: RowStore> SubmitQueue<P> {
@@ -82,6 +84,7 @@
             target,
             partitions: Default::default(),
             unanswered_notify: Notify::new(),
+            unanswered: RefCell::default(),
         })
     }
 
@@ -111,6 +114,17 @@
         result.await.unwrap_or(Err(ErrorKind::WriteUnknown))
     }
 
+    /// Returns whether an unanswered write of this queue may have stored a job, or may yet do so.
+    #[must_use]
+    pub fn may_store(&self, id: &JobId) -> bool {
+        let now = self.context.clock.now();
+        let mut unanswered = self.unanswered.borrow_mut();
+        while unanswered.front().is_some_and(|(at, _)| now.since(*at) > limits::MAX_LATE_WRITE_MS) {
+            unanswered.pop_front();
+        }
+        unanswered.iter().any(|(_, known)| known == id)
+    }
+
     /// Spawns the next transaction of a partition, unless nothing waits for it or the limit of
     /// transactions in flight is reached.
     fn spawn_batch(self: &Rc<Self>, index: usize) {
@@ -168,6 +182,9 @@
                     failure::format_one_line(&error)
                 );
                 if unknown {
+                    let now = self.context.clock.now();
+                    let ids = batch.iter().map(|insert| (now, insert.id.clone()));
+                    self.unanswered.borrow_mut().extend(ids);
                     self.unanswered_notify.notify_one();
                 }
                 for mut insert in batch.into_iter().rev() {
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -5,6 +5,7 @@
 //! returns. The planner does no I/O and reads no clock (docs/platform.md,
 //! "Decisions").
 
+pub mod admission;
 pub mod advice;
 pub mod config;
 pub mod decision;
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -9,6 +9,7 @@
 use model::resource::ResourceAmounts;
 use smallvec::SmallVec;
 
+use crate::advice::{CallAmounts, CallKind};
 use crate::config::{PlanConfig, QueueRule};
 use crate::decision::{AdviceRequest, PlanDecision, StartOrder};
 use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
@@ -36,6 +37,15 @@
 /// requests, the calls queue up, and the free capacity that they were made for is gone when they
 /// are answered; with fewer, the gangs of a large pool wait for calls while workers are idle.
 const WORKERS_PER_GANG_ADVICE_REQUEST: usize = 16;
+/// Answers that a gang could not use, after which workers are reserved for it whatever its rank.
+/// One such gang at a time: without a reservation, smaller tasks use the capacity of its workers
+/// during each of its calls.
+const UNUSED_ANSWERS_TO_RESERVE: u32 = 2;
+/// Part of the time of the calls, while some have to wait, that goes to the step which has waited
+/// longest. Without it, less useful steps would wait for as long as more useful ones come.
+const AGED_CALL_SHARE: f64 = 0.25;
+/// Most time of calls that is saved up for steps that have waited long, in milliseconds.
+const MAX_AGED_CALL_MS: f64 = 2_000.0;
 /// Most searches of one decision for workers to request advice about. Each looks at all workers of
 /// the pool; a decision that makes hundreds delays the starts that it has already decided.
 const MAX_ADVICE_SEARCHES_PER_DECISION: usize = 24;
@@ -122,6 +132,12 @@
     is_requested: bool,
     /// Whether no known worker can ever run the step.
     is_unservable: bool,
+    /// Expected duration of its next call for advice, in milliseconds; 0 if it needs none.
+    call_ms: f64,
+    /// Since when its call waits for those of other steps.
+    delayed_since_ms: Option<u64>,
+    /// Answers that the step, if it is a gang, could not use.
+    unused_answers: u32,
 }
 
 /// State of one pass over the waiting steps.
@@ -142,6 +158,12 @@
     gang_advice_requests: usize,
     /// Number of searches for workers to request advice about.
     advice_searches: usize,
+    /// Gang for which workers are reserved whatever its rank.
+    reserving_gang: Option<StepKey>,
+    /// Steps whose calls go first because they have waited longest: one for each kind of call.
+    aged_steps: SmallVec<[StepKey; 2]>,
+    /// Capacity by pool that is neither claimed nor needed by steps whose calls are delayed.
+    undelayed: BTreeMap<ArcStr, ResourceAmounts>,
     /// What each team may use on workers that have not reported, computed when the first step
     /// of a team is placed; starts in the pass do not change it.
     unreported_usage: Option<BTreeMap<TeamName, ResourceAmounts>>,
@@ -152,7 +174,7 @@
     /// no ticket, earlier steps have claimed the capacity for which it would request some, and no
     /// workers would be reserved for it. Under overload that holds for most of thousands of steps.
     fn is_hopeless(&self, waiting: &WaitingStep<'_>) -> bool {
-        let WaitingStep { rank, key, spec, rule, has_tickets, is_requested, is_unservable } =
+        let WaitingStep { rank, key, spec, rule, has_tickets, is_requested, is_unservable, .. } =
             waiting;
         if *is_unservable {
             return true;
@@ -210,12 +232,98 @@
             left.rank.cmp(&right.rank).then_with(|| left.key.cmp(&right.key))
         });
         let mut pass = PlacementPass::default();
+        let is_delayed = !self.delayed_calls.is_empty();
+        self.delayed_calls.clear();
+        self.put_first(&mut steps, &mut pass);
         for step in steps {
+            if self.is_call_delayed(&step, &mut pass) {
+                continue;
+            }
             if !pass.is_hopeless(&step) {
                 self.examined_steps += 1;
                 self.place_step(&step, &mut pass);
             }
         }
+        if !is_delayed && self.delayed_calls.is_empty() {
+            self.aged_call_ms = CallAmounts::default();
+        }
+    }
+
+    /// Moves the steps to the front that would otherwise wait for as long as more useful ones come:
+    /// the gang that could not use most answers, and the step whose call is delayed longest.
+    fn put_first(&self, steps: &mut [WaitingStep<'_>], pass: &mut PlacementPass) {
+        for kind in [CallKind::Long, CallKind::Short] {
+            let oldest = (0..steps.len())
+                .filter(|index| CallKind::of(steps[*index].call_ms) == kind)
+                .filter_map(|index| Some((steps[index].delayed_since_ms?, index)))
+                .min();
+            if let Some((_, index)) = oldest
+                && steps[index].call_ms <= self.aged_call_ms.get(kind)
+            {
+                pass.aged_steps.push(steps[index].key.clone());
+                steps[..=index].rotate_right(1);
+            }
+        }
+        let is_unlucky = |step: &WaitingStep<'_>| {
+            step.spec.steps[step.key.step as usize].gang
+                && !step.is_unservable
+                && step.unused_answers >= UNUSED_ANSWERS_TO_RESERVE
+        };
+        let unlucky = (0..steps.len())
+            .filter(|index| is_unlucky(&steps[*index]))
+            .max_by_key(|index| (steps[*index].unused_answers, Reverse(*index)));
+        if let Some(index) = unlucky {
+            pass.reserving_gang = Some(steps[index].key.clone());
+            steps[..=index].rotate_right(1);
+        }
+    }
+
+    /// Returns true if a step can do nothing but request advice, and its call has to wait for
+    /// those of other steps; counts the call then.
+    fn is_call_delayed(&mut self, waiting: &WaitingStep<'_>, pass: &mut PlacementPass) -> bool {
+        let WaitingStep { rank, key, spec, rule, call_ms, .. } = waiting;
+        let step = &spec.steps[key.step as usize];
+        let may_start = rule.advice.is_none() || waiting.has_tickets || waiting.is_requested;
+        if may_start || waiting.is_unservable {
+            return false;
+        }
+        let capacity =
+            *pass.pools.entry(rule.pool.clone()).or_insert_with(|| self.scan_pool(&rule.pool));
+        let is_reserving =
+            step.gang && (pass.reserving_gang.as_ref() == Some(key) || pass.may_reserve(*rank));
+        let usable = if capacity.workers == 0 {
+            // Nothing can be started yet, as after a takeover, but the calls will be needed.
+            self.registered_capacity(&rule.pool)
+        } else if is_reserving || self.call_queue.may_queue(rule.priority, *call_ms) {
+            return false;
+        } else {
+            capacity.unclaimed
+        };
+        let undelayed = pass.undelayed.entry(rule.pool.clone()).or_insert(usable);
+        self.count_delayed_call(key, step, rule, *call_ms, undelayed);
+        true
+    }
+
+    /// Counts a call that has to wait, if there is capacity that the step could use, and records
+    /// since when it waits.
+    fn count_delayed_call(
+        &mut self,
+        key: &StepKey,
+        step: &StepSpec,
+        rule: &QueueRule,
+        call_ms: f64,
+        undelayed: &mut ResourceAmounts,
+    ) {
+        let occupied = step.occupied_amounts();
+        let now = self.now_ms;
+        let Some(state) = self.step_mut(key) else { return };
+        let tasks = fit_count(*undelayed, occupied).min(state.waiting);
+        if tasks == 0 || (step.gang && tasks < step.count) {
+            return;
+        }
+        state.advice.delayed_since_ms.get_or_insert(now);
+        *undelayed = undelayed.minus(occupied.times(u64::from(tasks)));
+        self.delayed_calls.add_call(rule.priority, call_ms);
     }
 
     /// Returns whether tasks may be started on a worker now.
@@ -248,6 +356,14 @@
         })
     }
 
+    /// Returns the capacity of the registered workers of a pool, whether they can be used now or not.
+    fn registered_capacity(&self, pool: &ArcStr) -> ResourceAmounts {
+        self.workers
+            .values()
+            .filter(|worker| worker.info.pool == *pool && !worker.deregistered)
+            .fold(ResourceAmounts::ZERO, |sum, worker| sum.plus(worker.info.capacity))
+    }
+
     /// Computes the free capacity of the workers of a pool that have a label.
     fn scan_label(&self, (pool, label): &(ArcStr, ArcStr)) -> ResourceAmounts {
         self.workers
@@ -286,6 +402,9 @@
                     is_unservable: state.is_some_and(|state| {
                         state.servability == Some((self.worker_changes, false))
                     }),
+                    call_ms: estimate_call_ms(&job.spec.steps[step as usize], rule),
+                    delayed_since_ms: state.and_then(|state| state.advice.delayed_since_ms),
+                    unused_answers: state.map_or(0, |state| state.advice.unused_answers),
                 });
             }
         }
@@ -529,17 +648,54 @@
             return;
         }
         if self.can_request_advice(key, rule) {
+            let call_ms = estimate_call_ms(step, rule);
+            if !self.call_queue.may_queue(rule.priority, call_ms) {
+                let unclaimed = pass.pools.get(&rule.pool).map(|capacity| capacity.unclaimed);
+                let unclaimed = unclaimed.unwrap_or(ResourceAmounts::ZERO);
+                let undelayed = pass.undelayed.entry(rule.pool.clone()).or_insert(unclaimed);
+                self.count_delayed_call(key, step, rule, call_ms, undelayed);
+                return;
+            }
             if pass.advice_searches >= MAX_ADVICE_SEARCHES_PER_DECISION {
                 return;
             }
             pass.advice_searches += 1;
             let candidates = self.all_candidates(key, step, rule, pass);
-            self.request_advice(key, step, rule, &candidates, claimable_tasks);
+            let is_reserving = pass.reserving_gang.as_ref() == Some(key);
+            if is_reserving && self.awaits_eligible_workers(key, step, rule, &candidates) {
+                return;
+            }
+            let is_aged = pass.aged_steps.contains(key);
+            self.request_advice(key, step, rule, &candidates, claimable_tasks, is_aged);
         }
         let claimed_tasks = self.step_state(key).map_or(0, |state| state.advice.claimed_tasks);
         pass.claim_capacity(step, rule, claimable_tasks.min(claimed_tasks));
     }
 
+    /// Returns whether the gang for which workers are reserved should wait for them before its next
+    /// call: those that are known to be eligible are enough for it once they are free.
+    fn awaits_eligible_workers(
+        &self,
+        key: &StepKey,
+        step: &StepSpec,
+        rule: &QueueRule,
+        candidates: &[WorkerCandidate],
+    ) -> bool {
+        let Some(state) = self.step_state(key) else { return false };
+        let eligible = &state.advice.eligible;
+        let possible_tasks = eligible
+            .keys()
+            .filter_map(|name| self.workers.get(name))
+            .filter(|worker| is_suitable(step, rule, worker) && self.can_start_on(worker))
+            .fold(0_u32, |sum, worker| sum.saturating_add(possible_tasks(step, worker)));
+        let occupied = step.occupied_amounts();
+        let placeable_tasks = candidates
+            .iter()
+            .filter(|candidate| eligible.contains_key(&candidate.name))
+            .fold(0_u32, |sum, candidate| sum.saturating_add(candidate.placeable_tasks(occupied)));
+        possible_tasks >= step.count && placeable_tasks < step.count
+    }
+
     /// Returns the indices of the tasks of a step that need a run.
     fn waiting_tasks(&self, key: &StepKey) -> Vec<u32> {
         self.step_state(key)
@@ -602,6 +758,9 @@
         }
         if let Some(places) = pack_gang(step, candidates) {
             let run = self.next_gang_run(key);
+            if let Some(state) = self.step_mut(key) {
+                state.advice.unused_answers = 0;
+            }
             for (index, (name, ticket)) in (0_u32..).zip(places) {
                 let task = TaskKey { step: key.clone(), index };
                 self.start_task(&task, spec, &name, ticket, Some(run));
@@ -621,10 +780,11 @@
             pass.gang_advice_requests += 1;
             pass.reserved.extend(state.advice.reserved_workers.iter().cloned());
         }
-        if pass.may_reserve(rank) {
+        let is_reserving = pass.reserving_gang.as_ref() == Some(key);
+        if is_reserving || pass.may_reserve(rank) {
             pass.reservation_attempts += 1;
             if self.reserve_workers(key, step, rule, &mut pass.reserved) {
-                pass.reserved_gangs += 1;
+                pass.reserved_gangs += usize::from(!is_reserving);
             }
         }
     }
@@ -774,6 +934,7 @@
         rule: &QueueRule,
         candidates: &[WorkerCandidate],
         needed_tasks: u32,
+        is_aged: bool,
     ) {
         let Some(cost) = rule.advice else { return };
         let queue = self.jobs.get(&key.job).map(|job| job.spec.queue.clone());
@@ -825,6 +986,7 @@
             return;
         }
         state.advice.requested_ms = Some(now);
+        state.advice.delayed_since_ms = None;
         let is_renewal = workers.iter().all(|name| state.advice.eligible.contains_key(name));
         state.advice.reserved_workers =
             if step.gang && is_renewal { workers.clone() } else { Vec::new() };
@@ -835,6 +997,7 @@
         }
         self.open_advice_requests.insert(key.clone(), workers.clone());
         let duration_ms = cost.duration_ms(workers.len());
+        self.charge_call(rule.priority, duration_ms, is_aged);
         self.decisions.push(PlanDecision::RequestAdvice(AdviceRequest {
             step: key.clone(),
             workers,
@@ -842,6 +1005,31 @@
             priority: rule.priority,
         }));
     }
+
+    /// Counts a request as queued, and accounts for the part of the calls that goes to the step
+    /// which has waited longest.
+    fn charge_call(&mut self, priority: u32, duration_ms: f64, is_aged: bool) {
+        let kind = CallKind::of(duration_ms);
+        self.call_queue.pending.add_call(priority, duration_ms);
+        let aged_ms = if is_aged { -duration_ms } else { duration_ms * AGED_CALL_SHARE };
+        let saved_ms = self.aged_call_ms.get_mut(kind);
+        *saved_ms = (*saved_ms + aged_ms).clamp(0.0, MAX_AGED_CALL_MS);
+    }
+}
+
+/// Most workers that a call for a step that is no gang is assumed to name.
+const MAX_EXPECTED_WORKERS: usize = 30;
+
+/// Returns the expected duration of the next call for a step, in milliseconds; 0 if it needs none.
+pub(crate) fn estimate_call_ms(step: &StepSpec, rule: &QueueRule) -> f64 {
+    let Some(cost) = rule.advice else { return 0.0 };
+    let workers = if step.gang {
+        MIN_GANG_ADVICE_WORKERS
+    } else {
+        // About half of the workers are eligible.
+        (2 * step.count as usize).min(MAX_EXPECTED_WORKERS)
+    };
+    cost.duration_ms(workers)
 }
 
 /// Returns whether a worker has what a step asks for, apart from capacity.
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -8,6 +8,7 @@
 use model::resource::ResourceAmounts;
 use smallvec::SmallVec;
 
+use crate::advice::{CallAmounts, CallQueue, CallTimes};
 use crate::config::{PlanConfig, QueueRule};
 use crate::decision::{PlanDecision, StopOrder};
 use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
@@ -78,6 +79,13 @@
     pub(crate) largest_inherited: ResourceAmounts,
     /// Workers that the advice requests in flight name, by step.
     pub(crate) open_advice_requests: BTreeMap<StepKey, Vec<WorkerName>>,
+    /// Advice requests that wait for an entry.
+    pub(crate) call_queue: CallQueue,
+    /// Calls that the last decision found necessary and did not request.
+    pub(crate) delayed_calls: CallTimes,
+    /// Duration of calls that the steps which have waited longest for theirs may use before more
+    /// useful steps, in milliseconds.
+    pub(crate) aged_call_ms: CallAmounts,
     /// Moving average of the share of eligible workers in the first advice answer of each
     /// step, by queue.
     pub(crate) eligible_share: BTreeMap<QueueName, f64>,
@@ -109,6 +117,11 @@
         }
     }
 
+    /// Sets the advice requests that wait for an entry, and so how many the next decision may make.
+    pub fn set_call_queue(&mut self, queue: CallQueue) {
+        self.call_queue = queue;
+    }
+
     /// Adds or updates a registered worker; returns true if something has changed.
     pub fn set_worker(&mut self, info: WorkerInfo) -> bool {
         let changed = if let Some(worker) = self.workers.get_mut(&info.name) {
@@ -323,6 +336,14 @@
         self.inherited_jobs.len()
     }
 
+    /// Returns the expected duration of the calls that the last decision found necessary and did not
+    /// request, in milliseconds.
+    #[must_use]
+    pub fn delayed_call_ms(&self) -> f64 {
+        let calls = self.delayed_calls.sum_up_to(u32::MAX);
+        calls.short + calls.long
+    }
+
     /// Returns the number of workers that an earlier owner may have used and that have not
     /// reported yet.
     #[must_use]
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -101,6 +101,11 @@
     pub(crate) claimed_tasks: u32,
     /// Time before which no further request is made.
     pub(crate) next_request_ms: u64,
+    /// Since when the step could make a request, but for the entries' calls for other steps; none
+    /// if it does not wait for that.
+    pub(crate) delayed_since_ms: Option<u64>,
+    /// Answers for a gang after which it did not fit on the workers that may run it.
+    pub(crate) unused_answers: u32,
     /// Time from which no ticket is used any more, on the planner's clock.
     pub(crate) tickets_expire_ms: u64,
     /// Workers that may run the step, with their tickets.
--- a/crates/plan/tests/place.rs
+++ b/crates/plan/tests/place.rs
@@ -243,14 +243,14 @@
     let names = ["a", "b", "c"].map(arcstr::ArcStr::from);
     dispatcher.set_entries(names.iter());
     for _ in 0..4 {
-        dispatcher.push(advice_request(600.0, 1));
+        dispatcher.push(advice_request(600.0, 1), 0);
     }
     let mut busy = Vec::new();
     while let Some((entry, _)) = dispatcher.next_call(0) {
         busy.push(entry);
     }
     assert_eq!(busy, ["b", "c"]);
-    dispatcher.push(advice_request(10.0, 0));
+    dispatcher.push(advice_request(10.0, 0), 0);
     assert_eq!(dispatcher.next_call(0).map(|(entry, _)| entry), Some("a".into()));
 }
 
@@ -265,11 +265,11 @@
         dispatcher.record_result(name, false, 0);
     }
     for _ in 0..2 {
-        dispatcher.push(advice_request(600.0, 1));
+        dispatcher.push(advice_request(600.0, 1), 0);
     }
     assert_eq!(dispatcher.next_call(0).map(|(entry, _)| entry), Some("b".into()));
     assert!(dispatcher.next_call(0).is_none(), "one entry is kept for short calls");
-    dispatcher.push(advice_request(10.0, 0));
+    dispatcher.push(advice_request(10.0, 0), 0);
     assert_eq!(dispatcher.next_call(0).map(|(entry, _)| entry), Some("a".into()));
 }
 
@@ -282,10 +282,10 @@
     dispatcher.set_entries(std::iter::once(&name));
     let mut now = 0;
     for backoff_ms in [1_000, 2_000, 4_000] {
-        dispatcher.push(advice_request(10.0, 0));
+        dispatcher.push(advice_request(10.0, 0), 0);
         assert!(dispatcher.next_call(now).is_some());
         dispatcher.record_result(&name, false, now);
-        dispatcher.push(advice_request(10.0, 0));
+        dispatcher.push(advice_request(10.0, 0), 0);
         assert!(dispatcher.next_call(now + backoff_ms - 1).is_none());
         now += backoff_ms;
     }
