--- a/standins/site/src/server.rs
+++ b/standins/site/src/server.rs
@@ -44,6 +44,8 @@
     pub writes_refused: bool,
     /// The table service carries transactions out but answers with status 500.
     pub answers_lost: bool,
+    /// Delay between a transaction and its answer.
+    pub write_delay: Duration,
     /// Workers neither carry starts out nor answer them.
     pub starts_unanswered: bool,
     /// Delay between a read of rows and its answer, which may then be out of date.
@@ -257,7 +259,12 @@
         return std::future::pending().await;
     }
     match (index, call.as_str()) {
-        (0, "rows-tx") => transact(&body, &site),
+        (0, "rows-tx") => {
+            let delay = site.lock().faults.write_delay;
+            let answer = transact(&body, &site);
+            tokio::time::sleep(delay).await;
+            answer
+        }
         (0, "rows-get") => read(&request, &site).await,
         (0, "rows-feed") => follow(&request, &site).await,
         (0, _) => HttpResponse::NotFound().finish(),
