--- a/crates/policy/tests/task.rs
+++ b/crates/policy/tests/task.rs
@@ -464,6 +464,60 @@
     assert!(cell.submit("j", "a-firm", 2, amounts(4, 4, 0, 0)).is_empty(), "a late notice");
 }
 
+/// Ends these attempts of a gang as failed, late enough to blame no worker, and returns the next ones.
+fn fail_members(cell: &mut TestCell, members: &[Start]) -> (Vec<Start>, Vec<CellDecision>) {
+    cell.now += 5_000;
+    let mut decisions = Vec::new();
+    for member in members {
+        decisions.extend(cell.end_task(member, EndKind::Failed));
+    }
+    decisions.extend(cell.advance_in_ticks(500));
+    (starts(&decisions), decisions)
+}
+
+/// Guards against a gang whose job fails although it has attempts left: members that fail together
+/// use up one attempt each, not one for each of them.
+#[test]
+fn members_that_fail_together_use_up_one_attempt() {
+    let mut cell = TestCell::with_workers(2);
+    let mut members = starts(&cell.submit("j", "a-gang", 5, amounts(2, 4, 0, 0)));
+    assert_eq!(members.len(), 5);
+    for _ in 0..2 {
+        let (next, decisions) = fail_members(&mut cell, &members);
+        assert!(job_changes(&decisions).is_empty(), "attempts are left");
+        assert_eq!(next.len(), 5);
+        members = next;
+    }
+    let (next, decisions) = fail_members(&mut cell, &members);
+    assert_eq!(job_changes(&decisions), [(JobState::Failed, Vec::new())]);
+    assert!(next.is_empty());
+}
+
+/// Guards against the same after a handover while some members of an attempt have failed.
+#[test]
+fn members_that_fail_under_two_owners_use_up_one_attempt() {
+    let set = object_set(2, amounts(8, 32, 0, 4));
+    let mut first = TestCell::with_set(set.clone());
+    let members = starts(&first.submit("j", "a-gang", 4, amounts(4, 4, 0, 0)));
+    let (failed, running) = members.split_at(2);
+    let (restarted, decisions) = fail_members(&mut first, failed);
+    assert!(job_changes(&decisions).is_empty(), "attempts are left");
+    let now = ClockMillis(900_000);
+    let rules = PolicyRules::ALL;
+    let snapshot = first.cell.export();
+    let imported = Cell::import(DomainName::from("d"), 7, now, snapshot, BestFit, rules);
+    let mut cell = TestCell { cell: imported, now: now.0 };
+    cell.apply_event(CellEvent::Config(Arc::new(set)));
+    let present: Vec<_> = running.iter().chain(&restarted).cloned().collect();
+    for worker in ["w0", "w1"] {
+        let here = present.iter().filter(|start| start.worker.as_str() == worker);
+        cell.report(worker, here.map(|start| reported_task(start, "a")).collect());
+    }
+    let (next, decisions) = fail_members(&mut cell, &present);
+    assert!(job_changes(&decisions).is_empty(), "attempts are left");
+    assert_eq!(next.len(), 4, "all members start again");
+}
+
 /// Guards against a task that returns to the worker on which it failed because no other
 /// has room. A worker that fails everything always has room.
 #[test]
--- a/standins/site/src/server.rs
+++ b/standins/site/src/server.rs
@@ -456,7 +456,7 @@
 }
 
 /// Answers the call `hold`, a poll that also extends the lease; waits for an end if asked to.
-/// There is no answer if the worker starts again meanwhile.
+/// There is no answer if the worker starts again meanwhile, or is mute.
 async fn hold(index: usize, body: &[u8], site: &SiteData) -> HttpResponse {
     let Ok(body) = serde_json::from_slice::<HoldBody>(body) else {
         return HttpResponse::BadRequest().finish();
@@ -469,7 +469,7 @@
         match answer {
             HoldAnswer::Answered(response) => return response,
             HoldAnswer::Waiting => tokio::time::sleep(POLL_INTERVAL).await,
-            HoldAnswer::Restarted => return std::future::pending().await,
+            HoldAnswer::Unanswered => return std::future::pending().await,
         }
     }
 }
@@ -478,7 +478,7 @@
 enum HoldAnswer {
     Answered(HttpResponse),
     Waiting,
-    Restarted,
+    Unanswered,
 }
 
 fn try_hold(
@@ -487,8 +487,8 @@
     incarnation: u64,
     may_wait: bool,
 ) -> HoldAnswer {
-    if worker.incarnation != incarnation {
-        return HoldAnswer::Restarted;
+    if worker.incarnation != incarnation || worker.is_mute {
+        return HoldAnswer::Unanswered;
     }
     if !worker.accept_token(body.fencing_token) {
         let fenced = HttpResponse::Conflict().json(json!({ "reason": "fence" }));
--- a/standins/site/src/worker.rs
+++ b/standins/site/src/worker.rs
@@ -82,6 +82,9 @@
     /// Ends that are not acknowledged: number, task, run and outcome.
     ended: Vec<(u64, String, u32, &'static str)>,
     last_end_number: u64,
+    /// Whether the worker does not answer the call `hold`, and so neither lists its runs nor has its
+    /// lease extended.
+    pub is_mute: bool,
     /// All runs, in the order of their starts.
     pub history: Vec<HistoryRun>,
 }
@@ -101,6 +104,7 @@
             highest_ended_runs: BTreeMap::new(),
             ended: Vec::new(),
             last_end_number: 0,
+            is_mute: false,
             history: Vec::new(),
         }
     }
