Go on with accepted jobs whose queue was removed

Cause: the planner passes over jobs whose queue the configuration does not name, and a later owner has never known the queue's rules.

While the configuration lacks its queue, the planner keeps the earlier rules, or takes those of the job. Rules of a queue that is there go first.

--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -196,6 +196,8 @@
         timeout: Duration,
     ) -> Result<CallerAnswer, (ErrorKind, String)> {
         check_draft(&draft)?;
+        let config = self.context.config_view.borrow().config.clone();
+        let accepted_rule = config.and_then(|config| config.plan.queues.get(&queue).cloned());
         let spec = JobSpec {
             id: id.clone(),
             queue,
@@ -204,6 +206,7 @@
             steps: draft.steps,
             schedule: draft.schedule,
             accepted_ms: unix_ms(),
+            accepted_rule,
         };
         let timeout_ms = reduced_timeout_ms(timeout);
         if timeout_ms < limits::MIN_SUBMIT_TIMEOUT_MS {
--- a/crates/plan/src/config.rs
+++ b/crates/plan/src/config.rs
@@ -5,6 +5,7 @@
 use arcstr::ArcStr;
 use model::name::{DomainName, QueueName, TeamName};
 use model::resource::ResourceAmounts;
+use serde::{Deserialize, Serialize};
 
 /// Queues, teams and excluded domains, as one configuration version sets them.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -20,7 +21,7 @@
 }
 
 /// Scheduling rules for the jobs of a queue.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct QueueRule {
     /// Pool of workers that runs the tasks.
     pub pool: ArcStr,
@@ -33,11 +34,12 @@
     /// Milliseconds that the time objective adds to the stretched critical path.
     pub target_ms: u64,
     /// Cost of asking which workers may run a step; `None` if all workers may.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub advice: Option<AdviceCost>,
 }
 
 /// Duration of calls to the advice service, and validity of its tickets.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AdviceCost {
     /// Milliseconds for a call, apart from those for its workers.
     pub call_ms: f64,
--- a/crates/plan/src/job.rs
+++ b/crates/plan/src/job.rs
@@ -8,8 +8,10 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use crate::config::QueueRule;
+
 /// A job as it was accepted and stored; it never changes afterwards.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
     /// Identifier that the caller chose.
     pub id: JobId,
@@ -28,6 +30,10 @@
     /// When the job was accepted, in milliseconds since the Unix epoch, on the clock
     /// of the accepting VM.
     pub accepted_ms: u64,
+    /// Rules of the queue when the job was accepted, by which the job goes on if the queue is
+    /// removed; `None` in jobs of earlier builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub accepted_rule: Option<QueueRule>,
 }
 
 /// Times at which a repeated job becomes due.
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -108,15 +108,33 @@
         Self { first_run: options.first_run, options, ..Self::default() }
     }
 
-    /// Puts a configuration in force.
+    /// Puts a configuration in force. The rules of a queue that it does not name any more hold on
+    /// for the queue's unfinished jobs.
     pub fn set_config(&mut self, config: Arc<PlanConfig>) {
-        self.config = config;
+        let earlier = std::mem::replace(&mut self.config, config);
+        let specs: Vec<_> = self.jobs.values().map(|job| job.spec.clone()).collect();
+        for spec in specs {
+            self.keep_rule(&spec, &earlier);
+        }
         self.worker_changes += 1;
         for job in self.jobs.values_mut() {
             job.objective_ms = None;
         }
     }
 
+    /// Adds the rules for an accepted job if the configuration does not name its queue: those of the
+    /// earlier configuration, or else those under which the job was accepted.
+    fn keep_rule(&mut self, spec: &JobSpec, earlier: &PlanConfig) {
+        if self.config.queues.contains_key(&spec.queue) {
+            return;
+        }
+        let rule = earlier.queues.get(&spec.queue).or(spec.accepted_rule.as_ref());
+        if let Some(rule) = rule {
+            let queues = &mut Arc::make_mut(&mut self.config).queues;
+            queues.insert(spec.queue.clone(), rule.clone());
+        }
+    }
+
     /// Sets the advice requests that wait for an entry, and so how many the next decision may make.
     pub fn set_call_queue(&mut self, queue: CallQueue) {
         self.call_queue = queue;
@@ -255,6 +273,7 @@
         if self.jobs.contains_key(&spec.id) || progress.status.is_final() {
             return;
         }
+        self.keep_rule(spec, &PlanConfig::default());
         let beyond_share = self.charge_share(spec);
         let mut job = JobState {
             submitted_ms,
--- a/crates/plan/tests/runs.rs
+++ b/crates/plan/tests/runs.rs
@@ -551,3 +551,60 @@
     assert_eq!(fixture.planner.present_run_count(), 0, "nothing was sent");
     assert!(!fixture.planner.may_be_present(&order.worker, &order.task, order.run));
 }
+
+/// Returns a job of two steps, the second after the first.
+fn two_step_job() -> JobSpec {
+    let second = StepSpec { after: [0].into_iter().collect(), ..step(1, cpu(100)) };
+    let accepted_rule = config().queues.get("normal").cloned();
+    JobSpec { accepted_rule, ..job("j", "normal", vec![step(1, cpu(100)), second]) }
+}
+
+/// Returns a configuration without the queue of the jobs.
+fn config_without_queue() -> plan::config::PlanConfig {
+    let mut config = config();
+    config.queues.remove("normal");
+    config
+}
+
+/// Guards against an accepted job that starts no further step once its queue has been removed.
+#[test]
+fn an_accepted_job_goes_on_without_its_queue() {
+    let mut fixture = PlannerFixture::new(1, config());
+    fixture.add(JobSpec { accepted_rule: None, ..two_step_job() });
+    let first = fixture.run_starts(StartAnswer::Started).remove(0);
+    fixture.planner.set_config(Arc::new(config_without_queue()));
+    fixture.end(&first, EndKind::Done);
+    let second = fixture.run_starts(StartAnswer::Started).remove(0);
+    // Another change of the configuration must not end it either.
+    fixture.planner.set_config(Arc::new(config_without_queue()));
+    fixture.end(&second, EndKind::Failed);
+    fixture.now_ms += 3_000;
+    let again = fixture.run_starts(StartAnswer::Started).remove(0);
+    fixture.end(&again, EndKind::Failed);
+    assert_eq!(fixture.store()["j"].status, JobStatus::Failed, "the queue allowed two attempts");
+}
+
+/// Guards against the same under an owner that has never known the queue.
+#[test]
+fn an_accepted_job_goes_on_under_an_owner_without_its_queue() {
+    let mut fixture = PlannerFixture::new(1, config_without_queue());
+    fixture.add(two_step_job());
+    for _ in 0..2 {
+        let order = fixture.run_starts(StartAnswer::Started).remove(0);
+        fixture.end(&order, EndKind::Done);
+    }
+    assert_eq!(fixture.store()["j"].status, JobStatus::Completed);
+}
+
+/// Guards against old rules that go before those of a queue that is there.
+#[test]
+fn the_rules_of_a_present_queue_go_first() {
+    let mut fixture = PlannerFixture::new(1, config_without_queue());
+    fixture.add(two_step_job());
+    let mut one_attempt = config();
+    one_attempt.queues.get_mut("normal").expect("the queue exists").max_attempts = 1;
+    fixture.planner.set_config(Arc::new(one_attempt));
+    let order = fixture.run_starts(StartAnswer::Started).remove(0);
+    fixture.end(&order, EndKind::Failed);
+    assert_eq!(fixture.store()["j"].status, JobStatus::Failed);
+}
--- a/crates/plan/tests/support/mod.rs
+++ b/crates/plan/tests/support/mod.rs
@@ -86,6 +86,7 @@
         steps,
         schedule: None,
         accepted_ms: 0,
+        accepted_rule: None,
     }
 }
 
