Charge runs that are being stopped to their team after a takeover

Cause, found by reading: the final state of a job says nothing of its runs, and its row is gone. The next owner took reported runs of it over without a team, and did not expect unreported ones.

Change: the final state of a job that ends with runs present names its team, the size of a task and the number of runs by step. The next owner charges them until the workers have reported, and then the reported ones until they have ended.

Evidence: runs_of_a_cancelled_job_count_under_the_next_owner fails with the sum of unreported use left out (five starts where one is allowed) and with reported runs not recognised.

--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -185,6 +185,12 @@
                 let finished_job =
                     FinishedJob { ended_ms: record.ended_ms, id: id.clone(), version: row.version };
                 session.finished_jobs.borrow_mut().push_back(finished_job);
+                if let Some(remaining) = &record.remaining
+                    && news::is_recent(record.ended_ms, now_ms)
+                {
+                    let mut planner = session.planner.borrow_mut();
+                    planner.inherit_finished_job(id.clone(), remaining.clone());
+                }
             }
             records.insert(id, record);
         }
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -464,8 +464,9 @@
 
     /// Returns what each team may use on workers that have not reported to this owner.
     ///
-    /// Only tasks of inherited jobs can run there that are not done and have no known run,
-    /// and together they use no more than the capacity of these workers.
+    /// Only tasks of inherited jobs can run there that are not done and have no known run, and runs
+    /// of finished jobs that are being stopped. Together they use no more than the capacity of these
+    /// workers.
     fn sum_unreported_usage(&mut self) -> BTreeMap<TeamName, ResourceAmounts> {
         let mut usage: BTreeMap<TeamName, ResourceAmounts> = BTreeMap::new();
         if self.unreported_workers.is_empty() {
@@ -489,6 +490,13 @@
                 }
             }
         }
+        for remaining in self.remaining_runs.values() {
+            let Some(team) = &remaining.team else { continue };
+            let present = usage.entry(team.clone()).or_default();
+            for (amounts, count) in &remaining.steps {
+                *present = present.plus(amounts.times(u64::from(*count)));
+            }
+        }
         for waiting in usage.values_mut() {
             *waiting = waiting.min(capacity);
         }
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -13,7 +13,7 @@
 use crate::decision::{PlanDecision, StopOrder};
 use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
 use crate::order::{self, JobRank, RankInput};
-use crate::progress::{JobStatus, ProgressRecord, StepProgress};
+use crate::progress::{JobStatus, ProgressRecord, RemainingRuns, StepProgress};
 use crate::state::{
     AdviceState, JobState, OccurrenceState, PendingAcks, RunPhase, RunState, StepState, TaskState,
     WorkerState,
@@ -75,6 +75,8 @@
     pub(crate) inherited_jobs: BTreeSet<JobId>,
     /// Workers that an earlier owner may have used and that have not reported yet.
     pub(crate) unreported_workers: BTreeMap<WorkerName, InheritedRuns>,
+    /// Runs of finished jobs that an earlier owner was stopping.
+    pub(crate) remaining_runs: BTreeMap<JobId, RemainingRuns>,
     /// At least the capacity of each unreported worker.
     pub(crate) largest_inherited: ResourceAmounts,
     /// Workers that the advice requests in flight name, by step.
@@ -187,6 +189,11 @@
         capacities.fold(inherited, ResourceAmounts::max)
     }
 
+    /// Expects runs of a finished job, which an earlier owner was stopping.
+    pub fn inherit_finished_job(&mut self, id: JobId, remaining: RemainingRuns) {
+        self.remaining_runs.insert(id, remaining);
+    }
+
     /// Releases the inherited jobs of which no run can be present on an unreported worker.
     fn release_inherited_jobs(&mut self) {
         let mut held: BTreeSet<&JobId> = BTreeSet::new();
@@ -282,6 +289,7 @@
             done_occurrences: progress.done_occurrences.clone(),
             next_occurrence: 0,
             beyond_share,
+            remaining: None,
             blamed_workers: SmallVec::new(),
             objective_ms: None,
             spec: spec.clone(),
@@ -604,6 +612,7 @@
         job.status = status;
         let spec = job.spec.clone();
         let occurrences = std::mem::take(&mut job.occurrences);
+        job.remaining = remaining_runs(&spec, occurrences.values());
         self.dirty_jobs.insert(id.clone());
         let reason = match status {
             JobStatus::Cancelled => "job-cancelled",
@@ -764,6 +773,22 @@
     job.occurrences.values().map(path_ms).max().unwrap_or(0)
 }
 
+/// Returns the runs of a job that may be present; none if there is none.
+fn remaining_runs<'a>(
+    spec: &JobSpec,
+    occurrences: impl Iterator<Item = &'a OccurrenceState>,
+) -> Option<RemainingRuns> {
+    let mut steps: Vec<_> = spec.steps.iter().map(|step| (step.amounts, 0_u32)).collect();
+    for occurrence in occurrences {
+        for ((_, count), state) in steps.iter_mut().zip(&occurrence.steps) {
+            let runs: usize = state.tasks.iter().map(|task| task.runs.len()).sum();
+            *count = count.saturating_add(u32::try_from(runs).unwrap_or(u32::MAX));
+        }
+    }
+    let has_runs = steps.iter().any(|(_, count)| *count > 0);
+    has_runs.then(|| RemainingRuns { team: spec.team.clone(), steps })
+}
+
 /// Creates an occurrence of a job of which no task has run.
 fn new_occurrence(spec: &JobSpec) -> OccurrenceState {
     let steps = spec
@@ -812,6 +837,7 @@
 fn progress_record(job: &JobState) -> ProgressRecord {
     let mut record = ProgressRecord { status: job.status, ..ProgressRecord::default() };
     if job.status.is_final() {
+        record.remaining.clone_from(&job.remaining);
         return record;
     }
     record.done_occurrences.clone_from(&job.done_occurrences);
--- a/crates/plan/src/progress.rs
+++ b/crates/plan/src/progress.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use model::name::TeamName;
+use model::resource::ResourceAmounts;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -52,6 +54,20 @@
     /// is finished.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub steps: Vec<StepProgress>,
+    /// What the job's runs use that may be present after its end; none if no run was.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub remaining: Option<RemainingRuns>,
+}
+
+/// Runs of a finished job that are being stopped. They count towards the team's limit until they
+/// have ended, also under a later owner, which does not know the job.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RemainingRuns {
+    /// Team that is charged.
+    pub team: Option<TeamName>,
+    /// Resources of a task and number of runs, by step.
+    pub steps: Vec<(ResourceAmounts, u32)>,
 }
 
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -1,7 +1,7 @@
 //! Events from workers and from the advice service, applied to the planner's state.
 
 use arcstr::ArcStr;
-use model::name::{JobId, WorkerName};
+use model::name::{JobId, TeamName, WorkerName};
 use model::resource::ResourceAmounts;
 
 use crate::decision::AdviceAnswer;
@@ -235,14 +235,21 @@
         let wanted = self.is_wanted(present);
         let capacity =
             self.workers.get(name).map_or(ResourceAmounts::ZERO, |worker| worker.info.capacity);
+        let remaining = self.take_remaining_run(&present.task);
         let job = self.jobs.get(&present.task.step.job);
         let step = job.and_then(|job| job.spec.steps.get(present.task.step.step as usize));
-        let (occupied, charged, sharing) = match step {
-            Some(step) => (step.occupied_amounts(), step.amounts, SharingKind::of(step)),
-            // The job is finished and its sizes are unknown, so the run may use the whole worker.
-            None => (capacity, ResourceAmounts::ZERO, SharingKind::Plain),
+        let (occupied, charged, sharing) = if let Some(step) = step {
+            (step.occupied_amounts(), step.amounts, SharingKind::of(step))
+        } else {
+            // The job is finished. If its sizes are unknown, the run may use the whole worker.
+            let amounts = remaining.as_ref().map(|(_, amounts)| *amounts);
+            let charged = amounts.unwrap_or(ResourceAmounts::ZERO);
+            (amounts.unwrap_or(capacity), charged, SharingKind::Plain)
+        };
+        let team = match job {
+            Some(job) => job.spec.team.clone(),
+            None => remaining.and_then(|(team, _)| team),
         };
-        let team = job.and_then(|job| job.spec.team.clone());
         let run = RunState {
             run: present.run,
             phase: RunPhase::Running,
@@ -261,6 +268,18 @@
         }
     }
 
+    /// Returns the team and the resources of a run of a finished job, which an earlier owner was
+    /// stopping, and expects one run less of its step.
+    fn take_remaining_run(
+        &mut self,
+        task: &TaskKey,
+    ) -> Option<(Option<TeamName>, ResourceAmounts)> {
+        let remaining = self.remaining_runs.get_mut(&task.step.job)?;
+        let (amounts, count) = remaining.steps.get_mut(task.step.step as usize)?;
+        *count = count.saturating_sub(1);
+        Some((remaining.team.clone(), *amounts))
+    }
+
     /// Returns whether a run that an earlier owner started should continue.
     fn is_wanted(&mut self, present: &PresentRun) -> bool {
         let gang = self.step_spec(&present.task.step).is_some_and(|spec| spec.gang);
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -9,7 +9,7 @@
 use smallvec::SmallVec;
 
 use crate::job::{JobSpec, StepSpec, TaskKey};
-use crate::progress::JobStatus;
+use crate::progress::{JobStatus, RemainingRuns};
 use crate::ranges::IndexRanges;
 use crate::worker::WorkerInfo;
 
@@ -27,6 +27,8 @@
     /// Number of the first occurrence that this owner has not opened: it is not due yet, or too
     /// many are open.
     pub(crate) next_occurrence: u32,
+    /// Runs that may be present after the end of the job.
+    pub(crate) remaining: Option<RemainingRuns>,
     /// Whether the team had used up its share when it submitted the job.
     pub(crate) beyond_share: bool,
     /// Workers against which failures of the job count.
--- a/crates/plan/tests/runs.rs
+++ b/crates/plan/tests/runs.rs
@@ -608,3 +608,55 @@
     fixture.end(&order, EndKind::Failed);
     assert_eq!(fixture.store()["j"].status, JobStatus::Failed);
 }
+
+/// Returns a configuration in which the team may use five cores.
+fn narrow_config() -> plan::config::PlanConfig {
+    let mut config = config();
+    let limit = ResourceAmounts { cpu_millis: 5_000, ..ResourceAmounts::UNLIMITED };
+    config.teams.get_mut("red").expect("the team exists").limit = limit;
+    config
+}
+
+/// Guards against a team that exceeds its limit after a takeover: runs of a cancelled job are still
+/// being stopped, and the next owner does not know the job.
+#[test]
+fn runs_of_a_cancelled_job_count_under_the_next_owner() {
+    let mut owner = PlannerFixture::new(2, narrow_config());
+    owner.add(job("old", "normal", vec![step(4, cpu(1_000))]));
+    let orders = owner.run_starts(StartAnswer::Started);
+    assert_eq!(orders.len(), 4);
+    owner.planner.cancel_job(&"old".into());
+    let record = owner.store().remove("old").expect("the end is recorded");
+    let remaining = record.remaining.expect("runs are being stopped");
+
+    let mut successor = PlannerFixture::unreported(2, narrow_config());
+    successor.planner.inherit_finished_job("old".into(), remaining);
+    successor.planner.inherit_workers(BTreeMap::new(), ResourceAmounts::UNLIMITED);
+    successor.add(job("new", "normal", vec![step(5, cpu(1_000))]));
+    let idle = usize::from(orders[0].worker == worker(0).name);
+    let busy = worker(1 - idle).name;
+    successor.report(&worker(idle).name, Vec::new(), Vec::new());
+    assert_eq!(successor.run_starts(StartAnswer::Started).len(), 1, "four cores may be in use");
+    let present = orders.iter().map(support::present_run).collect();
+    successor.report(&busy, present, Vec::new());
+    let stops = support::stops(successor.decide());
+    assert_eq!(stops.len(), 4, "the runs are stopped");
+    assert!(successor.starts().is_empty(), "four cores are in use");
+    successor.report(&busy, Vec::new(), Vec::new());
+    for order in &orders {
+        successor.planner.apply_stop_confirmation(&busy, &order.task, order.run, successor.now_ms);
+    }
+    successor.report(&busy, Vec::new(), Vec::new());
+    assert_eq!(successor.starts().len(), 4, "the runs have ended");
+}
+
+/// Guards against stored records that grow with every job: only a job that ends with runs present
+/// stores what they use.
+#[test]
+fn a_completed_job_stores_no_remaining_runs() {
+    let mut fixture = PlannerFixture::new(1, config());
+    fixture.add(job("j", "normal", vec![step(1, cpu(100))]));
+    let order = fixture.run_starts(StartAnswer::Started).remove(0);
+    fixture.end(&order, EndKind::Done);
+    assert_eq!(fixture.store()["j"].remaining, None);
+}
