Do not refuse a job that is being stored

Callers could be told that a job never runs which then runs: the second submission of a job whose first one is still being stored was refused (429) because of the calls for advice that the first one needs. Found in reading again.

Cause: the owner looked for the job among those that are stored or that an unanswered write may store, not among those being stored.

Change: the queue of submissions knows which jobs it is storing, and the owner asks again after its read of the inbox.

Evidence: a_job_that_is_being_stored_is_not_refused, with writes of 0.6 s: before (200, 429), after (200, 200).

--- a/crates/fleet/src/owner/submits.rs
+++ b/crates/fleet/src/owner/submits.rs
@@ -95,10 +95,13 @@
         planner.find_call_refusal(spec, &dispatcher, &session.storing_calls.borrow())
     };
     let Some(refusal) = refusal else { return false };
-    let is_known = session.planner.borrow().has_job(&spec.id)
-        || session.progress_versions.borrow().contains_key(&spec.id)
-        || queue.may_store(&spec.id);
-    if is_known || !load::is_absent_from_inbox(session, &spec.id).await {
+    let is_known = || {
+        session.planner.borrow().has_job(&spec.id)
+            || session.progress_versions.borrow().contains_key(&spec.id)
+            || queue.may_store(&spec.id)
+    };
+    // Asked again after the read, during which another submission of the job may have come.
+    if is_known() || !load::is_absent_from_inbox(session, &spec.id).await || is_known() {
         return false;
     }
     log::info!(
--- a/crates/fleet/src/submit.rs
+++ b/crates/fleet/src/submit.rs
@@ -73,6 +73,8 @@
     pub unanswered_notify: Notify,
     /// Jobs that an unanswered write may yet store, the earliest write first.
     unanswered: RefCell<VecDeque<(ClockMillis, JobId)>>,
+    /// Jobs that are being stored, once for each caller that waits.
+    storing: RefCell<Vec<JobId>>,
 }
 
 impl<P: RowStore> SubmitQueue<P> {
@@ -85,6 +87,7 @@
             partitions: Default::default(),
             unanswered_notify: Notify::new(),
             unanswered: RefCell::default(),
+            storing: RefCell::default(),
         })
     }
 
@@ -107,16 +110,32 @@
         }
         let (reply, result) = oneshot::channel();
         let index = row::partition_index(&id);
-        let insert =
-            PendingInsert { id, value, deadline, may_be_stored, failed_attempts: 0, reply };
+        self.storing.borrow_mut().push(id.clone());
+        let insert = PendingInsert {
+            id: id.clone(),
+            value,
+            deadline,
+            may_be_stored,
+            failed_attempts: 0,
+            reply,
+        };
         self.partitions[index].pending.borrow_mut().push_back(insert);
         self.spawn_batch(index);
-        result.await.unwrap_or(Err(ErrorKind::WriteUnknown))
+        let result = result.await.unwrap_or(Err(ErrorKind::WriteUnknown));
+        let mut storing = self.storing.borrow_mut();
+        if let Some(position) = storing.iter().position(|known| *known == id) {
+            storing.swap_remove(position);
+        }
+        result
     }
 
-    /// Returns whether an unanswered write of this queue may have stored a job, or may yet do so.
+    /// Returns whether this queue is storing a job, or whether an unanswered write may have stored
+    /// it or may yet do so.
     #[must_use]
     pub fn may_store(&self, id: &JobId) -> bool {
+        if self.storing.borrow().contains(id) {
+            return true;
+        }
         let now = self.context.clock.now();
         let mut unanswered = self.unanswered.borrow_mut();
         while unanswered.front().is_some_and(|(at, _)| now.since(*at) > limits::MAX_LATE_WRITE_MS) {
