End the reservation for a gang after 15 s

Other gangs could wait for good: workers are reserved for the one gang that could not use most answers, for as long as it does not start, and a worker that runs a service is busy without an end. Found in reading again.

Change: after 15 s the gang counts its unused answers anew, and the next one is served. 15 s are longer than the longest tasks of the sites in force (12 s), whose ends the reservation waits for.

Evidence: a_reservation_for_a_gang_ends fails without the limit (the free worker stays reserved) and passes with it.

--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -41,6 +41,8 @@
 /// One such gang at a time: without a reservation, smaller tasks use the capacity of its workers
 /// during each of its calls.
 const UNUSED_ANSWERS_TO_RESERVE: u32 = 2;
+/// Longest time for which workers are reserved for such a gang, in milliseconds.
+const MAX_RESERVATION_MS: u64 = 15_000;
 /// Part of the time of the calls, while some have to wait, that goes to the step which has waited
 /// longest. Without it, less useful steps would wait for as long as more useful ones come.
 const AGED_CALL_SHARE: f64 = 0.25;
@@ -251,7 +253,7 @@
 
     /// Moves the steps to the front that would otherwise wait for as long as more useful ones come:
     /// the gang that could not use most answers, and the step whose call is delayed longest.
-    fn put_first(&self, steps: &mut [WaitingStep<'_>], pass: &mut PlacementPass) {
+    fn put_first(&mut self, steps: &mut [WaitingStep<'_>], pass: &mut PlacementPass) {
         for kind in [CallKind::Long, CallKind::Short] {
             let oldest = (0..steps.len())
                 .filter(|index| CallKind::of(steps[*index].call_ms) == kind)
@@ -264,20 +266,34 @@
                 steps[..=index].rotate_right(1);
             }
         }
-        let is_unlucky = |step: &WaitingStep<'_>| {
+        let has_unused_answers = |step: &WaitingStep<'_>| {
             step.spec.steps[step.key.step as usize].gang
                 && !step.is_unservable
                 && step.unused_answers >= UNUSED_ANSWERS_TO_RESERVE
         };
-        let unlucky = (0..steps.len())
-            .filter(|index| is_unlucky(&steps[*index]))
+        let reserving = (0..steps.len())
+            .filter(|index| has_unused_answers(&steps[*index]))
             .max_by_key(|index| (steps[*index].unused_answers, Reverse(*index)));
-        if let Some(index) = unlucky {
-            pass.reserving_gang = Some(steps[index].key.clone());
+        if let Some(index) = reserving {
+            let key = steps[index].key.clone();
+            self.limit_reservation(&key);
+            pass.reserving_gang = Some(key);
             steps[..=index].rotate_right(1);
         }
     }
 
+    /// Ends the reservation of a gang that has not started for a long time after this decision: its
+    /// workers may be busy for good, and other gangs wait for theirs.
+    fn limit_reservation(&mut self, key: &StepKey) {
+        let now = self.now_ms;
+        let Some(state) = self.step_mut(key) else { return };
+        let since_ms = *state.advice.reserving_since_ms.get_or_insert(now);
+        if now.saturating_sub(since_ms) >= MAX_RESERVATION_MS {
+            state.advice.reserving_since_ms = None;
+            state.advice.unused_answers = 0;
+        }
+    }
+
     /// Returns true if a step can do nothing but request advice, and its call has to wait for
     /// those of other steps; counts the call then.
     fn is_call_delayed(&mut self, waiting: &WaitingStep<'_>, pass: &mut PlacementPass) -> bool {
@@ -768,6 +784,7 @@
             let run = self.next_gang_run(key);
             if let Some(state) = self.step_mut(key) {
                 state.advice.unused_answers = 0;
+                state.advice.reserving_since_ms = None;
             }
             for (index, (name, ticket)) in (0_u32..).zip(places) {
                 let task = TaskKey { step: key.clone(), index };
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -108,6 +108,8 @@
     pub(crate) delayed_since_ms: Option<u64>,
     /// Answers for a gang after which it did not fit on the workers that may run it.
     pub(crate) unused_answers: u32,
+    /// Since when workers are reserved for the gang because of that.
+    pub(crate) reserving_since_ms: Option<u64>,
     /// Time from which no ticket is used any more, on the planner's clock.
     pub(crate) tickets_expire_ms: u64,
     /// Workers that may run the step, with their tickets.
--- a/crates/plan/tests/calls.rs
+++ b/crates/plan/tests/calls.rs
@@ -342,6 +342,37 @@
     assert_eq!(fixture.starts().len(), 2, "the gang starts");
 }
 
+/// Guards against a worker that is kept free for good for a gang that cannot start, because its other
+/// worker runs a service.
+#[test]
+fn a_reservation_for_a_gang_ends() {
+    let mut fixture = PlannerFixture::new(2, config());
+    let gang = StepSpec { gang: true, ..step(2, cpu(8_000)) };
+    fixture.add(job("gang", "advised", vec![gang]));
+    let workers = [worker(0).name, worker(1).name];
+    let service = StepSpec { service: true, ..step(1, cpu(8_000)) };
+    for blocking in [step(2, cpu(8_000)), service] {
+        let request = advice_requests(fixture.decide()).remove(0);
+        fixture.add(job(&format!("block{}", fixture.now_ms), "urgent", vec![blocking.clone()]));
+        let orders = fixture.run_starts(StartAnswer::Started);
+        fixture.advise(&request, &workers);
+        assert!(fixture.starts().is_empty(), "the answer is of no use");
+        if !blocking.service {
+            for order in &orders {
+                fixture.end(order, EndKind::Done);
+            }
+        }
+        fixture.now_ms += 2_000;
+    }
+    fixture.add(job("small", "normal", vec![step(1, cpu(1_000))]));
+    assert!(fixture.starts().is_empty(), "the free worker is reserved");
+    fixture.now_ms += 12_000;
+    assert!(fixture.starts().is_empty(), "the reservation lasts for 15 s");
+    fixture.now_ms += 2_000;
+    assert!(fixture.starts().is_empty(), "this decision ends it");
+    assert_eq!(fixture.starts().len(), 1, "the worker is free for others");
+}
+
 fn request(duration_ms: f64, priority: u32) -> AdviceRequest {
     let step = StepKey { job: "j".into(), occurrence: 0, step: 0 };
     AdviceRequest { step, workers: Vec::new(), duration_ms, priority }
