--- a/crates/plan/tests/calls.rs
+++ b/crates/plan/tests/calls.rs
@@ -11,8 +11,8 @@
 use plan::config::{AdviceCost, PlanConfig};
 use plan::decision::{AdviceAnswer, AdviceRequest, PlanDecision, StartOrder};
 use plan::job::{JobSpec, StepKey, StepSpec};
-use plan::worker::{EndKind, EndedRun, RunReport, StartAnswer};
-use support::{INCARNATION, PlannerFixture, advice_requests, config, cpu, job, rule, step, worker};
+use plan::worker::{EndKind, StartAnswer};
+use support::{PlannerFixture, advice_requests, config, cpu, job, rule, step, worker};
 
 /// Simulated time between two decisions, in milliseconds.
 const TICK_MS: u64 = 5;
@@ -75,7 +75,6 @@
     /// Calls of each entry, with the times of their answers.
     calls: BTreeMap<ArcStr, VecDeque<(u64, AdviceRequest)>>,
     running: Vec<(u64, StartOrder)>,
-    end_numbers: BTreeMap<WorkerName, u64>,
     submitted: u64,
     accepted: BTreeSet<JobId>,
     started: BTreeSet<JobId>,
@@ -92,7 +91,6 @@
             dispatcher,
             calls: names.into_iter().map(|name| (name, VecDeque::new())).collect(),
             running: Vec::new(),
-            end_numbers: BTreeMap::new(),
             submitted: 0,
             accepted: BTreeSet::new(),
             started: BTreeSet::new(),
@@ -124,7 +122,7 @@
         self.fixture.now_ms += TICK_MS;
         let now = self.fixture.now_ms;
         self.answer_calls(now);
-        self.end_runs(now);
+        self.fixture.end_due_runs(&mut self.running);
         self.fixture.store();
         self.fixture.planner.set_call_queue(self.dispatcher.queue());
         for decision in self.fixture.planner.decide(now, now) {
@@ -180,27 +178,6 @@
         }
     }
 
-    fn end_runs(&mut self, now: u64) {
-        let mut reports: BTreeMap<WorkerName, Vec<EndedRun>> = BTreeMap::new();
-        for (_, order) in self.running.extract_if(.., |(at, _)| *at <= now) {
-            let number = self.end_numbers.entry(order.worker.clone()).or_insert(0);
-            *number += 1;
-            reports.entry(order.worker).or_default().push(EndedRun {
-                number: *number,
-                task: order.task,
-                run: order.run,
-                kind: EndKind::Done,
-                saved: ArcStr::default(),
-            });
-        }
-        for (name, ended) in reports {
-            let present = self.running.iter().filter(|(_, order)| order.worker == name);
-            let running = present.map(|(_, order)| support::present_run(order)).collect();
-            let report = RunReport { incarnation: INCARNATION, running, ended, is_partial: false };
-            self.fixture.planner.apply_report(&name, &report, now, now);
-        }
-    }
-
     /// Plays the load; panics if an accepted job has not started in the end, or if a kind of job
     /// is never served.
     fn play(&mut self) {
--- a/crates/plan/tests/load.rs
+++ b/crates/plan/tests/load.rs
@@ -11,8 +11,8 @@
 use plan::config::{AdviceCost, TeamRule};
 use plan::decision::{AdviceAnswer, AdviceRequest, PlanDecision, StartOrder};
 use plan::job::StepSpec;
-use plan::worker::{EndKind, EndedRun, RunReport, StartAnswer};
-use support::{INCARNATION, PlannerFixture, WORKER_CPU, config, cpu, job, rule, step};
+use plan::worker::StartAnswer;
+use support::{PlannerFixture, WORKER_CPU, config, cpu, job, rule, step};
 
 /// Workers of the small simulated fleet.
 const WORKERS: usize = 60;
@@ -30,8 +30,6 @@
     fixture: PlannerFixture,
     /// Runs that are present, with the times of their ends.
     running: Vec<(u64, StartOrder)>,
-    /// Number of the last run end of each worker.
-    end_numbers: BTreeMap<WorkerName, u64>,
     pending_requests: VecDeque<AdviceRequest>,
     /// Most calls that the advice service works on at the same time.
     max_calls: usize,
@@ -47,7 +45,6 @@
             max_calls,
             fixture: PlannerFixture::new(workers, config),
             running: Vec::new(),
-            end_numbers: BTreeMap::new(),
             pending_requests: VecDeque::new(),
             calls_in_flight: Vec::new(),
         }
@@ -68,7 +65,7 @@
             }
         }
         self.answer_calls(now);
-        self.end_runs(now);
+        self.fixture.end_due_runs(&mut self.running);
         self.fixture.store();
     }
 
@@ -93,28 +90,6 @@
             self.fixture.planner.apply_advice(&answer, now);
         }
     }
-
-    /// Reports the runs that end now to the planner.
-    fn end_runs(&mut self, now: u64) {
-        let mut reports: BTreeMap<WorkerName, Vec<EndedRun>> = BTreeMap::new();
-        for (_, order) in self.running.extract_if(.., |(at, _)| *at <= now) {
-            let number = self.end_numbers.entry(order.worker.clone()).or_insert(0);
-            *number += 1;
-            reports.entry(order.worker).or_default().push(EndedRun {
-                number: *number,
-                task: order.task,
-                run: order.run,
-                kind: EndKind::Done,
-                saved: ArcStr::default(),
-            });
-        }
-        for (name, ended) in reports {
-            let present = self.running.iter().filter(|(_, order)| order.worker == name);
-            let running = present.map(|(_, order)| support::present_run(order)).collect();
-            let report = RunReport { incarnation: INCARNATION, running, ended, is_partial: false };
-            self.fixture.planner.apply_report(&name, &report, now, now);
-        }
-    }
 }
 
 /// Guards against workers that idle under overload. If all advice requests name the emptiest
--- a/crates/plan/tests/support/mod.rs
+++ b/crates/plan/tests/support/mod.rs
@@ -172,6 +172,29 @@
         self.report(name, Vec::new(), vec![end]);
     }
 
+    /// Reports the ends of the runs that are over now, and what else runs on their workers.
+    pub fn end_due_runs(&mut self, running: &mut Vec<(u64, StartOrder)>) {
+        let now = self.now_ms;
+        let mut reports: BTreeMap<WorkerName, Vec<EndedRun>> = BTreeMap::new();
+        for (_, order) in running.extract_if(.., |(end_ms, _)| *end_ms <= now) {
+            let number = self.end_numbers.entry(order.worker.clone()).or_insert(0);
+            *number += 1;
+            reports.entry(order.worker).or_default().push(EndedRun {
+                number: *number,
+                task: order.task,
+                run: order.run,
+                kind: EndKind::Done,
+                saved: ArcStr::default(),
+            });
+        }
+        for (name, ended) in reports {
+            let present = running.iter().filter(|(_, order)| order.worker == name);
+            let running = present.map(|(_, order)| present_run(order)).collect();
+            let report = RunReport { incarnation: INCARNATION, running, ended, is_partial: false };
+            self.planner.apply_report(&name, &report, now, now);
+        }
+    }
+
     /// Answers an advice request: the `eligible` workers may run the step.
     pub fn advise(&mut self, request: &AdviceRequest, eligible: &[WorkerName]) {
         let eligible = eligible.iter().map(|name| (name.clone(), ArcStr::from("ticket"))).collect();
