Reserve no entry for short calls while there are none

Cause: a third of the answering entries is reserved whether short calls come or not.

Change: entries are reserved while a short request has come within the last second, and in the first second of an owner. A second is longer than the longest call of the sites in force (0.9 s), so that calls that wait for the reserved entry are seen.

Evidence: no_entry_is_reserved_without_short_calls fails without the change (two long calls are made where three entries are free).

--- a/crates/plan/src/advice.rs
+++ b/crates/plan/src/advice.rs
@@ -31,6 +31,8 @@
 const MAX_BACKOFF_MS: u64 = 16_000;
 /// One of this many entries is reserved for short calls.
 const ENTRIES_PER_RESERVED_ENTRY: usize = 3;
+/// Time without a short request after which no entry is reserved for them, in milliseconds.
+const MAX_SHORT_PAUSE_MS: u64 = 1_000;
 /// Expected duration of the requests of one kind that may wait for each entry, in milliseconds:
 /// enough to keep the entries busy until the next decision.
 const QUEUE_MS_PER_ENTRY: f64 = 200.0;
@@ -214,6 +216,10 @@
     pending: BTreeMap<(u32, u64), PendingRequest>,
     /// Number of requests that were added so far.
     sequence: u64,
+    /// When the last short request was added, or the first one of any kind.
+    last_short_ms: Option<u64>,
+    /// Latest time that the caller passed.
+    now_ms: u64,
     /// Moving average of the time that calls take beyond their expected duration, relative to it.
     slowdown: f64,
 }
@@ -233,6 +239,12 @@
     /// Adds a request to the queue.
     pub fn push(&mut self, request: AdviceRequest, now_ms: u64) {
         self.sequence += 1;
+        self.now_ms = self.now_ms.max(now_ms);
+        // Short requests may come soon after the first one of any kind.
+        let is_short = CallKind::of(request.duration_ms) == CallKind::Short;
+        if is_short || self.last_short_ms.is_none() {
+            self.last_short_ms = Some(now_ms);
+        }
         let key = (request.priority, self.sequence);
         self.pending.insert(key, PendingRequest { request, queued_ms: now_ms });
     }
@@ -261,8 +273,8 @@
     #[expect(clippy::cast_precision_loss, reason = "there are hundreds of entries at most")]
     pub fn caller_counts(&self) -> CallAmounts {
         let answering = self.answering_count();
-        let reserved = reserved_count(answering);
-        let (short, long) = if reserved == 0 {
+        let reserved = self.reserved_count();
+        let (short, long) = if answering <= 1 {
             (SINGLE_ENTRY_SHORT_SHARE, 1.0 - SINGLE_ENTRY_SHORT_SHARE)
         } else {
             let others = (answering - reserved) as f64;
@@ -272,6 +284,17 @@
         CallAmounts { short: short * speed, long: long * speed }
     }
 
+    /// Returns how many of the entries that answer are reserved for short calls: none while there
+    /// are no such calls, so that no entry idles while long ones wait.
+    fn reserved_count(&self) -> usize {
+        let is_recent = |at_ms: u64| self.now_ms.saturating_sub(at_ms) <= MAX_SHORT_PAUSE_MS;
+        match self.answering_count() {
+            0 | 1 => 0,
+            _ if !self.last_short_ms.is_none_or(is_recent) => 0,
+            count => count.div_ceil(ENTRIES_PER_RESERVED_ENTRY),
+        }
+    }
+
     /// Returns the number of entries whose last call was answered.
     fn answering_count(&self) -> usize {
         self.entries.values().filter(|state| state.consecutive_failures == 0).count()
@@ -323,6 +346,7 @@
     ///
     /// Returns `None` while no entry may make any of the pending calls.
     pub fn next_call(&mut self, now_ms: u64) -> Option<(ArcStr, AdviceRequest)> {
+        self.now_ms = self.now_ms.max(now_ms);
         let oldest = self.pending.iter().filter(|(_, pending)| pending.is_overdue(now_ms));
         let oldest = oldest.min_by_key(|((_, sequence), _)| *sequence);
         let (key, entry) = oldest.into_iter().chain(&self.pending).find_map(|(key, pending)| {
@@ -340,7 +364,7 @@
     /// in the list, and without the others nobody would make long calls.
     fn find_available_entry(&self, duration_ms: f64, now_ms: u64) -> Option<ArcStr> {
         let is_short = CallKind::of(duration_ms) == CallKind::Short;
-        let reserved_count = reserved_count(self.answering_count());
+        let reserved_count = self.reserved_count();
         let mut reserved: SmallVec<[_; 4]> = SmallVec::new();
         let mut others: SmallVec<[_; 8]> = SmallVec::new();
         for entry in &self.entries {
@@ -377,11 +401,3 @@
         self.calls_in_flight.iter().map(|(_, expected_ms)| expected_ms).sum()
     }
 }
-
-/// Returns how many of the entries that answer are reserved for short calls.
-const fn reserved_count(answering: usize) -> usize {
-    match answering {
-        0 | 1 => 0,
-        count => count.div_ceil(ENTRIES_PER_RESERVED_ENTRY),
-    }
-}
--- a/crates/plan/tests/calls.rs
+++ b/crates/plan/tests/calls.rs
@@ -382,6 +382,34 @@
     assert_eq!(sent_ms, 1_800, "three times its duration");
 }
 
+/// Guards against entries that idle while long calls wait: none is reserved for short calls while there
+/// are no short calls.
+#[test]
+fn no_entry_is_reserved_without_short_calls() {
+    let mut dispatcher = AdviceDispatcher::default();
+    let names = ["a", "b", "c"].map(ArcStr::from);
+    dispatcher.set_entries(names.iter());
+    let send_long = |dispatcher: &mut AdviceDispatcher, now_ms| {
+        for _ in 0..3 {
+            dispatcher.push(request(600.0, 1), now_ms);
+        }
+        std::iter::from_fn(|| dispatcher.next_call(now_ms)).count()
+    };
+    assert_eq!(send_long(&mut dispatcher, 0), 2, "one entry is kept for short calls");
+    for name in &names[1..] {
+        dispatcher.record_result(name, true, 600);
+    }
+    assert_eq!(send_long(&mut dispatcher, 1_500), 3, "there were none for a second");
+    assert!(dispatcher.caller_counts().long > 2.0);
+    for name in &names {
+        dispatcher.record_result(name, true, 2_100);
+    }
+    dispatcher.push(request(10.0, 0), 2_200);
+    let (entry, _) = dispatcher.next_call(2_200).expect("a free entry");
+    assert_eq!(entry, "a");
+    assert!(dispatcher.caller_counts().long < 2.1, "one is reserved again");
+}
+
 /// Guards against an entry that idles between two short calls, and against a short call that waits
 /// behind a long one.
 #[test]
