Let a step keep its place over several calls for advice

A request ended the time for which the step had waited, so that it went to the end of those that get a part of the calls by age. Admission counted one call for each step, while such gangs needed up to six.

Change: a step has waited since its call was first delayed, until it starts. Only steps whose call was delayed within the last 0.3 s count, so that one that waits for capacity does not keep the others out. Admission counts the average number of calls that the steps of a queue need. The gang with reserved workers asks about unknown workers that are free before it waits for those that it knows.

--- a/crates/fleet/src/owner/submits.rs
+++ b/crates/fleet/src/owner/submits.rs
@@ -63,10 +63,10 @@
         Err(ErrorKind::QueueFull)
     } else {
         let calls = session.planner.borrow().first_calls(&spec);
-        session.storing_calls.borrow_mut().add(&calls);
+        session.storing_calls.borrow_mut().add_all(&calls);
         let value = row::encode(&spec);
         let result = queue.store_job(spec.id.clone(), value, deadline, false).await;
-        session.storing_calls.borrow_mut().remove(&calls);
+        session.storing_calls.borrow_mut().remove_all(&calls);
         result
     };
     if result == Ok(StoredJob::Known) && !session.planner.borrow().has_job(&spec.id) {
--- a/crates/plan/src/admission.rs
+++ b/crates/plan/src/admission.rs
@@ -33,7 +33,9 @@
         let rule = self.config.queues.get(&spec.queue);
         if let Some(rule) = rule.filter(|rule| rule.advice.is_some()) {
             for step in spec.steps.iter().filter(|step| step.after.is_empty()) {
-                calls.add_call(rule.priority, place::estimate_call_ms(step, rule));
+                let call_ms = place::estimate_call_ms(step, rule);
+                let expected_ms = self.expected_calls_ms(&spec.queue, call_ms);
+                calls.add(rule.priority, CallKind::of(call_ms), expected_ms);
             }
         }
         calls
--- a/crates/plan/src/advice.rs
+++ b/crates/plan/src/advice.rs
@@ -90,11 +90,6 @@
         }
     }
 
-    /// Adds the expected duration of a call to the amount for its kind.
-    pub fn add_call(&mut self, duration_ms: f64) {
-        *self.get_mut(CallKind::of(duration_ms)) += duration_ms;
-    }
-
     /// Returns the sums of two amounts.
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
@@ -111,11 +106,16 @@
 impl CallTimes {
     /// Adds a call.
     pub fn add_call(&mut self, priority: u32, duration_ms: f64) {
-        self.by_priority.entry(priority).or_default().add_call(duration_ms);
+        self.add(priority, CallKind::of(duration_ms), duration_ms);
+    }
+
+    /// Adds calls of a kind, by their expected duration together.
+    pub fn add(&mut self, priority: u32, kind: CallKind, duration_ms: f64) {
+        *self.by_priority.entry(priority).or_default().get_mut(kind) += duration_ms;
     }
 
     /// Adds other calls.
-    pub fn add(&mut self, other: &Self) {
+    pub fn add_all(&mut self, other: &Self) {
         for (priority, amounts) in &other.by_priority {
             let sum = self.by_priority.entry(*priority).or_default();
             *sum = sum.plus(*amounts);
@@ -123,7 +123,7 @@
     }
 
     /// Removes calls that were added before.
-    pub fn remove(&mut self, other: &Self) {
+    pub fn remove_all(&mut self, other: &Self) {
         for (priority, amounts) in &other.by_priority {
             if let Some(sum) = self.by_priority.get_mut(priority) {
                 *sum = CallAmounts {
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use arcstr::ArcStr;
-use model::name::{TeamName, WorkerName};
+use model::name::{QueueName, TeamName, WorkerName};
 use model::resource::ResourceAmounts;
 use smallvec::SmallVec;
 
@@ -15,7 +15,7 @@
 use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
 use crate::order::{JobRank, RankClass};
 use crate::planner::Planner;
-use crate::state::{JobState, RunPhase, RunState, SharingKind, WorkerState};
+use crate::state::{AdviceState, JobState, RunPhase, RunState, SharingKind, WorkerState};
 
 /// Most workers that one advice request may name.
 const MAX_ADVICE_WORKERS: usize = 100;
@@ -43,6 +43,11 @@
 const UNUSED_ANSWERS_TO_RESERVE: u32 = 2;
 /// Longest time for which workers are reserved for such a gang, in milliseconds.
 const MAX_RESERVATION_MS: u64 = 15_000;
+/// Time for which a step counts as waiting for its call after a decision has found so, in
+/// milliseconds. One that waits for capacity must not keep the others from their part of the calls.
+const MAX_DELAY_AGE_MS: u64 = 300;
+/// Weight of a step that starts in the average number of calls that the steps of its queue need.
+const CALLS_PER_START_GAIN: f64 = 0.1;
 /// Part of the time of the calls, while some have to wait, that goes to the step which has waited
 /// longest. Without it, less useful steps would wait for as long as more useful ones come.
 const AGED_CALL_SHARE: f64 = 0.25;
@@ -136,7 +141,7 @@
     is_unservable: bool,
     /// Expected duration of its next call for advice, in milliseconds; 0 if it needs none.
     call_ms: f64,
-    /// Since when its call waits for those of other steps.
+    /// Since when its call waits for those of other steps; none if it does not wait now.
     delayed_since_ms: Option<u64>,
     /// Answers that the step, if it is a gang, could not use.
     unused_answers: u32,
@@ -256,7 +261,9 @@
     fn put_first(&mut self, steps: &mut [WaitingStep<'_>], pass: &mut PlacementPass) {
         for kind in [CallKind::Long, CallKind::Short] {
             let oldest = (0..steps.len())
-                .filter(|index| CallKind::of(steps[*index].call_ms) == kind)
+                .filter(|index| {
+                    CallKind::of(steps[*index].call_ms) == kind && !steps[*index].is_requested
+                })
                 .filter_map(|index| Some((steps[index].delayed_since_ms?, index)))
                 .min();
             if let Some((_, index)) = oldest
@@ -332,14 +339,17 @@
     ) {
         let occupied = step.occupied_amounts();
         let now = self.now_ms;
+        let Some(queue) = self.jobs.get(&key.job).map(|job| job.spec.queue.clone()) else { return };
+        let expected_ms = self.expected_calls_ms(&queue, call_ms);
         let Some(state) = self.step_mut(key) else { return };
         let tasks = fit_count(*undelayed, occupied).min(state.waiting);
         if tasks == 0 || (step.gang && tasks < step.count) {
             return;
         }
         state.advice.delayed_since_ms.get_or_insert(now);
+        state.advice.delayed_at_ms = now;
         *undelayed = undelayed.minus(occupied.times(u64::from(tasks)));
-        self.delayed_calls.add_call(rule.priority, call_ms);
+        self.delayed_calls.add(rule.priority, CallKind::of(call_ms), expected_ms);
     }
 
     /// Returns whether tasks may be started on a worker now.
@@ -419,7 +429,11 @@
                         state.servability == Some((self.worker_changes, false))
                     }),
                     call_ms: estimate_call_ms(&job.spec.steps[step as usize], rule),
-                    delayed_since_ms: state.and_then(|state| state.advice.delayed_since_ms),
+                    delayed_since_ms: state
+                        .filter(|state| {
+                            self.now_ms <= state.advice.delayed_at_ms + MAX_DELAY_AGE_MS
+                        })
+                        .and_then(|state| state.advice.delayed_since_ms),
                     unused_answers: state.map_or(0, |state| state.advice.unused_answers),
                 });
             }
@@ -697,7 +711,8 @@
     }
 
     /// Returns whether the gang for which workers are reserved should wait for them before its next
-    /// call: those that are known to be eligible are enough for it once they are free.
+    /// call: those that are known to be eligible are enough for it once they are free, and with the
+    /// unknown ones that are free now it would probably not start.
     fn awaits_eligible_workers(
         &self,
         key: &StepKey,
@@ -706,7 +721,7 @@
         candidates: &[WorkerCandidate],
     ) -> bool {
         let Some(state) = self.step_state(key) else { return false };
-        let eligible = &state.advice.eligible;
+        let AdviceState { eligible, ineligible, .. } = &state.advice;
         let possible_tasks = eligible
             .keys()
             .filter_map(|name| self.workers.get(name))
@@ -717,7 +732,27 @@
             .iter()
             .filter(|candidate| eligible.contains_key(&candidate.name))
             .fold(0_u32, |sum, candidate| sum.saturating_add(candidate.placeable_tasks(occupied)));
-        possible_tasks >= step.count && placeable_tasks < step.count
+        let unknown_tasks = candidates
+            .iter()
+            .filter(|candidate| !eligible.contains_key(&candidate.name))
+            .filter(|candidate| !ineligible.contains(&candidate.name))
+            .take(MAX_ADVICE_WORKERS)
+            .map(|candidate| f64::from(candidate.placeable_tasks(occupied).min(step.count)))
+            .sum::<f64>();
+        let expected_tasks =
+            f64::from(placeable_tasks) + unknown_tasks * self.expected_eligible_share(key);
+        possible_tasks >= step.count
+            && placeable_tasks < step.count
+            && expected_tasks < f64::from(step.count) * ADVICE_CAPACITY_FACTOR
+    }
+
+    /// Returns the share of unknown workers that is expected to be eligible for a step.
+    fn expected_eligible_share(&self, key: &StepKey) -> f64 {
+        let queue = self.jobs.get(&key.job).map(|job| &job.spec.queue);
+        queue
+            .and_then(|queue| self.eligible_share.get(queue).copied())
+            .unwrap_or(INITIAL_ELIGIBLE_SHARE)
+            .max(MIN_ELIGIBLE_SHARE)
     }
 
     /// Returns the indices of the tasks of a step that need a run.
@@ -922,6 +957,7 @@
         if step.tail_target_ms > 0 {
             self.stop_fillers(name);
         }
+        self.record_calls(task, spec);
         let Some(state) = self.step_mut(&task.step) else { return };
         let gang_saved = state.gang_saved.clone();
         let Some(task_state) = state.tasks.get(task.index as usize) else { return };
@@ -948,6 +984,23 @@
         }));
     }
 
+    /// Takes the calls that a step has needed into the average of its queue, once it starts.
+    fn record_calls(&mut self, task: &TaskKey, spec: &Arc<JobSpec>) {
+        let Some(state) = self.step_mut(&task.step) else { return };
+        state.advice.delayed_since_ms = None;
+        let answers = std::mem::take(&mut state.advice.answers);
+        if answers > 0 {
+            let average = self.calls_per_start.entry(spec.queue.clone()).or_insert(1.0);
+            *average += CALLS_PER_START_GAIN * (f64::from(answers) - *average);
+        }
+    }
+
+    /// Returns the expected duration of all calls that a step needs until it starts, in
+    /// milliseconds, where `call_ms` is that of one.
+    pub(crate) fn expected_calls_ms(&self, queue: &QueueName, call_ms: f64) -> f64 {
+        call_ms * self.calls_per_start.get(queue).copied().unwrap_or(1.0).max(1.0)
+    }
+
     /// Requests advice on which workers may run `needed_tasks` tasks of a step.
     ///
     /// Eligible workers are named first, to renew their tickets; then unknown ones, the
@@ -962,11 +1015,7 @@
         is_aged: bool,
     ) {
         let Some(cost) = rule.advice else { return };
-        let queue = self.jobs.get(&key.job).map(|job| job.spec.queue.clone());
-        let eligible_share = queue
-            .and_then(|queue| self.eligible_share.get(&queue).copied())
-            .unwrap_or(INITIAL_ELIGIBLE_SHARE)
-            .max(MIN_ELIGIBLE_SHARE);
+        let eligible_share = self.expected_eligible_share(key);
         let now = self.now_ms;
         let Some(state) = self.step_mut(key) else { return };
         let occupied = step.occupied_amounts();
@@ -1011,7 +1060,6 @@
             return;
         }
         state.advice.requested_ms = Some(now);
-        state.advice.delayed_since_ms = None;
         let is_renewal = workers.iter().all(|name| state.advice.eligible.contains_key(name));
         state.advice.reserved_workers =
             if step.gang && is_renewal { workers.clone() } else { Vec::new() };
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -91,6 +91,8 @@
     /// Moving average of the share of eligible workers in the first advice answer of each
     /// step, by queue.
     pub(crate) eligible_share: BTreeMap<QueueName, f64>,
+    /// Moving average of the calls that a step needs until it starts, by queue.
+    pub(crate) calls_per_start: BTreeMap<QueueName, f64>,
     /// Workers examined for waiting steps, over all decisions.
     pub(crate) examined: u64,
     /// Waiting steps for which something might have been done, over all decisions.
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -410,6 +410,7 @@
             step.advice.next_request_ms = now + ADVICE_RETRY_DELAY_MS;
             return;
         }
+        step.advice.answers += 1;
         step.advice.unused_answers += 1;
         let expires_ms = now + valid_ms.saturating_sub(TICKET_MARGIN_MS);
         step.advice.tickets_expire_ms = step.advice.tickets_expire_ms.max(expires_ms);
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -104,8 +104,12 @@
     /// Time before which no further request is made.
     pub(crate) next_request_ms: u64,
     /// Since when the step could make a request, but for the entries' calls for other steps; none
-    /// if it does not wait for that.
+    /// if it has not waited for that since its last start.
     pub(crate) delayed_since_ms: Option<u64>,
+    /// When a decision last found that the step waits for that.
+    pub(crate) delayed_at_ms: u64,
+    /// Answers since the last start of the step.
+    pub(crate) answers: u32,
     /// Answers for a gang after which it did not fit on the workers that may run it.
     pub(crate) unused_answers: u32,
     /// Since when workers are reserved for the gang because of that.
--- a/crates/plan/tests/calls.rs
+++ b/crates/plan/tests/calls.rs
@@ -319,6 +319,38 @@
     assert_eq!(fixture.starts().len(), 2, "the gang starts");
 }
 
+/// Guards against a gang that waits for the workers it knows while others stand free, which it has not
+/// asked about.
+#[test]
+fn a_gang_asks_about_free_workers_before_it_waits() {
+    let mut fixture = PlannerFixture::new(2, config());
+    let gang = StepSpec { gang: true, ..step(2, cpu(8_000)) };
+    fixture.add(job("gang", "advised", vec![gang]));
+    let known = [worker(0).name, worker(1).name];
+    let service = StepSpec { service: true, ..step(2, cpu(8_000)) };
+    for blocking in [step(2, cpu(8_000)), service] {
+        let request = advice_requests(fixture.decide()).remove(0);
+        fixture.add(job(&format!("block{}", fixture.now_ms), "urgent", vec![blocking.clone()]));
+        let orders = fixture.run_starts(StartAnswer::Started);
+        fixture.advise(&request, &known);
+        assert!(fixture.starts().is_empty(), "the answer is of no use");
+        if !blocking.service {
+            for order in &orders {
+                fixture.end(order, EndKind::Done);
+            }
+        }
+        fixture.now_ms += 2_000;
+    }
+    assert!(advice_requests(fixture.decide()).is_empty(), "no worker is free");
+    for index in 2..9 {
+        fixture.planner.set_worker(worker(index));
+        fixture.report(&worker(index).name, Vec::new(), Vec::new());
+    }
+    let request = advice_requests(fixture.decide()).remove(0);
+    fixture.advise(&request, &request.workers);
+    assert_eq!(fixture.starts().len(), 2);
+}
+
 /// Guards against a worker that is kept free for good for a gang that cannot start, because its other
 /// worker runs a service.
 #[test]
@@ -496,11 +528,11 @@
     let calls = fixture.planner.first_calls(&long);
     let mut storing = CallTimes::default();
     for _ in 0..3 {
-        storing.add(&calls);
+        storing.add_all(&calls);
     }
     assert!(fixture.planner.find_call_refusal(&long, &dispatcher, &storing).is_some());
     for _ in 0..3 {
-        storing.remove(&calls);
+        storing.remove_all(&calls);
     }
     assert!(fixture.planner.find_call_refusal(&long, &dispatcher, &storing).is_none());
 }
@@ -520,3 +552,34 @@
     let storing = CallTimes::default();
     assert!(fixture.planner.find_call_refusal(&spec(3), &dispatcher, &storing).is_some());
 }
+
+/// Guards against jobs that are accepted as if each step needed one call, where gangs need several:
+/// the capacity of their workers is used while they ask.
+#[test]
+fn calls_that_have_to_be_repeated_count() {
+    let (dispatcher, _) = single_entry();
+    let storing = CallTimes::default();
+    let gang = StepSpec { gang: true, ..step(2, cpu(4_000)) };
+    let mut fixture = PlannerFixture::new(4, scarce_config());
+    let spec = job("next", "keepsake", vec![gang.clone()]);
+    let once_ms = fixture.planner.first_calls(&spec).sum_up_to(u32::MAX).long;
+    for round in 0..20 {
+        fixture.add(job(&format!("gang{round}"), "keepsake", vec![gang.clone()]));
+        for _ in 0..2 {
+            let request = advice_requests(fixture.decide()).remove(0);
+            fixture.advise(&request, &request.workers);
+            // The tickets expire before they are used.
+            fixture.now_ms += 2_600;
+        }
+        let request = advice_requests(fixture.decide()).remove(0);
+        fixture.advise(&request, &request.workers);
+        let orders = fixture.run_starts(StartAnswer::Started);
+        assert_eq!(orders.len(), 2);
+        for order in orders {
+            fixture.end(&order, EndKind::Done);
+        }
+    }
+    let expected_ms = fixture.planner.first_calls(&spec).sum_up_to(u32::MAX).long;
+    assert!(expected_ms > 1.5 * once_ms, "{expected_ms} of {once_ms} ms");
+    assert!(fixture.planner.find_call_refusal(&spec, &dispatcher, &storing).is_none());
+}
