Split the placement module along its decisions

Candidates, capacity, gangs and advice requests get files of their own, so that new decisions land beside place.rs.

--- a/crates/plan/src/admission.rs
+++ b/crates/plan/src/admission.rs
@@ -8,8 +8,8 @@
 use crate::advice::{AdviceDispatcher, CallAmounts, CallKind, CallTimes};
 use crate::job::JobSpec;
 use crate::order;
-use crate::place;
 use crate::planner::Planner;
+use crate::request;
 
 /// Longest time that a job may have to wait for its call, in milliseconds, however late it may end.
 const MAX_CALL_WAIT_MS: f64 = 4_000.0;
@@ -33,7 +33,7 @@
         let rule = self.config.queues.get(&spec.queue);
         if let Some(rule) = rule.filter(|rule| rule.advice.is_some()) {
             for step in spec.steps.iter().filter(|step| step.after.is_empty()) {
-                let call_ms = place::estimate_call_ms(step, rule);
+                let call_ms = request::estimate_call_ms(step, rule);
                 let expected_ms = self.expected_calls_ms(&spec.queue, call_ms);
                 calls.add(rule.priority, CallKind::of(call_ms), expected_ms);
             }
--- /dev/null
+++ b/crates/plan/src/capacity.rs
@@ -0,0 +1,191 @@
+//! Free capacity of pools and labels, limits of teams, and whether a step can run at all.
+
+use std::collections::BTreeMap;
+
+use arcstr::ArcStr;
+use model::name::TeamName;
+use model::resource::ResourceAmounts;
+
+use crate::config::QueueRule;
+use crate::job::{JobSpec, StepKey, StepSpec};
+use crate::place::PlacementPass;
+use crate::planner::Planner;
+use crate::state::WorkerState;
+
+/// Free capacity of the workers of one pool.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PoolCapacity {
+    /// Decisions since the capacity was computed.
+    pub(crate) decisions: usize,
+    /// Workers on which tasks may be started.
+    pub(crate) workers: usize,
+    /// Largest free amount of each resource on any worker.
+    pub(crate) largest_free: ResourceAmounts,
+    /// Free capacity of all workers, less what steps earlier in the pass claimed for their
+    /// advice requests.
+    pub(crate) unclaimed: ResourceAmounts,
+}
+
+impl Planner {
+    /// Returns whether tasks may be started on a worker now.
+    pub(crate) fn can_start_on(&self, worker: &WorkerState) -> bool {
+        worker.quarantined_until_ms <= self.now_ms
+            && !worker.starts_held
+            && self.is_schedulable(worker)
+    }
+
+    /// Returns whether tasks may be started on a worker now, or after its quarantine or hold.
+    pub(crate) fn is_schedulable(&self, worker: &WorkerState) -> bool {
+        worker.incarnation.is_some()
+            && !worker.silent
+            && !worker.deregistered
+            && !worker.info.draining
+            && !self.config.domains_out.contains(&worker.info.domain)
+    }
+
+    /// Computes the free capacity of a pool from all its workers.
+    pub(crate) fn scan_pool(&self, pool: &ArcStr) -> PoolCapacity {
+        let usable = self
+            .workers
+            .values()
+            .filter(|worker| worker.info.pool == *pool && self.can_start_on(worker));
+        usable.fold(PoolCapacity::default(), |capacity, worker| PoolCapacity {
+            decisions: 0,
+            workers: capacity.workers + 1,
+            largest_free: capacity.largest_free.max(worker.free()),
+            unclaimed: capacity.unclaimed.plus(worker.free()),
+        })
+    }
+
+    /// Returns the capacity of the registered workers of a pool, whether they can be used now or not.
+    pub(crate) fn registered_capacity(&self, pool: &ArcStr) -> ResourceAmounts {
+        self.workers
+            .values()
+            .filter(|worker| worker.info.pool == *pool && !worker.deregistered)
+            .fold(ResourceAmounts::ZERO, |sum, worker| sum.plus(worker.info.capacity))
+    }
+
+    /// Computes the free capacity of the workers of a pool that have a label.
+    pub(crate) fn scan_label(&self, (pool, label): &(ArcStr, ArcStr)) -> ResourceAmounts {
+        self.workers
+            .values()
+            .filter(|worker| worker.info.pool == *pool && worker.info.labels.contains(label))
+            .filter(|worker| self.can_start_on(worker))
+            .fold(ResourceAmounts::ZERO, |sum, worker| sum.plus(worker.free()))
+    }
+
+    /// Returns how many more tasks of a step the team's limit allows.
+    pub(crate) fn remaining_team_tasks(
+        &mut self,
+        spec: &JobSpec,
+        step: &StepSpec,
+        pass: &mut PlacementPass,
+    ) -> u32 {
+        let Some(team) = &spec.team else { return u32::MAX };
+        let unreported_usage =
+            pass.unreported_usage.get_or_insert_with(|| self.sum_unreported_usage());
+        let unreported = unreported_usage.get(team).copied().unwrap_or_default();
+        let Some(rule) = self.config.teams.get(team) else { return 0 };
+        let used = self.team_usage.get(team).copied().unwrap_or_default();
+        fit_count(rule.limit.minus(used).minus(unreported), step.amounts)
+    }
+
+    /// Returns what each team may use on workers that have not reported to this owner.
+    ///
+    /// Only tasks of inherited jobs can run there that are not done and have no known run, and runs
+    /// of finished jobs that are being stopped. Together they use no more than the capacity of these
+    /// workers.
+    pub(crate) fn sum_unreported_usage(&mut self) -> BTreeMap<TeamName, ResourceAmounts> {
+        let mut usage: BTreeMap<TeamName, ResourceAmounts> = BTreeMap::new();
+        if self.unreported_workers.is_empty() {
+            return usage;
+        }
+        let capacity = self
+            .unreported_workers
+            .keys()
+            .map(|name| {
+                let worker = self.workers.get(name);
+                worker.map_or(self.largest_inherited, |worker| worker.info.capacity)
+            })
+            .fold(ResourceAmounts::ZERO, ResourceAmounts::plus);
+        self.examined_jobs += self.inherited_jobs.len() as u64;
+        for job in self.inherited_jobs.iter().filter_map(|id| self.jobs.get(id)) {
+            let Some(team) = &job.spec.team else { continue };
+            let waiting = usage.entry(team.clone()).or_default();
+            for occurrence in job.occurrences.values() {
+                for (spec, state) in job.spec.steps.iter().zip(&occurrence.steps) {
+                    *waiting = waiting.plus(spec.amounts.times(u64::from(state.waiting)));
+                }
+            }
+        }
+        for remaining in self.remaining_runs.values() {
+            let Some(team) = &remaining.team else { continue };
+            let present = usage.entry(team.clone()).or_default();
+            for (amounts, count) in &remaining.steps {
+                *present = present.plus(amounts.times(u64::from(*count)));
+            }
+        }
+        for waiting in usage.values_mut() {
+            *waiting = waiting.min(capacity);
+        }
+        usage
+    }
+
+    /// Checks whether the known workers could run a step, or a whole gang, if they were all free and
+    /// in use, and keeps the result. A step that they cannot run is passed over until a worker has
+    /// changed.
+    pub(crate) fn check_servable(
+        &mut self,
+        key: &StepKey,
+        step: &StepSpec,
+        rule: &QueueRule,
+    ) -> bool {
+        let changes = self.worker_changes;
+        let Some(state) = self.step_state(key) else { return false };
+        if let Some((checked, is_servable)) = state.servability
+            && checked == changes
+        {
+            return is_servable;
+        }
+        let ineligible = &state.advice.ineligible;
+        let possible_tasks = self
+            .workers
+            .values()
+            .filter(|worker| is_suitable(step, rule, worker))
+            .filter(|worker| !ineligible.contains(&worker.info.name))
+            .fold(0_u32, |sum, worker| sum.saturating_add(possible_tasks(step, worker)));
+        let is_servable = possible_tasks >= if step.gang { step.count } else { 1 };
+        if let Some(state) = self.step_mut(key) {
+            state.servability = Some((changes, is_servable));
+        }
+        is_servable
+    }
+}
+
+/// Returns how often `amounts` fits into `free`.
+pub(crate) fn fit_count(free: ResourceAmounts, amounts: ResourceAmounts) -> u32 {
+    let ratios = free
+        .as_array()
+        .into_iter()
+        .zip(amounts.as_array())
+        .filter(|(_, amount)| *amount > 0)
+        .map(|(free, amount)| free / amount);
+    ratios.min().unwrap_or(u64::from(u32::MAX)).try_into().unwrap_or(u32::MAX)
+}
+
+/// Returns whether a worker has what a step asks for, apart from capacity.
+pub(crate) fn is_suitable(step: &StepSpec, rule: &QueueRule, worker: &WorkerState) -> bool {
+    worker.info.pool == rule.pool
+        && step.label.as_ref().is_none_or(|label| worker.info.labels.contains(label))
+}
+
+/// Returns the pool and the label of the workers that a step asks for; none without a label.
+pub(crate) fn label_key(step: &StepSpec, rule: &QueueRule) -> Option<(ArcStr, ArcStr)> {
+    step.label.as_ref().map(|label| (rule.pool.clone(), label.clone()))
+}
+
+/// Returns how many tasks of a step a suitable worker could run if it were free.
+pub(crate) fn possible_tasks(step: &StepSpec, worker: &WorkerState) -> u32 {
+    let max_tasks = if step.max_per_worker == 0 { u32::MAX } else { step.max_per_worker };
+    fit_count(worker.info.capacity, step.occupied_amounts()).min(max_tasks)
+}
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -16,6 +16,10 @@
 pub mod ranges;
 pub mod worker;
 
+mod candidate;
+mod capacity;
+mod gang;
 mod place;
 mod report;
+mod request;
 mod state;
