Add switches for optional parts, and typical durations of runs

PlanFeatures holds the switches, which the settings file sets under features. DurationTable keeps the median ratio between work and estimate for each queue; nothing reads it yet.

--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use plan::feature::PlanFeatures;
 use serde::{Deserialize, Serialize};
 
 /// Interval at which the owner logs the state of the fleet, in milliseconds.
@@ -198,4 +199,7 @@
     pub revoke_ms: u64,
     /// Time for which the state of a finished job is kept, in milliseconds.
     pub keep_ms: u64,
+    /// Optional parts of the planner that are in use.
+    #[serde(default)]
+    pub features: PlanFeatures,
 }
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -167,6 +167,7 @@
         claimed_at: ownership.sent_at,
         planner: RefCell::new(Planner::new(PlannerOptions {
             first_run,
+            features: context.bounds.features,
             ..PlannerOptions::default()
         })),
         dispatcher: RefCell::default(),
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod advice;
 pub mod config;
 pub mod decision;
+pub mod duration;
+pub mod feature;
 pub mod job;
 pub mod order;
 pub mod planner;
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -376,6 +376,8 @@
             run,
             phase: RunPhase::Starting,
             confirmed_ms: None,
+            started_ms: None,
+            is_resumed: !saved.is_empty(),
             occupied: step.occupied_amounts(),
             charged: step.amounts,
             team: spec.team.clone(),
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -11,6 +11,8 @@
 use crate::advice::{CallAmounts, CallQueue, CallTimes};
 use crate::config::{PlanConfig, QueueRule};
 use crate::decision::{PlanDecision, StopOrder};
+use crate::duration::DurationTable;
+use crate::feature::PlanFeatures;
 use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
 use crate::order::{self, JobRank, RankInput};
 use crate::progress::{JobStatus, ProgressRecord, RemainingRuns, StepProgress};
@@ -32,11 +34,13 @@
     pub share_burst_s: u64,
     /// Lowest run number to use; it must be above those of all earlier owners.
     pub first_run: u32,
+    /// Optional parts that are in use.
+    pub features: PlanFeatures,
 }
 
 impl Default for PlannerOptions {
     fn default() -> Self {
-        Self { share_burst_s: 3, first_run: 1 }
+        Self { share_burst_s: 3, first_run: 1, features: PlanFeatures::default() }
     }
 }
 
@@ -93,6 +97,8 @@
     pub(crate) eligible_share: BTreeMap<QueueName, f64>,
     /// Moving average of the calls that a step needs until it starts, by queue.
     pub(crate) calls_per_start: BTreeMap<QueueName, f64>,
+    /// How long runs take beside their declared durations.
+    pub(crate) durations: DurationTable,
     /// Workers examined for waiting steps, over all decisions.
     pub(crate) examined: u64,
     /// Waiting steps for which something might have been done, over all decisions.
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -98,6 +98,9 @@
             EndKind::Failed => self.record_task_failure(name, end),
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => false,
         };
+        if let Some(run) = &run {
+            self.record_duration(name, end, run);
+        }
         // Removed first, because finishing the job orders stops of all its runs that are present.
         if run.is_some() {
             self.remove_run(name, &end.task);
@@ -217,6 +220,7 @@
                 if run.phase == RunPhase::Starting {
                     run.phase = RunPhase::Running;
                     run.confirmed_ms = Some(now);
+                    run.started_ms = Some(now);
                 }
                 self.mark_job_running(&present.task);
                 return;
@@ -254,6 +258,8 @@
             run: present.run,
             phase: RunPhase::Running,
             confirmed_ms: Some(self.now_ms),
+            started_ms: None,
+            is_resumed: true,
             occupied,
             charged,
             team,
@@ -339,6 +345,7 @@
                 if run.phase == RunPhase::Starting {
                     run.phase = RunPhase::Running;
                     run.confirmed_ms = Some(now);
+                    run.started_ms = Some(now);
                 }
                 self.mark_job_running(task);
             }
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -176,6 +176,10 @@
     /// When the worker confirmed the start or the stop. If a report that was requested
     /// later does not contain the run, the run is gone.
     pub(crate) confirmed_ms: Option<u64>,
+    /// When the worker confirmed the start to this owner; none for a run of an earlier owner.
+    pub(crate) started_ms: Option<u64>,
+    /// Whether the run resumed from saved progress, or may have.
+    pub(crate) is_resumed: bool,
     /// Capacity of the worker that the run occupies.
     pub(crate) occupied: ResourceAmounts,
     /// Resources that the run uses up of the team's limit.
