Wait for the listed jobs only on registered workers after a takeover

Cause: the planner expected runs of any job on each registered worker, also where the stored list names the jobs that may run there.

Change: the stored list holds for registered workers too. Nothing else can run there, as the earlier owner holds starts back until a list is stored that names the worker without jobs. A worker that the list does not name may run any job, as before.

Evidence: only_listed_jobs_wait_for_a_silent_worker_that_is_registered fails on the code before (no start, expected the waiting job).

--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -169,8 +169,9 @@
     ///
     /// A job known so far starts nothing until every worker that may run its tasks has
     /// reported, or can run nothing any more. `leased` names the workers that the earlier
-    /// owner knew, with the jobs whose tasks it may have started there. None of them has more
-    /// capacity than `largest`.
+    /// owner knew, with the jobs whose tasks it may have started there, also while they are
+    /// still registered: it starts others only after the list names the worker without jobs.
+    /// None of them has more capacity than `largest`.
     pub fn inherit_workers(
         &mut self,
         leased: BTreeMap<WorkerName, InheritedRuns>,
@@ -178,8 +179,9 @@
     ) {
         self.largest_inherited = largest.max(self.largest_capacity());
         self.unreported_workers = leased;
-        let registered = self.workers.keys().map(|name| (name.clone(), InheritedRuns::Any));
-        self.unreported_workers.extend(registered);
+        for name in self.workers.keys() {
+            self.unreported_workers.entry(name.clone()).or_insert(InheritedRuns::Any);
+        }
         self.inherited_jobs = self.jobs.keys().cloned().collect();
         self.release_inherited_jobs();
     }
--- a/crates/plan/tests/runs.rs
+++ b/crates/plan/tests/runs.rs
@@ -171,6 +171,27 @@
     assert_eq!(successor.starts().len(), 1);
 }
 
+/// Guards against a fleet that idles after a takeover while workers that have left are still
+/// registered: the earlier owner stored with which jobs they may be busy, and only those wait.
+#[test]
+fn only_listed_jobs_wait_for_a_silent_worker_that_is_registered() {
+    let runs = InheritedRuns::OfJobs(["on-silent".into()].into());
+    let mut successor = PlannerFixture::unreported(2, config());
+    let (silent, kept) = (worker(0).name, worker(1).name);
+    successor.add(job("on-silent", "normal", vec![step(1, cpu(1_000))]));
+    successor.add(job("waiting", "normal", vec![step(1, cpu(1_000))]));
+    let leased = [(silent.clone(), runs.clone()), (kept.clone(), InheritedRuns::Any)].into();
+    successor.planner.inherit_workers(leased, ResourceAmounts::UNLIMITED);
+    successor.planner.set_silent(&silent, true);
+    assert!(successor.starts().is_empty(), "the other worker may run any job");
+    successor.report(&kept, Vec::new(), Vec::new());
+    let names: Vec<_> = successor.starts().iter().map(|order| order.job.id.to_string()).collect();
+    assert_eq!(names, ["waiting"]);
+    assert_eq!(successor.planner.possible_runs(&silent), runs, "a third owner has to wait as well");
+    successor.planner.worker_lease_expired(&silent);
+    assert_eq!(successor.starts().len(), 1);
+}
+
 /// Guards against a run that is taken for lost, because the worker's report was requested
 /// before the run started and so does not contain it.
 #[test]
