Learn the speed of workers and place tasks by it

Cause: on a fleet with speeds 0.6, 1.0 and 1.6, urgent short tasks were placed on slow workers while work with slack took fast ones.

Change: plan::speed compares each run that is done with its sibling tasks on other workers, and solves for the work of steps and the speeds of workers together; runs that have not ended count as longer. Placement takes the slowest worker that is fast enough for the job's due time, and the fastest one without any; late work takes the slowest. Advice requests name workers that match first, up to as many requests as tasks fit there. Gangs are packed on workers of similar speed. Ranks count with quick workers where a tenth of the fleet is quick. Without workers of different speed, decisions are the earlier ones.

--- a/crates/plan/src/candidate.rs
+++ b/crates/plan/src/candidate.rs
@@ -9,7 +9,9 @@
 use crate::job::{StepKey, StepSpec, TaskKey};
 use crate::place::PlacementPass;
 use crate::planner::Planner;
+use crate::speed::WorkerSpeed;
 use crate::state::WorkerState;
+use crate::suitability::{SpeedMatch, SpeedOrder};
 
 /// A worker that can run tasks of a step.
 #[derive(Clone, Debug)]
@@ -30,6 +32,12 @@
     pub(crate) remaining_tasks: u32,
     /// Advice requests in flight that name the worker.
     pub(crate) open_advice_requests: u32,
+    /// Learned speed of the worker.
+    pub(crate) speed: WorkerSpeed,
+    /// Preference by speed, for the step of the candidate.
+    pub(crate) speed_order: SpeedOrder,
+    /// How well its speed matches the step's need; none if all workers are equal.
+    pub(crate) speed_match: Option<SpeedMatch>,
 }
 
 impl WorkerCandidate {
@@ -116,6 +124,7 @@
             let here = worker.runs.keys().filter(|task| task.step == *key).count();
             step.max_per_worker.saturating_sub(u32::try_from(here).unwrap_or(u32::MAX))
         };
+        let speed = worker.speed;
         (remaining_tasks > 0).then(|| WorkerCandidate {
             name: name.clone(),
             free: worker.free(),
@@ -126,13 +135,17 @@
             ticket: ArcStr::default(),
             remaining_tasks,
             open_advice_requests: worker.open_advice_requests,
+            speed,
+            speed_order: pass.speed_need.map_or_else(SpeedOrder::default, |need| need.order(speed)),
+            speed_match: pass.speed_need.map(|need| need.match_with(speed)),
         })
     }
 
     /// Returns the index of the candidate on which a task should start.
     ///
     /// Avoids workers where the task failed, then fillers beside a service, then racks without
-    /// the data; among the rest it takes the one with the least free processor time.
+    /// the data; among the rest it takes the slowest that is fast enough, and among equally fast
+    /// ones that with the least free processor time.
     pub(crate) fn choose_candidate(
         &mut self,
         task: &TaskKey,
@@ -151,6 +164,7 @@
                     avoided.contains(&candidate.name),
                     disturbed,
                     !candidate.near_data,
+                    candidate.speed_order,
                     candidate.free.cpu_millis,
                 )
             })
--- a/crates/plan/src/gang.rs
+++ b/crates/plan/src/gang.rs
@@ -14,6 +14,7 @@
 use crate::order::JobRank;
 use crate::place::PlacementPass;
 use crate::planner::Planner;
+use crate::suitability::{self, SpeedNeed};
 
 /// Longest time for which workers are reserved for such a gang, in milliseconds.
 const MAX_RESERVATION_MS: u64 = 15_000;
@@ -39,7 +40,7 @@
         for candidate in &mut candidates {
             candidate.avoided = avoided.contains(&candidate.name);
         }
-        if let Some(places) = pack_gang(step, candidates) {
+        if let Some(places) = pack_gang(step, &candidates) {
             let run = self.next_gang_run(key);
             if let Some(state) = self.step_mut(key) {
                 state.advice.unused_answers = 0;
@@ -67,7 +68,8 @@
         let is_reserving = pass.reserving_gang.as_ref() == Some(key);
         if is_reserving || pass.may_reserve(rank) {
             pass.reservation_attempts += 1;
-            if self.reserve_workers(key, step, rule, &mut pass.reserved) {
+            let need = pass.speed_need;
+            if self.reserve_workers(key, step, rule, need, &mut pass.reserved) {
                 pass.reserved_gangs += usize::from(!is_reserving);
             }
         }
@@ -93,13 +95,14 @@
 
     /// Reserves enough workers for a gang, so that steps later in the pass leave them alone.
     ///
-    /// Chooses those with the most free processor time. Returns false, and reserves none, if there
-    /// are not enough.
+    /// Chooses those that are fast enough and have the most free processor time. Returns false, and
+    /// reserves none, if there are not enough.
     pub(crate) fn reserve_workers(
         &self,
         key: &StepKey,
         step: &StepSpec,
         rule: &QueueRule,
+        need: Option<SpeedNeed>,
         reserved: &mut BTreeSet<WorkerName>,
     ) -> bool {
         let Some(state) = self.step_state(key) else {
@@ -116,7 +119,10 @@
                 rule.advice.is_none() || state.advice.eligible.contains_key(&worker.info.name)
             })
             .collect();
-        workers.sort_by_key(|worker| Reverse(worker.free().cpu_millis));
+        workers.sort_by_key(|worker| {
+            let is_too_slow = need.is_some_and(|need| !need.is_met_by(worker.speed));
+            (is_too_slow, Reverse(worker.free().cpu_millis))
+        });
         let mut reservable_tasks = 0_u32;
         let mut names = Vec::new();
         for worker in workers {
@@ -145,42 +151,60 @@
 
 /// Returns a worker and its ticket for each member of a gang; `None` if the gang does not fit.
 ///
-/// A gang that should share a rack is placed on one rack if one has the capacity.
+/// A gang that should share a rack is placed on one rack if one has the capacity. A gang is as fast
+/// as its slowest member, so it is placed on workers of similar speed where the speeds differ. One
+/// that reads data from a rack is not: reading them from elsewhere costs it more than any speed.
 pub(crate) fn pack_gang(
     step: &StepSpec,
-    candidates: Vec<WorkerCandidate>,
+    candidates: &[WorkerCandidate],
 ) -> Option<Vec<(WorkerName, ArcStr)>> {
-    if step.same_rack {
-        let racks: BTreeSet<_> =
-            candidates.iter().filter_map(|candidate| candidate.rack.clone()).collect();
-        let on_rack = racks.into_iter().find_map(|rack| {
-            let inside =
-                candidates.iter().filter(|candidate| candidate.rack.as_ref() == Some(&rack));
-            pack_tasks(step, inside.cloned().collect())
-        });
-        if on_rack.is_some() {
-            return on_rack;
+    let is_uniform = candidates.windows(2).all(|pair| pair[0].speed.level == pair[1].speed.level);
+    let packs: &[PackFunction] =
+        if step.same_rack { &[pack_on_rack, pack_tasks] } else { &[pack_tasks] };
+    packs.iter().find_map(|pack| {
+        if is_uniform || step.data_rack.is_some() {
+            return pack(step, candidates.iter().collect());
         }
-    }
-    pack_tasks(step, candidates)
+        suitability::find_gang_group(step, candidates, *pack)
+    })
 }
 
-/// Packs all tasks of a step onto the candidates, those on which no member failed, near the data
-/// and with the least free processor time first; returns `None` if they do not fit.
-pub(crate) fn pack_tasks(
+/// A way to place all tasks of a gang on some workers.
+pub(crate) type PackFunction =
+    fn(&StepSpec, Vec<&WorkerCandidate>) -> Option<Vec<(WorkerName, ArcStr)>>;
+
+/// Packs all tasks of a step onto candidates of one rack; returns `None` if no rack has room.
+#[expect(clippy::needless_pass_by_value, reason = "a PackFunction, of which the other sorts them")]
+fn pack_on_rack(
     step: &StepSpec,
-    mut candidates: Vec<WorkerCandidate>,
+    candidates: Vec<&WorkerCandidate>,
+) -> Option<Vec<(WorkerName, ArcStr)>> {
+    let racks: BTreeSet<_> =
+        candidates.iter().filter_map(|candidate| candidate.rack.clone()).collect();
+    racks.into_iter().find_map(|rack| {
+        let inside = candidates.iter().filter(|candidate| candidate.rack.as_ref() == Some(&rack));
+        pack_tasks(step, inside.copied().collect())
+    })
+}
+
+/// Packs all tasks of a step onto the candidates, those on which no member failed, near the data,
+/// of the preferred speed and with the least free processor time first; returns `None` if they do
+/// not fit.
+fn pack_tasks(
+    step: &StepSpec,
+    mut candidates: Vec<&WorkerCandidate>,
 ) -> Option<Vec<(WorkerName, ArcStr)>> {
     let occupied = step.occupied_amounts();
     candidates.sort_by_key(|candidate| {
-        (candidate.avoided, !candidate.near_data, candidate.free.cpu_millis)
+        let WorkerCandidate { avoided, near_data, speed_order, free, .. } = candidate;
+        (*avoided, !near_data, *speed_order, free.cpu_millis)
     });
-    let mut places = Vec::with_capacity(step.count as usize);
-    for candidate in &mut candidates {
-        while places.len() < step.count as usize && candidate.placeable_tasks(occupied) > 0 {
-            candidate.place_task(occupied);
-            places.push((candidate.name.clone(), candidate.ticket.clone()));
-        }
+    let count = step.count as usize;
+    let mut places = Vec::with_capacity(count);
+    for candidate in candidates {
+        let placeable = candidate.placeable_tasks(occupied) as usize;
+        let place = (candidate.name.clone(), candidate.ticket.clone());
+        places.extend(std::iter::repeat_n(place, placeable.min(count - places.len())));
     }
-    (places.len() == step.count as usize).then_some(places)
+    (places.len() == count).then_some(places)
 }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod planner;
 pub mod progress;
 pub mod ranges;
+pub mod speed;
 pub mod worker;
 
 mod candidate;
@@ -25,3 +26,4 @@
 mod report;
 mod request;
 mod state;
+mod suitability;
--- a/crates/plan/src/order.rs
+++ b/crates/plan/src/order.rs
@@ -62,7 +62,7 @@
     clippy::cast_sign_loss,
     reason = "durations of calls are small and not negative"
 )]
-fn step_ms(step: &StepSpec, rule: &QueueRule) -> u64 {
+pub(crate) fn step_ms(step: &StepSpec, rule: &QueueRule) -> u64 {
     let advice_ms = rule.advice.map_or(0.0, |cost| cost.duration_ms(OBJECTIVE_ADVICE_WORKERS));
     step.estimate_ms + advice_ms as u64
 }
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -18,6 +18,7 @@
 use crate::planner::Planner;
 use crate::request;
 use crate::state::{JobState, RunPhase, RunState, SharingKind};
+use crate::suitability::SpeedNeed;
 
 /// Most gangs for which workers are reserved at the same time; more would idle the fleet.
 const MAX_RESERVED_GANGS: usize = 3;
@@ -93,6 +94,8 @@
     /// What each team may use on workers that have not reported, computed when the first step
     /// of a team is placed; starts in the pass do not change it.
     pub(crate) unreported_usage: Option<BTreeMap<TeamName, ResourceAmounts>>,
+    /// How fast workers have to be for the step that is being placed; none if all are equal.
+    pub(crate) speed_need: Option<SpeedNeed>,
 }
 
 impl PlacementPass {
@@ -216,6 +219,7 @@
     /// Returns the steps with tasks that may start, with the ranks of their jobs.
     fn waiting_steps<'a>(&mut self, config: &'a PlanConfig) -> Vec<WaitingStep<'a>> {
         let mut steps = Vec::new();
+        let quick_factor = self.speeds.quick_factor();
         for (id, job) in &mut self.jobs {
             if job.status.is_final() || self.inherited_jobs.contains(id) {
                 continue;
@@ -225,7 +229,7 @@
                 continue;
             }
             let Some(rule) = config.queues.get(&job.spec.queue) else { continue };
-            let rank = job.rank(rule, self.now_ms);
+            let rank = job.rank(rule, self.now_ms, quick_factor);
             for (occurrence, step) in waiting {
                 let state = job
                     .occurrences
@@ -268,6 +272,7 @@
             None => self.scan_pool(&rule.pool),
         };
         pass.pools.insert(rule.pool.clone(), capacity);
+        pass.speed_need = self.speed_need(waiting);
         let may_fit = step.occupied_amounts().fits_in(capacity.largest_free);
         let before = self.decisions.len();
         if step.gang {
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -16,6 +16,7 @@
 use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
 use crate::order::{self, JobRank, RankInput};
 use crate::progress::{JobStatus, ProgressRecord, RemainingRuns, StepProgress};
+use crate::speed::{self, SpeedTable, StepWork};
 use crate::state::{
     AdviceState, JobState, OccurrenceState, PendingAcks, RunPhase, RunState, StepState, TaskState,
     WorkerState,
@@ -99,6 +100,8 @@
     pub(crate) calls_per_start: BTreeMap<QueueName, f64>,
     /// How long runs take beside their declared durations.
     pub(crate) durations: DurationTable,
+    /// How fast workers are.
+    pub(crate) speeds: SpeedTable,
     /// Workers examined for waiting steps, over all decisions.
     pub(crate) examined: u64,
     /// Waiting steps for which something might have been done, over all decisions.
@@ -239,6 +242,7 @@
             worker.deregistered = true;
             if worker.runs.is_empty() && !self.unreported_workers.contains_key(name) {
                 self.workers.remove(name);
+                self.speeds.forget(name);
             }
         }
     }
@@ -269,6 +273,7 @@
         }
         if deregistered {
             self.workers.remove(name);
+            self.speeds.forget(name);
         }
     }
 
@@ -752,15 +757,16 @@
         self.next_occurrence >= total && self.occurrences.values().all(is_done)
     }
 
-    /// Returns the rank of the job among those that wait.
-    pub(crate) fn rank(&mut self, rule: &QueueRule, now_ms: u64) -> JobRank {
+    /// Returns the rank of the job among those that wait. What is left of it may run on workers
+    /// that are faster than usual by `quick_factor`.
+    pub(crate) fn rank(&mut self, rule: &QueueRule, now_ms: u64, quick_factor: f64) -> JobRank {
         let objective_ms =
             *self.objective_ms.get_or_insert_with(|| order::objective_ms(&self.spec, rule));
         order::rank_job(RankInput {
             now_ms,
             submitted_ms: self.submitted_ms,
             objective_ms,
-            remaining_ms: remaining_path_ms(self),
+            remaining_ms: speed::shorten_ms(remaining_path_ms(self), quick_factor),
             beyond_share: self.beyond_share,
             priority: rule.priority,
         })
@@ -809,6 +815,7 @@
             advice: AdviceState::default(),
             servability: None,
             gang_saved: ArcStr::default(),
+            work: StepWork::default(),
         })
         .collect();
     OccurrenceState { steps }
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -74,6 +74,7 @@
             worker.last_counted_end = 0;
             worker.ack_up_to = 0;
             worker.failed_jobs.clear();
+            self.speeds.weaken(name);
         }
         true
     }
--- a/crates/plan/src/request.rs
+++ b/crates/plan/src/request.rs
@@ -15,6 +15,7 @@
 use crate::place::{MAX_ADVICE_SEARCHES_PER_DECISION, PlacementPass, WaitingStep};
 use crate::planner::Planner;
 use crate::state::AdviceState;
+use crate::suitability::SpeedMatch;
 
 /// Most workers that one advice request may name.
 const MAX_ADVICE_WORKERS: usize = 100;
@@ -244,9 +245,17 @@
             .map(|(index, candidate)| {
                 let is_eligible = state.advice.eligible.contains_key(&candidate.name);
                 let placeable = candidate.placeable_tasks(occupied).min(needed_tasks);
+                let open_requests = candidate.open_advice_requests;
+                // Once as many requests name a worker as tasks fit there, it is no better choice
+                // than a worker of another speed.
+                let is_in_demand = open_requests >= candidate.placeable_tasks(occupied);
+                let speed_match = candidate.speed_match.map(|speed_match| {
+                    if is_in_demand { SpeedMatch::TooSlow } else { speed_match }
+                });
                 // If all requests named the emptiest workers, they would get tickets for the
                 // same capacity.
-                (Reverse(is_eligible), candidate.open_advice_requests, Reverse(placeable), index)
+                let order = (speed_match, open_requests, Reverse(placeable));
+                (Reverse(is_eligible), order, index)
             })
             .collect();
         if ranked.len() > MAX_ADVICE_WORKERS {
@@ -258,7 +267,7 @@
         let mut expected_tasks = 0.0;
         let mut free_tasks = 0_u32;
         let mut workers: Vec<WorkerName> = Vec::new();
-        for (Reverse(is_eligible), _, Reverse(placeable), index) in ranked {
+        for (Reverse(is_eligible), (_, _, Reverse(placeable)), index) in ranked {
             let enough = expected_tasks >= wanted_tasks
                 && (!step.gang || is_eligible || workers.len() >= MIN_GANG_ADVICE_WORKERS);
             if enough {
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -11,6 +11,7 @@
 use crate::job::{JobSpec, StepSpec, TaskKey};
 use crate::progress::{JobStatus, RemainingRuns};
 use crate::ranges::IndexRanges;
+use crate::speed::{StepWork, WorkerSpeed};
 use crate::worker::WorkerInfo;
 
 /// A job that is unfinished, or whose final status is not stored yet.
@@ -59,6 +60,8 @@
     pub(crate) servability: Option<(u64, bool)>,
     /// Saved progress of a gang, from which every member resumes.
     pub(crate) gang_saved: ArcStr,
+    /// Durations of the step's runs, from which the speeds of workers are learned.
+    pub(crate) work: StepWork,
 }
 
 impl StepState {
@@ -222,6 +225,8 @@
     pub(crate) failed_jobs: BTreeSet<JobId>,
     /// Time before which nothing is started on the worker.
     pub(crate) quarantined_until_ms: u64,
+    /// Learned speed of the worker.
+    pub(crate) speed: WorkerSpeed,
 }
 
 impl WorkerState {
@@ -242,6 +247,7 @@
             open_advice_requests: 0,
             failed_jobs: BTreeSet::new(),
             quarantined_until_ms: 0,
+            speed: WorkerSpeed::default(),
         }
     }
 
