Move runs off workers that are about to leave

Registrations of draining workers carry remainingMs. The planner keeps bounds of the departure, which later heartbeats narrow, and orders the stops of runs that would be lost: those that save their progress 1.2 s before the earliest departure, others at once when they surely cannot end, gangs whole. Registrations that differ in the remaining time only are no change. The metric fleet_early_moves counts the stops.

--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -71,6 +71,9 @@
 /// Delay between two reads of changes of the workers' table: every worker writes its row at
 /// each heartbeat, and only a drain must be known within a second or two.
 pub const WORKER_FEED_DELAY: Duration = Duration::from_millis(500);
+/// Greatest age of a registration that is read without an earlier read to compare with, in
+/// milliseconds: the interval of the workers' heartbeats and the time of the read.
+pub const MAX_REGISTRATION_AGE_MS: u64 = 2_000;
 /// Delay between two reads of changes of the inbox, in which submissions are batched.
 pub const JOB_FEED_DELAY: Duration = Duration::from_millis(15);
 /// Delay between two reads of changes of the state table, in which changes are batched.
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -16,6 +16,8 @@
     pub starts: Counter<u64>,
     /// Stops sent by this owner, by `reason`.
     pub stops: Counter<u64>,
+    /// Runs whose stop this owner sent because their worker leaves.
+    pub early_moves: Counter<u64>,
     /// Run ends reported to this owner, by `kind`.
     pub run_ends: Counter<u64>,
     /// Jobs that finished under this owner, by `status`.
@@ -53,6 +55,7 @@
             request_time: meter.f64_histogram("fleet_request_time_ms").build(),
             starts: meter.u64_counter("fleet_starts").build(),
             stops: meter.u64_counter("fleet_stops").build(),
+            early_moves: meter.u64_counter("fleet_early_moves").build(),
             run_ends: meter.u64_counter("fleet_ends").build(),
             finished_jobs: meter.u64_counter("fleet_jobs_over").build(),
             refused_jobs: meter.u64_counter("fleet_jobs_refused").build(),
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -6,6 +6,7 @@
 use futures_util::future;
 use link::failure;
 use model::name::JobId;
+use model::time::ClockMillis;
 use plan::job::JobSpec;
 use plan::progress::{JobStatus, ProgressRecord};
 
@@ -143,7 +144,7 @@
     let registered: Vec<_> = page.rows.iter().map(|row| row.key.clone()).collect();
     workers::deregister_others(session, &registered);
     for row in &page.rows {
-        workers::apply_registration(session, row);
+        workers::apply_registration(session, row, limits::MAX_REGISTRATION_AGE_MS);
     }
 }
 
@@ -340,14 +341,21 @@
 
 /// Follows the registrations of workers.
 pub(crate) async fn follow_workers<P: OwnerPorts>(session: SharedSession<P>, mut version: u64) {
+    // A change that a read returns was made after the answer to the read before it.
+    let mut answered_read: Option<ClockMillis> = None;
     loop {
+        let sent_at = session.context.clock.now();
         let answer =
             session.context.ports.follow(row::WORKER_TABLE, version, limits::MAX_FEED_WAIT).await;
         match answer {
             Ok(FeedAnswer::Changes(page)) => {
                 version = page.version;
+                let now = session.context.clock.now();
+                let max_age_ms = answered_read
+                    .replace(sent_at)
+                    .map_or(limits::MAX_REGISTRATION_AGE_MS, |earlier| now.since(earlier));
                 for row in &page.rows {
-                    workers::apply_registration(&session, row);
+                    workers::apply_registration(&session, row, max_age_ms);
                 }
                 if !page.rows.is_empty() {
                     session.decide_notify.notify_one();
--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -2,6 +2,7 @@
 
 use link::failure;
 use plan::decision::{StartOrder, StopOrder};
+use plan::drain;
 use plan::worker::{RefusalKind, StartAnswer};
 
 use crate::limits;
@@ -80,6 +81,9 @@
         answer.is_ok()
     );
     session.context.metrics.stops.add(1, &[metrics::label("reason", order.reason)]);
+    if order.reason == drain::STOP_REASON {
+        session.context.metrics.early_moves.add(1, &[]);
+    }
     match answer {
         Ok(()) => {
             let now = session.context.clock.now();
--- a/crates/fleet/src/owner/workers.rs
+++ b/crates/fleet/src/owner/workers.rs
@@ -27,6 +27,10 @@
     address: ArcStr,
     /// Version of the row.
     version: u64,
+    /// When the row was read.
+    read_at: ClockMillis,
+    /// How long before it may have been written at most, in milliseconds.
+    max_age_ms: u64,
 }
 
 /// How a poll of a worker failed.
@@ -88,19 +92,25 @@
     session.links.borrow().values().any(|link| link.held_since.is_some())
 }
 
-/// Applies a row of the workers' table.
-pub(crate) fn apply_registration<P: OwnerPorts>(session: &SharedSession<P>, row: &TableRow) {
+/// Applies a row of the workers' table that was written at most `max_age_ms` ago.
+pub(crate) fn apply_registration<P: OwnerPorts>(
+    session: &SharedSession<P>,
+    row: &TableRow,
+    max_age_ms: u64,
+) {
     let name = WorkerName::from(row.key.as_str());
     let Some((info, address)) = session.context.ports.decode_worker_row(row) else {
         session.registrations.borrow_mut().remove(&name);
         deregister(session, &name);
         return;
     };
-    let registration = WorkerRegistration { info, address, version: row.version };
+    let read_at = session.context.clock.now();
+    let registration =
+        WorkerRegistration { info, address, version: row.version, read_at, max_age_ms };
     register_if_member(session, &registration);
     let known = session.registrations.borrow_mut().insert(name, registration.clone());
     let WorkerInfo { name, pool, .. } = &registration.info;
-    let is_changed = known.is_none_or(|known| known.info != registration.info);
+    let is_changed = known.is_none_or(|known| !known.info.agrees_with(&registration.info));
     if is_changed && !session.context.config_view.borrow().has_pool(pool) {
         log::warn!("registration in an unknown pool ignored worker={name} pool={pool}");
     }
@@ -127,14 +137,18 @@
 }
 
 fn register<P: OwnerPorts>(session: &SharedSession<P>, registration: WorkerRegistration) {
-    let WorkerRegistration { info, address, version } = registration;
+    let WorkerRegistration { info, address, version, read_at, max_age_ms } = registration;
     let name = info.name.clone();
-    let text = format!("worker={name} domain={} draining={}", info.domain, info.draining);
+    let remaining = info.remaining_ms.map(|remaining_ms| format!(" remaining_ms={remaining_ms}"));
+    let remaining = remaining.unwrap_or_default();
+    let text =
+        format!("worker={name} domain={} draining={}{remaining}", info.domain, info.draining);
     let is_draining = info.draining;
     // Each heartbeat writes the row; only changes that decisions depend on are logged.
     if session.planner.borrow_mut().set_worker(info) {
         log::info!("worker registered {text} version={version}");
     }
+    session.planner.borrow_mut().record_departure(&name, read_at.0, max_age_ms);
     let mut links = session.links.borrow_mut();
     if let Some(link) = links.get_mut(&name) {
         link.address = address;
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod advice;
 pub mod config;
 pub mod decision;
+pub mod drain;
 pub mod duration;
 pub mod feature;
 pub mod job;
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -11,6 +11,7 @@
 use crate::advice::{CallAmounts, CallQueue, CallTimes};
 use crate::config::{PlanConfig, QueueRule};
 use crate::decision::{PlanDecision, StopOrder};
+use crate::drain::LeavingWorkers;
 use crate::duration::DurationTable;
 use crate::feature::PlanFeatures;
 use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
@@ -99,6 +100,7 @@
     pub(crate) calls_per_start: BTreeMap<QueueName, f64>,
     /// How long runs take beside their declared durations.
     pub(crate) durations: DurationTable,
+    pub(crate) leaving_workers: LeavingWorkers,
     /// Workers examined for waiting steps, over all decisions.
     pub(crate) examined: u64,
     /// Waiting steps for which something might have been done, over all decisions.
@@ -153,9 +155,13 @@
     /// Adds or updates a registered worker; returns true if something has changed.
     pub fn set_worker(&mut self, info: WorkerInfo) -> bool {
         let changed = if let Some(worker) = self.workers.get_mut(&info.name) {
-            let changed = worker.deregistered || worker.info != info;
+            let changed = worker.deregistered || !worker.info.agrees_with(&info);
             worker.info = info;
             worker.deregistered = false;
+            if !worker.info.draining {
+                worker.departure = None;
+                self.leaving_workers.remove(&worker.info.name);
+            }
             changed
         } else {
             self.workers.insert(info.name.clone(), WorkerState::new(info));
@@ -237,6 +243,8 @@
     pub fn deregister_worker(&mut self, name: &WorkerName) {
         if let Some(worker) = self.workers.get_mut(name) {
             worker.deregistered = true;
+            worker.departure = None;
+            self.leaving_workers.remove(name);
             if worker.runs.is_empty() && !self.unreported_workers.contains_key(name) {
                 self.workers.remove(name);
             }
@@ -548,6 +556,7 @@
     pub fn decide(&mut self, now_ms: u64, unix_ms: u64) -> Vec<PlanDecision> {
         self.now_ms = self.now_ms.max(now_ms);
         self.add_due_occurrences(unix_ms);
+        self.move_leaving_runs();
         self.place_waiting_steps();
         std::mem::take(&mut self.decisions)
     }
@@ -700,14 +709,18 @@
     }
 
     /// Stops the other members of an unfinished gang after the run of one member has ended.
-    fn stop_gang_members(&mut self, task: &TaskKey) {
+    pub(crate) fn stop_gang_members(&mut self, task: &TaskKey) {
         if !self.step_spec(&task.step).is_some_and(|spec| spec.gang) {
             return;
         }
-        let Some(step) = self.step_mut(&task.step) else { return };
-        if step.unfinished == 0 {
-            return;
+        if self.step_state(&task.step).is_some_and(|step| step.unfinished > 0) {
+            self.stop_gang(&task.step, "gang-broken");
         }
+    }
+
+    /// Stops the runs of all members of a gang.
+    pub(crate) fn stop_gang(&mut self, key: &StepKey, reason: &'static str) {
+        let Some(step) = self.step_state(key) else { return };
         let members: Vec<_> = step
             .tasks
             .iter()
@@ -716,8 +729,8 @@
             .map(|(name, index)| (name.clone(), index))
             .collect();
         for (name, index) in members {
-            let member = TaskKey { step: task.step.clone(), index };
-            self.stop_run(&name, &member, "gang-broken");
+            let member = TaskKey { step: key.clone(), index };
+            self.stop_run(&name, &member, reason);
         }
     }
 }
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -8,6 +8,7 @@
 use model::resource::ResourceAmounts;
 use smallvec::SmallVec;
 
+use crate::drain::DepartureSpan;
 use crate::job::{JobSpec, StepSpec, TaskKey};
 use crate::progress::{JobStatus, RemainingRuns};
 use crate::ranges::IndexRanges;
@@ -222,6 +223,8 @@
     pub(crate) failed_jobs: BTreeSet<JobId>,
     /// Time before which nothing is started on the worker.
     pub(crate) quarantined_until_ms: u64,
+    /// When the worker leaves; none if it does not drain, or has not said when it leaves.
+    pub(crate) departure: Option<DepartureSpan>,
 }
 
 impl WorkerState {
@@ -242,6 +245,7 @@
             open_advice_requests: 0,
             failed_jobs: BTreeSet::new(),
             quarantined_until_ms: 0,
+            departure: None,
         }
     }
 
--- a/crates/plan/src/worker.rs
+++ b/crates/plan/src/worker.rs
@@ -25,9 +25,20 @@
     pub capacity: ResourceAmounts,
     /// Whether the worker is about to leave and takes no new tasks.
     pub draining: bool,
+    /// Least time until a draining worker leaves, in milliseconds from when the registration was
+    /// written; none if it is not known.
+    pub remaining_ms: Option<u64>,
 }
 
 impl WorkerInfo {
+    /// Returns whether two registrations agree apart from [`Self::remaining_ms`], which falls with
+    /// each heartbeat of a draining worker.
+    #[must_use]
+    pub fn agrees_with(&self, other: &Self) -> bool {
+        let other = Self { remaining_ms: self.remaining_ms, ..other.clone() };
+        *self == other
+    }
+
     /// Returns the rack, which is the last of several labels.
     #[must_use]
     pub fn rack(&self) -> Option<&ArcStr> {
--- a/crates/plan/tests/support/mod.rs
+++ b/crates/plan/tests/support/mod.rs
@@ -46,6 +46,7 @@
             ..ResourceAmounts::ZERO
         },
         draining: false,
+        remaining_ms: None,
     }
 }
 
