Stop runs that stand still on workers that answer

A run that used no processor time in two reports at least 900 ms apart, at full speed and without new saved progress, is stopped and started elsewhere. Members of a gang that have used the processor may wait for others and are judged only beside a stalled run of another job. A worker with stalled runs of two jobs gets no starts for 3 s, a tenth of the pool at most. Pools whose workers do not report processor use are not judged. The metric fleet_stalled_runs counts the stops.

With the examination of reports left out, which is the earlier behaviour, 5 of the 9 tests in crates/plan/tests/stall.rs fail; the other four check what must not be stopped.

--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -18,6 +18,8 @@
     pub stops: Counter<u64>,
     /// Runs whose stop this owner sent because their worker leaves.
     pub early_moves: Counter<u64>,
+    /// Runs whose stop this owner sent because they stand still.
+    pub stalled_runs: Counter<u64>,
     /// Run ends reported to this owner, by `kind`.
     pub run_ends: Counter<u64>,
     /// Jobs that finished under this owner, by `status`.
@@ -56,6 +58,7 @@
             starts: meter.u64_counter("fleet_starts").build(),
             stops: meter.u64_counter("fleet_stops").build(),
             early_moves: meter.u64_counter("fleet_early_moves").build(),
+            stalled_runs: meter.u64_counter("fleet_stalled_runs").build(),
             run_ends: meter.u64_counter("fleet_ends").build(),
             finished_jobs: meter.u64_counter("fleet_jobs_over").build(),
             refused_jobs: meter.u64_counter("fleet_jobs_refused").build(),
--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -2,8 +2,8 @@
 
 use link::failure;
 use plan::decision::{StartOrder, StopOrder};
-use plan::drain;
 use plan::worker::{RefusalKind, StartAnswer};
+use plan::{drain, stall};
 
 use crate::limits;
 use crate::metrics;
@@ -81,8 +81,10 @@
         answer.is_ok()
     );
     session.context.metrics.stops.add(1, &[metrics::label("reason", order.reason)]);
-    if order.reason == drain::STOP_REASON {
-        session.context.metrics.early_moves.add(1, &[]);
+    match order.reason {
+        drain::STOP_REASON => session.context.metrics.early_moves.add(1, &[]),
+        stall::STOP_REASON => session.context.metrics.stalled_runs.add(1, &[]),
+        _ => {}
     }
     match answer {
         Ok(()) => {
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod planner;
 pub mod progress;
 pub mod ranges;
+pub mod stall;
 pub mod worker;
 
 mod candidate;
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -378,6 +378,7 @@
             confirmed_ms: None,
             started_ms: None,
             is_resumed: !saved.is_empty(),
+            was_busy: false,
             occupied: step.occupied_amounts(),
             charged: step.amounts,
             team: spec.team.clone(),
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -17,6 +17,7 @@
 use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
 use crate::order::{self, JobRank, RankInput};
 use crate::progress::{JobStatus, ProgressRecord, RemainingRuns, StepProgress};
+use crate::stall::StallRecord;
 use crate::state::{
     AdviceState, JobState, OccurrenceState, PendingAcks, RunPhase, RunState, StepState, TaskState,
     WorkerState,
@@ -101,6 +102,7 @@
     /// How long runs take beside their declared durations.
     pub(crate) durations: DurationTable,
     pub(crate) leaving_workers: LeavingWorkers,
+    pub(crate) stalls: StallRecord,
     /// Workers examined for waiting steps, over all decisions.
     pub(crate) examined: u64,
     /// Waiting steps for which something might have been done, over all decisions.
@@ -255,6 +257,9 @@
     pub fn set_silent(&mut self, name: &WorkerName, silent: bool) {
         if let Some(worker) = self.workers.get_mut(name) {
             worker.silent = silent;
+            if silent {
+                worker.idle_runs.clear();
+            }
         }
     }
 
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -15,9 +15,9 @@
 const FAILED_JOBS_TO_QUARANTINE: usize = 2;
 /// Most workers against which the failures of one job count. A job that fails on further ones is
 /// at fault itself.
-const MAX_BLAMED_WORKERS: usize = 2;
+pub(crate) const MAX_BLAMED_WORKERS: usize = 2;
 /// Milliseconds for which a worker that fails its tasks gets no starts.
-const QUARANTINE_MS: u64 = 3_000;
+pub(crate) const QUARANTINE_MS: u64 = 3_000;
 /// Milliseconds for which a worker that refused a start as unhealthy gets no further starts.
 const UNHEALTHY_WORKER_BACKOFF_MS: u64 = 500;
 /// Milliseconds before the next advice request for a step whose last call failed.
@@ -49,6 +49,7 @@
         for present in &report.running {
             self.apply_present_run(name, present);
         }
+        self.stop_stalled_runs(name, report, sent_ms);
         if !report.is_partial {
             self.remove_absent_runs(name, report, sent_ms);
             self.mark_reported(name);
@@ -74,6 +75,7 @@
             worker.last_counted_end = 0;
             worker.ack_up_to = 0;
             worker.failed_jobs.clear();
+            worker.stalled_jobs.clear();
         }
         true
     }
@@ -133,6 +135,7 @@
     fn record_task_done(&mut self, name: &WorkerName, end: &EndedRun) {
         if let Some(worker) = self.workers.get_mut(name) {
             worker.failed_jobs.clear();
+            worker.stalled_jobs.clear();
         }
         let Some(spec) = self.step_spec(&end.task.step) else { return };
         let (gang, service) = (spec.gang, spec.service);
@@ -217,6 +220,7 @@
         let Some(worker) = self.workers.get_mut(name) else { return };
         if let Some(run) = worker.runs.get_mut(&present.task) {
             if run.run == present.run {
+                run.was_busy |= present.measurement > 0;
                 if run.phase == RunPhase::Starting {
                     run.phase = RunPhase::Running;
                     run.confirmed_ms = Some(now);
@@ -260,6 +264,7 @@
             confirmed_ms: Some(self.now_ms),
             started_ms: None,
             is_resumed: true,
+            was_busy: true,
             occupied,
             charged,
             team,
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -12,6 +12,7 @@
 use crate::job::{JobSpec, StepSpec, TaskKey};
 use crate::progress::{JobStatus, RemainingRuns};
 use crate::ranges::IndexRanges;
+use crate::stall::IdleMark;
 use crate::worker::WorkerInfo;
 
 /// A job that is unfinished, or whose final status is not stored yet.
@@ -85,6 +86,8 @@
     pub(crate) runs: SmallVec<[(WorkerName, u32); 1]>,
     /// Workers on which a run failed; others are preferred for the next run.
     pub(crate) avoided: SmallVec<[WorkerName; 2]>,
+    /// Number of runs that were stopped as stalled.
+    pub(crate) stalled_runs: u32,
 }
 
 impl TaskState {
@@ -181,6 +184,8 @@
     pub(crate) started_ms: Option<u64>,
     /// Whether the run resumed from saved progress, or may have.
     pub(crate) is_resumed: bool,
+    /// Whether the run has used the processor, or may have.
+    pub(crate) was_busy: bool,
     /// Capacity of the worker that the run occupies.
     pub(crate) occupied: ResourceAmounts,
     /// Resources that the run uses up of the team's limit.
@@ -225,6 +230,10 @@
     pub(crate) quarantined_until_ms: u64,
     /// When the worker leaves; none if it does not drain, or has not said when it leaves.
     pub(crate) departure: Option<DepartureSpan>,
+    /// Runs that used no processor time in the last report.
+    pub(crate) idle_runs: BTreeMap<TaskKey, IdleMark>,
+    /// Jobs whose stalled runs here count against the worker, since its last success.
+    pub(crate) stalled_jobs: BTreeSet<JobId>,
 }
 
 impl WorkerState {
@@ -246,6 +255,8 @@
             failed_jobs: BTreeSet::new(),
             quarantined_until_ms: 0,
             departure: None,
+            idle_runs: BTreeMap::new(),
+            stalled_jobs: BTreeSet::new(),
         }
     }
 
