--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -3,6 +3,7 @@
 use link::failure;
 use plan::decision::{StartOrder, StopOrder};
 use plan::worker::{RefusalKind, StartAnswer};
+use plan::{drain, stall};
 
 use crate::limits;
 use crate::metrics;
@@ -80,6 +81,11 @@
         answer.is_ok()
     );
     session.context.metrics.stops.add(1, &[metrics::label("reason", order.reason)]);
+    match order.reason {
+        drain::STOP_REASON => session.context.metrics.early_moves.add(1, &[]),
+        stall::STOP_REASON => session.context.metrics.stalled_runs.add(1, &[]),
+        _ => {}
+    }
     match answer {
         Ok(()) => {
             let now = session.context.clock.now();
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod advice;
 pub mod config;
 pub mod decision;
+pub mod drain;
 pub mod duration;
 pub mod feature;
 pub mod job;
@@ -17,6 +18,7 @@
 pub mod progress;
 pub mod ranges;
 pub mod speed;
+pub mod stall;
 pub mod worker;
 
 mod candidate;
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -8,10 +8,12 @@
 use model::resource::ResourceAmounts;
 use smallvec::SmallVec;
 
+use crate::drain::DepartureSpan;
 use crate::job::{JobSpec, StepSpec, TaskKey};
 use crate::progress::{JobStatus, RemainingRuns};
 use crate::ranges::IndexRanges;
 use crate::speed::{StepWork, WorkerSpeed};
+use crate::stall::IdleMark;
 use crate::worker::WorkerInfo;
 
 /// A job that is unfinished, or whose final status is not stored yet.
@@ -87,6 +89,8 @@
     pub(crate) runs: SmallVec<[(WorkerName, u32); 1]>,
     /// Workers on which a run failed; others are preferred for the next run.
     pub(crate) avoided: SmallVec<[WorkerName; 2]>,
+    /// Number of runs that were stopped as stalled.
+    pub(crate) stalled_runs: u32,
 }
 
 impl TaskState {
@@ -183,6 +187,8 @@
     pub(crate) started_ms: Option<u64>,
     /// Whether the run resumed from saved progress, or may have.
     pub(crate) is_resumed: bool,
+    /// Whether the run has used the processor, or may have.
+    pub(crate) was_busy: bool,
     /// Capacity of the worker that the run occupies.
     pub(crate) occupied: ResourceAmounts,
     /// Resources that the run uses up of the team's limit.
@@ -227,6 +233,12 @@
     pub(crate) quarantined_until_ms: u64,
     /// Learned speed of the worker.
     pub(crate) speed: WorkerSpeed,
+    /// When the worker leaves; none if it does not drain, or has not said when it leaves.
+    pub(crate) departure: Option<DepartureSpan>,
+    /// Runs that used no processor time in the last report.
+    pub(crate) idle_runs: BTreeMap<TaskKey, IdleMark>,
+    /// Jobs whose stalled runs here count against the worker, since its last success.
+    pub(crate) stalled_jobs: BTreeSet<JobId>,
 }
 
 impl WorkerState {
@@ -248,6 +260,9 @@
             failed_jobs: BTreeSet::new(),
             quarantined_until_ms: 0,
             speed: WorkerSpeed::default(),
+            departure: None,
+            idle_runs: BTreeMap::new(),
+            stalled_jobs: BTreeSet::new(),
         }
     }
 
