Test both daemons with floods of request bodies that never end

Cause: neither daemon bounds the memory of all request bodies, nor the time of one. Clients that stop just before the end of a body hold its memory as long as they like.

Change: testing/cell gets clients that send whole bodies, bodies in pieces, and chunks of one byte and of 64 KB, and stay connected. Each test checks that the process lives, that peak memory (VmHWM) and descriptors stay below its limits, and that an ordinary request is answered while the connections are open.

--- /dev/null
+++ b/crates/entry/tests/bodies.rs
@@ -0,0 +1,65 @@
+//! Floods of request bodies that never end, against a real entry process with default settings.
+//! The tests guard against an entry that runs out of memory or descriptors.
+
+use std::time::Instant;
+
+use cell::flood::{BodyFlood, BodyForm, FloodPart, ProcessWatch, SETTLE_TIME};
+use cell::{NORTH_SECRET, TestCell, WAIT_TIMEOUT};
+
+/// Memory in MB that an entry assumes without settings; a quarter of it is for bodies.
+const MEMORY_MB: u64 = 256;
+/// Descriptors that an entry assumes without settings.
+const MAX_FDS: usize = 4_096;
+/// Largest body that an entry accepts.
+const BODY_BYTES: usize = 16 << 20;
+/// Clients of a flood. Their bodies together take 671 MB.
+const CONNECTIONS: usize = 40;
+/// Length of the bodies in chunks of one byte, each of which takes six bytes to send.
+const SMALL_CHUNKS_BYTES: usize = 262_144;
+
+/// Sends a flood without a key to an entry, then an ordinary request.
+async fn check_flood(parts: &[FloodPart]) {
+    let cell = TestCell::start(1, 1, 1).await;
+    let watch = ProcessWatch::start(cell.entries[0].id());
+    let address = cell.address(0).parse().expect("an address");
+    let flood = BodyFlood::send(address, "/v1/jobs", parts).await;
+    let start = Instant::now();
+    while cell.send_request(0, NORTH_SECRET, "ordinary").await.0 != 200 {
+        assert!(start.elapsed() < WAIT_TIMEOUT, "an ordinary request is not answered");
+    }
+    tokio::time::sleep(SETTLE_TIME).await;
+    let usage = watch.usage().expect("the entry lives");
+    println!("usage of the entry: {usage:?}");
+    assert!(usage.peak_kb < MEMORY_MB * 1_024, "memory: {usage:?}");
+    assert!(usage.descriptors < MAX_FDS, "descriptors: {usage:?}");
+    drop(flood);
+}
+
+#[actix_rt::test]
+async fn whole_bodies_fit_the_entry() {
+    let part =
+        FloodPart { form: BodyForm::Whole, connections: CONNECTIONS, body_bytes: BODY_BYTES };
+    check_flood(&[part]).await;
+}
+
+#[actix_rt::test]
+async fn bodies_in_pieces_fit_the_entry() {
+    let part =
+        FloodPart { form: BodyForm::Pieces, connections: CONNECTIONS, body_bytes: BODY_BYTES };
+    check_flood(&[part]).await;
+}
+
+#[actix_rt::test]
+async fn chunked_bodies_fit_the_entry() {
+    let large = FloodPart {
+        form: BodyForm::Chunks(65_536),
+        connections: CONNECTIONS,
+        body_bytes: BODY_BYTES,
+    };
+    let small = FloodPart {
+        form: BodyForm::Chunks(1),
+        connections: CONNECTIONS,
+        body_bytes: SMALL_CHUNKS_BYTES,
+    };
+    check_flood(&[large, small]).await;
+}
--- a/testing/cell/src/lib.rs
+++ b/testing/cell/src/lib.rs
@@ -6,6 +6,8 @@
 
 #![expect(clippy::missing_panics_doc, reason = "a failed step must fail the test")]
 
+pub mod flood;
+
 use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -27,6 +29,12 @@
 }
 
 impl TestProcess {
+    /// Returns the process id.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         self.send_signal(Signal::SIGTERM);
