--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of an entry.
 
+use link::intake::IntakeMetrics;
 use link::meter::MeterRegistry;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
@@ -38,6 +39,8 @@
     pub present_runs: Gauge<u64>,
     /// Registered workers that do not answer, at the owner.
     pub silent_workers: Gauge<u64>,
+    /// Bodies and connections of clients.
+    pub intake: IntakeMetrics,
 }
 
 impl FleetMetrics {
@@ -64,6 +67,7 @@
             unfinished_jobs: meter.u64_gauge("fleet_jobs_live").build(),
             present_runs: meter.u64_gauge("fleet_runs_present").build(),
             silent_workers: meter.u64_gauge("fleet_workers_silent").build(),
+            intake: IntakeMetrics::new(&meter),
             registry,
         })
     }
--- a/crates/model/src/kind.rs
+++ b/crates/model/src/kind.rs
@@ -85,6 +85,8 @@
 error_kinds! {
     /// The input is malformed or names something out of range.
     BadInput "bad-input" 400 false NotRun;
+    /// The body of the request did not arrive in time.
+    RequestTimeout "request-timeout" 408 true NotRun;
     /// The object set does not pass its check.
     InvalidConfig "invalid-config" 422 false NotRun;
     /// No key came with the request, or the key is unknown or withdrawn.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod resource;
 pub mod setting;
 pub mod time;
+pub mod vm;
--- a/crates/saddle/src/error.rs
+++ b/crates/saddle/src/error.rs
@@ -135,6 +135,7 @@
         ErrorKind::TeamLimit | ErrorKind::QueueFull => {
             "send it again later, when earlier work of the queue has ended"
         }
+        ErrorKind::RequestTimeout => "send it again over a faster connection",
         ErrorKind::DeadlineNotMet => "send it again, with a longer `--deadline-ms` if possible",
         ErrorKind::NoOwner
         | ErrorKind::WorkerRefused
