Bound request bodies and connections of the product's daemon

Change: handlers read bodies within the budget, before any check of a key; PUT /v1/config still checks the operators' secret first. Bodies are released before the wait for the control thread, except for those passed on to an endpoint. Settings memory_mb (from 128) and max_fds (from 256).

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use actix::Actor;
-use actix_web::{App, HttpServer, web};
+use actix_web::{App, web};
 use error_stack::{Report, ResultExt};
+use link::intake::{self, ClientIntake};
+use link::server::{self, BoundedServer};
 use model::setting::EntrySettings;
 use tokio::net::TcpListener;
 use tokio::sync::{oneshot, watch};
@@ -22,6 +24,10 @@
 /// How long an idle connection of a caller is kept open.
 const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(75);
 
+/// Bytes that the system buffers for a connection of a caller; it reserves twice as many. A body
+/// of 16 MB needs 64 round trips.
+const RECEIVE_BUFFER_BYTES: u32 = 262_144;
+
 /// Longest wait for the ownership to be handed over or released.
 const MAX_HANDOVER_WAIT: Duration = Duration::from_secs(5);
 
@@ -90,7 +96,12 @@
         .change_context(StartError)?
         .map_err(|reason| Report::new(StartError).attach(reason))?;
     let draining = Arc::new(AtomicBool::new(false));
+    let limits = settings.limits();
+    let callers = ClientIntake::new("callers", limits.body_bytes(), limits.caller_connections());
+    let upkeep = intake::maintain(vec![callers.clone()], metrics.intake.clone());
+    actix_rt::spawn(stop.clone().run_until_cancelled_owned(upkeep));
     let shared = SharedTraffic {
+        callers: callers.clone(),
         control: handle.clone(),
         snapshots,
         metrics: Arc::clone(&metrics),
@@ -99,19 +110,21 @@
         operator_digest: settings.operator_digest.clone(),
         entry: settings.name.clone(),
     };
-    let server = HttpServer::new(move || {
-        let state = std::rc::Rc::new(TrafficState::new(shared.clone()));
-        App::new().app_data(web::Data::new(state)).configure(http::configure_routes)
-    })
-    .workers(usize::from(settings.threads))
-    .keep_alive(KEEP_ALIVE_TIMEOUT)
-    .disable_signals()
-    .shutdown_timeout(settings.drain_s)
-    .bind(&settings.http_address)
-    .change_context(StartError)
-    .attach_with(|| format!("http_address {}", settings.http_address))?;
-    let http_address = server.addrs().first().copied().ok_or(StartError)?;
-    let server = server.run();
+    let address = settings.http_address.parse().change_context(StartError)?;
+    let server_error = || format!("http_address {}", settings.http_address);
+    let listener = server::bind(address, Some(RECEIVE_BUFFER_BYTES))
+        .change_context(StartError)
+        .attach_with(server_error)?;
+    let http_address = listener.local_addr().change_context(StartError)?;
+    let drain = Duration::from_secs(settings.drain_s);
+    let server = BoundedServer::new(settings.threads.into(), limits.caller_connections(), drain)
+        .listen(listener, &callers, KEEP_ALIVE_TIMEOUT, move || {
+            let state = std::rc::Rc::new(TrafficState::new(shared.clone()));
+            App::new().app_data(web::Data::new(state)).configure(http::configure_routes)
+        })
+        .change_context(StartError)
+        .attach_with(server_error)?
+        .run();
     let server_handle = server.handle();
     actix_rt::spawn(server);
     log::info!("entry serving http={http_address} peers={}", settings.peer_address);
--- a/crates/entry/src/http/config.rs
+++ b/crates/entry/src/http/config.rs
@@ -40,7 +40,11 @@
 }
 
 /// Checks and publishes a complete object set.
-pub async fn put_config(request: HttpRequest, body: web::Bytes, traffic: Traffic) -> HttpResponse {
+pub async fn put_config(
+    request: HttpRequest,
+    payload: web::Payload,
+    traffic: Traffic,
+) -> HttpResponse {
     if !is_operator(&request, &traffic) {
         return not_operator_answer();
     }
@@ -55,6 +59,10 @@
         let message = "header x-change-id: must be 1 to 64 letters, digits or `-`";
         return refuse(ErrorKind::BadInput, message);
     }
+    let body = match traffic.read_body(&request, payload).await {
+        Ok(body) => body,
+        Err(error) => return traffic.refuse_unread("apply", &error),
+    };
     let objects: ObjectSet = match serde_json::from_slice(&body) {
         Ok(objects) => objects,
         Err(error) => {
@@ -62,6 +70,8 @@
             return refuse(ErrorKind::InvalidConfig, &message);
         }
     };
+    // Releases its memory before the wait for the answer.
+    drop(body);
     let problems = check::check_set(&objects);
     if !problems.is_empty() {
         let message = "the object set does not pass its check; nothing was published";
--- a/crates/entry/src/http/jobs.rs
+++ b/crates/entry/src/http/jobs.rs
@@ -11,7 +11,15 @@
 use crate::http::{Traffic, answer, bearer_secret};
 
 /// Accepts a job for the team of the caller's key.
-pub async fn submit_job(request: HttpRequest, body: web::Bytes, traffic: Traffic) -> HttpResponse {
+pub async fn submit_job(
+    request: HttpRequest,
+    payload: web::Payload,
+    traffic: Traffic,
+) -> HttpResponse {
+    let body = match traffic.read_body(&request, payload).await {
+        Ok(body) => body,
+        Err(error) => return traffic.refuse_unread("submit", &error),
+    };
     let spec: JobSpec = match serde_json::from_slice(&body) {
         Ok(spec) => spec,
         Err(error) => {
@@ -19,6 +27,8 @@
             return traffic.refuse("submit", &PeerRefusal::new(ErrorKind::BadInput, message));
         }
     };
+    // Releases its memory before the wait for the answer.
+    drop(body);
     let access = match traffic.snapshot().authorize(spec.queue.as_str(), bearer_secret(&request)) {
         Ok(access) => access,
         Err(refusal) => return traffic.refuse("submit", &refusal),
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -13,8 +13,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use actix_web::{HttpRequest, HttpResponse, web};
+use link::body::{self, BodyError, ReceivedBody};
 use link::budget::RetryBudget;
+use link::connection::ConnectionHandle;
 use link::endpoint::EndpointClient;
+use link::intake::ClientIntake;
 use model::kind::{ErrorBody, ErrorKind};
 use tokio::sync::watch;
 use wire::peer::PeerRefusal;
@@ -29,6 +32,8 @@
 pub struct SharedTraffic {
     /// Handle of the control thread.
     pub control: ControlHandle,
+    /// Room for connections and bodies of callers.
+    pub callers: ClientIntake,
     /// The configuration in force.
     pub snapshots: watch::Receiver<Arc<ConfigSnapshot>>,
     /// Metrics of the process.
@@ -79,6 +84,31 @@
         self.shared.draining.load(Ordering::Relaxed)
     }
 
+    /// Reads the body of a request, before any check of its key.
+    ///
+    /// # Errors
+    /// [`BodyError`] if it is too long, arrives too slowly or finds no room.
+    pub async fn read_body(
+        &self,
+        request: &HttpRequest,
+        mut payload: web::Payload,
+    ) -> Result<ReceivedBody, BodyError> {
+        let declared = header_text(request, "content-length").and_then(|text| text.parse().ok());
+        let connection = request.conn_data::<ConnectionHandle>();
+        let intake = &self.shared.callers;
+        body::read_body(&mut payload, declared, link::http::MAX_BODY_BYTES, intake, connection)
+            .await
+    }
+
+    /// Counts a call about a job or the configuration whose body was not received, and builds its
+    /// answer.
+    #[must_use]
+    pub fn refuse_unread(&self, call: &str, error: &BodyError) -> HttpResponse {
+        let kind = answer::body_error_kind(error);
+        self.shared.metrics.refusals.add(1, &[label("call", call), label("kind", kind.code())]);
+        answer::from_body_error(error)
+    }
+
     /// Counts a refusal of a call about a job or the configuration, and builds its answer.
     #[must_use]
     pub fn refuse(&self, call: &str, refusal: &PeerRefusal) -> HttpResponse {
@@ -97,7 +127,6 @@
 /// Adds all routes to an application.
 pub fn configure_routes(config: &mut web::ServiceConfig) {
     config
-        .app_data(web::PayloadConfig::new(link::http::MAX_BODY_BYTES))
         .route("/v1/queues/{queue}/request", web::post().to(request::handle_request))
         .route("/v1/jobs", web::post().to(jobs::submit_job))
         .route("/v1/jobs/{job}", web::get().to(jobs::get_job))
--- a/crates/entry/src/http/request.rs
+++ b/crates/entry/src/http/request.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use actix_web::{HttpRequest, HttpResponse, web};
+use link::body::ReceivedBody;
 use link::endpoint::{AttemptResult, EndpointAttempt};
 use model::kind::{ErrorKind, RequestOutcome};
 use model::name::{EntryId, RequestId, WorkerName};
@@ -33,7 +34,7 @@
     idempotent: bool,
     deadline: Instant,
     access: QueueAccess,
-    body: web::Bytes,
+    body: ReceivedBody,
     config_version: u64,
 }
 
@@ -41,9 +42,19 @@
 pub async fn handle_request(
     request: HttpRequest,
     queue: web::Path<String>,
-    body: web::Bytes,
+    payload: web::Payload,
     traffic: Traffic,
 ) -> HttpResponse {
+    let body = match traffic.read_body(&request, payload).await {
+        Ok(body) => body,
+        Err(error) => {
+            let kind = answer::body_error_kind(&error);
+            let outcome = kind.answer().outcome.as_str();
+            let labels = [label("outcome", outcome), label("kind", kind.code())];
+            traffic.shared.metrics.requests.add(1, &labels);
+            return answer::from_body_error(&error);
+        }
+    };
     let arrived_at = Instant::now();
     let checked = check_request(&request, &queue, body, arrived_at, &traffic);
     let (id, result) = match checked {
@@ -78,7 +89,7 @@
 fn check_request(
     request: &HttpRequest,
     queue: &str,
-    body: web::Bytes,
+    body: ReceivedBody,
     arrived_at: Instant,
     traffic: &Traffic,
 ) -> Result<CallerRequest, PeerRefusal> {
@@ -292,7 +303,7 @@
         authority: grant.authority,
         boot: grant.boot.clone(),
         not_after: grant.not_after,
-        body: request.body.clone(),
+        body: request.body.bytes().clone(),
     };
     traffic.endpoints.send(&attempt, remaining).await
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of an entry, served in the Prometheus text format.
 
+use link::intake::IntakeMetrics;
 use link::meter::MeterRegistry;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram};
@@ -46,6 +47,8 @@
     pub team_used: Gauge<u64>,
     /// Amounts that a team may use in the owned domain, by `team` and `resource`.
     pub team_allotment: Gauge<u64>,
+    /// Bodies and connections of callers.
+    pub intake: IntakeMetrics,
 }
 
 impl EntryMetrics {
@@ -76,6 +79,7 @@
             requests_waiting: meter.u64_gauge("requests_waiting").build(),
             team_used: meter.u64_gauge("team_used").build(),
             team_allotment: meter.u64_gauge("team_allotment").build(),
+            intake: IntakeMetrics::new(&meter),
             registry,
         })
     }
--- a/crates/model/src/setting.rs
+++ b/crates/model/src/setting.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::name::DomainName;
+use crate::vm::VmLimits;
 
 mod parse;
 
@@ -49,11 +50,26 @@
     /// Milliseconds between failing the readiness check and closing the listener, from 0 to 60,000.
     #[serde(default = "default_balancer")]
     pub balancer_delay_ms: u64,
+    /// Memory of the VM in MB, of which a quarter is for request bodies, from 128 to 1,048,576.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u64,
+    /// Descriptors that the process may have open, of which callers may use half, from 256 to
+    /// 1,048,576.
+    #[serde(default = "default_max_fds")]
+    pub max_fds: u64,
     /// Seed of the random numbers; if it is left out, a random one is chosen and logged.
     #[serde(default)]
     pub seed: Option<u64>,
 }
 
+impl EntrySettings {
+    /// Returns the limits of the VM, which bound what clients may occupy.
+    #[must_use]
+    pub const fn limits(&self) -> VmLimits {
+        VmLimits { memory_mb: self.memory_mb, max_fds: self.max_fds }
+    }
+}
+
 /// Address on which another entry accepts connections of its peers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -86,3 +102,11 @@
 const fn default_balancer() -> u64 {
     1000
 }
+
+const fn default_memory_mb() -> u64 {
+    VmLimits::DEFAULT.memory_mb
+}
+
+const fn default_max_fds() -> u64 {
+    VmLimits::DEFAULT.max_fds
+}
--- a/crates/model/src/setting/parse.rs
+++ b/crates/model/src/setting/parse.rs
@@ -7,10 +7,15 @@
 use crate::check::name::{NAME_RULE, is_valid_name};
 use crate::check::problem::ProblemList;
 use crate::check::range::{ADDRESS_RULE, check_range, is_digest, parse_address};
+use crate::vm::VmLimits;
 
 /// Label of the settings file in the problems that are reported.
 const LABEL: &str = "settings";
 
+/// Smallest memory in MB: the budget for bodies holds one of 16 MB then, beside the part for small
+/// bodies.
+const MIN_MEMORY_MB: u64 = 128;
+
 const LOG_LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 
 impl EntrySettings {
@@ -61,6 +66,8 @@
         config_contact_bound_s: super::default_contact_bound(),
         drain_s: super::default_drain(),
         balancer_delay_ms: super::default_balancer(),
+        memory_mb: super::default_memory_mb(),
+        max_fds: super::default_max_fds(),
         seed: None,
     }
 }
@@ -136,6 +143,9 @@
     let bound = settings.config_contact_bound_s;
     check_range(LABEL, "config_contact_bound_s", &bound, &(5..=3600), problems);
     check_range(LABEL, "drain_s", &settings.drain_s, &(1..=600), problems);
+    let memory = MIN_MEMORY_MB..=VmLimits::MAX_MEMORY_MB;
+    check_range(LABEL, "memory_mb", &settings.memory_mb, &memory, problems);
+    check_range(LABEL, "max_fds", &settings.max_fds, &VmLimits::MAX_FDS, problems);
     let delay = settings.balancer_delay_ms;
     check_range(LABEL, "balancer_delay_ms", &delay, &(0..=60_000), problems);
 }
--- a/testing/scenario/src/run/mod.rs
+++ b/testing/scenario/src/run/mod.rs
@@ -23,6 +23,7 @@
 use std::time::Duration;
 
 use model::setting::{EntrySettings, PeerAddress};
+use model::vm::VmLimits;
 use serde_json::json;
 use tokio_util::sync::CancellationToken;
 
@@ -280,6 +281,8 @@
             .balancer_delay
             .and_then(|delay| u64::try_from(delay.as_millis()).ok())
             .unwrap_or(1000),
+        memory_mb: VmLimits::DEFAULT.memory_mb,
+        max_fds: VmLimits::DEFAULT.max_fds,
         seed: None,
     }
 }
