Refuse jobs that cannot be done in time for want of capacity

Cause: admission considered calls for advice only. In a burst every job was accepted, and hundreds were done when nobody waited for them any more.

Change: plan::room forecasts the time until there is capacity from the work that waits, the measured rate at which it is done and the work that arrives. Admission refuses a job by it (reason room, or share for a team beyond its share). While a pool is short, jobs of equal class and priority are ordered by due time with a bounded shift for their work, and the widest tenth goes earlier. Metrics, the line 'fleet state' and a line for each refused job show it.

--- a/crates/fleet/src/context.rs
+++ b/crates/fleet/src/context.rs
@@ -22,7 +22,7 @@
 use crate::row::{self, MemberRow};
 use crate::status::JobStatusCache;
 use crate::strength::{self, VmStrength};
-use crate::submit::StoreResult;
+use crate::submit::SubmitAnswer;
 
 /// Identity of this entry: its VM, its process and its address.
 #[derive(Clone, Debug)]
@@ -47,7 +47,7 @@
     /// Instant after which the job must not be stored.
     pub deadline: ClockMillis,
     /// Receives the result.
-    pub reply: oneshot::Sender<StoreResult>,
+    pub reply: oneshot::Sender<SubmitAnswer>,
 }
 
 /// Services of the owner for itself and the other entries.
--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -19,7 +19,7 @@
 use crate::metrics;
 use crate::ports::{PeerCalls, PlatformRows, RowStore, RowTransaction, TransactOutcome};
 use crate::row;
-use crate::submit::{StoreResult, SubmitQueue, SubmitTarget};
+use crate::submit::{SubmitAnswer, SubmitQueue, SubmitTarget};
 
 /// Longest payload of a job, in bytes; the platform's callers send at most 4,000.
 pub const MAX_PAYLOAD_BYTES: usize = 16_384;
@@ -88,6 +88,9 @@
     NoJob,
     /// Refused here, with a message; other entries can serve the request.
     RetryElsewhere(String),
+    /// Refused for load, with a message and the time in seconds after which the caller should come
+    /// back.
+    RetryLater(u32, String),
     /// Refused or failed, with a message.
     Failed(ErrorKind, String),
 }
@@ -101,6 +104,7 @@
             Self::Waiting(_) => "waiting",
             Self::NoJob => "no-job",
             Self::RetryElsewhere(_) => "elsewhere",
+            Self::RetryLater(..) => ErrorKind::QueueFull.code(),
             Self::Failed(kind, _) => kind.code(),
         }
     }
@@ -139,7 +143,12 @@
     async fn answer_or_refuse(&self, request: CallerRequest) -> CallerAnswer {
         let (operation, path) = (request.operation.name(), request.path.clone());
         let result = self.handle(request).await;
-        if let Err((kind, message)) = &result {
+        let refusal = match &result {
+            Err((kind, message)) => Some((*kind, message)),
+            Ok(CallerAnswer::RetryLater(_, message)) => Some((ErrorKind::QueueFull, message)),
+            Ok(_) => None,
+        };
+        if let Some((kind, message)) = refusal {
             let context = &self.context;
             log::info!(
                 "request refused ask={operation} path={path} kind={kind} config={} \
@@ -214,11 +223,15 @@
             return Err((ErrorKind::DeadlineNotMet, message.to_owned()));
         }
         let deadline = self.context.clock.now() + timeout_ms;
-        match self.store_job(spec, deadline).await {
+        let SubmitAnswer { result, retry_after_s } = self.store_job(spec, deadline).await;
+        match result {
             Ok(_) => Ok(CallerAnswer::Accepted),
             Err(ErrorKind::QueueFull) => {
                 let message = "too much accepted work waits before the job; it was not stored";
-                Err((ErrorKind::QueueFull, message.to_owned()))
+                match retry_after_s {
+                    Some(seconds) => Ok(CallerAnswer::RetryLater(seconds, message.to_owned())),
+                    None => Err((ErrorKind::QueueFull, message.to_owned())),
+                }
             }
             Err(kind) => Err((kind, "the job could not be stored".to_owned())),
         }
@@ -226,28 +239,27 @@
 
     /// Has the owner store a job, so that it knows the job at once. If the owner does not, this
     /// entry stores the job in the inbox, which the owner follows.
-    async fn store_job(&self, spec: JobSpec, deadline: ClockMillis) -> StoreResult {
+    async fn store_job(&self, spec: JobSpec, deadline: ClockMillis) -> SubmitAnswer {
         let value = row::encode(&spec);
         let id = spec.id.clone();
-        let result = self.store_through_owner(spec, deadline).await;
-        let may_be_stored = match result {
+        let answer = self.store_through_owner(spec, deadline).await;
+        let may_be_stored = match answer.map(|answer| answer.result) {
             Some(Ok(stored_job)) => {
                 self.context.statuses.borrow_mut().record_status(id, JobStatus::Pending);
-                return Ok(stored_job);
+                return Ok(stored_job).into();
             }
             // The owner cannot serve the job in time, and a job in the inbox is the owner's too.
             Some(Err(ErrorKind::QueueFull)) => {
-                let kind = ErrorKind::QueueFull;
-                return Err(if self.submits.may_store(&id) {
-                    ErrorKind::WriteUnknown
-                } else {
-                    kind
-                });
+                if self.submits.may_store(&id) {
+                    return Err(ErrorKind::WriteUnknown).into();
+                }
+                let retry_after_s = answer.and_then(|answer| answer.retry_after_s);
+                return SubmitAnswer { result: Err(ErrorKind::QueueFull), retry_after_s };
             }
             Some(Err(kind)) => kind == ErrorKind::WriteUnknown,
             None => false,
         };
-        self.submits.store_job(id, value, deadline, may_be_stored).await
+        self.submits.store_job(id, value, deadline, may_be_stored).await.into()
     }
 
     /// Has the owner store a job; none if no owner is known that has answered lately.
@@ -255,7 +267,7 @@
         &self,
         spec: JobSpec,
         deadline: ClockMillis,
-    ) -> Option<StoreResult> {
+    ) -> Option<SubmitAnswer> {
         let left = deadline.since(self.context.clock.now());
         let timeout = limits::FORWARDED_SUBMIT_TIMEOUT.min(Duration::from_millis(left));
         let owned = self.context.owned.borrow().clone();
@@ -264,9 +276,8 @@
             let call = SubmitCall { spec, deadline, reply };
             owned.submits.send(call).ok()?;
             let answer = tokio::time::timeout(timeout, result).await;
-            return Some(answer.map_or(Err(ErrorKind::WriteUnknown), |result| {
-                result.unwrap_or(Err(ErrorKind::WriteUnknown))
-            }));
+            let unknown = SubmitAnswer::from(Err(ErrorKind::WriteUnknown));
+            return Some(answer.map_or(unknown, |answer| answer.unwrap_or(unknown)));
         }
         let address = self.context.owner_address()?;
         if !self.context.has_fresh_job_changes() {
@@ -279,10 +290,11 @@
                 spec.id,
                 failure::format_one_line(&error)
             );
-            Err(match error.current_context() {
+            let kind = match error.current_context() {
                 CallFailure::NotDone => ErrorKind::NoOwner,
                 CallFailure::Unknown => ErrorKind::WriteUnknown,
-            })
+            };
+            Err(kind).into()
         }))
     }
 
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -20,7 +20,7 @@
     pub run_ends: Counter<u64>,
     /// Jobs that finished under this owner, by `status`.
     pub finished_jobs: Counter<u64>,
-    /// Jobs that this owner refused because their calls for advice could not be made in time.
+    /// Jobs that this owner refused because they could not be done in time, by `reason`.
     pub refused_jobs: Counter<u64>,
     /// Milliseconds that a request to the advice service took.
     pub advice_time: Histogram<f64>,
@@ -38,6 +38,8 @@
     pub present_runs: Gauge<u64>,
     /// Registered workers that do not answer, at the owner.
     pub silent_workers: Gauge<u64>,
+    /// Expected milliseconds until there is capacity for a new job, by `priority`, at the owner.
+    pub room_wait: Gauge<f64>,
 }
 
 impl FleetMetrics {
@@ -64,6 +66,7 @@
             unfinished_jobs: meter.u64_gauge("fleet_jobs_live").build(),
             present_runs: meter.u64_gauge("fleet_runs_present").build(),
             silent_workers: meter.u64_gauge("fleet_workers_silent").build(),
+            room_wait: meter.f64_gauge("fleet_room_wait_ms").build(),
             registry,
         })
     }
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -14,6 +14,7 @@
 use plan::decision::PlanDecision;
 use plan::planner::{Planner, PlannerOptions};
 use plan::progress::JobStatus;
+use plan::room::PendingRoom;
 use rand::seq::SliceRandom;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -58,6 +59,8 @@
     pub(crate) dispatcher: RefCell<AdviceDispatcher>,
     /// First calls for the jobs that are being stored.
     pub(crate) storing_calls: RefCell<CallTimes>,
+    /// Demands of the jobs that are being stored.
+    pub(crate) storing_demands: RefCell<PendingRoom>,
     pub(crate) links: RefCell<BTreeMap<WorkerName, WorkerLink>>,
     /// Registrations of workers in all pools, also in those that do not belong to the fleet.
     pub(crate) registrations: RefCell<BTreeMap<WorkerName, WorkerRegistration>>,
@@ -172,6 +175,7 @@
         })),
         dispatcher: RefCell::default(),
         storing_calls: RefCell::default(),
+        storing_demands: RefCell::default(),
         links: RefCell::default(),
         registrations: RefCell::default(),
         expiring_workers: RefCell::default(),
@@ -277,6 +281,9 @@
     metrics.unfinished_jobs.record(count(planner.unfinished_job_count()), &[]);
     metrics.present_runs.record(count(planner.present_run_count()), &[]);
     metrics.silent_workers.record(count(workers::count_workers(session).silent), &[]);
+    for (priority, wait_ms) in planner.room_wait_by_priority() {
+        metrics.room_wait.record(wait_ms, &[metrics::label("priority", priority.to_string())]);
+    }
 }
 
 /// Logs the state of the fleet at intervals, with what a takeover still waits for.
@@ -294,7 +301,8 @@
     log::info!(
         "fleet state term={} loaded={} jobs={} inherited_jobs={} runs={} workers={workers} \
          silent={silent} foreign={} unreported_workers={} unservable_steps={} \
-         advice_requests={} delayed_call_ms={:.0} call_slowdown={:.2} longest_decision_us={}",
+         advice_requests={} delayed_call_ms={:.0} call_slowdown={:.2} \
+         short_of_room={} room_wait_ms={} longest_decision_us={}",
         session.term,
         session.is_loaded.get(),
         planner.unfinished_job_count(),
@@ -306,10 +314,19 @@
         session.dispatcher.borrow().pending_count(),
         planner.delayed_call_ms(),
         session.dispatcher.borrow().slowdown(),
+        planner.short_pool_count() > 0,
+        format_room_waits(&planner.room_wait_by_priority()),
         session.longest_decision.take().as_micros(),
     );
 }
 
+/// Returns the waits by priority for a log line, as `0:12,1:340`.
+fn format_room_waits(waits: &BTreeMap<u32, f64>) -> String {
+    let waits: Vec<_> =
+        waits.iter().map(|(priority, wait_ms)| format!("{priority}:{wait_ms:.0}")).collect();
+    waits.join(",")
+}
+
 /// Hands the fleet over to the first of the entries that can reach the table service. If none
 /// can after a failed renewal here, the table service is unreachable for all, and this owner
 /// stays the owner and renews again.
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::news::{JobChanges, JobChangesQuery};
-use crate::submit::StoreResult;
+use crate::submit::SubmitAnswer;
 
 /// Result of a call to the platform, a worker or another entry.
 pub type PortResult<T> = Result<T, Report<CallFailure>>;
@@ -219,7 +219,7 @@
         address: &str,
         spec: &JobSpec,
         timeout: Duration,
-    ) -> impl Future<Output = PortResult<StoreResult>>;
+    ) -> impl Future<Output = PortResult<SubmitAnswer>>;
 
     /// Probes whether an entry may claim the fleet and the table service answers it now.
     fn can_own(&self, address: &str) -> impl Future<Output = PortResult<bool>>;
--- a/crates/fleet/src/submit.rs
+++ b/crates/fleet/src/submit.rs
@@ -20,6 +20,22 @@
 /// How a job was stored, or why it was not.
 pub type StoreResult = Result<StoredJob, ErrorKind>;
 
+/// Answer of the owner to the submission of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SubmitAnswer {
+    /// How the job was stored, or why it was not.
+    pub result: StoreResult,
+    /// Time after which the caller of a refused job should come back, in seconds; none if the owner
+    /// does not say.
+    pub retry_after_s: Option<u32>,
+}
+
+impl From<StoreResult> for SubmitAnswer {
+    fn from(result: StoreResult) -> Self {
+        Self { result, retry_after_s: None }
+    }
+}
+
 /// How a job came to be stored: by this write or by an earlier one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/link/src/http.rs
+++ b/crates/link/src/http.rs
@@ -8,7 +8,7 @@
 use actix_service::Service;
 use actix_tls::connect::{ConnectError as TcpConnectError, ConnectInfo, Connection};
 use awc::error::{ConnectError, SendRequestError};
-use awc::http::{StatusCode, Uri};
+use awc::http::{StatusCode, Uri, header};
 use error_stack::Report;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -98,6 +98,8 @@
 pub struct HttpAnswer {
     /// The status.
     pub status: StatusCode,
+    /// Seconds of the header `Retry-After`; none if it is missing or names a date.
+    pub retry_after_s: Option<u32>,
     /// The whole body.
     pub body: bytes::Bytes,
 }
@@ -118,12 +120,14 @@
             .await
             .map_err(|error| Report::new(classify_error(&error)).attach(error.to_string()))?;
         let status = answer.status();
+        let retry_after = answer.headers().get(header::RETRY_AFTER);
+        let retry_after_s = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
         let body = answer
             .body()
             .limit(MAX_BODY_BYTES)
             .await
             .map_err(|error| Report::new(CallFailure::Unknown).attach(error.to_string()))?;
-        Ok(HttpAnswer { status, body })
+        Ok(HttpAnswer { status, retry_after_s, body })
     })
     .await
 }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod planner;
 pub mod progress;
 pub mod ranges;
+pub mod room;
 pub mod worker;
 
 mod candidate;
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -166,15 +166,16 @@
         let is_delayed = !self.delayed_calls.is_empty();
         self.delayed_calls.clear();
         self.put_first(&mut steps, &mut pass);
-        for step in steps {
-            if self.is_call_delayed(&step, &mut pass) {
+        for step in &steps {
+            if self.is_call_delayed(step, &mut pass) {
                 continue;
             }
-            if !pass.is_hopeless(&step) {
+            if !pass.is_hopeless(step) {
                 self.examined_steps += 1;
-                self.place_step(&step, &mut pass);
+                self.place_step(step, &mut pass);
             }
         }
+        self.forecast_room(&steps, &config);
         if !is_delayed && self.delayed_calls.is_empty() {
             self.aged_call_ms = CallAmounts::default();
         }
@@ -225,7 +226,7 @@
                 continue;
             }
             let Some(rule) = config.queues.get(&job.spec.queue) else { continue };
-            let rank = job.rank(rule, self.now_ms);
+            let rank = self.room.weigh_rank(job.rank(rule, self.now_ms), job, rule);
             for (occurrence, step) in waiting {
                 let state = job
                     .occurrences
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -16,6 +16,7 @@
 use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
 use crate::order::{self, JobRank, RankInput};
 use crate::progress::{JobStatus, ProgressRecord, RemainingRuns, StepProgress};
+use crate::room::RoomState;
 use crate::state::{
     AdviceState, JobState, OccurrenceState, PendingAcks, RunPhase, RunState, StepState, TaskState,
     WorkerState,
@@ -99,6 +100,8 @@
     pub(crate) calls_per_start: BTreeMap<QueueName, f64>,
     /// How long runs take beside their declared durations.
     pub(crate) durations: DurationTable,
+    /// Work that waits for capacity, and the rate at which capacity becomes free.
+    pub(crate) room: RoomState,
     /// Workers examined for waiting steps, over all decisions.
     pub(crate) examined: u64,
     /// Waiting steps for which something might have been done, over all decisions.
@@ -290,6 +293,7 @@
         }
         self.keep_rule(spec, &PlanConfig::default());
         let beyond_share = self.charge_share(spec);
+        self.record_arrival(spec, beyond_share);
         let mut job = JobState {
             submitted_ms,
             status: progress.status,
@@ -336,6 +340,16 @@
         false
     }
 
+    /// Returns whether a job would be beyond its team's share if it were added now.
+    #[expect(clippy::cast_precision_loss, reason = "weights and spans are small")]
+    pub(crate) fn is_beyond_share(&self, spec: &JobSpec) -> bool {
+        let Some(team) = &spec.team else { return false };
+        let Some(rule) = self.config.teams.get(team) else { return false };
+        let Some((tokens, computed_ms)) = self.share_buckets.get(team) else { return false };
+        let elapsed_ms = self.now_ms.saturating_sub(*computed_ms) as f64;
+        *tokens + rule.weight as f64 * elapsed_ms / 1_000.0 < 1.0
+    }
+
     /// Cancels a job and stops its runs.
     ///
     /// The cancellation of a job that is not known is kept: the write of the job may have had no
