Test leaving workers and stalled runs with real processes

The stand-in of the site learns a draining worker with remainingMs, a worker that leaves with all that runs there, and a worker whose runs stand still; its reports now show the processor use of runs that work.

--- a/standins/site/src/server.rs
+++ b/standins/site/src/server.rs
@@ -19,11 +19,17 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Returns the registration of a worker; even ones are in the domain `north`, odd ones in `south`.
-fn build_registration(index: usize, address: SocketAddr, state: &str) -> serde_json::Value {
+/// A draining one may say in how many milliseconds it leaves.
+fn build_registration(
+    index: usize,
+    address: SocketAddr,
+    state: &str,
+    remaining_ms: Option<u64>,
+) -> serde_json::Value {
     let zone = if index.is_multiple_of(2) { "north" } else { "south" };
     json!({
         "service": "pool", "address": address.to_string(), "zone": zone, "version": "v1",
-        "slots": 8, "state": state, "coldLeftMs": 0, "seq": 1,
+        "slots": 8, "state": state, "remainingMs": remaining_ms, "coldLeftMs": 0, "seq": 1,
         "capacity": { "cpu": 4000, "memMb": 4000, "gpu": 0 }, "labels": ["a", "r1"],
     })
 }
@@ -190,25 +196,40 @@
     /// # Panics
     /// Panics if there is no such worker.
     pub fn register_worker(&self, position: usize) {
-        self.write_registration(position, "ready");
+        self.write_registration(position, "ready", None);
     }
 
-    fn write_registration(&self, position: usize, registered_state: &str) {
+    fn write_registration(&self, position: usize, state: &str, remaining_ms: Option<u64>) {
         let index = position + 1;
         let address = SocketAddr::new(self.address.ip(), self.ports[index]);
-        let registration = build_registration(index, address, registered_state);
+        let registration = build_registration(index, address, state, remaining_ms);
         let mut state = self.lock();
         let name = state.workers[position].name.clone();
         state.table.put("servers", &name, STANDARD.encode(registration.to_string()));
     }
 
-    /// Registers a worker as draining.
+    /// Registers a worker as draining, with the time until it leaves in milliseconds if it says so.
     ///
     /// # Panics
     /// Panics if there is no worker of this name.
-    pub fn drain_worker(&self, name: &str) {
+    pub fn drain_worker(&self, name: &str, remaining_ms: Option<u64>) {
+        self.write_registration(self.position_of(name), "draining", remaining_ms);
+    }
+
+    /// Takes a worker away with everything that runs there, and its registration.
+    ///
+    /// # Panics
+    /// Panics if there is no worker of this name.
+    pub fn remove_worker(&self, name: &str) {
+        let position = self.position_of(name);
+        let mut state = self.lock();
+        state.workers[position].leave();
+        state.table.remove("servers", name);
+    }
+
+    fn position_of(&self, name: &str) -> usize {
         let position = self.lock().workers.iter().position(|worker| worker.name == name);
-        self.write_registration(position.expect("the worker exists"), "draining");
+        position.expect("the worker exists")
     }
 
     /// Starts a worker again under its name, by its position. It knows nothing of before, and its
--- a/standins/site/src/worker.rs
+++ b/standins/site/src/worker.rs
@@ -8,6 +8,9 @@
 /// Longest lease that the worker accepts, in milliseconds; longer ones are shortened.
 const MAX_LEASE_MS: u64 = 6_000;
 
+/// Processor use of a run that works, in thousandths of a core.
+const USED_CPU_MILLIS: u32 = 500;
+
 /// Most ended runs in one answer to the call `hold`.
 const MAX_LISTED_ENDS: usize = 500;
 
@@ -85,6 +88,8 @@
     /// Whether the worker does not answer the call `hold`, and so neither lists its runs nor has its
     /// lease extended.
     pub is_mute: bool,
+    /// Since when the runs stand still, on the worker's clock; none while they work.
+    stalled_since_ms: Option<u64>,
     /// All runs, in the order of their starts.
     pub history: Vec<HistoryRun>,
 }
@@ -105,6 +110,7 @@
             ended: Vec::new(),
             last_end_number: 0,
             is_mute: false,
+            stalled_since_ms: None,
             history: Vec::new(),
         }
     }
@@ -130,6 +136,27 @@
         *self = Self { history, ..restarted };
     }
 
+    /// Leaves: the runs and the ends that were not acknowledged are lost, and nothing is reported
+    /// any more.
+    pub fn leave(&mut self) {
+        self.restart();
+        self.is_mute = true;
+    }
+
+    /// Lets the runs stand still, or work on. The worker answers meanwhile.
+    pub fn set_stalled(&mut self, is_stalled: bool) {
+        self.end_due_runs();
+        let now = self.clock_ms();
+        if is_stalled {
+            self.stalled_since_ms.get_or_insert(now);
+        } else if let Some(since_ms) = self.stalled_since_ms.take() {
+            for run in self.present.values_mut() {
+                let start_ms = self.history[run.history_index].start_ms;
+                run.ends_at_ms += now - since_ms.max(start_ms);
+            }
+        }
+    }
+
     /// Returns the worker's clock in milliseconds.
     #[must_use]
     pub fn clock_ms(&self) -> u64 {
@@ -153,6 +180,9 @@
             }
             return;
         }
+        if self.stalled_since_ms.is_some() {
+            return;
+        }
         let due: Vec<_> = self
             .present
             .iter()
@@ -287,9 +317,10 @@
     /// Returns the answer to the call `hold`: present runs and ends that are not acknowledged.
     #[must_use]
     pub fn report(&self) -> serde_json::Value {
-        // Task, run, saved progress (none), speed in per cent, and load (not simulated).
+        let used_cpu = if self.stalled_since_ms.is_some() { 0 } else { USED_CPU_MILLIS };
+        // Task, run, saved progress (none), speed in per cent, and processor use.
         let running: Vec<_> =
-            self.present.iter().map(|(task, run)| (task, run.run, "", 100, 0)).collect();
+            self.present.iter().map(|(task, run)| (task, run.run, "", 100, used_cpu)).collect();
         // Number of the end, task, run, outcome, and saved progress (none).
         let ended: Vec<_> = self
             .ended
