--- a/crates/plan/tests/drain.rs
+++ b/crates/plan/tests/drain.rs
@@ -4,39 +4,39 @@
 mod support;
 
 use arcstr::ArcStr;
-use plan::decision::{StartOrder, StopOrder};
-use plan::feature::PlanFeatures;
+use plan::decision::StopOrder;
 use plan::job::{JobSpec, StepSpec};
-use plan::planner::{Planner, PlannerOptions};
-use plan::worker::{EndKind, EndedRun, RunReport, StartAnswer, WorkerInfo};
-use std::sync::Arc;
-use support::{
-    INCARNATION, PlannerFixture, WORKER_CPU, config, cpu, job, present_run, starts, step, stops,
-    task, worker,
-};
+use plan::worker::{EndKind, EndedRun, StartAnswer, WorkerInfo};
+use support::{PlannerFixture, config, cpu, job, present_run, step, stops, worker};
 
 /// Age of the registrations in these tests, in milliseconds.
 const AGE_MS: u64 = 500;
 
-/// Registers a worker as draining, as an owner reads it now.
-fn drain(fixture: &mut PlannerFixture, index: usize, remaining_ms: u64) {
-    let info = WorkerInfo { draining: true, remaining_ms: Some(remaining_ms), ..worker(index) };
-    let name = info.name.clone();
-    fixture.planner.set_worker(info);
-    fixture.planner.record_departure(&name, fixture.now_ms, AGE_MS);
+/// Registers the first worker as draining; returns whether that is a change.
+fn drain_at(fixture: &mut PlannerFixture, read_ms: u64, remaining_ms: u64, age_ms: u64) -> bool {
+    let info = WorkerInfo { draining: true, remaining_ms: Some(remaining_ms), ..worker(0) };
+    let is_change = fixture.planner.set_worker(info);
+    fixture.planner.record_departure(&worker(0).name, read_ms, age_ms);
+    is_change
 }
 
-/// Returns a job of one task that takes a time in milliseconds.
-fn timed_job(id: &str, queue: &str, estimate_ms: u64, checkpoint: bool) -> JobSpec {
-    job(id, queue, vec![StepSpec { estimate_ms, checkpoint, ..step(1, cpu(2_000)) }])
+/// Registers the first worker as draining, as an owner reads it now.
+fn drain(fixture: &mut PlannerFixture, remaining_ms: u64) {
+    drain_at(fixture, fixture.now_ms, remaining_ms, AGE_MS);
 }
 
-/// Starts a planner whose only worker has a run of each of the jobs.
-fn start_on_one(jobs: impl IntoIterator<Item = JobSpec>) -> (PlannerFixture, Vec<StartOrder>) {
-    let mut fixture = PlannerFixture::new(1, config());
-    jobs.into_iter().for_each(|spec| fixture.add(spec));
-    let orders = fixture.run_starts(StartAnswer::Started);
-    (fixture, orders)
+/// Returns a job of tasks that take a time in milliseconds, two of which fit on a worker.
+fn timed_job(id: &str, queue: &str, count: u32, estimate_ms: u64, checkpoint: bool) -> JobSpec {
+    let gang = count > 1;
+    job(id, queue, vec![StepSpec { estimate_ms, checkpoint, gang, ..step(count, cpu(4_000)) }])
+}
+
+/// Starts the job on a planner with this many workers.
+fn start(workers: usize, spec: JobSpec) -> PlannerFixture {
+    let mut fixture = PlannerFixture::new(workers, config());
+    fixture.add(spec);
+    fixture.run_starts(StartAnswer::Started);
+    fixture
 }
 
 /// Decides in steps of 10 ms for a time, and returns the stops with their times from its start.
@@ -51,190 +51,109 @@
     ordered
 }
 
-/// Guards against runs that are lost with a worker which leaves at short notice: a run that saves
-/// its progress is stopped in time, and its task resumes elsewhere once the end is listed.
-#[test]
-fn a_run_that_saves_its_progress_is_moved_in_time() {
-    let (mut fixture, mut orders) = start_on_one([timed_job("j", "normal", 9_000, true)]);
-    let order = orders.remove(0);
-    fixture.planner.set_worker(worker(1));
-    fixture.report(&worker(1).name, Vec::new(), Vec::new());
-    drain(&mut fixture, 0, 5_500);
-    let ordered = stops_within(&mut fixture, 5_500);
-    let [(at_ms, stop)] = ordered.as_slice() else { panic!("one stop: {ordered:?}") };
-    assert_eq!((&stop.task, stop.reason), (&order.task, "worker-leaves"));
-    let left_ms = 5_500 - AGE_MS - at_ms;
-    assert!((1_000..1_300).contains(&left_ms), "the worker is used until then: {left_ms}");
-
-    assert!(fixture.starts().is_empty(), "the run may be present until its end is listed");
-    let saved = ArcStr::from("half");
-    end_with(&mut fixture, &order, &saved);
-    let resumed = fixture.starts();
-    assert_eq!(resumed.len(), 1);
-    assert_eq!((&resumed[0].worker, &resumed[0].saved), (&worker(1).name, &saved));
-    assert!(resumed[0].run > order.run);
-}
-
-/// Reports that a run was stopped with its progress saved.
-fn end_with(fixture: &mut PlannerFixture, order: &StartOrder, saved: &ArcStr) {
-    let StartOrder { task, run, .. } = order.clone();
-    let end = EndedRun { number: 1, task, run, kind: EndKind::Stopped, saved: saved.clone() };
-    fixture.report(&order.worker, Vec::new(), vec![end]);
-}
-
-/// Guards against work that is lost by moves: what surely ends in time stays, and so does a run
-/// that starts from zero elsewhere and may still end.
-#[test]
-fn runs_that_can_end_stay() {
-    let (mut fixture, _) = start_on_one([
-        timed_job("short", "normal", 1_000, true),
-        timed_job("may-end", "normal", 3_000, false),
-    ]);
-    drain(&mut fixture, 0, 2_500);
-    let ordered = stops_within(&mut fixture, 900);
-    assert!(ordered.is_empty(), "{ordered:?}");
-}
-
-/// Guards against a task that is done late: its run saves nothing and surely cannot end before its
-/// worker leaves, so that each moment there is of no use.
-#[test]
-fn a_run_that_cannot_end_is_moved_at_once() {
-    let (mut fixture, _) = start_on_one([timed_job("j", "normal", 20_000, false)]);
-    drain(&mut fixture, 0, 5_500);
-    assert_eq!(stops(fixture.decide()).len(), 1);
-}
-
-/// Guards against estimates that are all too short: the durations of the queue's earlier runs
-/// tell whether a run can end.
+/// Guards against runs that are lost with a worker which leaves at short notice, against work that
+/// is lost by moves, and against orders that come too late. A gang is moved whole.
 #[test]
-fn earlier_runs_of_the_queue_tell_what_can_end() {
-    let (mut fixture, orders) = start_on_one([timed_job("earlier", "normal", 100, true)]);
-    fixture.now_ms += 4_000;
-    fixture.end(&orders[0], EndKind::Done);
-    fixture.add(timed_job("j", "normal", 100, true));
-    fixture.run_starts(StartAnswer::Started);
-    drain(&mut fixture, 0, 2_000);
-    assert_eq!(stops_within(&mut fixture, 1_500).len(), 1);
-}
-
-/// Guards against the loss of urgent work when there is no time for all stops.
-#[test]
-fn urgent_runs_are_moved_first() {
-    let jobs = [("a", "batch"), ("b", "urgent"), ("c", "normal")];
-    let (mut fixture, _) = start_on_one(jobs.map(|(id, queue)| timed_job(id, queue, 9_000, true)));
-    drain(&mut fixture, 0, 1_500);
-    let ids: Vec<_> =
-        stops(fixture.decide()).iter().map(|stop| stop.task.step.job.to_string()).collect();
-    assert_eq!(ids, ["b", "c", "a"]);
+fn runs_are_stopped_if_they_would_be_lost() {
+    let cases = [
+        ("saves its progress", 1, 9_000, true, 5_500, Some(3_800..3_900)),
+        ("saves its progress and surely ends", 1, 1_000, true, 2_500, None),
+        ("saves nothing and surely cannot end", 1, 20_000, false, 5_500, Some(0..50)),
+        ("saves nothing and may end", 1, 3_000, false, 2_500, None),
+        ("has no time left for the order", 1, 9_000, true, 200, None),
+        ("gang on two workers", 3, 9_000, true, 5_500, Some(3_800..3_900)),
+        ("gang that surely ends", 3, 400, true, 1_500, None),
+    ];
+    for (name, count, estimate_ms, checkpoint, notice_ms, expected) in cases {
+        let mut fixture = start(2, timed_job("j", "normal", count, estimate_ms, checkpoint));
+        drain(&mut fixture, notice_ms);
+        let ordered = stops_within(&mut fixture, notice_ms.min(4_000).min(estimate_ms * 2 / 3));
+        let Some(expected) = expected else {
+            assert!(ordered.is_empty(), "{name}: {ordered:?}");
+            continue;
+        };
+        assert_eq!(ordered.len(), count as usize, "{name}");
+        for (at_ms, stop) in &ordered {
+            assert_eq!(stop.reason, "worker-leaves", "{name}");
+            assert!(expected.contains(at_ms) && *at_ms == ordered[0].0, "{name}: {at_ms}");
+        }
+    }
 }
 
-/// Guards against a gang that breaks: one member cannot end, so that all are stopped in one
-/// decision, and only if none of them can end.
+/// Guards against estimates that are all too short, as the durations of the queue's earlier runs
+/// tell, and against the loss of urgent work when there is no time for all stops.
 #[test]
-fn a_gang_is_moved_whole() {
-    let mut fixture = PlannerFixture::new(2, config());
-    let members = StepSpec { gang: true, checkpoint: true, ..step(3, cpu(4_000)) };
-    let spec = job("gang", "normal", vec![StepSpec { estimate_ms: 9_000, ..members.clone() }]);
-    fixture.add(spec);
-    fixture.run_starts(StartAnswer::Started);
-    drain(&mut fixture, 0, 1_500);
+fn urgent_runs_that_take_longer_than_declared_are_moved_first() {
+    let mut fixture = PlannerFixture::new(1, config());
+    for queue in ["batch", "urgent"] {
+        fixture.add(timed_job("earlier", queue, 1, 100, true));
+        let order = fixture.run_starts(StartAnswer::Started).remove(0);
+        fixture.now_ms += 4_000;
+        fixture.end(&order, EndKind::Done);
+        fixture.store();
+        fixture.add(timed_job(queue, queue, 1, 100, true));
+    }
+    assert_eq!(fixture.run_starts(StartAnswer::Started).len(), 2);
+    drain(&mut fixture, 1_500);
     let ordered = stops(fixture.decide());
-    assert_eq!(ordered.len(), 3, "{ordered:?}");
-    assert!(ordered.iter().all(|stop| stop.reason == "worker-leaves"));
-
-    let mut fixture = PlannerFixture::new(2, config());
-    fixture.add(job("gang", "normal", vec![StepSpec { estimate_ms: 400, ..members }]));
-    fixture.run_starts(StartAnswer::Started);
-    drain(&mut fixture, 0, 1_500);
-    assert!(stops(fixture.decide()).is_empty(), "the gang ends in time");
-}
-
-/// Guards against orders that cannot be carried out any more, and against those to a worker that
-/// does not answer.
-#[test]
-fn no_order_is_sent_without_time_for_it() {
-    let (mut fixture, _) = start_on_one([timed_job("j", "normal", 9_000, true)]);
-    drain(&mut fixture, 0, 200);
-    assert!(stops_within(&mut fixture, 500).is_empty());
-
-    let (mut fixture, _) = start_on_one([timed_job("j", "normal", 9_000, true)]);
-    fixture.planner.set_silent(&worker(0).name, true);
-    drain(&mut fixture, 0, 2_000);
-    assert!(stops_within(&mut fixture, 2_000).is_empty());
+    let ids: Vec<_> = ordered.iter().map(|stop| stop.task.step.job.as_str()).collect();
+    assert_eq!(ids, ["urgent", "batch"]);
 }
 
 /// Guards against deadlines that jump: heartbeats of a draining worker are read after different
-/// delays, and a configuration applies the last registration again. None of them is a change.
+/// delays, and a configuration applies the last one again. None of them is a change.
 #[test]
 fn later_registrations_narrow_the_departure() {
-    let (mut fixture, _) = start_on_one([timed_job("j", "normal", 9_000, true)]);
-    let draining =
-        |remaining_ms| WorkerInfo { draining: true, remaining_ms: Some(remaining_ms), ..worker(0) };
-    let name = worker(0).name;
+    let mut fixture = start(1, timed_job("j", "normal", 1, 9_000, true));
     let start_ms = fixture.now_ms;
-    assert!(fixture.planner.set_worker(draining(5_000)), "the worker drains");
-    // Written at `start_ms - 500`, so that the worker leaves at 4,500 ms.
-    fixture.planner.record_departure(&name, start_ms, 2_000);
-    assert!(!fixture.planner.set_worker(draining(3_600)), "the same drain");
-    fixture.planner.record_departure(&name, start_ms + 1_000, 100);
-    fixture.planner.record_departure(&name, start_ms + 1_000, 100);
+    assert!(drain_at(&mut fixture, start_ms, 5_000, 500), "it leaves after 4,500 to 5,000 ms");
+    for _ in 0..2 {
+        let is_change = drain_at(&mut fixture, start_ms + 1_000, 3_700, 300);
+        assert!(!is_change, "it leaves after 4,400 to 4,700 ms");
+    }
     let ordered = stops_within(&mut fixture, 4_500);
-    let [(at_ms, _)] = ordered.as_slice() else { panic!("one stop: {ordered:?}") };
-    assert!((3_250..3_450).contains(at_ms), "1,200 ms before 4,500: {at_ms}");
+    let at_ms: Vec<_> = ordered.iter().map(|(at_ms, _)| *at_ms).collect();
+    assert!(at_ms.len() == 1 && (3_300..3_380).contains(&at_ms[0]), "{at_ms:?}");
 }
 
-/// Guards against moves off a worker that stays after all, and against the part where an operator
-/// has switched it off.
+/// Guards against moves off a worker that stays after all, or does not answer.
 #[test]
-fn nothing_is_moved_off_a_worker_that_stays() {
-    let (mut fixture, _) = start_on_one([timed_job("j", "normal", 9_000, true)]);
-    drain(&mut fixture, 0, 3_000);
-    assert_eq!(fixture.planner.leaving_worker_count(), 1);
-    fixture.planner.set_worker(worker(0));
-    assert_eq!(fixture.planner.leaving_worker_count(), 0);
-    assert!(stops_within(&mut fixture, 3_000).is_empty());
-
-    let features = PlanFeatures { early_moves: false, ..PlanFeatures::default() };
-    let mut planner = Planner::new(PlannerOptions { features, ..PlannerOptions::default() });
-    planner.set_config(Arc::new(config()));
-    planner.set_worker(worker(0));
-    let report = RunReport {
-        incarnation: INCARNATION,
-        running: Vec::new(),
-        ended: Vec::new(),
-        is_partial: false,
-    };
-    planner.apply_report(&worker(0).name, &report, 1, 1);
-    let spec = Arc::new(timed_job("j", "normal", 9_000, false));
-    planner.add_job(&spec, &plan::progress::ProgressRecord::default(), 1);
-    let order = starts(planner.decide(2, 2)).remove(0);
-    planner.apply_start_answer(&order.worker, &order.task, order.run, StartAnswer::Started, 3);
-    planner.set_worker(WorkerInfo { draining: true, remaining_ms: Some(1_000), ..worker(0) });
-    planner.record_departure(&order.worker, 3, AGE_MS);
-    assert!(stops(planner.decide(100, 100)).is_empty());
+fn nothing_is_moved_without_need() {
+    for is_silent in [false, true] {
+        let mut fixture = start(1, timed_job("j", "normal", 1, 9_000, false));
+        drain(&mut fixture, 3_000);
+        if is_silent {
+            fixture.planner.set_silent(&worker(0).name, true);
+        } else {
+            fixture.planner.set_worker(worker(0));
+        }
+        assert!(stops(fixture.decide()).is_empty());
+    }
 }
 
 /// Guards against a task that is lost or runs twice when the owner changes between the order and
 /// the end: the run ends as stopped under the next owner, which resumes it from its progress.
 #[test]
 fn a_later_owner_resumes_what_was_moved() {
-    let spec = timed_job("j", "normal", 9_000, true);
-    let (mut owner, mut orders) = start_on_one([spec.clone()]);
-    let order = orders.remove(0);
-    drain(&mut owner, 0, 1_500);
+    let spec = timed_job("j", "normal", 1, 9_000, true);
+    let mut owner = PlannerFixture::new(1, config());
+    owner.add(spec.clone());
+    let order = owner.run_starts(StartAnswer::Started).remove(0);
+    drain(&mut owner, 1_500);
     assert_eq!(stops(owner.decide()).len(), 1);
+    assert!(owner.starts().is_empty(), "the run may be present");
 
     let mut successor = PlannerFixture::unreported(2, config());
     successor.add(spec);
-    successor.planner.inherit_workers([].into(), support::cpu(WORKER_CPU));
-    drain(&mut successor, 0, 1_200);
+    successor.planner.inherit_workers([].into(), worker(0).capacity);
+    drain(&mut successor, 1_200);
     successor.report(&worker(1).name, Vec::new(), Vec::new());
-    assert!(successor.starts().is_empty(), "the run may be present");
     successor.report(&order.worker, vec![present_run(&order)], Vec::new());
     assert!(successor.starts().is_empty(), "the run is present");
-    let saved = ArcStr::from("half");
-    end_with(&mut successor, &order, &saved);
+    let (task, saved) = (order.task.clone(), ArcStr::from("half"));
+    let end = EndedRun { number: 1, task, run: order.run, kind: EndKind::Stopped, saved };
+    successor.report(&order.worker, Vec::new(), vec![end]);
     let resumed = successor.starts();
     assert_eq!(resumed.len(), 1);
-    assert_eq!((&resumed[0].task, &resumed[0].saved), (&task("j", 0), &saved));
+    assert_eq!((&resumed[0].worker, resumed[0].saved.as_str()), (&worker(1).name, "half"));
 }
