--- a/crates/plan/tests/drain.rs
+++ b/crates/plan/tests/drain.rs
@@ -5,8 +5,11 @@
 
 use arcstr::ArcStr;
 use plan::decision::StopOrder;
+use plan::feature::PlanFeatures;
 use plan::job::{JobSpec, StepSpec};
-use plan::worker::{EndKind, EndedRun, StartAnswer, WorkerInfo};
+use plan::planner::{Planner, PlannerOptions};
+use plan::worker::{EndKind, EndedRun, PresentRun, StartAnswer, WorkerInfo};
+use std::sync::Arc;
 use support::{PlannerFixture, config, cpu, job, present_run, step, stops, worker};
 
 /// Age of the registrations in these tests, in milliseconds.
@@ -131,6 +134,30 @@
     }
 }
 
+/// Guards against stops by a part that the operator has switched off: of one run that stands still,
+/// and of one that cannot end.
+#[test]
+fn the_operator_can_switch_the_part_off() {
+    for (early_moves, expected) in [(true, 2), (false, 0)] {
+        let features = PlanFeatures { early_moves, ..PlanFeatures::default() };
+        let mut fixture = PlannerFixture::new(0, config());
+        fixture.planner = Planner::new(PlannerOptions { features, ..PlannerOptions::default() });
+        fixture.planner.set_config(Arc::new(config()));
+        fixture.planner.set_worker(worker(0));
+        fixture.report(&worker(0).name, Vec::new(), Vec::new());
+        fixture.add(timed_job("idle", "normal", 1, 1_000, false));
+        fixture.add(timed_job("long", "normal", 1, 20_000, false));
+        let orders = fixture.run_starts(StartAnswer::Started);
+        for _ in 0..2 {
+            fixture.now_ms += 1_000;
+            let at_work = PresentRun { measurement: 900, ..present_run(&orders[1]) };
+            fixture.report(&worker(0).name, vec![present_run(&orders[0]), at_work], Vec::new());
+        }
+        drain(&mut fixture, 5_000);
+        assert_eq!(stops(fixture.decide()).len(), expected);
+    }
+}
+
 /// Guards against a task that is lost or runs twice when the owner changes between the order and
 /// the end: the run ends as stopped under the next owner, which resumes it from its progress.
 #[test]
