--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -42,6 +42,8 @@
     pub present_runs: Gauge<u64>,
     /// Registered workers that do not answer, at the owner.
     pub silent_workers: Gauge<u64>,
+    /// Workers that are about to leave at a known time, at the owner.
+    pub leaving_workers: Gauge<u64>,
 }
 
 impl FleetMetrics {
@@ -70,6 +72,7 @@
             unfinished_jobs: meter.u64_gauge("fleet_jobs_live").build(),
             present_runs: meter.u64_gauge("fleet_runs_present").build(),
             silent_workers: meter.u64_gauge("fleet_workers_silent").build(),
+            leaving_workers: meter.u64_gauge("fleet_workers_leaving").build(),
             registry,
         })
     }
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -277,6 +277,7 @@
     metrics.unfinished_jobs.record(count(planner.unfinished_job_count()), &[]);
     metrics.present_runs.record(count(planner.present_run_count()), &[]);
     metrics.silent_workers.record(count(workers::count_workers(session).silent), &[]);
+    metrics.leaving_workers.record(count(planner.leaving_worker_count()), &[]);
 }
 
 /// Logs the state of the fleet at intervals, with what a takeover still waits for.
