--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -47,6 +47,8 @@
     pub intake: IntakeMetrics,
     /// Expected milliseconds until there is capacity for a new job, by `priority`, at the owner.
     pub room_wait: Gauge<f64>,
+    /// Workers that are about to leave at a known time, at the owner.
+    pub leaving_workers: Gauge<u64>,
 }
 
 impl FleetMetrics {
@@ -77,6 +79,7 @@
             silent_workers: meter.u64_gauge("fleet_workers_silent").build(),
             intake: IntakeMetrics::new(&meter),
             room_wait: meter.f64_gauge("fleet_room_wait_ms").build(),
+            leaving_workers: meter.u64_gauge("fleet_workers_leaving").build(),
             registry,
         })
     }
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -284,6 +284,7 @@
     for (priority, wait_ms) in planner.room_wait_by_priority() {
         metrics.room_wait.record(wait_ms, &[metrics::label("priority", priority.to_string())]);
     }
+    metrics.leaving_workers.record(count(planner.leaving_worker_count()), &[]);
 }
 
 /// Logs the state of the fleet at intervals, with what a takeover still waits for.
