Keep learned speeds of workers over a change of the owner

Cause: a new owner had to learn the speeds of all workers again, some ten seconds in which urgent work starts on slow ones.

Change: the owner writes the workers whose class is not usual to the row speeds/owner/speeds, together with a renewal of the ownership, when a class has changed and at most every 10 s. A new owner reads the row once it runs the fleet, and trusts it little; a row of another format is ignored. The gauge fleet_workers_by_speed counts workers by class, and a line `worker speed changed` is logged for up to 20 workers a renewal.

--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -38,6 +38,8 @@
     pub present_runs: Gauge<u64>,
     /// Registered workers that do not answer, at the owner.
     pub silent_workers: Gauge<u64>,
+    /// Registered workers by `class` of their learned speed, at the owner.
+    pub workers_by_speed: Gauge<u64>,
 }
 
 impl FleetMetrics {
@@ -64,6 +66,7 @@
             unfinished_jobs: meter.u64_gauge("fleet_jobs_live").build(),
             present_runs: meter.u64_gauge("fleet_runs_present").build(),
             silent_workers: meter.u64_gauge("fleet_workers_silent").build(),
+            workers_by_speed: meter.u64_gauge("fleet_workers_by_speed").build(),
             registry,
         })
     }
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -5,6 +5,7 @@
 mod orders;
 mod progress;
 mod session;
+mod speeds;
 mod submits;
 mod workers;
 
@@ -19,9 +20,10 @@
 use crate::context::SharedContext;
 use crate::limits;
 use crate::ports::{
-    AdviceCalls, PeerCalls, PlatformRows, RowStore, RowTransaction, TransactOutcome, WorkerCalls,
+    AdviceCalls, PeerCalls, PlatformRows, RowKey, RowStore, RowTransaction, TransactOutcome,
+    WorkerCalls,
 };
-use crate::row::{self, LeasedWorkers, OwnerRow};
+use crate::row::{self, OwnerRow};
 
 /// The calls that an owner makes to the platform, to workers and to other entries.
 pub trait OwnerPorts: RowStore + WorkerCalls + AdviceCalls + PeerCalls + PlatformRows {}
@@ -78,7 +80,7 @@
     let claim =
         OwnerRow { holder: identity.name.clone(), instance: identity.instance.clone(), term };
     let holder = previous.as_ref().map_or(ArcStr::default(), |row| row.holder.clone());
-    match write_owner(context, version, &claim, None).await {
+    match write_owner(context, version, &claim, []).await {
         Some(version) => {
             log::info!("fleet claimed term={term} version={version} before={holder}");
             Some(ClaimedOwnership { term, version, sent_at: now, previous })
@@ -87,22 +89,22 @@
     }
 }
 
-/// Writes the ownership row if its version is `expected`, together with the leased workers if
-/// they have changed; returns the new version.
+/// Writes the ownership row if its version is `expected`, together with other rows of its partition;
+/// returns the new version.
 ///
 /// Whether a write without an answer took effect shows when the row is next read or followed.
 pub(crate) async fn write_owner<P: OwnerPorts>(
     context: &SharedContext<P>,
     expected: u64,
     owner: &OwnerRow,
-    leased: Option<&LeasedWorkers>,
+    others: impl IntoIterator<Item = (RowKey, Vec<u8>)>,
 ) -> Option<u64> {
     let mut transaction = RowTransaction {
         expected: vec![(row::owner_key(), expected)],
         writes: vec![(row::owner_key(), row::encode(owner))],
         removes: Vec::new(),
     };
-    transaction.writes.extend(leased.map(|leased| (row::lease_key(), row::encode(leased))));
+    transaction.writes.extend(others);
     let outcome = context.ports.transact(&transaction, limits::RENEW_TIMEOUT).await;
     let now = context.clock.now();
     match outcome {
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -24,13 +24,14 @@
 use crate::limits;
 use crate::metrics;
 use crate::news::JobChangeLog;
+use crate::owner::speeds::StoredSpeeds;
 use crate::owner::workers::{WorkerCounts, WorkerLink, WorkerRegistration};
 use crate::owner::{
-    ClaimedOwnership, OwnerPorts, SharedSession, advice, load, orders, progress, submits, workers,
-    write_owner,
+    ClaimedOwnership, OwnerPorts, SharedSession, advice, load, orders, progress, speeds, submits,
+    workers, write_owner,
 };
 use crate::ports::OwnershipHandover;
-use crate::row::{LeasedWorkers, OwnerRow, StoredLeases};
+use crate::row::{self, LeasedWorkers, OwnerRow, StoredLeases};
 use crate::strength::VmStrength;
 use crate::submit::TermVersions;
 
@@ -77,6 +78,8 @@
     pub(crate) lease_lists: Cell<u64>,
     /// Leased workers as the table service holds them.
     pub(crate) stored_leases: RefCell<StoredLeases>,
+    /// What of the learned speeds of workers is stored.
+    pub(crate) stored_speeds: Cell<StoredSpeeds>,
     /// Whether the fleet was handed over to another entry.
     is_handed_over: Cell<bool>,
     /// Version of the ownership row.
@@ -182,6 +185,7 @@
         is_loaded: Cell::new(false),
         lease_lists: Cell::default(),
         stored_leases: RefCell::default(),
+        stored_speeds: Cell::new(StoredSpeeds::new(ownership.sent_at)),
         is_handed_over: Cell::new(false),
         version: Cell::new(ownership.version),
         renewed_at: Cell::new(ownership.sent_at),
@@ -205,6 +209,7 @@
             session.renew_notify.notify_one();
         }
         *context.waiting_by_queue.borrow_mut() = session.planner.borrow().waiting_by_queue();
+        session.spawn(speeds::restore(session.clone()));
         session.spawn(load::follow_jobs(session.clone(), positions.inbox));
         session.spawn(load::follow_workers(session.clone(), positions.workers));
         session.spawn(progress::store_repeatedly(session.clone()));
@@ -243,12 +248,20 @@
             session.planner.borrow().waiting_by_queue();
         record_gauges(&session);
         log_fleet_state(&session, sent_at);
+        speeds::log_changes(&session);
         let owner = build_owner_row(&session, session.context.identity.name.clone());
         let changed_leases = find_changed_leases(&session);
         let list_number = session.lease_lists.get();
+        let speeds = speeds::take_due_row(&session, sent_at);
         let version = session.version.get();
-        let written = write_owner(&session.context, version, &owner, changed_leases.as_ref()).await;
+        let lease_write =
+            changed_leases.as_ref().map(|leases| (row::lease_key(), row::encode(leases)));
+        let speed_write =
+            speeds.as_ref().map(|speeds| (row::speed_key(), row::encode(&speeds.row)));
+        let others = lease_write.into_iter().chain(speed_write);
+        let written = write_owner(&session.context, version, &owner, others).await;
         if let Some(version) = written {
+            speeds::confirm_row(&session, speeds.as_ref());
             if let Some(leases) = changed_leases {
                 session.stored_leases.borrow_mut().record(leases);
             }
@@ -271,12 +284,16 @@
 }
 
 fn record_gauges<P: OwnerPorts>(session: &SharedSession<P>) {
-    let metrics = &session.context.metrics;
+    let instruments = &session.context.metrics;
     let count = |number: usize| u64::try_from(number).unwrap_or(u64::MAX);
     let planner = session.planner.borrow();
-    metrics.unfinished_jobs.record(count(planner.unfinished_job_count()), &[]);
-    metrics.present_runs.record(count(planner.present_run_count()), &[]);
-    metrics.silent_workers.record(count(workers::count_workers(session).silent), &[]);
+    instruments.unfinished_jobs.record(count(planner.unfinished_job_count()), &[]);
+    instruments.present_runs.record(count(planner.present_run_count()), &[]);
+    instruments.silent_workers.record(count(workers::count_workers(session).silent), &[]);
+    for (class, workers) in planner.count_by_speed() {
+        let labels = [metrics::label("class", class.name())];
+        instruments.workers_by_speed.record(count(workers), &labels);
+    }
 }
 
 /// Logs the state of the fleet at intervals, with what a takeover still waits for.
@@ -381,7 +398,7 @@
     session.context.owner.borrow_mut().block_claims_until(now + limits::CLAIM_BACKOFF_MS);
     // One entry is notified at once; the others follow the row.
     let notified = notify_successor(session);
-    let written = write_owner(&session.context, session.version.get(), &owner, None);
+    let written = write_owner(&session.context, session.version.get(), &owner, []);
     let ((), written) = futures_util::join!(notified, written);
     log::info!("fleet released term={} written={}", session.term, written.is_some());
 }
--- a/crates/fleet/src/row.rs
+++ b/crates/fleet/src/row.rs
@@ -24,6 +24,8 @@
 pub const STATE_TABLE: &str = "state";
 /// Table of the leased workers, which may run tasks.
 pub const LEASE_TABLE: &str = "leases";
+/// Table of the learned speeds of workers.
+pub const SPEED_TABLE: &str = "speeds";
 /// Table that operators write.
 pub const OPERATOR_TABLE: &str = "operators";
 /// Table in which workers register.
@@ -53,6 +55,15 @@
 const MAX_LEASED_JOBS: usize = 800;
 /// Most ends of leases that are listed.
 const MAX_LEASE_ENDS: usize = 400;
+/// Key of the learned speeds of workers.
+const SPEED_KEY: &str = "speeds";
+/// Format of the row of speeds that this build writes and reads.
+const SPEED_FORMAT: u32 = 1;
+/// Most bytes that the speeds take in their row. A row may have 64 kB, also in base64, which makes
+/// it a third longer.
+const MAX_SPEED_BYTES: usize = 48_000;
+/// Bytes that a worker's speed takes beside its name: quotes, colon, comma and at most 5 digits.
+const BYTES_PER_SPEED: usize = 9;
 /// Suffix of the key of a cancellation.
 const CANCEL_SUFFIX: &str = ".cancel";
 
@@ -159,6 +170,38 @@
     }
 }
 
+/// Learned speeds of workers, for the next owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpeedRow {
+    /// Format of the row; speeds of another format are ignored, and learned again.
+    pub format: u32,
+    /// Factors on the usual speed in per mille, of the workers that are faster or slower.
+    pub per_mille: BTreeMap<WorkerName, u32>,
+}
+
+impl SpeedRow {
+    /// Creates the row, and leaves workers out where it would become too large for a table service
+    /// that limits the size of a row.
+    #[must_use]
+    pub fn new(mut per_mille: BTreeMap<WorkerName, u32>) -> Self {
+        let size = |name: &WorkerName| name.as_str().len() + BYTES_PER_SPEED;
+        let mut bytes: usize = per_mille.keys().map(size).sum();
+        while bytes > MAX_SPEED_BYTES
+            && let Some((name, _)) = per_mille.pop_last()
+        {
+            bytes -= size(&name);
+        }
+        Self { format: SPEED_FORMAT, per_mille }
+    }
+
+    /// Decodes the row; returns none if it is malformed or of another format.
+    #[must_use]
+    pub fn decode(value: &[u8]) -> Option<Self> {
+        let row = decode::<Self>(SPEED_TABLE, SPEED_KEY, value)?;
+        (row.format == SPEED_FORMAT).then_some(row)
+    }
+}
+
 /// A registered entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberRow {
@@ -236,6 +279,13 @@
     RowKey { table: LEASE_TABLE, partition: OWNER_PARTITION, key: ArcStr::from(OWNER_KEY) }
 }
 
+/// Returns the key of the learned speeds of workers. The row lies in the partition of the ownership
+/// row, so that one transaction can change both.
+#[must_use]
+pub fn speed_key() -> RowKey {
+    RowKey { table: SPEED_TABLE, partition: OWNER_PARTITION, key: ArcStr::from(SPEED_KEY) }
+}
+
 /// Returns the key of the term row, which each owner writes into a partition before it reads the
 /// jobs there.
 ///
--- a/crates/fleet/tests/row.rs
+++ b/crates/fleet/tests/row.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use fleet::row::{self, LeasedWorkers, StoredLeases};
+use fleet::row::{self, LeasedWorkers, SpeedRow, StoredLeases};
 use model::name::{JobId, WorkerName};
 use model::resource::ResourceAmounts;
 use plan::worker::InheritedRuns;
@@ -61,3 +61,29 @@
     assert!(!stored.allows_any_run(&"w".into()), "the write may have taken effect");
     assert_eq!(stored.begin_write(any.clone()), Some(any));
 }
+
+/// Guards against a row of speeds that exceeds the 65,536 bytes of the table service: it could not
+/// be written, and with it no renewal of the ownership.
+#[test]
+fn a_row_of_many_speeds_stays_small() {
+    let speeds = |count: usize| {
+        let name = |worker: usize| WorkerName::from(format!("i-{worker:010x}"));
+        (0..count).map(|worker| (name(worker), 12_345)).collect()
+    };
+    let row = SpeedRow::new(speeds(3_000));
+    assert!(row::encode(&row).len() * 4 / 3 < 65_536);
+    assert!(row.per_mille.len() > 2_000);
+    assert_eq!(SpeedRow::new(speeds(1_000)).per_mille, speeds(1_000));
+}
+
+/// Guards against an owner that stops, or takes over nonsense, because another build has written
+/// the speeds.
+#[test]
+fn speeds_of_another_format_are_ignored() {
+    let row = SpeedRow::new([("w".into(), 600)].into());
+    assert_eq!(SpeedRow::decode(&row::encode(&row)), Some(row.clone()));
+    assert_eq!(SpeedRow::decode(&row::encode(&SpeedRow { format: 2, ..row })), None);
+    for value in ["", "[]", r#"{"format":1}"#, r#"{"format":1,"per_mille":{"w":"fast"}}"#] {
+        assert_eq!(SpeedRow::decode(value.as_bytes()), None, "{value}");
+    }
+}
