Judge late work by the time until it expires, and run services at the usual speed

Cause: late work took the slowest workers of all, also where it then ended after nobody waited for it any more; a service on a slow worker answers slowly for as long as it runs.

Change: for a late job, a worker is fast enough if the job is done before three times its objective. Services prefer workers of the usual speed.

--- a/crates/plan/src/suitability.rs
+++ b/crates/plan/src/suitability.rs
@@ -79,40 +79,47 @@
 }
 
 impl Planner {
-    /// Returns how fast workers have to be for the tasks of a step so that its job is in time.
+    /// Returns how fast workers have to be for the tasks of a step so that its job is in time, or
+    /// before nobody waits for it any more if it is late. Returns `None` on a fleet of equal workers.
     ///
-    /// The job's due time, a call for advice that has to come first, and the expected duration of
-    /// the later steps leave the step an amount of time. For jobs that are late anyway, every
-    /// worker is fast enough. Returns `None` on a fleet of equal workers.
+    /// The job's due time, a call for advice that has to come first, and the declared duration of
+    /// the later steps leave the step an amount of time. A service has no end, and answers its users
+    /// at the speed of its worker. For other work, every worker is fast enough.
     #[expect(clippy::cast_precision_loss, reason = "times are days at most")]
     pub(crate) fn speed_need(&self, waiting: &WaitingStep<'_>) -> Option<SpeedNeed> {
         let WaitingStep { rank, key, spec, rule, .. } = waiting;
         if self.speeds.is_uniform() {
             return None;
         }
-        if rank.class != RankClass::OnTime {
-            return Some(SpeedNeed::default());
+        let step = &spec.steps[key.step as usize];
+        if step.service {
+            return Some(SpeedNeed { least_factor: 1.0 });
         }
+        let due_ms = match rank.class {
+            RankClass::OnTime => rank.due_ms,
+            RankClass::Late => {
+                let objective_ms = order::objective_ms(spec, rule);
+                rank.due_ms + (order::EXPIRED_OBJECTIVE_FACTOR - 1) * objective_ms
+            }
+            RankClass::BeyondShare | RankClass::Expired => return Some(SpeedNeed::default()),
+        };
         let call_ms = if waiting.has_tickets { 0.0 } else { waiting.call_ms };
         let later_ms = later_path_ms(spec, rule, key.step as usize);
-        let left_ms = rank.due_ms.saturating_sub(self.now_ms + later_ms + START_AND_REPORT_MS);
+        let left_ms = due_ms.saturating_sub(self.now_ms + later_ms + START_AND_REPORT_MS);
         let left_ms = (left_ms as f64 - call_ms).max(1.0);
         let least_factor = |work_ms: f64, left_ms: f64| work_ms * RUN_TIME_MARGIN / left_ms;
         if let Some(log_ms) = self.step_state(key).and_then(|state| state.work.log_ms) {
             return Some(SpeedNeed { least_factor: least_factor(log_ms.exp(), left_ms) });
         }
-        let estimate_ms = spec.steps[key.step as usize].estimate_ms;
-        let expected_ms = self.durations.expected_ms(&spec.queue, estimate_ms);
-        let mut need = SpeedNeed { least_factor: least_factor(expected_ms, left_ms) };
+        let expected_ms = self.durations.expected_ms(&spec.queue, step.estimate_ms);
+        let expected = least_factor(expected_ms, left_ms);
         // The due time follows from the estimate, which may be far off. A step whose work is that
         // of most of its queue is in time as well, with the due time that this work deserves.
-        if let Some(typical_ms) = self.durations.typical_ms(&spec.queue) {
-            let typical_left_ms =
-                (left_ms + rule.stretch * (typical_ms - estimate_ms as f64)).max(1.0);
-            let typical = least_factor(typical_ms, typical_left_ms);
-            need.least_factor = need.least_factor.max(typical.min(1.0));
-        }
-        Some(need)
+        let typical = self.durations.typical_ms(&spec.queue).map_or(0.0, |typical_ms| {
+            let added_ms = rule.stretch * (typical_ms - step.estimate_ms as f64);
+            least_factor(typical_ms, (left_ms + added_ms).max(1.0))
+        });
+        Some(SpeedNeed { least_factor: expected.max(typical.min(1.0)) })
     }
 
     /// Records the duration of a done run of a step whose tasks end one by one.
--- a/crates/plan/tests/speed.rs
+++ b/crates/plan/tests/speed.rs
@@ -424,7 +424,7 @@
 
 /// Guards against quick workers that do work with slack, against urgent work on slow ones, and
 /// against capacity that idles because it is slow. The queue's stretch of 2 and its second give a
-/// step of one second 2.9 s, one of 4 s 8.9 s, and one of 20 s 40.9 s.
+/// step of one second 3 s; nobody waits for it after 9 s.
 #[test]
 fn the_slowest_worker_that_is_fast_enough_is_chosen() {
     let cases = [
@@ -433,6 +433,8 @@
         ("tighter", 1_600, BTreeSet::from([4])),
         ("hardly", 1_900, BTreeSet::from([4])),
         ("late", 2_400, BTreeSet::from([0])),
+        ("nearly expired", 8_000, BTreeSet::from([4])),
+        ("expired", 9_500, BTreeSet::from([0])),
     ];
     for (name, waited_ms, expected) in cases {
         let mut fixture = uneven_fixture(config());
@@ -446,6 +448,15 @@
     assert_eq!(fixture.starts().len(), 48, "slow workers are better than none");
 }
 
+/// Guards against services that answer slowly although usual workers are free.
+#[test]
+fn services_run_on_workers_of_the_usual_speed() {
+    let mut fixture = uneven_fixture(config());
+    let service = StepSpec { service: true, ..step(20, cpu(1_000)) };
+    fixture.add(job("serve", "normal", vec![service]));
+    assert_eq!(used_workers(&fixture.starts()), BTreeSet::from([2, 3, 4]));
+}
+
 /// Guards against later steps that get no time: what they need is kept for them.
 #[test]
 fn later_steps_count_for_the_time_that_is_left() {
