Learn speeds run by run from the start

Change: only the moving estimates remain, with a constant time for each run. A step whose runs were all on one worker is not compared with later runs there, and a step without a median records nothing, so that no run counts twice.

--- a/crates/plan/src/speed.rs
+++ b/crates/plan/src/speed.rs
@@ -64,15 +64,6 @@
 /// Part of a step's runs, as a divisor, up to which those on one worker do not matter for the median
 /// of all.
 const OWN_RUNS_DIVISOR: usize = 8;
-/// Runs for each worker, after which speeds are no longer solved for from the first runs on.
-const STARTUP_RUNS_PER_WORKER: usize = 24;
-/// Weight of the assumption that a worker has the usual speed. Without it, workers that are compared
-/// with few others would drift far from the usual speed together.
-const USUAL_WEIGHT: f64 = 1.5;
-/// Most runs that are kept for this. Solving takes some milliseconds with them.
-const MAX_STARTUP_RUNS: usize = 12_000;
-/// Rounds in which works and speeds are solved for together; further ones change little.
-const SOLVER_ROUNDS: usize = 8;
 /// Share of quick workers, as a divisor, from which waiting work can count on one.
 const QUICK_SHARE_DIVISOR: usize = 10;
 /// Shortest run that is compared, in milliseconds. A run end is reported up to 100 ms late, which
@@ -167,36 +158,15 @@
     pub(crate) ended: Vec<RunTime>,
     /// Natural logarithm of a task's work, in milliseconds at the usual speed.
     pub(crate) log_ms: Option<f64>,
-}
-
-/// Runs since the table was created, kept until there are enough of them.
-///
-/// At first all speeds are unknown, and so the works that follow from them are far off. Estimates
-/// that were corrected by one run after the other would remember this for long.
-#[derive(Clone, Debug, Default)]
-struct StartupRuns {
-    /// Runs of steps that are compared with each other, one step after the other.
-    runs: Vec<StartupRun>,
-    /// Number of runs up to the end of each step.
-    step_ends: Vec<usize>,
-    /// Runs of known work, with its natural logarithm.
-    later_runs: Vec<(StartupRun, f64)>,
-}
-
-/// A run in [`StartupRuns`].
-#[derive(Clone, Copy, Debug)]
-struct StartupRun {
-    /// Number of the worker's estimate.
-    worker: usize,
-    /// Natural logarithm of the elapsed time in milliseconds; infinite if the run had not ended.
-    log_ms: f64,
-    weight: f64,
+    /// The worker whose runs alone the work was derived from, if there was only one. Further runs
+    /// there say nothing about its speed.
+    pub(crate) only_worker: Option<WorkerName>,
 }
 
 /// Estimate of one worker's speed.
 #[derive(Clone, Copy, Debug, Default)]
 struct SpeedEstimate {
-    /// Number of the estimate in the order of creation.
+    /// Number of the estimate, by which the runs of a step are told apart by worker.
     number: usize,
     /// Natural logarithm of the factor on the usual speed.
     log_speed: f64,
@@ -222,8 +192,6 @@
     is_uneven: bool,
     /// Runs since the usual speed was last corrected.
     unshifted_runs: usize,
-    /// First runs; none once there were enough, or if speeds were restored.
-    startup: Option<StartupRuns>,
     /// Factor of the quick workers, if there are enough of them; otherwise 1.0.
     quick_factor: f64,
     changes: SpeedChanges,
@@ -244,7 +212,6 @@
             spread: INITIAL_SPREAD,
             is_uneven: false,
             unshifted_runs: 0,
-            startup: Some(StartupRuns::default()),
             quick_factor: 1.0,
             changes: SpeedChanges::default(),
             change_count: 0,
@@ -316,19 +283,11 @@
         }
         works.sort_unstable_by(compare_works);
         let log_work = median_work(&works, None).map(|(log_work, _)| log_work);
-        for run in runs {
+        for run in runs.iter().filter(|_| log_work.is_some()) {
             let number = self.estimate_mut(&run.worker).number;
-            let median = median_work(&works, Some(number));
-            let weight = median.map_or(0.0, |(_, others)| comparison_weight(others));
-            if let Some(startup) = &mut self.startup {
-                startup.runs.push(StartupRun { worker: number, log_ms: run.log_ms, weight });
+            if let Some((log_work, others)) = median_work(&works, Some(number)) {
+                self.record_run(&run.worker, run.log_ms, log_work, others);
             }
-            if let Some((log_work, _)) = median {
-                self.observe_run(run, log_work, weight);
-            }
-        }
-        if let Some(startup) = &mut self.startup {
-            startup.step_ends.push(startup.runs.len());
         }
         self.works = works;
         log_work
@@ -337,32 +296,21 @@
     /// Records the end of a run that took `log_ms` of work `log_work`, which follows from that many
     /// runs on `other` workers, both as natural logarithms of milliseconds.
     pub fn record_run(&mut self, worker: &WorkerName, log_ms: f64, log_work: f64, others: usize) {
-        let run = RunTime { worker: worker.clone(), log_ms };
-        let weight = comparison_weight(others);
-        let number = self.estimate_mut(worker).number;
-        if let Some(startup) = &mut self.startup {
-            let run = StartupRun { worker: number, log_ms, weight };
-            startup.later_runs.push((run, log_work));
-        }
-        self.observe_run(&run, log_work, weight);
-    }
-
-    /// Takes a run into the estimate of its worker.
-    fn observe_run(&mut self, run: &RunTime, log_work: f64, weight: f64) {
-        if run.log_ms < MIN_RUN_MS.ln() || run.log_ms.is_infinite() {
+        if log_ms < MIN_RUN_MS.ln() || log_ms.is_infinite() {
             return;
         }
+        let weight = comparison_weight(others);
         let spread = self.spread;
-        let estimate = self.estimate_mut(&run.worker);
-        let distance = estimate.observe(log_work - run.log_ms, weight, spread);
+        let estimate = self.estimate_mut(worker);
+        let distance = estimate.observe(log_work - log_ms, weight, spread);
         if let Some(distance) = distance
-            && weight > SINGLE_RUN_WEIGHT
+            && others > 0
         {
             let deviation = distance.abs().min(MAX_DEVIATIONS * spread) * DEVIATION_RATIO;
             self.spread =
                 (spread + SPREAD_GAIN * (deviation - spread)).clamp(MIN_SPREAD, MAX_SPREAD);
         }
-        self.classify(&run.worker);
+        self.classify(worker);
         self.unshifted_runs += 1;
     }
 
@@ -384,80 +332,6 @@
         self.record_class(worker, before);
     }
 
-    /// Solves for the speeds of all workers and the works of all steps from the first runs.
-    fn solve_startup(&mut self) {
-        let Some(startup) = self.startup.take() else { return };
-        let mut speeds = vec![0.0_f64; self.created_estimates];
-        for estimate in self.estimates.values() {
-            speeds[estimate.number] = estimate.log_speed;
-        }
-        let mut sums = vec![(0.0_f64, 0.0_f64); self.created_estimates];
-        let mut works = std::mem::take(&mut self.works);
-        let max_distance = MAX_DEVIATIONS * self.spread;
-        for _ in 0..SOLVER_ROUNDS {
-            sums.fill((0.0, 0.0));
-            let mut observe = |run: &StartupRun, log_work: f64| {
-                if run.log_ms < MIN_RUN_MS.ln() || run.log_ms.is_infinite() {
-                    return;
-                }
-                let speed = speeds[run.worker];
-                let distance = log_work - run.log_ms - speed;
-                let observed = speed + distance.clamp(-max_distance, max_distance);
-                let (sum, weight) = &mut sums[run.worker];
-                *sum += run.weight * observed;
-                *weight += run.weight;
-            };
-            let mut start = 0;
-            for end in &startup.step_ends {
-                let step = &startup.runs[start..*end];
-                start = *end;
-                works.clear();
-                works.extend(step.iter().map(|run| (run.log_ms + speeds[run.worker], run.worker)));
-                works.sort_unstable_by(compare_works);
-                for run in step {
-                    if let Some((log_work, _)) = median_work(&works, Some(run.worker)) {
-                        observe(run, log_work);
-                    }
-                }
-            }
-            for (run, log_work) in &startup.later_runs {
-                observe(run, *log_work);
-            }
-            for (speed, (sum, weight)) in speeds.iter_mut().zip(&sums) {
-                *speed = sum / (weight + USUAL_WEIGHT);
-            }
-            self.scratch.clear();
-            self.scratch.extend(
-                speeds
-                    .iter()
-                    .zip(&sums)
-                    .filter_map(|(speed, (_, weight))| (*weight > 0.0).then_some(*speed)),
-            );
-            let middle = self.scratch.len() / 2;
-            if middle == 0 {
-                break;
-            }
-            let usual = *self.scratch.select_nth_unstable_by(middle, f64::total_cmp).1;
-            for speed in &mut speeds {
-                *speed -= usual;
-            }
-        }
-        self.works = works;
-        let names: Vec<_> = self.estimates.keys().cloned().collect();
-        for name in &names {
-            let estimate = self.estimate_mut(name);
-            let (_, weight) = sums[estimate.number];
-            if weight > 0.0 {
-                estimate.log_speed = speeds[estimate.number];
-                estimate.confidence = weight.min(MAX_CONFIDENCE);
-            }
-            self.classify(name);
-        }
-        let runs = startup.runs.len() + startup.later_runs.len();
-        let is_over = runs >= MAX_STARTUP_RUNS.min(STARTUP_RUNS_PER_WORKER * names.len());
-        self.startup = if is_over { None } else { Some(startup) };
-    }
-
     /// Corrects the usual speed to that of the median worker, once there were more runs than
     /// workers since the last time; returns whether speeds may have changed.
     ///
@@ -469,11 +343,7 @@
         }
         self.unshifted_runs = 0;
         self.compare_estimates();
-        if self.startup.is_some() {
-            self.solve_startup();
-        } else {
-            self.shift_to_median();
-        }
+        self.shift_to_median();
         self.update_quick_factor();
         true
     }
@@ -620,7 +490,6 @@
         estimate.class = class;
         self.count_change(SpeedClass::Usual, class);
         self.update_quick_factor();
-        self.startup = None;
     }
 }
 
--- a/crates/plan/src/suitability.rs
+++ b/crates/plan/src/suitability.rs
@@ -135,6 +135,9 @@
         let Some(state) = self.step_mut(&task.step) else { return };
         let run = RunTime { worker: worker.clone(), log_ms: elapsed_ms.max(1.0).ln() };
         if let Some(log_work) = state.work.log_ms {
+            if state.work.only_worker.as_ref() == Some(worker) {
+                return;
+            }
             let others = state.tasks.len() - 1;
             self.speeds.record_run(worker, run.log_ms, log_work, others);
             self.apply_speed(worker);
@@ -168,7 +171,8 @@
         if let Some(state) = self.step_mut(&task.step) {
             // Without a comparison, later runs of the step may still allow one.
             let kept = if log_work.is_some() { Vec::new() } else { runs };
-            state.work = StepWork { ended: kept, log_ms: log_work };
+            let only_worker = is_single.then(|| worker.clone());
+            state.work = StepWork { ended: kept, log_ms: log_work, only_worker };
         }
     }
 
