--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -49,6 +49,8 @@
     pub room_wait: Gauge<f64>,
     /// Workers that are about to leave at a known time, at the owner.
     pub leaving_workers: Gauge<u64>,
+    /// Registered workers by `class` of their learned speed, at the owner.
+    pub workers_by_speed: Gauge<u64>,
 }
 
 impl FleetMetrics {
@@ -80,6 +82,7 @@
             intake: IntakeMetrics::new(&meter),
             room_wait: meter.f64_gauge("fleet_room_wait_ms").build(),
             leaving_workers: meter.u64_gauge("fleet_workers_leaving").build(),
+            workers_by_speed: meter.u64_gauge("fleet_workers_by_speed").build(),
             registry,
         })
     }
