Count all waiting work in the gauges and the order under shortage

Cause: a forecast without an own job took work that does not fit into what is free for no wait, so that room_wait_ms, short_of_room and the order under shortage did not see a pool that is entirely full. Refusals were not affected.

Change: these use the whole backlog; the test of refusals checks both values.

--- a/crates/plan/src/room.rs
+++ b/crates/plan/src/room.rs
@@ -345,6 +345,12 @@
         self.used.largest_ratio(self.capacity) >= MIN_SHORT_USE
     }
 
+    /// Returns the time until the jobs that wait have got their capacity, in milliseconds.
+    fn backlog_wait_ms(&self, demand: RoomDemand, arriving: ArrivalRates) -> f64 {
+        let free = self.capacity.minus(self.used);
+        self.wait_ms(RoomDemand { placeable: demand.amounts, ..demand }, arriving, free)
+    }
+
     /// Returns the time until `demand` has got its capacity, in milliseconds, where `arriving` goes
     /// before it and `free` is there now. The scarcer resource decides.
     ///
@@ -388,6 +394,8 @@
 pub(crate) struct RoomState {
     /// Time of the first decision.
     first_decision_ms: Option<u64>,
+    /// Whether jobs are ordered by their work while capacity is short.
+    is_ordering: bool,
     efficiency: BTreeMap<ArcStr, EfficiencyMeter>,
     /// Work of accepted jobs within their teams' shares, by pool and priority.
     arrivals: BTreeMap<(ArcStr, u32), ArrivalMeter>,
@@ -448,7 +456,7 @@
         reason = "objectives are minutes at most, and a cast of a float saturates"
     )]
     pub(crate) fn weigh_rank(&self, rank: JobRank, job: &JobState, rule: &QueueRule) -> JobRank {
-        if !self.is_short(&rule.pool) {
+        if !self.is_ordering || !self.is_short(&rule.pool) {
             return rank;
         }
         let (relative_work, is_wide) = self.relative_size(&job.spec);
@@ -586,11 +594,13 @@
 
     /// Computes the forecast from the steps that wait after a decision.
     pub(crate) fn forecast_room(&mut self, steps: &[WaitingStep<'_>], config: &PlanConfig) {
-        if !self.options.features.room_admission {
+        let features = self.options.features;
+        if !features.room_admission && !features.preemption {
             return;
         }
         let now = self.now_ms;
         self.room.first_decision_ms.get_or_insert(now);
+        self.room.is_ordering = features.room_admission;
         self.room.added = PendingRoom::default();
         self.room.forecast.pools.clear();
         self.room.short_pools.clear();
@@ -619,8 +629,7 @@
                 sum = sum.plus(waiting.demand);
                 waiting.demand = sum;
             }
-            let free = pool.capacity.minus(pool.used);
-            let wait_ms = pool.wait_ms(sum, ArrivalRates::default(), free);
+            let wait_ms = pool.backlog_wait_ms(sum, ArrivalRates::default());
             if pool.is_busy() && wait_ms >= MIN_SHORT_WAIT_MS {
                 self.room.short_pools.insert(name.clone(), wait_ms);
             }
@@ -757,12 +766,11 @@
             if !self.room.is_short(name) {
                 continue;
             }
-            let free = pool.capacity.minus(pool.used);
             for (priority, wait_ms) in &mut waits {
                 let rank =
                     JobRank { class: RankClass::OnTime, priority: *priority, due_ms: u64::MAX };
                 let arriving = pool.arriving_up_to(priority.checked_sub(1));
-                let wait = pool.wait_ms(pool.demand_before(rank), arriving, free);
+                let wait = pool.backlog_wait_ms(pool.demand_before(rank), arriving);
                 *wait_ms = wait_ms.max(wait);
             }
         }
--- a/crates/plan/tests/room.rs
+++ b/crates/plan/tests/room.rs
@@ -384,6 +384,9 @@
     let fixture = full_fixture(120);
     let found = refusal(&fixture, &next).expect("a minute of work goes before it");
     assert_eq!(found.reason, RoomReason::Room);
+    assert_eq!(fixture.planner.short_pool_count(), 1);
+    let waits = fixture.planner.room_wait_by_priority();
+    assert!(waits[&0] < 1.0 && waits[&1] > 20_000.0, "{waits:?}");
     assert!(found.wait_ms > 20_000.0 && found.late_wait_ms >= found.wait_ms, "{found:?}");
     let urgent = job("urgent", "urgent", vec![quarter(1)]);
     assert_eq!(refusal(&fixture, &urgent), None, "it goes first");
