--- a/crates/plan/tests/preempt.rs
+++ b/crates/plan/tests/preempt.rs
@@ -16,10 +16,8 @@
 use plan::planner::{Planner, PlannerOptions};
 use plan::preempt::PREEMPTED_REASON;
 use plan::progress::ProgressRecord;
-use plan::worker::{EndKind, EndedRun, RunReport, StartAnswer};
-use support::{
-    INCARNATION, PlannerFixture, WORKER_CPU, config, cpu, job, rule, step, stops, worker,
-};
+use plan::worker::{EndKind, EndedRun, StartAnswer};
+use support::{PlannerFixture, WORKER_CPU, config, cpu, job, rule, step, stops, worker};
 
 /// Saved progress that a stopped run reports.
 const SAVED: &str = "half";
@@ -85,13 +83,8 @@
 ) {
     let present = running.iter().filter(|start| start.worker == order.worker);
     let running = present.filter(|start| start.task != order.task).map(support::present_run);
-    let ended = EndedRun {
-        number,
-        task: order.task.clone(),
-        run: order.run,
-        kind: EndKind::Stopped,
-        saved: SAVED.into(),
-    };
+    let (task, run, kind) = (order.task.clone(), order.run, EndKind::Stopped);
+    let ended = EndedRun { number, task, run, kind, saved: SAVED.into() };
     fixture.report(&order.worker, running.collect(), vec![ended]);
 }
 
@@ -270,21 +263,9 @@
     let mut fixture = PlannerFixture::unreported(1, preempt_config());
     fixture.planner.add_job(&spec, &ProgressRecord::default(), 1);
     fixture.planner.inherit_workers(BTreeMap::new(), ResourceAmounts::ZERO);
-    let name = worker(0).name;
-    let ended = EndedRun {
-        number: 1,
-        task: support::task("long", 2),
-        run: 7,
-        kind: EndKind::Stopped,
-        saved: SAVED.into(),
-    };
-    let report = RunReport {
-        incarnation: INCARNATION,
-        running: Vec::new(),
-        ended: vec![ended],
-        is_partial: false,
-    };
-    fixture.planner.apply_report(&name, &report, 2, 2);
+    let (task, run, kind) = (support::task("long", 2), 7, EndKind::Stopped);
+    let ended = EndedRun { number: 1, task, run, kind, saved: SAVED.into() };
+    fixture.report(&worker(0).name, Vec::new(), vec![ended]);
     let starts = fixture.starts();
     let resumed = starts.iter().find(|start| start.task.index == 2).expect("it starts again");
     assert_eq!(resumed.saved, SAVED);
--- a/crates/plan/tests/room.rs
+++ b/crates/plan/tests/room.rs
@@ -62,38 +62,16 @@
 }
 
 fn kinds() -> [JobKind; 3] {
-    let amounts =
-        |cpu_millis, memory_mb| ResourceAmounts { cpu_millis, memory_mb, ..ResourceAmounts::ZERO };
+    let kind = |queue, jobs_per_s, tasks, work_ms, (cpu_millis, memory_mb), gang, rule| {
+        let amounts = ResourceAmounts { cpu_millis, memory_mb, ..ResourceAmounts::ZERO };
+        JobKind { queue, jobs_per_s, tasks, work_ms, amounts, gang, rule }
+    };
     let rule =
         |priority, stretch, target_ms| QueueRule { stretch, target_ms, ..rule(priority, None) };
     [
-        JobKind {
-            queue: "route",
-            jobs_per_s: 11.0,
-            tasks: 2.6,
-            work_ms: 800.0,
-            amounts: amounts(9_900, 37_000),
-            gang: false,
-            rule: rule(0, 1.5, 250),
-        },
-        JobKind {
-            queue: "rebuild",
-            jobs_per_s: 0.42,
-            tasks: 19.0,
-            work_ms: 5_000.0,
-            amounts: amounts(18_000, 67_000),
-            gang: true,
-            rule: rule(1, 2.2, 1_000),
-        },
-        JobKind {
-            queue: "reroute",
-            jobs_per_s: 0.7,
-            tasks: 32.0,
-            work_ms: 3_400.0,
-            amounts: amounts(6_900, 14_000),
-            gang: false,
-            rule: rule(2, 4.0, 3_000),
-        },
+        kind("route", 11.0, 2.6, 800.0, (9_900, 37_000), false, rule(0, 1.5, 250)),
+        kind("rebuild", 0.42, 19.0, 5_000.0, (18_000, 67_000), true, rule(1, 2.2, 1_000)),
+        kind("reroute", 0.7, 32.0, 3_400.0, (6_900, 14_000), false, rule(2, 4.0, 3_000)),
     ]
 }
 
