--- a/crates/plan/tests/room.rs
+++ b/crates/plan/tests/room.rs
@@ -62,38 +62,16 @@
 }
 
 fn kinds() -> [JobKind; 3] {
-    let amounts =
-        |cpu_millis, memory_mb| ResourceAmounts { cpu_millis, memory_mb, ..ResourceAmounts::ZERO };
+    let kind = |queue, jobs_per_s, tasks, work_ms, (cpu_millis, memory_mb), gang, rule| {
+        let amounts = ResourceAmounts { cpu_millis, memory_mb, ..ResourceAmounts::ZERO };
+        JobKind { queue, jobs_per_s, tasks, work_ms, amounts, gang, rule }
+    };
     let rule =
         |priority, stretch, target_ms| QueueRule { stretch, target_ms, ..rule(priority, None) };
     [
-        JobKind {
-            queue: "route",
-            jobs_per_s: 11.0,
-            tasks: 2.6,
-            work_ms: 800.0,
-            amounts: amounts(9_900, 37_000),
-            gang: false,
-            rule: rule(0, 1.5, 250),
-        },
-        JobKind {
-            queue: "rebuild",
-            jobs_per_s: 0.42,
-            tasks: 19.0,
-            work_ms: 5_000.0,
-            amounts: amounts(18_000, 67_000),
-            gang: true,
-            rule: rule(1, 2.2, 1_000),
-        },
-        JobKind {
-            queue: "reroute",
-            jobs_per_s: 0.7,
-            tasks: 32.0,
-            work_ms: 3_400.0,
-            amounts: amounts(6_900, 14_000),
-            gang: false,
-            rule: rule(2, 4.0, 3_000),
-        },
+        kind("route", 11.0, 2.6, 800.0, (9_900, 37_000), false, rule(0, 1.5, 250)),
+        kind("rebuild", 0.42, 19.0, 5_000.0, (18_000, 67_000), true, rule(1, 2.2, 1_000)),
+        kind("reroute", 0.7, 32.0, 3_400.0, (6_900, 14_000), false, rule(2, 4.0, 3_000)),
     ]
 }
 
@@ -159,8 +137,9 @@
     WorkerInfo { capacity, ..worker(index) }
 }
 
+/// Returns the features without preemption, which would hide what admission does.
 fn room_admission(room_admission: bool) -> PlanFeatures {
-    PlanFeatures { room_admission, ..PlanFeatures::default() }
+    PlanFeatures { room_admission, preemption: false, ..PlanFeatures::default() }
 }
 
 impl RoomSimulation {
@@ -189,6 +168,7 @@
         let whole = |number: f64| number as u64;
         let step = StepSpec {
             gang: kind.gang,
+            checkpoint: !kind.gang,
             estimate_ms: whole(estimate_ms),
             ..step(u32::try_from(whole(count)).expect("few tasks"), kind.amounts)
         };
@@ -328,8 +308,8 @@
 /// Guards against decisions that change on a fleet with enough capacity.
 #[test]
 fn enough_capacity_is_decided_as_before() {
-    let [before, after] = [false, true].map(|is_on| {
-        let mut simulation = RoomSimulation::new(room_admission(is_on));
+    let [before, after] = [room_admission(false), PlanFeatures::default()].map(|features| {
+        let mut simulation = RoomSimulation::new(features);
         simulation.replay(0.6, [1.0, 1.0, 1.0], 0);
         assert!(simulation.refusals.is_empty());
         simulation.starts
@@ -384,6 +364,9 @@
     let fixture = full_fixture(120);
     let found = refusal(&fixture, &next).expect("a minute of work goes before it");
     assert_eq!(found.reason, RoomReason::Room);
+    assert_eq!(fixture.planner.short_pool_count(), 1);
+    let waits = fixture.planner.room_wait_by_priority();
+    assert!(waits[&0] < 1.0 && waits[&1] > 20_000.0, "{waits:?}");
     assert!(found.wait_ms > 20_000.0 && found.late_wait_ms >= found.wait_ms, "{found:?}");
     let urgent = job("urgent", "urgent", vec![quarter(1)]);
     assert_eq!(refusal(&fixture, &urgent), None, "it goes first");
