Wake each body that waits for room, and test the bound over bodies

Cause: a body that had found room by itself stayed in the list of waiting bodies, and the next wake-up was spent on it; one that still waited could stay until its time limit.

Change: only bodies that still wait are woken. Limits of a body are a parameter, so that tests need not wait 15 s.

--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use actix_web::{HttpRequest, HttpResponse, web};
-use link::body::{self, BodyError, ReceivedBody};
+use link::body::{self, BodyError, BodyLimits, ReceivedBody};
 use link::budget::RetryBudget;
 use link::connection::ConnectionHandle;
 use link::endpoint::EndpointClient;
@@ -27,6 +27,9 @@
 use crate::metrics::{EntryMetrics, label};
 use crate::snapshot::ConfigSnapshot;
 
+/// Limits of a body.
+const BODY_LIMITS: BodyLimits = BodyLimits::new(link::http::MAX_BODY_BYTES);
+
 /// State shared by all traffic threads.
 #[derive(Clone, Debug)]
 pub struct SharedTraffic {
@@ -96,8 +99,7 @@
         let declared = header_text(request, "content-length").and_then(|text| text.parse().ok());
         let connection = request.conn_data::<ConnectionHandle>();
         let intake = &self.shared.callers;
-        body::read_body(&mut payload, declared, link::http::MAX_BODY_BYTES, intake, connection)
-            .await
+        body::read_body(&mut payload, declared, BODY_LIMITS, intake, connection).await
     }
 
     /// Counts a call about a job or the configuration whose body was not received, and builds its
--- a/crates/entry/tests/bodies.rs
+++ b/crates/entry/tests/bodies.rs
@@ -4,7 +4,8 @@
 use std::time::Instant;
 
 use cell::flood::{BodyFlood, BodyForm, FloodPart, ProcessWatch, SETTLE_TIME};
-use cell::{NORTH_SECRET, TestCell, WAIT_TIMEOUT};
+use cell::{NORTH_SECRET, TestCell, WAIT_TIMEOUT, client};
+use serde_json::Value;
 
 /// Memory in MB that an entry assumes without settings; a quarter of it is for bodies.
 const MEMORY_MB: u64 = 256;
@@ -63,3 +64,20 @@
     };
     check_flood(&[large, small]).await;
 }
+
+/// Guards against an entry with default settings that refuses a body of the full length, or reads
+/// one that is too long.
+#[actix_rt::test]
+async fn full_bodies_are_read_and_longer_ones_refused() {
+    let cell = TestCell::start(1, 1, 1).await;
+    let send = async |length: usize| {
+        let request = client().post(cell.url(0, "/v1/jobs")).bearer_auth(NORTH_SECRET);
+        let mut answer = request.send_body(vec![b' '; length]).await.expect("an answer");
+        let error: Value = answer.json().await.expect("an error");
+        (answer.status().as_u16(), error["message"].to_string())
+    };
+    let (status, message) = send(BODY_BYTES).await;
+    assert!(status == 400 && message.contains("EOF while parsing"), "{status} {message}");
+    let (status, message) = send(BODY_BYTES + 1).await;
+    assert!(status == 400 && message.contains("longer than 16777216"), "{status} {message}");
+}
--- a/crates/link/src/body.rs
+++ b/crates/link/src/body.rs
@@ -21,10 +21,10 @@
 use crate::connection::ConnectionHandle;
 use crate::intake::ClientIntake;
 
-/// Longest time without progress of a body. Callers wait 3 s for an answer.
+/// Default of [`BodyLimits::progress_timeout`]. Callers wait 3 s for an answer.
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(5);
-/// Longest time for a whole body. A body of 16 MB takes 13 s on a link of 10 Mbit/s.
-const BODY_TIMEOUT: Duration = Duration::from_secs(15);
+/// Default of [`BodyLimits::whole_timeout`]. A body of 16 MB takes 13 s on a link of 10 Mbit/s.
+const WHOLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Capacity that a body without declared length gets first; ordinary requests fit.
 const FIRST_CAPACITY: usize = 4_096;
 /// Bodies up to this length are small.
@@ -32,6 +32,25 @@
 /// Part of the budget that only small bodies may use, as its divisor.
 const SMALL_BODY_DIVISOR: usize = 8;
 
+/// Limits of one body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyLimits {
+    /// Longest body in bytes.
+    pub max_bytes: usize,
+    /// Longest time in which nothing arrives.
+    pub progress_timeout: Duration,
+    /// Longest time until the body is complete.
+    pub whole_timeout: Duration,
+}
+
+impl BodyLimits {
+    /// Returns the limits of bodies of at most so many bytes.
+    #[must_use]
+    pub const fn new(max_bytes: usize) -> Self {
+        Self { max_bytes, progress_timeout: PROGRESS_TIMEOUT, whole_timeout: WHOLE_TIMEOUT }
+    }
+}
+
 /// Why a body was not received. Nothing was done for its request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum BodyError {
@@ -73,7 +92,7 @@
     next_id: u64,
     /// Incomplete bodies in the order in which they began.
     incomplete: BTreeMap<u64, IncompleteBody>,
-    /// Bodies that wait for room, the first one first.
+    /// Bodies that wait for room, the first one first; also some that have stopped waiting.
     waiting: VecDeque<u64>,
 }
 
@@ -81,6 +100,8 @@
 struct IncompleteBody {
     bytes: usize,
     aborted: bool,
+    /// Whether the body waits for room.
+    waiting: bool,
     /// Wakes the task that reads the body when it is aborted or there may be room.
     waker: Option<Waker>,
 }
@@ -98,8 +119,12 @@
     /// Wakes the first body that waits for room.
     fn wake_first(&mut self) {
         while let Some(id) = self.waiting.pop_front() {
-            if let Some(waker) = self.incomplete.get_mut(&id).and_then(|body| body.waker.take()) {
-                waker.wake();
+            let Some(body) = self.incomplete.get_mut(&id) else { continue };
+            // A wake-up spent on a body that no longer waits would be missed by the next one.
+            if std::mem::take(&mut body.waiting) {
+                if let Some(waker) = body.waker.take() {
+                    waker.wake();
+                }
                 return;
             }
         }
@@ -196,6 +221,7 @@
             state.held = needed;
             if let Some(body) = state.incomplete.get_mut(&self.id) {
                 body.bytes = self.bytes;
+                body.waiting = false;
             }
             state.wake_first();
             return Poll::Ready(Ok(()));
@@ -206,9 +232,9 @@
         }
         if let Some(body) = state.incomplete.get_mut(&self.id) {
             body.waker = Some(context.waker().clone());
-        }
-        if !state.waiting.contains(&self.id) {
-            state.waiting.push_back(self.id);
+            if !std::mem::replace(&mut body.waiting, true) {
+                state.waiting.push_back(self.id);
+            }
         }
         Poll::Pending
     }
@@ -278,7 +304,7 @@
     }
 }
 
-/// Reads a body of at most `max_bytes` bytes, with its length if the client declared one.
+/// Reads a body, with its length if the client declared one.
 ///
 /// While the body waits for room, its connection is not read.
 ///
@@ -287,7 +313,7 @@
 pub async fn read_body<S, E>(
     payload: &mut S,
     declared: Option<u64>,
-    max_bytes: usize,
+    limits: BodyLimits,
     intake: &ClientIntake,
     connection: Option<&ConnectionHandle>,
 ) -> Result<ReceivedBody, BodyError>
@@ -295,11 +321,11 @@
     S: Stream<Item = Result<Bytes, E>> + Unpin,
     E: fmt::Display,
 {
-    let max = u64::try_from(max_bytes).unwrap_or(u64::MAX);
+    let max = u64::try_from(limits.max_bytes).unwrap_or(u64::MAX);
     let result = if declared.is_some_and(|length| length > max) {
-        Err(BodyError::TooLong(max_bytes))
+        Err(BodyError::TooLong(limits.max_bytes))
     } else {
-        BodyReader::new(payload, max_bytes, &intake.bodies, connection).read(declared).await
+        BodyReader::new(payload, limits, &intake.bodies, connection).read(declared).await
     };
     if let Err(error) = &result {
         intake.counts.record_body_error(error);
@@ -311,7 +337,7 @@
 struct BodyReader<'a, S> {
     payload: &'a mut S,
     connection: Option<&'a ConnectionHandle>,
-    max_bytes: usize,
+    limits: BodyLimits,
     room: BodyRoom,
     data: Vec<u8>,
     started: Instant,
@@ -328,7 +354,7 @@
 {
     fn new(
         payload: &'a mut S,
-        max_bytes: usize,
+        limits: BodyLimits,
         budget: &BodyBudget,
         connection: Option<&'a ConnectionHandle>,
     ) -> Self {
@@ -336,7 +362,7 @@
         Self {
             payload,
             connection,
-            max_bytes,
+            limits,
             room: budget.begin(),
             data: Vec::new(),
             started: now,
@@ -351,12 +377,12 @@
         }
         while let Some(chunk) = poll_fn(|context| self.poll_chunk(context)).await? {
             let length = self.data.len() + chunk.len();
-            if length > self.max_bytes {
-                return Err(BodyError::TooLong(self.max_bytes));
+            if length > self.limits.max_bytes {
+                return Err(BodyError::TooLong(self.limits.max_bytes));
             }
             if length > self.data.capacity() {
                 let doubled = (self.data.capacity() * 2).max(FIRST_CAPACITY);
-                self.grow(doubled.min(self.max_bytes).max(length)).await?;
+                self.grow(doubled.min(self.limits.max_bytes).max(length)).await?;
             }
             self.data.extend_from_slice(&chunk);
             self.progressed = Instant::now();
@@ -414,7 +440,8 @@
 
     /// Is ready once the body has taken too long.
     fn poll_too_slow(&mut self, context: &mut Context<'_>) -> Poll<BodyError> {
-        let until = (self.progressed + PROGRESS_TIMEOUT).min(self.started + BODY_TIMEOUT);
+        let until = (self.progressed + self.limits.progress_timeout)
+            .min(self.started + self.limits.whole_timeout);
         let timer = self.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(until)));
         while timer.as_mut().poll(context).is_ready() {
             if Instant::now() >= until {
