--- a/crates/entry/src/http/jobs.rs
+++ b/crates/entry/src/http/jobs.rs
@@ -3,13 +3,23 @@
 use actix_web::{HttpRequest, HttpResponse, web};
 use model::job::JobSpec;
 use model::kind::{ErrorKind, RequestOutcome};
-use model::name::{JobId, TeamName};
+use model::name::{JobId, QueueName, TeamName};
 use model::object;
+use serde::Deserialize;
 use wire::peer::PeerRefusal;
 
 use crate::control::handle::ControlCall;
 use crate::http::{Traffic, answer, bearer_secret};
 
+/// The part of a job by which its caller is checked.
+///
+/// A payload may take more than ten times the memory of its text, so that it is decoded only for
+/// callers who may submit.
+#[derive(Deserialize)]
+struct JobAddress {
+    queue: QueueName,
+}
+
 /// Accepts a job for the team of the caller's key.
 pub async fn submit_job(
     request: HttpRequest,
@@ -20,19 +30,25 @@
         Ok(body) => body,
         Err(error) => return traffic.refuse_unread("submit", &error),
     };
+    let malformed = |error: serde_json::Error| {
+        let message = format!("the job is malformed: {error}");
+        traffic.refuse("submit", &PeerRefusal::new(ErrorKind::BadInput, message))
+    };
+    let address: JobAddress = match serde_json::from_slice(&body) {
+        Ok(address) => address,
+        Err(error) => return malformed(error),
+    };
+    let access = traffic.snapshot().authorize(address.queue.as_str(), bearer_secret(&request));
+    let access = match access {
+        Ok(access) => access,
+        Err(refusal) => return traffic.refuse("submit", &refusal),
+    };
     let spec: JobSpec = match serde_json::from_slice(&body) {
         Ok(spec) => spec,
-        Err(error) => {
-            let message = format!("the job is malformed: {error}");
-            return traffic.refuse("submit", &PeerRefusal::new(ErrorKind::BadInput, message));
-        }
+        Err(error) => return malformed(error),
     };
     // Releases its memory before the wait for the answer.
     drop(body);
-    let access = match traffic.snapshot().authorize(spec.queue.as_str(), bearer_secret(&request)) {
-        Ok(access) => access,
-        Err(refusal) => return traffic.refuse("submit", &refusal),
-    };
     let call = |reply| ControlCall::SubmitJob(spec, access, reply);
     match traffic.shared.control.try_call(call).await {
         Ok(reply) => answer::builder(201, RequestOutcome::Answered).json(reply),
--- a/crates/entry/tests/bodies.rs
+++ b/crates/entry/tests/bodies.rs
@@ -3,6 +3,7 @@
 
 use std::time::Instant;
 
+use actix_web::web::Bytes;
 use cell::flood::{BodyFlood, BodyForm, FloodPart, ProcessWatch, SETTLE_TIME};
 use cell::{NORTH_SECRET, TestCell, WAIT_TIMEOUT, client};
 use serde_json::Value;
@@ -81,3 +82,23 @@
     let (status, message) = send(BODY_BYTES + 1).await;
     assert!(status == 400 && message.contains("longer than 16777216"), "{status} {message}");
 }
+
+/// Guards against bodies without a valid key whose decoded form takes many times their length: an
+/// empty list of two bytes takes 32 decoded.
+#[actix_rt::test]
+async fn jobs_without_a_key_are_not_decoded() {
+    let cell = TestCell::start(1, 1, 1).await;
+    let watch = ProcessWatch::start(cell.entries[0].id());
+    let job = r#"{"id": "a", "queue": "reports", "tasks": 1, "amounts": {}, "payload": [[]"#;
+    let lists = ",[]".repeat((BODY_BYTES - job.len() - 2) / 3);
+    let body = Bytes::from(format!("{job}{lists}]}}"));
+    // One for each of the entry's two threads.
+    let send = || client().post(cell.url(0, "/v1/jobs")).send_body(body.clone());
+    let (first, second) = futures_util::join!(send(), send());
+    for sent in [first, second] {
+        assert_eq!(sent.expect("an answer").status().as_u16(), 401);
+    }
+    let usage = watch.usage().expect("the entry lives");
+    println!("usage of the entry: {usage:?}");
+    assert!(usage.peak_kb < MEMORY_MB * 1_024, "memory: {usage:?}");
+}
--- a/crates/link/src/intake.rs
+++ b/crates/link/src/intake.rs
@@ -13,7 +13,7 @@
 
 /// Time between two updates of the metrics. Connections that are overdue are closed as often.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
-/// Updates of the metrics for each log line, so that a flood writes one line in 5 s.
+/// Updates of the metrics for each log line, so that a flood writes at most one line in 5 s.
 const UPKEEPS_PER_LINE: u32 = 5;
 
 /// Counts of bodies and connections that were turned away.
@@ -118,16 +118,12 @@
 /// Closes overdue connections and updates the metrics until the task is dropped.
 pub async fn maintain(intakes: Vec<ClientIntake>, metrics: IntakeMetrics) {
     let mut reports: Vec<_> = intakes.into_iter().map(IntakeReport::new).collect();
-    let mut turn = 0;
     loop {
         tokio::time::sleep(UPKEEP_INTERVAL).await;
-        turn = (turn + 1) % UPKEEPS_PER_LINE;
         for report in &mut reports {
             report.intake.connections.close_overdue(Instant::now());
             report.record(&metrics);
-            if turn == 0 {
-                report.log();
-            }
+            report.log();
         }
     }
 }
@@ -137,12 +133,14 @@
     intake: ClientIntake,
     recorded: [(&'static str, u64); 7],
     logged: [(&'static str, u64); 7],
+    /// Updates of the metrics since the last line.
+    unlogged: u32,
 }
 
 impl IntakeReport {
     fn new(intake: ClientIntake) -> Self {
         let counts = intake.counts.read();
-        Self { intake, recorded: counts, logged: counts }
+        Self { intake, recorded: counts, logged: counts, unlogged: UPKEEPS_PER_LINE }
     }
 
     fn record(&mut self, metrics: &IntakeMetrics) {
@@ -165,8 +163,13 @@
         self.recorded = counts;
     }
 
-    /// Logs what was turned away since the last line, if anything was.
+    /// Logs what was turned away since the last line, if anything was and the line is not too
+    /// recent.
     fn log(&mut self) {
+        self.unlogged = self.unlogged.saturating_add(1);
+        if self.unlogged < UPKEEPS_PER_LINE || self.recorded == self.logged {
+            return;
+        }
         let changes: Vec<_> = self
             .recorded
             .iter()
@@ -174,9 +177,6 @@
             .filter(|((_, count), (_, before))| count > before)
             .map(|((reason, count), (_, before))| format!("{reason}={}", count - before))
             .collect();
-        if changes.is_empty() {
-            return;
-        }
         log::warn!(
             "bodies or connections turned away clients={} {} body_bytes={} connections={}",
             self.intake.clients,
@@ -185,5 +185,6 @@
             self.intake.connections.open()
         );
         self.logged = self.recorded;
+        self.unlogged = 0;
     }
 }
