Let work that can wait give way, and check forecasts by what is late

Change: while capacity is short, a job that can wait goes after those that cannot, until half of its slack, or 4 s, is left. A job that can wait for 4 s or longer is refused only if a quarter of the waiting jobs of its priority have missed their objectives. Expired work makes no capacity short.

--- a/crates/plan/src/admission.rs
+++ b/crates/plan/src/admission.rs
@@ -25,6 +25,9 @@
 /// Shortest wait for capacity that refuses a job, in milliseconds: the time of a decision and a
 /// report is not lack of capacity.
 const MIN_ROOM_WAIT_MS: f64 = 250.0;
+/// Time that a job can wait from which it is refused only if jobs of its priority that wait have
+/// missed their objectives. A shorter time passes before such jobs are seen.
+const LONG_SLACK_MS: f64 = 4_000.0;
 /// Part of the time that it can wait after which a job beyond its team's share is refused. The
 /// others would wait for its runs.
 const BEYOND_SHARE_FACTOR: f64 = 0.5;
@@ -165,7 +168,11 @@
             (RoomReason::Room, on_time_ms, slack_ms * ROOM_SLACK_SHARE)
         };
         let is_late = wait_ms > limit_ms.max(MIN_ROOM_WAIT_MS);
-        let is_useful_late = reason == RoomReason::Room && late_ms <= late_limit_ms;
+        // The longer a job can wait, the less a forecast says: capacity is counted on for work that
+        // cannot use it, such as gangs. Others like it are late first.
+        let is_contradicted = slack_ms >= LONG_SLACK_MS && !self.room.is_missing_objectives(rule);
+        let is_useful_late =
+            reason == RoomReason::Room && (late_ms <= late_limit_ms || is_contradicted);
         if !is_late || is_useful_late {
             return None;
         }
--- a/crates/plan/src/order.rs
+++ b/crates/plan/src/order.rs
@@ -15,6 +15,8 @@
     Late,
     /// The team had used up its share when it submitted the job.
     BeyondShare,
+    /// The job can wait for others and still be on time, while capacity is short.
+    Deferrable,
     /// The job is so late that nobody waits for it any more.
     Expired,
 }
@@ -24,7 +26,8 @@
 /// The classes keep an overloaded fleet useful. Ordered by due time alone, a fleet
 /// that has fallen behind would only ever run jobs that are late already. So jobs
 /// that can still be on time go before late ones, and these before jobs that nobody
-/// waits for any more. Jobs beyond a team's share go after those within the shares.
+/// waits for any more. Jobs beyond a team's share go after those within the shares, but before
+/// those that lose nothing by waiting.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct JobRank {
     /// How useful it is to run the job now.
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -231,7 +231,8 @@
                 continue;
             }
             let Some(rule) = config.queues.get(&job.spec.queue) else { continue };
-            let rank = self.room.weigh_rank(job.rank(rule, self.now_ms, quick_factor), job, rule);
+            let rank = job.rank(rule, self.now_ms, quick_factor);
+            let rank = self.room.weigh_rank(rank, job, rule, self.now_ms);
             for (occurrence, step) in waiting {
                 let state = job
                     .occurrences
--- a/crates/plan/src/room.rs
+++ b/crates/plan/src/room.rs
@@ -18,6 +18,7 @@
 use crate::order::{JobRank, RankClass};
 use crate::place::WaitingStep;
 use crate::planner::Planner;
+use crate::progress::JobStatus;
 use crate::state::{JobState, RunState};
 use crate::worker::{EndKind, EndedRun};
 
@@ -56,6 +57,15 @@
 /// Part of its objective by which a job with the work of e times the mean of its queue, or more, goes
 /// later while its pool is short, and one with as much less earlier.
 const WORK_SHIFT: f64 = 0.15;
+/// Part of the time that a job can wait at its submission which is kept for its start: it gives way
+/// to jobs that cannot wait until so much is left.
+const KEPT_SLACK_SHARE: f64 = 0.5;
+/// Least such time, in milliseconds, for the job's calls for advice and for capacity to become free.
+const MIN_KEPT_SLACK_MS: f64 = 4_000.0;
+/// Share of the waiting jobs of a priority that are late, from which jobs of it are refused. As long
+/// as fewer are, the forecast is contradicted by what is served: it counts on capacity for gangs
+/// and for other work that cannot use it.
+const MIN_LATE_SHARE: f64 = 0.25;
 /// Part of the logarithmic difference between the declared duration of a job and the usual one of its
 /// queue that is error. Declared durations are off by a spread of 0.5 to 0.9.
 const ESTIMATE_REGRESSION: f64 = 0.7;
@@ -303,9 +313,24 @@
     waiting: Vec<WaitingSum>,
     /// Rates at which work of accepted jobs arrives, by priority.
     arrivals: BTreeMap<u32, ArrivalRates>,
+    /// Jobs that wait, by priority.
+    waiting_jobs: BTreeMap<u32, WaitingJobs>,
+}
+
+/// Numbers of jobs of one priority that wait, without those that nobody waits for any more.
+#[derive(Clone, Copy, Debug, Default)]
+struct WaitingJobs {
+    late: u32,
+    all: u32,
 }
 
 impl PoolForecast {
+    /// Returns whether jobs of a priority that wait miss their objectives.
+    fn is_missing_objectives(&self, priority: u32) -> bool {
+        let jobs = self.waiting_jobs.get(&priority).copied().unwrap_or_default();
+        f64::from(jobs.late) > f64::from(jobs.all) * MIN_LATE_SHARE
+    }
+
     /// Returns the demand of the tasks of a job that need a run, now or after other steps.
     fn waiting_demand(&self, job: &JobState, durations: &DurationTable) -> RoomDemand {
         let free = self.capacity.minus(self.used);
@@ -431,6 +456,12 @@
         self.short_pools.contains_key(pool)
     }
 
+    /// Returns whether the jobs of a queue's priority that wait in its pool miss their objectives.
+    pub(crate) fn is_missing_objectives(&self, rule: &QueueRule) -> bool {
+        let pool = self.forecast.pools.get(&rule.pool);
+        pool.is_some_and(|pool| pool.is_missing_objectives(rule.priority))
+    }
+
     /// Records work that was refused and may come back.
     pub(crate) fn add_returning(&mut self, pool: &ArcStr, demand: RoomDemand, now_ms: u64) {
         let sum = self.returning.entry(pool.clone());
@@ -446,6 +477,9 @@
 
     /// Returns the rank of a job, by an adjusted due time while its pool is short.
     ///
+    /// A job that can wait for long gives way to those that cannot, also beyond their teams' shares:
+    /// it is on time all the same, so that this costs no caller anything.
+    ///
     /// Among jobs of equal class and priority, a small one delays the others little and goes
     /// earlier, a large one later, each by a bounded part of its objective, so that no size starves.
     /// The widest tenth of a queue goes earlier too: a wide job fits only if others wait for it.
@@ -455,10 +489,19 @@
         clippy::cast_precision_loss,
         reason = "objectives are minutes at most, and a cast of a float saturates"
     )]
-    pub(crate) fn weigh_rank(&self, rank: JobRank, job: &JobState, rule: &QueueRule) -> JobRank {
+    pub(crate) fn weigh_rank(
+        &self,
+        rank: JobRank,
+        job: &JobState,
+        rule: &QueueRule,
+        now_ms: u64,
+    ) -> JobRank {
         if !self.is_ordering || !self.is_short(&rule.pool) {
             return rank;
         }
+        if rank.class == RankClass::OnTime && is_deferrable(job, now_ms) {
+            return JobRank { class: RankClass::Deferrable, ..rank };
+        }
         let (relative_work, is_wide) = self.relative_size(&job.spec);
         let shift = if is_wide {
             -WIDE_LEAD
@@ -508,6 +551,18 @@
     }
 }
 
+/// Returns whether a job loses nothing by waiting: none of its tasks has started, and half of the
+/// time that it can wait is left. A gang is not deferred, as it takes long to gather its workers.
+#[expect(clippy::cast_precision_loss, reason = "slacks are minutes at most")]
+fn is_deferrable(job: &JobState, now_ms: u64) -> bool {
+    if job.status != JobStatus::Pending || job.spec.steps.iter().any(|step| step.gang) {
+        return false;
+    }
+    let whole_slack_ms = job.slack_ms(job.submitted_ms) as f64;
+    let kept_ms = (whole_slack_ms * KEPT_SLACK_SHARE).max(MIN_KEPT_SLACK_MS);
+    job.slack_ms(now_ms) as f64 > kept_ms
+}
+
 /// Returns the declared work of a job, in thousandths of a core times milliseconds, or in
 /// mebibytes if it uses no processor.
 #[expect(clippy::cast_precision_loss, reason = "rough sizes")]
@@ -621,6 +676,11 @@
             let demand = pool.waiting_demand(job, &self.durations);
             let demand = self.allowed_demand(job, demand, config, &mut allowed);
             pool.waiting.push(WaitingSum { rank: step.rank, demand });
+            if step.rank.class != RankClass::Expired {
+                let jobs = pool.waiting_jobs.entry(step.rule.priority).or_default();
+                jobs.all += 1;
+                jobs.late += u32::from(step.rank.due_ms < now);
+            }
         }
         for (name, pool) in &mut pools {
             pool.waiting.sort_by_key(|sum| sum.rank);
@@ -629,7 +689,10 @@
                 sum = sum.plus(waiting.demand);
                 waiting.demand = sum;
             }
-            let wait_ms = pool.backlog_wait_ms(sum, ArrivalRates::default());
+            // Work that nobody waits for any more makes no capacity short.
+            let expired = JobRank { class: RankClass::Expired, priority: 0, due_ms: 0 };
+            let wanted = pool.demand_before(expired);
+            let wait_ms = pool.backlog_wait_ms(wanted, ArrivalRates::default());
             if pool.is_busy() && wait_ms >= MIN_SHORT_WAIT_MS {
                 self.room.short_pools.insert(name.clone(), wait_ms);
             }
--- a/crates/plan/src/suitability.rs
+++ b/crates/plan/src/suitability.rs
@@ -96,7 +96,7 @@
             return Some(SpeedNeed { least_factor: 1.0 });
         }
         let due_ms = match rank.class {
-            RankClass::OnTime => rank.due_ms,
+            RankClass::OnTime | RankClass::Deferrable => rank.due_ms,
             RankClass::Late => {
                 let objective_ms = order::objective_ms(spec, rule);
                 rank.due_ms + (order::EXPIRED_OBJECTIVE_FACTOR - 1) * objective_ms
