Explain where a job would go, as a pure look at the planner

plan::explain tells queue, priority, share and limit of the team, rank, expected waits, a refusal, and for each step its workers, places and preemptions.

--- a/crates/plan/src/admission.rs
+++ b/crates/plan/src/admission.rs
@@ -111,21 +111,33 @@
         if spec.schedule.is_some() {
             return None;
         }
+        let wait_ms = self.call_wait_ms(spec, dispatcher, storing)?;
+        let path_ms = order::critical_path_ms(spec, rule);
+        let slack_ms = order::objective_ms(spec, rule).saturating_sub(path_ms) as f64;
+        let limit_ms = slack_ms.clamp(MIN_CALL_WAIT_MS, MAX_CALL_WAIT_MS);
+        (wait_ms > limit_ms).then_some(CallRefusal { wait_ms, limit_ms })
+    }
+
+    /// Returns the expected time until the first calls of a new job, in milliseconds; none if it
+    /// needs none.
+    pub(crate) fn call_wait_ms(
+        &self,
+        spec: &JobSpec,
+        dispatcher: &AdviceDispatcher,
+        storing: &CallTimes,
+    ) -> Option<f64> {
+        let rule = self.config.queues.get(&spec.queue)?;
         let own = self.first_calls(spec).sum_up_to(rule.priority);
         let before = [&self.delayed_calls, &dispatcher.pending_times(), storing]
             .into_iter()
             .map(|calls| calls.sum_up_to(rule.priority))
             .fold(CallAmounts::default(), CallAmounts::plus);
         let callers = dispatcher.caller_counts();
-        let wait_ms = [CallKind::Short, CallKind::Long]
+        [CallKind::Short, CallKind::Long]
             .into_iter()
             .filter(|kind| own.get(*kind) > 0.0)
             .map(|kind| before.get(kind) / callers.get(kind))
-            .reduce(f64::max)?;
-        let path_ms = order::critical_path_ms(spec, rule);
-        let slack_ms = order::objective_ms(spec, rule).saturating_sub(path_ms) as f64;
-        let limit_ms = slack_ms.clamp(MIN_CALL_WAIT_MS, MAX_CALL_WAIT_MS);
-        (wait_ms > limit_ms).then_some(CallRefusal { wait_ms, limit_ms })
+            .reduce(f64::max)
     }
 
     /// Returns why a new job has to be refused for want of capacity; none if it can be done in time,
--- a/crates/plan/src/candidate.rs
+++ b/crates/plan/src/candidate.rs
@@ -40,12 +40,23 @@
     pub(crate) speed_match: Option<SpeedMatch>,
 }
 
+/// Place of a candidate in the order of preference for one task: workers where it failed, fillers
+/// beside a service, other racks than that of the data, the order by speed, free processor time.
+pub(crate) type PlacePreference = (bool, bool, bool, SpeedOrder, u64);
+
 impl WorkerCandidate {
     /// Returns how many tasks of the step can be placed here.
     pub(crate) fn placeable_tasks(&self, occupied: ResourceAmounts) -> u32 {
         capacity::fit_count(self.free, occupied).min(self.remaining_tasks)
     }
 
+    /// Returns where the worker comes in the order in which tasks of a step are placed; smaller comes
+    /// first. `is_avoided` says whether the task has failed here.
+    pub(crate) const fn preference(&self, step: &StepSpec, is_avoided: bool) -> PlacePreference {
+        let is_disturbed = step.tail_target_ms > 0 && self.has_fillers;
+        (is_avoided, is_disturbed, !self.near_data, self.speed_order, self.free.cpu_millis)
+    }
+
     /// Subtracts one task from what can be placed here.
     pub(crate) fn place_task(&mut self, occupied: ResourceAmounts) {
         self.free = self.free.minus(occupied);
@@ -95,6 +106,17 @@
         pass: &PlacementPass,
     ) -> Vec<WorkerCandidate> {
         self.examined += self.workers.len() as u64;
+        self.find_candidates(key, step, rule, pass)
+    }
+
+    /// Returns all workers on which a task of a step fits, without counting those examined.
+    pub(crate) fn find_candidates(
+        &self,
+        key: &StepKey,
+        step: &StepSpec,
+        rule: &QueueRule,
+        pass: &PlacementPass,
+    ) -> Vec<WorkerCandidate> {
         let workers = self.workers.values();
         workers.filter_map(|worker| self.candidate(key, step, rule, worker, pass)).collect()
     }
@@ -159,14 +181,7 @@
             .enumerate()
             .filter(|(_, candidate)| candidate.placeable_tasks(occupied) > 0)
             .min_by_key(|(_, candidate)| {
-                let disturbed = step.tail_target_ms > 0 && candidate.has_fillers;
-                (
-                    avoided.contains(&candidate.name),
-                    disturbed,
-                    !candidate.near_data,
-                    candidate.speed_order,
-                    candidate.free.cpu_millis,
-                )
+                candidate.preference(step, avoided.contains(&candidate.name))
             })
             .map(|(index, _)| index)
     }
--- a/crates/plan/src/capacity.rs
+++ b/crates/plan/src/capacity.rs
@@ -83,11 +83,31 @@
     ) -> u32 {
         let Some(team) = &spec.team else { return u32::MAX };
         let unreported_usage =
-            pass.unreported_usage.get_or_insert_with(|| self.sum_unreported_usage());
+            pass.unreported_usage.get_or_insert_with(|| self.count_unreported_usage());
         let unreported = unreported_usage.get(team).copied().unwrap_or_default();
+        self.count_team_tasks(team, step, unreported)
+    }
+
+    /// Returns how many more tasks of a step the limit of a team allows beside its known runs and
+    /// `further` use.
+    pub(crate) fn count_team_tasks(
+        &self,
+        team: &TeamName,
+        step: &StepSpec,
+        further: ResourceAmounts,
+    ) -> u32 {
         let Some(rule) = self.config.teams.get(team) else { return 0 };
         let used = self.team_usage.get(team).copied().unwrap_or_default();
-        fit_count(rule.limit.minus(used).minus(unreported), step.amounts)
+        fit_count(rule.limit.minus(used).minus(further), step.amounts)
+    }
+
+    /// Returns what each team may use on workers that have not reported to this owner, and counts
+    /// the jobs that are examined for it.
+    fn count_unreported_usage(&mut self) -> BTreeMap<TeamName, ResourceAmounts> {
+        if !self.unreported_workers.is_empty() {
+            self.examined_jobs += self.inherited_jobs.len() as u64;
+        }
+        self.sum_unreported_usage()
     }
 
     /// Returns what each team may use on workers that have not reported to this owner.
@@ -95,7 +115,7 @@
     /// Only tasks of inherited jobs can run there that are not done and have no known run, and runs
     /// of finished jobs that are being stopped. Together they use no more than the capacity of these
     /// workers.
-    pub(crate) fn sum_unreported_usage(&mut self) -> BTreeMap<TeamName, ResourceAmounts> {
+    pub(crate) fn sum_unreported_usage(&self) -> BTreeMap<TeamName, ResourceAmounts> {
         let mut usage: BTreeMap<TeamName, ResourceAmounts> = BTreeMap::new();
         if self.unreported_workers.is_empty() {
             return usage;
@@ -108,7 +128,6 @@
                 worker.map_or(self.largest_inherited, |worker| worker.info.capacity)
             })
             .fold(ResourceAmounts::ZERO, ResourceAmounts::plus);
-        self.examined_jobs += self.inherited_jobs.len() as u64;
         for job in self.inherited_jobs.iter().filter_map(|id| self.jobs.get(id)) {
             let Some(team) = &job.spec.team else { continue };
             let waiting = usage.entry(team.clone()).or_default();
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod decision;
 pub mod drain;
 pub mod duration;
+pub mod explain;
 pub mod feature;
 pub mod job;
 pub mod order;
--- a/crates/plan/src/order.rs
+++ b/crates/plan/src/order.rs
@@ -1,5 +1,7 @@
 //! The order in which jobs that wait get free capacity.
 
+use serde::{Deserialize, Serialize};
+
 use crate::config::QueueRule;
 use crate::job::{JobSpec, StepSpec};
 
@@ -7,7 +9,8 @@
 pub const EXPIRED_OBJECTIVE_FACTOR: u64 = 3;
 
 /// How useful it is to run a job now; the most useful class comes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum RankClass {
     /// The job can be done by its due time.
     OnTime,
--- a/crates/plan/src/preempt.rs
+++ b/crates/plan/src/preempt.rs
@@ -4,8 +4,9 @@
 use std::collections::BTreeMap;
 
 use arcstr::ArcStr;
-use model::name::WorkerName;
+use model::name::{JobId, WorkerName};
 use model::resource::ResourceAmounts;
+use serde::{Deserialize, Serialize};
 
 use crate::config::PlanConfig;
 use crate::job::{StepKey, StepSpec, TaskKey};
@@ -42,6 +43,45 @@
 /// Most steps that one decision examines for preemption.
 const MAX_EXAMINED_STEPS: usize = 16;
 
+/// Most tasks of a step for which an explanation looks for runs to preempt. Each looks at all workers
+/// of the pool.
+const MAX_EXPLAINED_TASKS: u32 = 64;
+
+/// Whether runs would be preempted for a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PreemptionVerdict {
+    /// The step does not wait for capacity, or waits for something else first.
+    NotNeeded,
+    /// Preemption is switched off.
+    SwitchedOff,
+    /// The work cannot be on time, is a service or a filler, or no queue is less urgent.
+    NotUrgent,
+    /// Too little work waits for the pool to count as short of capacity.
+    NotShort,
+    /// Enough capacity becomes free by itself in time.
+    InTimeWithout,
+    /// A stopped run would end too late.
+    TooLate,
+    /// No run may be stopped, or the limit of stops in flight is reached.
+    NoVictims,
+    /// The runs named would be stopped.
+    Preempts,
+}
+
+/// A run that would be preempted.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PreemptibleRun {
+    /// Worker of the run.
+    pub worker: WorkerName,
+    /// Job of the run.
+    pub job: JobId,
+    /// Task of the run, with its job, occurrence and step.
+    pub task: String,
+    /// Priority of its queue.
+    pub priority: u32,
+}
+
 /// A stop that was ordered to preempt a run.
 #[derive(Clone, Debug)]
 struct StopInFlight {
@@ -174,7 +214,7 @@
             return;
         }
         self.update_stops();
-        let least_urgent = config.queues.values().map(|rule| rule.priority).max();
+        let least_urgent = least_urgent(config);
         if self.now_ms < self.preempt.next_look_ms {
             return;
         }
@@ -188,9 +228,7 @@
             let step = &waiting.spec.steps[waiting.key.step as usize];
             let may_preempt = self.room.is_short(&waiting.rule.pool)
                 && !waiting.is_unservable
-                && Some(waiting.rule.priority) < least_urgent
-                && !step.service
-                && !step.filler
+                && is_urgent(waiting, step, least_urgent)
                 && (waiting.rule.advice.is_none() || waiting.has_tickets);
             let tasks = self.step_state(&waiting.key).map_or(0, |state| state.waiting);
             if !may_preempt || tasks == 0 {
@@ -296,6 +334,11 @@
     /// Looks at the runs of a pool: which may be preempted, and how fast they free capacity.
     fn preempt_pool(&mut self, name: &ArcStr, config: &PlanConfig) -> PreemptPool {
         self.preempt.next_look_ms = self.now_ms + MIN_LOOK_INTERVAL_MS;
+        self.survey_pool(name, config)
+    }
+
+    /// Returns the runs of a pool that may be preempted, and how fast runs free capacity.
+    fn survey_pool(&self, name: &ArcStr, config: &PlanConfig) -> PreemptPool {
         let mut pool = PreemptPool::default();
         let usable = self
             .workers
@@ -369,4 +412,73 @@
             remaining_ms,
         })
     }
+    /// Returns what a step that is not stored would preempt for `tasks` tasks that have no room.
+    ///
+    /// `taken` is the capacity that its job has been given so far, and `slack_ms` the time for which
+    /// the step may wait.
+    pub(crate) fn find_preemptible(
+        &self,
+        waiting: &WaitingStep<'_>,
+        tasks: u32,
+        slack_ms: f64,
+        taken: &BTreeMap<WorkerName, ResourceAmounts>,
+    ) -> (PreemptionVerdict, Vec<PreemptibleRun>) {
+        let step = &waiting.spec.steps[waiting.key.step as usize];
+        let none = |verdict| (verdict, Vec::new());
+        if !self.options.features.preemption {
+            return none(PreemptionVerdict::SwitchedOff);
+        }
+        if waiting.rank.class != RankClass::OnTime
+            || !is_urgent(waiting, step, least_urgent(&self.config))
+        {
+            return none(PreemptionVerdict::NotUrgent);
+        }
+        if !self.room.is_short(&waiting.rule.pool) {
+            return none(PreemptionVerdict::NotShort);
+        }
+        let mut pool = self.survey_pool(&waiting.rule.pool, &self.config);
+        for (name, amounts) in taken {
+            if let Some(worker) = pool.workers.get_mut(name) {
+                worker.free = worker.free.minus(*amounts);
+            }
+        }
+        let amounts = step.occupied_amounts();
+        pool.awaited = pool.awaited.plus(RoomAmounts::of(amounts).times(f64::from(tasks)));
+        if pool.wait_ms() <= slack_ms {
+            return none(PreemptionVerdict::InTimeWithout);
+        }
+        if self.preempt.stop_ms + RESTART_MS > slack_ms {
+            return none(PreemptionVerdict::TooLate);
+        }
+        let examined = tasks.min(MAX_EXPLAINED_TASKS);
+        let places: Vec<_> = (0..examined)
+            .map_while(|_| pool.take_place(None, amounts, waiting.rule.priority))
+            .collect();
+        let is_whole = !step.gang || places.len() >= step.count as usize;
+        let runs: Vec<_> = places
+            .into_iter()
+            .filter(|_| is_whole)
+            .flat_map(|(worker, victims)| victims.into_iter().map(move |run| (worker.clone(), run)))
+            .map(|(worker, run)| PreemptibleRun {
+                worker,
+                job: run.task.step.job.clone(),
+                task: run.task.to_string(),
+                priority: run.priority,
+            })
+            .collect();
+        let has_victims = !runs.is_empty();
+        let verdict =
+            if has_victims { PreemptionVerdict::Preempts } else { PreemptionVerdict::NoVictims };
+        (verdict, runs)
+    }
+}
+
+/// Returns the priority of the least urgent queue.
+fn least_urgent(config: &PlanConfig) -> Option<u32> {
+    config.queues.values().map(|rule| rule.priority).max()
+}
+
+/// Returns whether a step may preempt runs of less urgent queues.
+fn is_urgent(waiting: &WaitingStep<'_>, step: &StepSpec, least_urgent: Option<u32>) -> bool {
+    Some(waiting.rule.priority) < least_urgent && !step.service && !step.filler
 }
--- a/crates/plan/src/room.rs
+++ b/crates/plan/src/room.rs
@@ -449,23 +449,34 @@
     /// Among jobs of equal class and priority, a small one delays the others little and goes
     /// earlier, a large one later, each by a bounded part of its objective, so that no size starves.
     /// The widest tenth of a queue goes earlier too: a wide job fits only if others wait for it.
+    pub(crate) fn weigh_rank(&self, rank: JobRank, job: &JobState, rule: &QueueRule) -> JobRank {
+        self.weigh_new_rank(rank, &job.spec, job.submitted_ms, rule)
+    }
+
+    /// Returns the same for a job that was submitted at `submitted_ms` and need not be known.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         clippy::cast_precision_loss,
         reason = "objectives are minutes at most, and a cast of a float saturates"
     )]
-    pub(crate) fn weigh_rank(&self, rank: JobRank, job: &JobState, rule: &QueueRule) -> JobRank {
+    pub(crate) fn weigh_new_rank(
+        &self,
+        rank: JobRank,
+        spec: &JobSpec,
+        submitted_ms: u64,
+        rule: &QueueRule,
+    ) -> JobRank {
         if !self.is_ordering || !self.is_short(&rule.pool) {
             return rank;
         }
-        let (relative_work, is_wide) = self.relative_size(&job.spec);
+        let (relative_work, is_wide) = self.relative_size(spec);
         let shift = if is_wide {
             -WIDE_LEAD
         } else {
             WORK_SHIFT * relative_work.max(0.01).ln().clamp(-1.0, 1.0)
         };
-        let objective_ms = rank.due_ms.saturating_sub(job.submitted_ms) as f64;
+        let objective_ms = rank.due_ms.saturating_sub(submitted_ms) as f64;
         JobRank { due_ms: (rank.due_ms as f64 + shift * objective_ms) as u64, ..rank }
     }
 
--- a/crates/plan/src/speed.rs
+++ b/crates/plan/src/speed.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 
 use model::name::WorkerName;
+use serde::{Deserialize, Serialize};
 
 /// Distance from the usual speed up to which a worker counts as usual: ln 1.15. Workers of one
 /// kind differ by some per cent, which no placement should act upon.
@@ -80,7 +81,8 @@
 const MAX_LOGGED_CHANGES: usize = 20;
 
 /// How fast a worker is beside the usual speed of the fleet.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum SpeedClass {
     /// At least 15 % slower than usual.
     Slow,
