Add saddle explain, answered by the owner through any entry

An entry of the platform's daemon takes POST /explain on its metrics port and asks the owner (peer call /peer/explain), which answers at most one question in 100 ms. saddle prints the answer as text or JSON.

--- a/crates/fleet/src/context.rs
+++ b/crates/fleet/src/context.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::config::ConfigView;
+use crate::explain::ExplainCall;
 use crate::lease::OwnershipTracker;
 use crate::limits::{self, FleetBounds};
 use crate::metrics::FleetMetrics;
@@ -53,6 +54,8 @@
 /// Services of the owner for itself and the other entries.
 #[derive(Clone, Debug)]
 pub struct OwnedFleet {
+    /// Accepts questions about jobs that are not submitted.
+    pub questions: mpsc::Sender<ExplainCall>,
     /// Accepts jobs to be stored.
     pub submits: mpsc::UnboundedSender<SubmitCall>,
     /// Log of job changes.
--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -446,7 +446,7 @@
     }
 }
 
-fn check_draft(draft: &JobDraft) -> Result<(), (ErrorKind, String)> {
+pub(crate) fn check_draft(draft: &JobDraft) -> Result<(), (ErrorKind, String)> {
     let bad = |message: String| Err((ErrorKind::BadInput, message));
     if draft.payload.len() > MAX_PAYLOAD_BYTES {
         return bad(format!("payload: longer than {MAX_PAYLOAD_BYTES} bytes"));
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod context;
 pub mod desk;
+pub mod explain;
 pub mod follow;
 pub mod lease;
 pub mod limits;
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -97,6 +97,13 @@
 /// Timeout of a submission that is forwarded to the owner; after it, the entry stores the
 /// job itself.
 pub const FORWARDED_SUBMIT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout of a question about a job that is forwarded to the owner.
+pub const EXPLAIN_TIMEOUT: Duration = Duration::from_secs(2);
+/// Most questions that wait for the owner; further ones are refused.
+pub const MAX_WAITING_QUESTIONS: usize = 8;
+/// Time for which the owner answers no further question after one. An answer takes up to some 20 ms on
+/// a large fleet, which must not keep the owner from its decisions.
+pub const EXPLAIN_PAUSE: Duration = Duration::from_millis(100);
 /// Longest time that the owner may hold a query for job changes before it answers.
 pub const MAX_JOB_CHANGES_WAIT: Duration = Duration::from_millis(900);
 /// Shortest delay between two queries for job changes, in which changes are batched.
--- a/crates/fleet/src/owner/submits.rs
+++ b/crates/fleet/src/owner/submits.rs
@@ -11,8 +11,9 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::context::{OwnedFleet, SubmitCall};
+use crate::limits;
 use crate::metrics;
-use crate::owner::{OwnerPorts, SharedSession, load};
+use crate::owner::{OwnerPorts, SharedSession, explain, load};
 use crate::reread::RereadSchedule;
 use crate::row;
 use crate::submit::{StoredJob, SubmitAnswer, SubmitQueue, SubmitTarget};
@@ -20,7 +21,10 @@
 /// Accepts jobs to be stored until the ownership ends.
 pub(crate) async fn serve_submissions<P: OwnerPorts>(session: SharedSession<P>) {
     let (sender, mut calls) = mpsc::unbounded_channel();
+    let (questions, asked) = mpsc::channel(limits::MAX_WAITING_QUESTIONS);
+    session.spawn(explain::serve_questions(session.clone(), asked));
     *session.context.owned.borrow_mut() = Some(OwnedFleet {
+        questions,
         submits: sender,
         job_changes: session.job_changes.clone(),
         changes_notify: session.changes_notify.clone(),
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -9,10 +9,12 @@
 use link::failure::CallFailure;
 use model::name::WorkerName;
 use plan::decision::{AdviceAnswer, AdviceRequest, StartOrder, StopOrder};
+use plan::explain::ExplainQuestion;
 use plan::job::JobSpec;
 use plan::worker::{RunReport, StartAnswer};
 use serde::{Deserialize, Serialize};
 
+use crate::explain::ExplainAnswer;
 use crate::news::{JobChanges, JobChangesQuery};
 use crate::submit::SubmitAnswer;
 
@@ -221,6 +223,13 @@
         timeout: Duration,
     ) -> impl Future<Output = PortResult<SubmitAnswer>>;
 
+    /// Asks the owner where a job would go.
+    fn explain_through(
+        &self,
+        address: &str,
+        question: &ExplainQuestion,
+    ) -> impl Future<Output = PortResult<ExplainAnswer>>;
+
     /// Probes whether an entry may claim the fleet and the table service answers it now.
     fn can_own(&self, address: &str) -> impl Future<Output = PortResult<bool>>;
 
--- a/crates/plan/src/explain.rs
+++ b/crates/plan/src/explain.rs
@@ -253,7 +253,8 @@
     pub waits_for: Option<WaitReason>,
     /// Whether runs would be preempted for the tasks that have no room.
     pub preemption: PreemptionVerdict,
-    /// These runs. Where two steps wait at once, each is looked at on its own.
+    /// These runs, found for up to 64 tasks. With advice, only those on eligible workers would be
+    /// preempted. Where two steps wait at once, each is looked at on its own.
     pub preempted: Vec<PreemptibleRun>,
 }
 
--- a/crates/saddle/src/command.rs
+++ b/crates/saddle/src/command.rs
@@ -11,6 +11,7 @@
 mod cancel;
 mod check;
 mod domain;
+mod explain;
 mod get;
 mod key;
 mod request;
@@ -35,6 +36,7 @@
     status::SPEC,
     cancel::SPEC,
     request::SPEC,
+    explain::SPEC,
     domain::SPEC,
     key::SPEC,
 ];
@@ -120,6 +122,7 @@
         "status" => status::run(context, output).await,
         "cancel" => cancel::run(context, output).await,
         "request" => request::run(context, output).await,
+        "explain" => explain::run(context, output).await,
         "domain" => domain::run(context, output).await,
         "key" => key::run(context, output).await,
         name => Err(usage_error(name, "this command is not available").into()),
--- a/crates/saddle/tests/offline.rs
+++ b/crates/saddle/tests/offline.rs
@@ -10,9 +10,10 @@
 #[actix_rt::test]
 async fn help_texts() {
     let mut texts = stdout(&run(&[], "--help").await);
-    for command in
-        ["check", "apply", "get", "submit", "status", "cancel", "request", "domain", "key"]
-    {
+    for command in [
+        "check", "apply", "get", "submit", "status", "cancel", "request", "explain", "domain",
+        "key",
+    ] {
         let output = run(&[], &format!("{command} --help")).await;
         assert_eq!(output.status.code(), 0);
         let _ = write!(texts, "\n$ saddle {command} --help\n{}", stdout(&output));
@@ -42,6 +43,8 @@
         "submit job.json --queue q",
         "request Answer/Sheets",
         "request q --id a/b",
+        "explain job.json",
+        "explain --queue q none.json",
     ] {
         let output = run(&[], words).await;
         let _ = write!(texts, "$ saddle {words}\n{}\n", transcript(&output, &[]));
