--- a/crates/plan/src/room.rs
+++ b/crates/plan/src/room.rs
@@ -483,32 +483,47 @@
     /// Among jobs of equal class and priority, a small one delays the others little and goes
     /// earlier, a large one later, each by a bounded part of its objective, so that no size starves.
     /// The widest tenth of a queue goes earlier too: a wide job fits only if others wait for it.
+    pub(crate) fn weigh_rank(
+        &self,
+        rank: JobRank,
+        job: &JobState,
+        rule: &QueueRule,
+        now_ms: u64,
+    ) -> JobRank {
+        let slack_ms = job.slack_ms(now_ms);
+        let is_deferrable = job.status == JobStatus::Pending
+            && is_deferrable(&job.spec, slack_ms, job.slack_ms(job.submitted_ms));
+        self.weigh_new_rank(rank, &job.spec, job.submitted_ms, rule, is_deferrable)
+    }
+
+    /// Returns the same for a job that was submitted at `submitted_ms` and need not be known.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         clippy::cast_precision_loss,
         reason = "objectives are minutes at most, and a cast of a float saturates"
     )]
-    pub(crate) fn weigh_rank(
+    pub(crate) fn weigh_new_rank(
         &self,
         rank: JobRank,
-        job: &JobState,
+        spec: &JobSpec,
+        submitted_ms: u64,
         rule: &QueueRule,
-        now_ms: u64,
+        is_deferrable: bool,
     ) -> JobRank {
         if !self.is_ordering || !self.is_short(&rule.pool) {
             return rank;
         }
-        if rank.class == RankClass::OnTime && is_deferrable(job, now_ms) {
+        if rank.class == RankClass::OnTime && is_deferrable {
             return JobRank { class: RankClass::Deferrable, ..rank };
         }
-        let (relative_work, is_wide) = self.relative_size(&job.spec);
+        let (relative_work, is_wide) = self.relative_size(spec);
         let shift = if is_wide {
             -WIDE_LEAD
         } else {
             WORK_SHIFT * relative_work.max(0.01).ln().clamp(-1.0, 1.0)
         };
-        let objective_ms = rank.due_ms.saturating_sub(job.submitted_ms) as f64;
+        let objective_ms = rank.due_ms.saturating_sub(submitted_ms) as f64;
         JobRank { due_ms: (rank.due_ms as f64 + shift * objective_ms) as u64, ..rank }
     }
 
@@ -551,16 +566,13 @@
     }
 }
 
-/// Returns whether a job loses nothing by waiting: none of its tasks has started, and half of the
-/// time that it can wait is left. A gang is not deferred, as it takes long to gather its workers.
+/// Returns whether a job of which no task has started loses nothing by waiting: half of the time that
+/// it could wait at its submission is left. A gang is not deferred, as it takes long to gather its
+/// workers.
 #[expect(clippy::cast_precision_loss, reason = "slacks are minutes at most")]
-fn is_deferrable(job: &JobState, now_ms: u64) -> bool {
-    if job.status != JobStatus::Pending || job.spec.steps.iter().any(|step| step.gang) {
-        return false;
-    }
-    let whole_slack_ms = job.slack_ms(job.submitted_ms) as f64;
-    let kept_ms = (whole_slack_ms * KEPT_SLACK_SHARE).max(MIN_KEPT_SLACK_MS);
-    job.slack_ms(now_ms) as f64 > kept_ms
+pub(crate) fn is_deferrable(spec: &JobSpec, slack_ms: u64, whole_slack_ms: u64) -> bool {
+    let kept_ms = (whole_slack_ms as f64 * KEPT_SLACK_SHARE).max(MIN_KEPT_SLACK_MS);
+    slack_ms as f64 > kept_ms && !spec.steps.iter().any(|step| step.gang)
 }
 
 /// Returns the declared work of a job, in thousandths of a core times milliseconds, or in
