Explain the refusal of a job that cannot wait for long

The test asked about a job that can wait for 21 s. Such a job is refused only once jobs of its priority have missed their objectives, which no job of the fixture has. It asks about one that can wait for 2 s now, behind others like it; the checks are the same.

--- a/crates/plan/tests/explain.rs
+++ b/crates/plan/tests/explain.rs
@@ -206,8 +206,10 @@
 /// Guards against a job that is said to wait although it would be refused.
 #[test]
 fn a_refusal_and_its_wait_are_shown() {
-    let fixture = full_fixture();
-    let explanation = explain(&fixture, "batch", vec![long_step(8, 4_000)]);
+    let mut fixture = full_fixture();
+    fixture.add(job("short", "batch", vec![step(400, cpu(4_000))]));
+    fixture.decide();
+    let explanation = explain(&fixture, "batch", vec![step(8, cpu(4_000))]);
     assert_eq!(explanation.outcome, ExpectedOutcome::Refused, "{explanation:?}");
     let refusal = explanation.refusal.expect("a refusal");
     assert_eq!(refusal.reason, RefusalReason::Room);
