Refuse truthfully and deliver answers when connections give way

Cause: a connection could be given up between the read of the last bytes of its request and the record that it is served. The handler passed the request on, and the next read wrote "503 not-run" and dropped the handler. A connection also counted as idle as soon as its handler returned, before the answer was written, so that it could be given up in the middle of the answer. A handler that does not read the body could be dropped after it had passed the request on.

Change: begin() and serve() report under the table's lock whether the connection was given up; such a request is refused without a call of its handler, or as a body without room. A connection does not give way while its handler may have passed the request on, nor until its answer is encoded and flushed, and no refusal is written while output is pending. An answer of which the client takes nothing for 5 s ends the connection, since such clients could now keep others out.

The refusal that the server itself builds needs two threads to meet and has no test of its own.

--- a/crates/link/src/body.rs
+++ b/crates/link/src/body.rs
@@ -56,7 +56,7 @@
 pub enum BodyError {
     /// The body is longer than this many bytes.
     TooLong(usize),
-    /// There was no room for the body, or it was aborted to make room for another one.
+    /// There was no room for the body, or it or its connection gave way to another one.
     NoRoom,
     /// Nothing arrived for too long, or the whole body took too long.
     TooSlow,
@@ -325,6 +325,9 @@
     let result = if declared.is_some_and(|length| length > max) {
         Err(BodyError::TooLong(limits.max_bytes))
     } else {
+        if let Some(connection) = connection {
+            connection.read_body();
+        }
         BodyReader::new(payload, limits, &intake.bodies, connection).read(declared).await
     };
     if let Err(error) = &result {
@@ -388,8 +391,8 @@
             self.progressed = Instant::now();
         }
         self.room.complete()?;
-        if let Some(connection) = self.connection {
-            connection.serve();
+        if self.connection.is_some_and(|connection| !connection.serve()) {
+            return Err(BodyError::NoRoom);
         }
         Ok(ReceivedBody { bytes: self.data.into(), _room: self.room })
     }
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -28,6 +28,9 @@
 pub(crate) const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a connection is kept after a refusal, so that the client can read it.
 pub(crate) const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time in which a client takes nothing of its answer. Connections with such an answer do
+/// not give way, so that clients that never read could otherwise keep all others out.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Answer to a client whose connection is given up. Its request is not complete and never runs.
 const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\
     retry-after: 1\r\nx-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
@@ -41,10 +44,33 @@
     Receiving,
     /// Kept open between two requests.
     Idle,
-    /// A complete request is being served; the connection never gives way.
+    /// A complete request is being served or its answer is being sent; the connection never gives
+    /// way.
     Serving,
 }
 
+/// What the handler of a request does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HandlerState {
+    /// No handler has taken the request that is received.
+    None,
+    /// A handler has taken the request and may have passed it on.
+    Called,
+    /// The handler waits for the body before it does anything else.
+    Reading,
+}
+
+/// How far the answers of a connection were sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OutputState {
+    /// Nothing is to be sent.
+    Sent,
+    /// The handler has returned an answer, a part of which is not encoded.
+    Encoding,
+    /// The answer is encoded, but a part of it was not written.
+    Encoded,
+}
+
 #[derive(Debug)]
 struct OpenConnection {
     phase: ConnectionPhase,
@@ -52,11 +78,13 @@
     since: Instant,
     /// When data arrived last, at the latest when the phase began.
     progressed: Instant,
-    /// Whether a handler has taken the request that is received.
-    handled: bool,
-    /// Bytes read since then, or since the connection began.
+    handler: HandlerState,
+    /// Bytes read since a handler took a request, or since the connection began.
     unhandled_bytes: usize,
     paused: bool,
+    output: OutputState,
+    /// When the answer was returned or a part of it was written last.
+    output_progressed: Instant,
     /// Whether the connection was given up.
     closed: bool,
     /// Wakes the task of the connection.
@@ -64,6 +92,16 @@
 }
 
 impl OpenConnection {
+    /// Returns whether no request is passed on and no answer is owed.
+    fn may_give_way(&self) -> bool {
+        let is_served = match self.phase {
+            ConnectionPhase::Serving => true,
+            ConnectionPhase::Receiving => self.handler == HandlerState::Called,
+            ConnectionPhase::Refused | ConnectionPhase::Idle => false,
+        };
+        !is_served && self.output == OutputState::Sent
+    }
+
     fn enter(&mut self, phase: ConnectionPhase) {
         let now = Instant::now();
         (self.phase, self.since, self.progressed) = (phase, now, now);
@@ -94,9 +132,9 @@
     /// Gives up the connection that delays its client's requests least: a refused one, else the
     /// incomplete one without progress for longest, else the one that is idle for longest.
     fn give_up_one(&mut self) -> bool {
-        let candidates = self.connections.values_mut().filter(|connection| {
-            !connection.closed && connection.phase != ConnectionPhase::Serving
-        });
+        let connections = self.connections.values_mut();
+        let candidates =
+            connections.filter(|connection| !connection.closed && connection.may_give_way());
         let chosen = candidates.min_by_key(|connection| (connection.phase, connection.progressed));
         let Some(connection) = chosen else { return false };
         connection.close();
@@ -151,9 +189,11 @@
                 phase: ConnectionPhase::Receiving,
                 since: now,
                 progressed: now,
-                handled: false,
+                handler: HandlerState::None,
                 unhandled_bytes: 0,
                 paused: false,
+                output: OutputState::Sent,
+                output_progressed: now,
                 closed: false,
                 waker: None,
             },
@@ -168,13 +208,18 @@
         let mut state = self.lock();
         let mut closed = 0;
         for connection in state.connections.values_mut() {
-            let timeout = match connection.phase {
-                ConnectionPhase::Refused => LINGER_TIMEOUT,
-                ConnectionPhase::Receiving if !connection.handled => HEAD_TIMEOUT,
+            let until = match connection.phase {
+                ConnectionPhase::Refused => connection.since + LINGER_TIMEOUT,
+                _ if connection.output != OutputState::Sent => {
+                    connection.output_progressed + ANSWER_TIMEOUT
+                }
+                ConnectionPhase::Receiving if connection.handler == HandlerState::None => {
+                    connection.since + HEAD_TIMEOUT
+                }
                 // A body has a timer of its own, and an idle connection that of the server.
                 _ => continue,
             };
-            if !connection.closed && now >= connection.since + timeout {
+            if !connection.closed && now >= until {
                 connection.close();
                 closed += 1;
             }
@@ -197,37 +242,87 @@
 }
 
 impl ConnectionHandle {
-    /// Records that a handler has taken a request, whose body may be incomplete.
-    pub fn begin(&self) {
-        self.update(|connection| {
+    /// Records that a handler is to take a request, whose body may be incomplete; returns whether
+    /// it may. If not, the connection was given up, and the request must be refused.
+    #[must_use]
+    pub fn begin(&self) -> bool {
+        self.update_open(|connection| {
+            if connection.closed {
+                connection.enter(ConnectionPhase::Refused);
+                return false;
+            }
             connection.enter(ConnectionPhase::Receiving);
-            connection.handled = true;
+            connection.handler = HandlerState::Called;
             connection.unhandled_bytes = 0;
-        });
+            true
+        })
     }
 
-    /// Records that the request is complete.
-    pub fn serve(&self) {
-        self.update(|connection| connection.enter(ConnectionPhase::Serving));
+    /// Records that the handler waits for the body, so that the request can still be refused.
+    pub(crate) fn read_body(&self) {
+        self.update(|connection| connection.handler = HandlerState::Reading);
     }
 
-    /// Records that the request was answered; returns whether the connection has to be closed,
-    /// because the body was not read to the end.
+    /// Records that the request is complete; returns whether it may be served. If not, the
+    /// connection was given up, and the request must be refused.
+    #[must_use]
+    pub fn serve(&self) -> bool {
+        self.update_open(|connection| {
+            if !connection.closed {
+                connection.enter(ConnectionPhase::Serving);
+            }
+            !connection.closed
+        })
+    }
+
+    /// Records that the handler has returned an answer; returns whether the connection has to be
+    /// closed, because the body was not read to the end.
     #[must_use]
     pub fn finish(&self) -> bool {
         let mut refused = false;
         self.update(|connection| {
             refused = connection.phase != ConnectionPhase::Serving;
-            let phase = if refused { ConnectionPhase::Refused } else { ConnectionPhase::Idle };
-            connection.enter(phase);
-            connection.handled = false;
+            if refused {
+                connection.enter(ConnectionPhase::Refused);
+            }
+            connection.handler = HandlerState::None;
             connection.unhandled_bytes = 0;
             connection.paused = false;
-            connection.wake();
+            (connection.output, connection.output_progressed) =
+                (OutputState::Encoding, Instant::now());
         });
         refused
     }
 
+    /// Records that the whole answer is encoded.
+    pub fn end_output(&self) {
+        self.update(|connection| {
+            if connection.output == OutputState::Encoding {
+                connection.output = OutputState::Encoded;
+            }
+        });
+    }
+
+    /// Records that everything that was encoded is written.
+    fn record_flush(&self) {
+        self.update(|connection| {
+            if connection.output != OutputState::Encoded {
+                return;
+            }
+            connection.output = OutputState::Sent;
+            if connection.phase == ConnectionPhase::Serving
+                && connection.handler == HandlerState::None
+            {
+                // A part of the next request may have been read before the answer was written.
+                connection.enter(match connection.unhandled_bytes {
+                    0 => ConnectionPhase::Idle,
+                    _ => ConnectionPhase::Receiving,
+                });
+            }
+            connection.wake();
+        });
+    }
+
     /// Stops or resumes the reading of the connection.
     pub(crate) fn pause(&self, paused: bool) {
         self.update(|connection| {
@@ -238,6 +333,11 @@
         });
     }
 
+    /// Changes the connection unless it has ended; returns the result of the change, or false.
+    fn update_open(&self, change: impl FnOnce(&mut OpenConnection) -> bool) -> bool {
+        self.table.lock().connections.get_mut(&self.id).is_some_and(change)
+    }
+
     fn update(&self, change: impl FnOnce(&mut OpenConnection)) {
         if let Some(connection) = self.table.lock().connections.get_mut(&self.id) {
             change(connection);
@@ -259,7 +359,9 @@
         if connection.unhandled_bytes < HEAD_BYTES && !connection.paused {
             return Poll::Ready(Ok(()));
         }
-        if connection.phase == ConnectionPhase::Receiving && !connection.handled {
+        if connection.phase == ConnectionPhase::Receiving
+            && connection.handler == HandlerState::None
+        {
             return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
         Poll::Pending
@@ -268,7 +370,7 @@
     fn record_read(&self, bytes: usize) {
         self.update(|connection| match connection.phase {
             ConnectionPhase::Refused => {}
-            ConnectionPhase::Receiving if connection.handled => {
+            ConnectionPhase::Receiving if connection.handler != HandlerState::None => {
                 connection.progressed = Instant::now();
             }
             phase => {
@@ -282,11 +384,14 @@
     }
 
     /// Returns whether the connection was given up without an answer: a request may have been
-    /// sent, but was not read to its end.
+    /// sent, but was not read to its end and not passed on. A refusal in the middle of an earlier
+    /// answer would destroy it.
     fn owes_refusal(&self) -> bool {
         let state = self.table.lock();
         state.connections.get(&self.id).is_some_and(|connection| {
-            connection.closed && connection.phase != ConnectionPhase::Refused
+            connection.closed
+                && connection.phase != ConnectionPhase::Refused
+                && connection.may_give_way()
         })
     }
 }
@@ -343,11 +448,15 @@
         context: &mut Context<'_>,
         data: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(context, data)
+        let written = ready!(Pin::new(&mut self.io).poll_write(context, data))?;
+        self.handle.update(|connection| connection.output_progressed = Instant::now());
+        Poll::Ready(Ok(written))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(context)
+        ready!(Pin::new(&mut self.io).poll_flush(context))?;
+        self.handle.record_flush();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -4,17 +4,22 @@
 use std::future::ready;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use actix_http::{ConnectionType, HttpMessage, HttpService, Payload, Request, Response, header};
+use actix_http::{
+    ConnectionType, HttpMessage, HttpService, Payload, Request, Response, StatusCode, header,
+};
 use actix_rt::net::TcpStream;
 use actix_server::{Server, ServerBuilder};
 use actix_service::{
     IntoServiceFactory, Service, ServiceFactory, ServiceFactoryExt, apply_fn_factory, fn_service,
     map_config,
 };
-use actix_web::body::MessageBody;
+use actix_web::body::{BodySize, BoxBody, MessageBody};
 use actix_web::dev::AppConfig;
+use bytes::Bytes;
 use tokio::net::TcpSocket;
 
 use crate::connection::{BoundedStream, ConnectionHandle, HEAD_TIMEOUT, LINGER_TIMEOUT};
@@ -96,7 +101,7 @@
         S::Response: Into<Response<B>> + 'static,
         S::Service: 'static,
         <S::Service as Service<Request>>::Future: 'static,
-        B: MessageBody + 'static,
+        B: MessageBody + Unpin + 'static,
     {
         let builder = self.builder;
         let signal = builder.graceful_shutdown_signal();
@@ -110,19 +115,17 @@
                 map_config(application, |()| AppConfig::default()),
                 |mut request: Request, service: &_| {
                     let connection = request.conn_data::<ConnectionHandle>().cloned();
-                    if let Some(connection) = &connection {
-                        connection.begin();
-                        if has_no_body(&mut request) {
-                            connection.serve();
-                        }
-                    }
-                    let answer = Service::call(service, request);
+                    let accepted = connection.as_ref().is_none_or(|connection| {
+                        connection.begin() && (!has_no_body(&mut request) || connection.serve())
+                    });
+                    let answer = accepted.then(|| Service::call(service, request));
                     async move {
+                        let Some(answer) = answer else { return Err(build_refusal()) };
                         let mut response: Response<B> = answer.await?.into();
-                        if connection.is_some_and(|connection| connection.finish()) {
+                        if connection.as_ref().is_some_and(ConnectionHandle::finish) {
                             response.head_mut().set_connection_type(ConnectionType::Close);
                         }
-                        Ok(response)
+                        Ok(response.map_body(|_, body| TrackedBody { body, connection }))
                     }
                 },
             );
@@ -148,6 +151,45 @@
     }
 }
 
+/// Body of an answer, which tells its connection when it is encoded: it is dropped then.
+struct TrackedBody<B> {
+    body: B,
+    connection: Option<ConnectionHandle>,
+}
+
+impl<B: MessageBody + Unpin> MessageBody for TrackedBody<B> {
+    type Error = B::Error;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        Pin::new(&mut self.body).poll_next(context)
+    }
+}
+
+impl<B> Drop for TrackedBody<B> {
+    fn drop(&mut self) {
+        if let Some(connection) = &self.connection {
+            connection.end_output();
+        }
+    }
+}
+
+/// Builds the answer to a complete request whose connection was given up before a handler took it.
+fn build_refusal() -> Response<BoxBody> {
+    Response::build(StatusCode::SERVICE_UNAVAILABLE)
+        .force_close()
+        .insert_header((header::RETRY_AFTER, "1"))
+        .insert_header(("x-outcome", "not-run"))
+        .finish()
+        .map_into_boxed_body()
+}
+
 /// Returns whether a request has no body; its handler need not read one then.
 fn has_no_body(request: &mut Request) -> bool {
     matches!(request.payload(), Payload::None)
