--- a/crates/plan/tests/room.rs
+++ b/crates/plan/tests/room.rs
@@ -449,3 +449,98 @@
     let found = refusal(&fixture, &job("small", "normal", vec![small]));
     assert_eq!(found, None, "it fits beside the wide tasks");
 }
+
+/// Returns the configuration of a team with a small share, and of a queue whose jobs can wait long.
+fn patient_config() -> PlanConfig {
+    let mut config = config();
+    let limit = ResourceAmounts::UNLIMITED;
+    config.teams.insert("small".into(), TeamRule { weight: 1, limit });
+    let patient = QueueRule { stretch: 4.0, target_ms: 3_000, ..rule(2, None) };
+    config.queues.insert("patient".into(), patient);
+    config
+}
+
+/// Submits 8 jobs of a team beyond its share and 16 that can wait for 9 s, all of 2 s, and returns
+/// the jobs of the starts in their order, with the times.
+fn replay_patient(mut fixture: PlannerFixture) -> Vec<(u64, JobId)> {
+    let of_team = |id: &str| JobSpec {
+        team: Some(TeamName::from("small")),
+        ..job(id, "normal", vec![quarter(1)])
+    };
+    for index in 0..4 {
+        fixture.add(of_team(&format!("spent{index}")));
+        fixture.planner.cancel_job(&format!("spent{index}").as_str().into());
+    }
+    let first_ms = fixture.now_ms;
+    for index in 0..16 {
+        fixture.add(job(&format!("patient{index}"), "patient", vec![quarter(1)]));
+        if index < 8 {
+            fixture.add(of_team(&format!("small{index}")));
+        }
+    }
+    let (mut running, mut starts) = (Vec::new(), Vec::new());
+    while starts.len() < 24 && fixture.now_ms < first_ms + 30_000 {
+        fixture.now_ms += TICK_MS;
+        fixture.end_due_runs(&mut running);
+        fixture.store();
+        for order in fixture.run_starts(StartAnswer::Started) {
+            starts.push((fixture.now_ms - first_ms, order.task.step.job.clone()));
+            running.push((fixture.now_ms + 2_000, order));
+        }
+    }
+    starts
+}
+
+/// Returns the numbers of the starts of a team beyond its share, in the order of the starts.
+fn small_starts(starts: &[(u64, JobId)]) -> Vec<usize> {
+    let small = |(_, (_, id)): &(usize, &(u64, JobId))| id.as_str().starts_with("small");
+    starts.iter().enumerate().filter(small).map(|(number, _)| number).collect()
+}
+
+/// Guards against callers of a team beyond its share that wait behind less urgent jobs, although
+/// these would be on time seconds later.
+#[test]
+fn work_that_can_wait_gives_way_while_capacity_is_short() {
+    let features = room_admission(true);
+    let workers = |count| (0..count).map(worker).collect::<Vec<_>>();
+    let starts = replay_patient(fixture(workers(2), patient_config(), features));
+    assert_eq!(starts.len(), 24);
+    let small = small_starts(&starts);
+    // The first decision knows of no shortage and fills both workers.
+    assert_eq!(small, (8..16).collect::<Vec<_>>(), "{starts:?}");
+    // The objective is 11 s, of which a run takes 2 s.
+    assert!(starts.iter().all(|(at_ms, _)| *at_ms < 9_000), "all are on time: {starts:?}");
+    let enough = fixture(workers(6), patient_config(), features);
+    let small = small_starts(&replay_patient(enough));
+    assert_eq!(small, (16..24).collect::<Vec<_>>(), "there is capacity for all");
+}
+
+/// Guards against refusals by a long forecast of jobs like which others are on time, and against
+/// acceptance of jobs like which others are late.
+#[test]
+fn a_job_that_can_wait_is_refused_only_if_others_are_late() {
+    for (late, is_refused) in [(0, false), (28, false), (32, true)] {
+        let mut fixture =
+            fixture((0..4).map(worker).collect(), patient_config(), room_admission(true));
+        let long = StepSpec { estimate_ms: 4_000, ..step(4, cpu(WORKER_CPU)) };
+        fixture.add(job("long", "urgent", vec![long]));
+        assert_eq!(fixture.run_starts(StartAnswer::Started).len(), 4);
+        let patient = |index: usize| job(&format!("p{index}"), "patient", vec![quarter(4)]);
+        for index in 0..late {
+            fixture.add(patient(index));
+        }
+        fixture.now_ms += 10_000;
+        for index in late..120 {
+            fixture.add(patient(index));
+        }
+        fixture.decide();
+        // The first are beyond their objective of 11 s; the others have less than half of their slack
+        // left and do not give way any more.
+        fixture.now_ms += 5_200;
+        fixture.decide();
+        let found = refusal(&fixture, &patient(120));
+        assert_eq!(found.is_some(), is_refused, "{late} of 120 are late: {found:?}");
+        let waits = fixture.planner.room_wait_by_priority();
+        assert!(waits[&2] > 40_000.0, "{waits:?}");
+    }
+}
