Keep slow stops from switching preemption off

Every time from a stop order to the removal of a run was a sample, also 10 s on a silent worker or the rest of a run that ended by itself. One such sample raised the average above the slack of urgent work; then nothing was stopped and no sample brought it down.

Change: only ends 'stopped' on workers that answered meanwhile count, as 1,500 ms at most, and the average returns to its initial value with a time constant of 5 s while nothing is measured.

--- a/crates/plan/src/preempt.rs
+++ b/crates/plan/src/preempt.rs
@@ -14,6 +14,7 @@
 use crate::planner::Planner;
 use crate::room::RoomAmounts;
 use crate::state::{RunPhase, RunState, WorkerState};
+use crate::worker::{EndKind, EndedRun};
 
 /// Reason of the stops in logs and metrics.
 pub const PREEMPTED_REASON: &str = "preempted";
@@ -31,6 +32,12 @@
 const INITIAL_STOP_MS: f64 = 500.0;
 /// Weight of the newest stop in the moving average of that time.
 const STOP_GAIN: f64 = 0.2;
+/// Longest time that a stop counts as, in milliseconds. Workers take up to 900 ms; what took longer
+/// says something about one worker or link, and must not keep the others from being used.
+const MAX_STOP_MS: f64 = 1_500.0;
+/// Time constant with which the average returns to its initial value while no stop is measured, in
+/// milliseconds. Once it exceeds what urgent work can wait, no stop is ordered that could lower it.
+const STOP_MEMORY_MS: f64 = 5_000.0;
 /// Multiple of its own loss that a run has to have left to do, to be preempted.
 const MIN_REMAINING_FACTOR: f64 = 2.0;
 /// Time between the end of the stopped run and the start in its place, in milliseconds: a decision
@@ -49,6 +56,8 @@
     pool: ArcStr,
     run: u32,
     ordered_ms: u64,
+    /// Whether the worker was silent meanwhile, so that the time says nothing about stops.
+    was_silent: bool,
 }
 
 /// Preemptions so far, as far as later ones depend on them.
@@ -57,8 +66,11 @@
     in_flight: BTreeMap<TaskKey, StopInFlight>,
     /// When each task was last preempted, for [`MIN_PREEMPTION_INTERVAL_MS`].
     preempted_at: BTreeMap<TaskKey, u64>,
-    /// Moving average of the time from a stop order to the end of the run, in milliseconds.
-    stop_ms: f64,
+    /// Moving average of the time from a stop order to the end of the run, in milliseconds, when it
+    /// was last measured.
+    measured_stop_ms: f64,
+    /// When it was last measured.
+    measured_at_ms: u64,
     /// Time before which the runs are not looked at again.
     next_look_ms: u64,
 }
@@ -68,12 +80,32 @@
         Self {
             in_flight: BTreeMap::new(),
             preempted_at: BTreeMap::new(),
-            stop_ms: INITIAL_STOP_MS,
+            measured_stop_ms: INITIAL_STOP_MS,
+            measured_at_ms: 0,
             next_look_ms: 0,
         }
     }
 }
 
+impl PreemptState {
+    /// Returns the expected time from a stop order to the end of the run, in milliseconds.
+    #[expect(clippy::cast_precision_loss, reason = "stops are measured for days at most")]
+    fn stop_ms(&self, now_ms: u64) -> f64 {
+        let elapsed_ms = now_ms.saturating_sub(self.measured_at_ms) as f64;
+        let weight = (-elapsed_ms / STOP_MEMORY_MS).exp();
+        INITIAL_STOP_MS + weight * (self.measured_stop_ms - INITIAL_STOP_MS)
+    }
+
+    /// Learns how long the stop of a run took, which has ended at `now_ms`.
+    #[expect(clippy::cast_precision_loss, reason = "capped at once")]
+    fn measure_stop(&mut self, ordered_ms: u64, now_ms: u64) {
+        let took_ms = (now_ms.saturating_sub(ordered_ms) as f64).min(MAX_STOP_MS);
+        let stop_ms = self.stop_ms(now_ms);
+        self.measured_stop_ms = stop_ms + STOP_GAIN * (took_ms - stop_ms);
+        self.measured_at_ms = now_ms;
+    }
+}
+
 /// A run that may be preempted.
 #[derive(Clone, Debug)]
 struct Victim {
@@ -210,24 +242,30 @@
         }
     }
 
-    /// Forgets stops whose runs have ended, and learns how long they took.
+    /// Learns from the end of a run how long its stop took, if it was stopped to preempt it and its
+    /// worker answered all the while. A run that ended by itself says nothing about stops.
+    pub(crate) fn record_preempted_end(&mut self, end: &EndedRun) {
+        let stop = self.preempt.in_flight.get(&end.task);
+        let Some(stop) = stop.filter(|stop| stop.run == end.run && !stop.was_silent) else {
+            return;
+        };
+        if end.kind == EndKind::Stopped {
+            let ordered_ms = stop.ordered_ms;
+            self.preempt.measure_stop(ordered_ms, self.now_ms);
+        }
+    }
+
+    /// Forgets stops whose runs have ended, and marks those on workers that do not answer.
     fn update_stops(&mut self) {
         let now = self.now_ms;
         let workers = &self.workers;
         let state = &mut self.preempt;
         state.preempted_at.retain(|_, at| now.saturating_sub(*at) < MIN_PREEMPTION_INTERVAL_MS);
-        let ended = state.in_flight.extract_if(.., |task, stop| {
-            let worker = workers.get(&stop.worker);
-            let run = worker.and_then(|worker| worker.runs.get(task));
-            run.is_none_or(|run| run.run != stop.run)
+        state.in_flight.retain(|task, stop| {
+            let Some(worker) = workers.get(&stop.worker) else { return false };
+            stop.was_silent |= worker.silent;
+            worker.runs.get(task).is_some_and(|run| run.run == stop.run)
         });
-        let mut stop_ms = state.stop_ms;
-        for (_, stop) in ended {
-            #[expect(clippy::cast_precision_loss, reason = "stops take seconds at most")]
-            let took_ms = now.saturating_sub(stop.ordered_ms) as f64;
-            stop_ms += STOP_GAIN * (took_ms - stop_ms);
-        }
-        state.stop_ms = stop_ms;
     }
 
     /// Stops runs for a step if it would be late without that, and is in time with it.
@@ -244,7 +282,7 @@
             return;
         };
         let slack_ms = slack_ms as f64;
-        let is_in_time = self.preempt.stop_ms + RESTART_MS <= slack_ms;
+        let is_in_time = self.preempt.stop_ms(self.now_ms) + RESTART_MS <= slack_ms;
         if pool.wait_ms() <= slack_ms || !is_in_time || pool.stops_left == 0 {
             return;
         }
@@ -271,6 +309,7 @@
                     pool: waiting.rule.pool.clone(),
                     run: victim.run,
                     ordered_ms: self.now_ms,
+                    was_silent: false,
                 };
                 self.preempt.preempted_at.insert(victim.task.clone(), self.now_ms);
                 self.preempt.in_flight.insert(victim.task.clone(), order);
@@ -287,7 +326,7 @@
         reason = "stops take seconds at most"
     )]
     fn ticket_workers(&self, key: &StepKey) -> Vec<WorkerName> {
-        let needed_ms = self.now_ms + (self.preempt.stop_ms + RESTART_MS) as u64;
+        let needed_ms = self.now_ms + (self.preempt.stop_ms(self.now_ms) + RESTART_MS) as u64;
         let eligible = self.step_state(key).into_iter().flat_map(|state| &state.advice.eligible);
         let valid = eligible.filter(|(_, ticket)| ticket.expires_ms > needed_ms);
         valid.map(|(name, _)| name.clone()).collect()
@@ -360,7 +399,7 @@
         // What a resumed run had done before is not known, so its work counts from its start.
         let elapsed_ms = self.now_ms.saturating_sub(run.started_ms?) as f64;
         let remaining_ms = expected_ms - elapsed_ms;
-        let lost_ms = self.preempt.stop_ms + RESTORE_MS;
+        let lost_ms = self.preempt.stop_ms(self.now_ms) + RESTORE_MS;
         (may_stop && remaining_ms >= MIN_REMAINING_FACTOR * lost_ms).then(|| Victim {
             task: task.clone(),
             run: run.run,
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -104,6 +104,7 @@
         if let Some(run) = &run {
             self.record_duration(name, end, run);
             self.record_use(end, run);
+            self.record_preempted_end(end);
         }
         // Removed first, because finishing the job orders stops of all its runs that are present.
         if run.is_some() {
--- a/crates/plan/tests/preempt.rs
+++ b/crates/plan/tests/preempt.rs
@@ -195,6 +195,52 @@
     assert!(orders.iter().all(|order| allowed.contains(&order.worker)));
 }
 
+/// Guards against preemption that is switched off for good by stops that take long: on a silent
+/// worker, of a run that ends by itself, or on one slow worker.
+#[test]
+fn slow_stops_do_not_switch_preemption_off() {
+    for (name, kind, is_silent, took_ms) in [
+        ("ended by itself", EndKind::Lapsed, false, 20_000),
+        ("silent", EndKind::Stopped, true, 20_000),
+        ("slow", EndKind::Stopped, false, 20_000),
+        ("all slow", EndKind::Stopped, false, 1_400),
+    ] {
+        let mut fixture = idle_fixture(4, true);
+        let long = StepSpec { estimate_ms: 900_000, ..long_step(4) };
+        fixture.add(job("long", "batch", vec![long]));
+        let mut running = fixture.run_starts(StartAnswer::Started);
+        // A job of 500 ms can wait for 1.5 s, of which the new start takes 0.1 s.
+        let urgent = StepSpec { estimate_ms: 500, ..urgent_step(8) };
+        fixture.add(job("first", "urgent", vec![urgent.clone()]));
+        let orders = preempted(fixture.decide());
+        assert_eq!(orders.len(), 8, "{name}");
+        if is_silent {
+            for silent in [true, false] {
+                for order in &orders {
+                    fixture.planner.set_silent(&order.worker, silent);
+                }
+                fixture.decide();
+            }
+        }
+        fixture.now_ms += took_ms;
+        fixture.planner.cancel_job(&"first".into());
+        for (number, order) in (1..).zip(&orders) {
+            running.retain(|start| start.task != order.task);
+            let present = running.iter().filter(|start| start.worker == order.worker);
+            let present = present.map(support::present_run).collect();
+            let (task, run) = (order.task.clone(), order.run);
+            let ended = EndedRun { number, task, run, kind, saved: SAVED.into() };
+            fixture.report(&order.worker, present, vec![ended]);
+        }
+        fixture.run_starts(StartAnswer::Started);
+        // The initial value counts again after some of the time constants of 5 s.
+        fixture.now_ms += if took_ms < 20_000 { 25_000 } else { 100 };
+        fixture.decide();
+        fixture.add(job("second", "urgent", vec![StepSpec { count: 16, ..urgent }]));
+        assert!(!preempted(fixture.decide()).is_empty(), "{name}");
+    }
+}
+
 /// Guards against a wave of urgent work that stops the whole fleet at once, and against tasks that
 /// are stopped again and again.
 #[test]
