Examine steps for preemption by rank, and count each job once

The list of steps starts with those that would otherwise wait for ever. A late gang there ended the search for urgent steps, and a job of which one step was moved was counted twice in the forecast.

Change: preemption goes through the on-time steps by rank, and the forecast skips jobs already seen.

--- a/crates/plan/src/preempt.rs
+++ b/crates/plan/src/preempt.rs
@@ -200,7 +200,8 @@
 impl Planner {
     /// Preempts runs for urgent steps that would be late otherwise.
     ///
-    /// `steps` are those of this decision in the order of their ranks, of which some were started.
+    /// `steps` are those of this decision, of which some were started, and of which the first need
+    /// not be the most useful.
     pub(crate) fn preempt_runs(&mut self, steps: &[WaitingStep<'_>], config: &PlanConfig) {
         if !self.options.features.preemption {
             return;
@@ -213,8 +214,11 @@
         let mut pools: BTreeMap<ArcStr, PreemptPool> = BTreeMap::new();
         let mut pass = PlacementPass::default();
         let mut examined = 0;
-        for waiting in steps {
-            if waiting.rank.class != RankClass::OnTime || examined >= MAX_EXAMINED_STEPS {
+        let on_time = steps.iter().filter(|waiting| waiting.rank.class == RankClass::OnTime);
+        let mut on_time: Vec<_> = on_time.collect();
+        on_time.sort_by_key(|waiting| waiting.rank);
+        for waiting in on_time {
+            if examined >= MAX_EXAMINED_STEPS {
                 break;
             }
             let step = &waiting.spec.steps[waiting.key.step as usize];
--- a/crates/plan/src/room.rs
+++ b/crates/plan/src/room.rs
@@ -5,7 +5,7 @@
 //! computed once in a decision, in the order of the ranks, so that a question about one more job
 //! is a binary search (docs/design/insufficient-capacity.md).
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use arcstr::ArcStr;
 use model::name::{JobId, QueueName, TeamName};
@@ -664,12 +664,12 @@
         }
         let mut pools: BTreeMap<ArcStr, PoolForecast> = BTreeMap::new();
         let mut allowed: BTreeMap<TeamName, RoomAmounts> = BTreeMap::new();
-        let mut last_job: Option<&JobId> = None;
+        // Steps of a job need not be neighbours: some are moved to the front.
+        let mut seen_jobs: HashSet<&JobId> = HashSet::with_capacity(steps.len());
         for step in steps {
-            if step.is_unservable || last_job == Some(&step.key.job) {
+            if step.is_unservable || !seen_jobs.insert(&step.key.job) {
                 continue;
             }
-            last_job = Some(&step.key.job);
             let Some(job) = self.jobs.get(&step.key.job) else { continue };
             let pool = pools.entry(step.rule.pool.clone());
             let pool = pool.or_insert_with(|| self.measure_pool(&step.rule.pool));
--- a/crates/plan/tests/preempt.rs
+++ b/crates/plan/tests/preempt.rs
@@ -241,6 +241,25 @@
     }
 }
 
+/// Guards against urgent work that is not examined because a late gang goes first, which could not
+/// use its answers.
+#[test]
+fn a_late_gang_at_the_front_does_not_keep_others_from_preemption() {
+    let mut fixture = idle_fixture(4, true);
+    fixture.add(job("long", "batch", vec![StepSpec { count: 14, ..long_step(4) }]));
+    fixture.run_starts(StartAnswer::Started);
+    fixture.add(job("gang", "asked", vec![StepSpec { gang: true, ..urgent_step(2) }]));
+    let request = support::advice_requests(fixture.decide()).remove(0);
+    fixture.add(job("rest", "batch", vec![StepSpec { count: 2, ..long_step(4) }]));
+    assert_eq!(fixture.run_starts(StartAnswer::Started).len(), 2);
+    for _ in 0..2 {
+        fixture.advise(&request, &request.workers);
+    }
+    fixture.now_ms += 3_000;
+    fixture.add(job("urgent", "urgent", vec![urgent_step(9)]));
+    assert!(!preempted(fixture.decide()).is_empty());
+}
+
 /// Guards against a wave of urgent work that stops the whole fleet at once, and against tasks that
 /// are stopped again and again.
 #[test]
--- a/crates/plan/tests/room.rs
+++ b/crates/plan/tests/room.rs
@@ -10,7 +10,7 @@
 use model::name::{JobId, TeamName};
 use model::resource::ResourceAmounts;
 use plan::admission::{RoomReason, RoomRefusal};
-use plan::config::{PlanConfig, QueueRule, TeamRule};
+use plan::config::{AdviceCost, PlanConfig, QueueRule, TeamRule};
 use plan::decision::{PlanDecision, StartOrder};
 use plan::feature::PlanFeatures;
 use plan::job::{JobSchedule, JobSpec, StepSpec};
@@ -544,3 +544,33 @@
         assert!(waits[&2] > 40_000.0, "{waits:?}");
     }
 }
+
+/// Guards against a forecast that counts a job twice, of which one step was moved to the front.
+#[test]
+fn a_job_with_a_step_at_the_front_counts_once() {
+    let cost = AdviceCost { call_ms: 10.0, worker_ms: 0.1, valid_ms: 5_000 };
+    let mut config = config();
+    config.queues.insert("asked".into(), rule(1, Some(cost)));
+    let workers = (0..4).map(worker).collect();
+    let mut fixture = fixture(workers, config, room_admission(true));
+    let most = StepSpec { estimate_ms: 9_000, ..quarter(14) };
+    fixture.add(job("most", "urgent", vec![most.clone()]));
+    fixture.run_starts(StartAnswer::Started);
+    let gang = StepSpec { gang: true, ..quarter(2) };
+    fixture.add(job("split", "asked", vec![gang, quarter(80)]));
+    let requests = support::advice_requests(fixture.decide());
+    let request = requests.iter().find(|request| request.step.step == 0).expect("one of the gang");
+    fixture.add(job("rest", "urgent", vec![StepSpec { count: 2, ..most }]));
+    assert_eq!(fixture.run_starts(StartAnswer::Started).len(), 2);
+    // More urgent work between the gang and the other step, which is not at the front.
+    fixture.add(job("more", "urgent", vec![quarter(1)]));
+    fixture.decide();
+    let before = fixture.planner.room_wait_by_priority();
+    for _ in 0..2 {
+        fixture.advise(request, &request.workers);
+    }
+    fixture.decide();
+    let after = fixture.planner.room_wait_by_priority();
+    assert!(before[&1] > 5_000.0, "{before:?}");
+    assert!(after[&1] < before[&1] * 1.1, "{after:?} {before:?}");
+}
