Keep declared durations from overflowing times and ranks

A very large declared duration overflowed the sums of the steps of its job, and the due time of the job.

Change: a declared duration counts for a year at most, and times are added saturating. None is refused, as any duration is legal.

Evidence: any_declared_duration_is_planned fails before ('attempt to add with overflow') and passes now; 133 tests of the crate passed.

Left: a bound of what a task counts in backlog and arrivals.

--- a/crates/plan/src/admission.rs
+++ b/crates/plan/src/admission.rs
@@ -152,7 +152,7 @@
         }
         let path_ms = order::critical_path_ms(spec, rule);
         let objective_ms = order::objective_ms(spec, rule);
-        let waits = self.room_waits(spec, rule, now_ms + objective_ms, storing)?;
+        let waits = self.room_waits(spec, rule, now_ms.saturating_add(objective_ms), storing)?;
         let RoomWaits { on_time: on_time_ms, late: late_ms, beyond_share: beyond_share_ms } = waits;
         let factor = self.room.underestimate_factor(spec);
         let likely_path_ms = path_ms as f64 * factor;
--- a/crates/plan/src/order.rs
+++ b/crates/plan/src/order.rs
@@ -38,6 +38,15 @@
     pub due_ms: u64,
 }
 
+/// Longest declared duration of a task that counts, in milliseconds: a year. Callers may declare any
+/// number, and sums of a job's steps must not overflow.
+const MAX_ESTIMATE_MS: u64 = 365 * 24 * 3_600_000;
+
+/// Returns the declared duration of a task of a step, in milliseconds, as far as it counts.
+pub(crate) fn estimate_ms(step: &StepSpec) -> u64 {
+    step.estimate_ms.min(MAX_ESTIMATE_MS)
+}
+
 /// Returns the declared work on the critical path, in milliseconds.
 ///
 /// Each step on the path counts its estimate and, if its queue needs advice, one call for advice.
@@ -51,7 +60,7 @@
             .filter_map(|previous| end_times.get(*previous as usize))
             .max()
             .copied();
-        end_times.push(start_time.unwrap_or(0) + step_ms(step, rule));
+        end_times.push(start_time.unwrap_or(0_u64).saturating_add(step_ms(step, rule)));
     }
     end_times.into_iter().max().unwrap_or(0)
 }
@@ -67,7 +76,7 @@
 )]
 pub(crate) fn step_ms(step: &StepSpec, rule: &QueueRule) -> u64 {
     let advice_ms = rule.advice.map_or(0.0, |cost| cost.duration_ms(OBJECTIVE_ADVICE_WORKERS));
-    step.estimate_ms + advice_ms as u64
+    estimate_ms(step).saturating_add(advice_ms as u64)
 }
 
 /// Returns the time objective of a job: milliseconds from its submission to its due time.
@@ -79,7 +88,8 @@
     reason = "objectives are minutes at most"
 )]
 pub fn objective_ms(spec: &JobSpec, rule: &QueueRule) -> u64 {
-    (critical_path_ms(spec, rule) as f64 * rule.stretch) as u64 + rule.target_ms
+    let stretched_ms = (critical_path_ms(spec, rule) as f64 * rule.stretch) as u64;
+    stretched_ms.saturating_add(rule.target_ms)
 }
 
 /// Everything that the rank of a job depends on.
@@ -102,13 +112,14 @@
 /// Returns the rank of a job.
 #[must_use]
 pub fn rank_job(input: RankInput) -> JobRank {
-    let due_ms = input.submitted_ms + input.objective_ms;
-    let expired_ms = input.submitted_ms + EXPIRED_OBJECTIVE_FACTOR * input.objective_ms;
+    let due_ms = input.submitted_ms.saturating_add(input.objective_ms);
+    let expired_after_ms = input.objective_ms.saturating_mul(EXPIRED_OBJECTIVE_FACTOR);
+    let expired_ms = input.submitted_ms.saturating_add(expired_after_ms);
     let class = if input.now_ms > expired_ms {
         RankClass::Expired
     } else if input.beyond_share {
         RankClass::BeyondShare
-    } else if input.now_ms + input.remaining_ms > due_ms {
+    } else if input.now_ms.saturating_add(input.remaining_ms) > due_ms {
         RankClass::Late
     } else {
         RankClass::OnTime
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -797,8 +797,8 @@
     /// Returns for how long the job may wait and still be on time, in milliseconds; 0 before its rank
     /// was first computed.
     pub(crate) fn slack_ms(&self, now_ms: u64) -> u64 {
-        let due_ms = self.submitted_ms + self.objective_ms.unwrap_or(0);
-        due_ms.saturating_sub(now_ms + remaining_path_ms(self))
+        let due_ms = self.submitted_ms.saturating_add(self.objective_ms.unwrap_or(0));
+        due_ms.saturating_sub(now_ms.saturating_add(remaining_path_ms(self)))
     }
 
     /// Returns the rank of the job among those that wait. What is left of it may run on workers
@@ -823,8 +823,8 @@
         let mut ends: SmallVec<[u64; 4]> = SmallVec::new();
         for (spec, state) in job.spec.steps.iter().zip(&occurrence.steps) {
             let start_ms = spec.after.iter().filter_map(|step| ends.get(*step as usize)).max();
-            let own_ms = if state.unfinished == 0 { 0 } else { spec.estimate_ms };
-            ends.push(start_ms.copied().unwrap_or(0) + own_ms);
+            let own_ms = if state.unfinished == 0 { 0 } else { order::estimate_ms(spec) };
+            ends.push(start_ms.copied().unwrap_or(0_u64).saturating_add(own_ms));
         }
         ends.into_iter().max().unwrap_or(0)
     };
--- a/crates/plan/tests/room.rs
+++ b/crates/plan/tests/room.rs
@@ -574,3 +574,19 @@
     assert!(before[&1] > 5_000.0, "{before:?}");
     assert!(after[&1] < before[&1] * 1.1, "{after:?} {before:?}");
 }
+
+/// Guards against an owner that ends by an overflow of a declared duration.
+#[test]
+fn any_declared_duration_is_planned() {
+    let mut fixture = PlannerFixture::new(4, config());
+    let endless = StepSpec { estimate_ms: u64::MAX, ..quarter(1) };
+    let after = StepSpec { after: [0].into_iter().collect(), ..endless.clone() };
+    let spec = job("endless", "normal", vec![endless, after]);
+    fixture.now_ms += 5_000;
+    assert_eq!(refusal(&fixture, &spec), None);
+    fixture.add(spec);
+    assert_eq!(fixture.run_starts(StartAnswer::Started).len(), 1);
+    fixture.now_ms += 5_000;
+    fixture.decide();
+    assert_eq!(refusal(&fixture, &job("next", "normal", vec![quarter(1)])), None);
+}
