Preempt only where and as far as the urgent step could start

Runs were stopped on workers without the label of the urgent step, beyond its limit of tasks on a worker, or reserved for gangs, and for more steps of a team than its limit allows together.

Change: these are checked before a place is taken, a gang may use the workers that are reserved for itself, and what earlier steps of a look claim is deducted from the limit of their team.

Evidence: only_workers_where_the_step_may_start_are_considered (stops on other racks, and 8 instead of 4 for one task on each worker) and the_limit_of_a_team_counts_for_its_steps_together (8 stops instead of 4) fail before and pass now; 135 tests of the crate passed. Reservations for other gangs have no test of their own.

--- a/crates/plan/src/capacity.rs
+++ b/crates/plan/src/capacity.rs
@@ -87,7 +87,8 @@
         let unreported = unreported_usage.get(team).copied().unwrap_or_default();
         let Some(rule) = self.config.teams.get(team) else { return 0 };
         let used = self.team_usage.get(team).copied().unwrap_or_default();
-        fit_count(rule.limit.minus(used).minus(unreported), step.amounts)
+        let claimed = pass.team_claims.get(team).copied().unwrap_or_default();
+        fit_count(rule.limit.minus(used).minus(unreported).minus(claimed), step.amounts)
     }
 
     /// Returns what each team may use on workers that have not reported to this owner.
--- a/crates/plan/src/gang.rs
+++ b/crates/plan/src/gang.rs
@@ -58,6 +58,7 @@
         if rule.advice.is_some() && pass.may_request_gang_advice(&rule.pool) {
             self.request_advice_within_capacity(key, step, rule, step.count, pass);
         }
+        let others = pass.reserved.clone();
         if rule.advice.is_some()
             && let Some(state) = self.step_mut(key)
             && state.advice.requested_ms.is_some()
@@ -73,6 +74,8 @@
                 pass.reserved_gangs += usize::from(!is_reserving);
             }
         }
+        let own = pass.reserved.difference(&others).cloned().collect();
+        pass.own_reserved.insert(key.clone(), own);
     }
 
     /// Ends the reservation of a gang that has not started for a long time after this decision: its
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -77,6 +77,8 @@
     pub(crate) labelled: BTreeMap<(ArcStr, ArcStr), ResourceAmounts>,
     /// Workers that are reserved for gangs earlier in the pass.
     pub(crate) reserved: BTreeSet<WorkerName>,
+    /// Those of them that are reserved for each gang.
+    pub(crate) own_reserved: BTreeMap<StepKey, BTreeSet<WorkerName>>,
     /// Number of gangs for which workers are reserved until they fit.
     pub(crate) reserved_gangs: usize,
     /// Number of attempts to reserve workers for a gang.
@@ -94,6 +96,8 @@
     /// What each team may use on workers that have not reported, computed when the first step
     /// of a team is placed; starts in the pass do not change it.
     pub(crate) unreported_usage: Option<BTreeMap<TeamName, ResourceAmounts>>,
+    /// What steps that were examined for preemption claimed of their teams' limits.
+    pub(crate) team_claims: BTreeMap<TeamName, ResourceAmounts>,
     /// How fast workers have to be for the step that is being placed; none if all are equal.
     pub(crate) speed_need: Option<SpeedNeed>,
 }
@@ -179,7 +183,7 @@
             }
         }
         self.forecast_room(&steps, &config);
-        self.preempt_runs(&steps, &config);
+        self.preempt_runs(&steps, &config, &mut pass);
         if !is_delayed && self.delayed_calls.is_empty() {
             self.aged_call_ms = CallAmounts::default();
         }
--- a/crates/plan/src/preempt.rs
+++ b/crates/plan/src/preempt.rs
@@ -7,6 +7,7 @@
 use model::name::WorkerName;
 use model::resource::ResourceAmounts;
 
+use crate::capacity;
 use crate::config::PlanConfig;
 use crate::job::{StepKey, StepSpec, TaskKey};
 use crate::order::RankClass;
@@ -141,23 +142,20 @@
 type PreemptPlace = (WorkerName, Vec<Victim>);
 
 impl PreemptPool {
-    /// Takes room for a task from a worker: what is free or is becoming free, or else what the fewest
+    /// Takes room for a task from a worker that `may_take` allows: what is free or is becoming free, or else what the fewest
     /// runs that are less urgent than `priority` occupy. Returns none if there is no such worker.
     fn take_place(
         &mut self,
-        names: Option<&[WorkerName]>,
+        may_take: impl Fn(&WorkerName) -> bool,
         amounts: ResourceAmounts,
         priority: u32,
     ) -> Option<PreemptPlace> {
-        let is_allowed =
-            |name: &WorkerName| names.is_none_or(|names| names.binary_search(name).is_ok());
         let (name, count) = self
             .workers
             .iter()
-            .filter(|(name, _)| is_allowed(name))
             .filter_map(|(name, worker)| {
                 let count = worker.count_stops(amounts, priority)?;
-                Some((name, count))
+                may_take(name).then_some((name, count))
             })
             .min_by_key(|(_, count)| *count)?;
         if count > self.stops_left {
@@ -202,7 +200,12 @@
     ///
     /// `steps` are those of this decision, of which some were started, and of which the first need
     /// not be the most useful.
-    pub(crate) fn preempt_runs(&mut self, steps: &[WaitingStep<'_>], config: &PlanConfig) {
+    pub(crate) fn preempt_runs(
+        &mut self,
+        steps: &[WaitingStep<'_>],
+        config: &PlanConfig,
+        pass: &mut PlacementPass,
+    ) {
         if !self.options.features.preemption {
             return;
         }
@@ -212,7 +215,6 @@
             return;
         }
         let mut pools: BTreeMap<ArcStr, PreemptPool> = BTreeMap::new();
-        let mut pass = PlacementPass::default();
         let mut examined = 0;
         let on_time = steps.iter().filter(|waiting| waiting.rank.class == RankClass::OnTime);
         let mut on_time: Vec<_> = on_time.collect();
@@ -232,7 +234,7 @@
             if !may_preempt || tasks == 0 {
                 continue;
             }
-            let allowed = self.remaining_team_tasks(&waiting.spec, step, &mut pass);
+            let allowed = self.remaining_team_tasks(&waiting.spec, step, pass);
             if allowed == 0 || (step.gang && allowed.min(tasks) < step.count) {
                 continue;
             }
@@ -242,7 +244,11 @@
                 .or_insert_with(|| self.preempt_pool(&waiting.rule.pool, config));
             let occupied = RoomAmounts::of(step.occupied_amounts());
             pool.awaited = pool.awaited.plus(occupied.times(f64::from(tasks.min(allowed))));
-            self.preempt_for_step(waiting, step, tasks.min(allowed), pool);
+            if let Some(team) = &waiting.spec.team {
+                let claims = pass.team_claims.entry(team.clone()).or_default();
+                *claims = claims.plus(step.amounts.times(u64::from(tasks.min(allowed))));
+            }
+            self.preempt_for_step(waiting, step, tasks.min(allowed), pool, pass);
         }
     }
 
@@ -280,6 +286,7 @@
         step: &StepSpec,
         tasks: u32,
         pool: &mut PreemptPool,
+        pass: &PlacementPass,
     ) {
         let Some(slack_ms) = self.jobs.get(&waiting.key.job).map(|job| job.slack_ms(self.now_ms))
         else {
@@ -296,7 +303,12 @@
         let before = pool.stops_left;
         let workers = step.gang.then(|| pool.workers.clone());
         for _ in 0..tasks {
-            let place = pool.take_place(names.as_deref(), amounts, waiting.rule.priority);
+            let may_take = |name: &WorkerName| {
+                let beside = places.iter().filter(|(other, _)| other == name).count();
+                names.as_ref().is_none_or(|names| names.binary_search(name).is_ok())
+                    && self.may_place_on(name, waiting, step, beside, pass)
+            };
+            let place = pool.take_place(may_take, amounts, waiting.rule.priority);
             let Some(place) = place else { break };
             places.push(place);
         }
@@ -322,6 +334,30 @@
         }
     }
 
+    /// Returns whether a task of a step could start on a worker with enough free capacity, beside
+    /// `placed` tasks of the step that are to start there.
+    fn may_place_on(
+        &self,
+        name: &WorkerName,
+        waiting: &WaitingStep<'_>,
+        step: &StepSpec,
+        placed: usize,
+        pass: &PlacementPass,
+    ) -> bool {
+        let key = &waiting.key;
+        let is_own = || pass.own_reserved.get(key).is_some_and(|names| names.contains(name));
+        if pass.reserved.contains(name) && !is_own() {
+            return false;
+        }
+        if step.label.is_none() && step.max_per_worker == 0 {
+            return true;
+        }
+        let Some(worker) = self.workers.get(name) else { return false };
+        let here = worker.runs.keys().filter(|task| task.step == *key).count() + placed;
+        let has_place = step.max_per_worker == 0 || here < step.max_per_worker as usize;
+        has_place && capacity::is_suitable(step, waiting.rule, worker)
+    }
+
     /// Returns the workers for which a step holds a ticket that is valid until a stop has ended, in
     /// the order of their names.
     #[expect(
--- a/crates/plan/tests/preempt.rs
+++ b/crates/plan/tests/preempt.rs
@@ -260,6 +260,47 @@
     assert!(!preempted(fixture.decide()).is_empty());
 }
 
+/// Guards against stops on workers that lack the label of the urgent step, or where its limit of
+/// tasks on a worker is reached.
+#[test]
+fn only_workers_where_the_step_may_start_are_considered() {
+    let labelled = StepSpec { label: Some("r1".into()), ..urgent_step(8) };
+    let spread = StepSpec { max_per_worker: 1, ..urgent_step(8) };
+    for (name, step, expected) in [("label", labelled, 8), ("limit", spread, 4)] {
+        let (mut fixture, _) = full_fixture("batch", long_step(4), true);
+        fixture.add(job("urgent", "urgent", vec![step]));
+        let orders = preempted(fixture.decide());
+        assert_eq!(orders.len(), expected, "{name}");
+        let mut counts: BTreeMap<WorkerName, usize> = BTreeMap::new();
+        for order in &orders {
+            *counts.entry(order.worker.clone()).or_default() += 1;
+        }
+        let rack = [worker(2).name, worker(3).name];
+        let is_allowed = |(worker, count): (&WorkerName, &usize)| match name {
+            "label" => rack.contains(worker),
+            _ => *count == 1,
+        };
+        assert!(counts.iter().all(is_allowed), "{name}: {counts:?}");
+    }
+}
+
+/// Guards against stops for steps of a team whose limit the steps before them use up.
+#[test]
+fn the_limit_of_a_team_counts_for_its_steps_together() {
+    let (mut fixture, _) = full_fixture("batch", long_step(4), true);
+    let mut config = preempt_config();
+    let limit = cpu(WORKER_CPU);
+    let limit = ResourceAmounts { memory_mb: 100_000, ..limit };
+    config.teams.insert("limited".into(), TeamRule { weight: 100, limit });
+    fixture.planner.set_config(Arc::new(config));
+    for index in 0..2 {
+        let team = Some(TeamName::from("limited"));
+        let spec = job(&format!("urgent{index}"), "urgent", vec![urgent_step(4)]);
+        fixture.add(JobSpec { team, ..spec });
+    }
+    assert_eq!(preempted(fixture.decide()).len(), 4, "the limit is one worker");
+}
+
 /// Guards against a wave of urgent work that stops the whole fleet at once, and against tasks that
 /// are stopped again and again.
 #[test]
