Leave workers that cannot be used out of the rate of the forecast

Unreported, quarantined and held workers counted as busy and as freeing capacity, so that waits were forecast too short.

Change: they count in what is used, and not in the base of the rate.

--- a/crates/plan/src/room.rs
+++ b/crates/plan/src/room.rs
@@ -727,10 +727,12 @@
 
     /// Measures the capacity of a pool, its use and the rate at which it becomes free.
     ///
-    /// A worker that is silent, draining or not registered any more frees nothing; one that has not
-    /// reported since a takeover counts as busy.
+    /// A worker that is silent, draining or not registered any more frees nothing. One that has not
+    /// reported since a takeover, is quarantined or held counts as busy, but frees no capacity that
+    /// could be used.
     fn measure_pool(&self, name: &ArcStr) -> PoolForecast {
         let mut pool = PoolForecast::default();
+        let (mut usable, mut freeing) = (RoomAmounts::default(), RoomAmounts::default());
         for worker in self.workers.values().filter(|worker| worker.info.pool == *name) {
             let is_out = self.config.domains_out.contains(&worker.info.domain);
             if worker.silent || worker.deregistered || worker.info.draining || is_out {
@@ -742,12 +744,14 @@
             let used = if is_known { RoomAmounts::of(worker.occupied) } else { capacity };
             pool.used = pool.used.plus(used);
             if is_known {
+                usable = usable.plus(capacity);
+                freeing = freeing.plus(used);
                 pool.largest_free = pool.largest_free.max(worker.free());
             }
         }
         let efficiency = self.room.efficiency.get(name).copied().unwrap_or_default();
         let efficiency = efficiency.efficiency(self.now_ms);
-        pool.rate = pool.used.max(pool.capacity.times(BUSY_SHARE)).times(efficiency);
+        pool.rate = freeing.max(usable.times(BUSY_SHARE)).times(efficiency);
         let arrivals = self.room.arrivals.iter().filter(|((pool, _), _)| pool == name);
         let since_ms = self.room.first_decision_ms.unwrap_or(self.now_ms);
         pool.arrivals = arrivals
--- a/crates/plan/tests/room.rs
+++ b/crates/plan/tests/room.rs
@@ -590,3 +590,16 @@
     fixture.decide();
     assert_eq!(refusal(&fixture, &job("next", "normal", vec![quarter(1)])), None);
 }
+
+/// Guards against a forecast that counts on workers which have not reported as if they freed capacity.
+#[test]
+fn unreported_workers_free_nothing() {
+    let mut fixture = full_fixture(60);
+    let before = fixture.planner.room_wait_by_priority();
+    for index in 4..8 {
+        fixture.planner.set_worker(worker(index));
+    }
+    fixture.decide();
+    let after = fixture.planner.room_wait_by_priority();
+    assert!(before[&1] > 10_000.0 && after[&1] > before[&1] * 0.9, "{after:?} {before:?}");
+}
