Bound the reads before refusals, and count a repeated submission once

Each refusal cost one read of the store without a bound on those in flight, and a submission repeated while the first was being stored added its demand again.

Change: at most 16 such reads at the same time, further ones wait; the demand of a job that is being stored or is known is not added again.

No test of its own was written.

--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
 use plan::progress::JobStatus;
 use plan::room::PendingRoom;
 use rand::seq::SliceRandom;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio_util::sync::CancellationToken;
 
 use crate::context::SharedContext;
@@ -40,6 +40,9 @@
 /// Run numbers that each term reserves, so that the numbers of later terms are higher; a task
 /// has far fewer runs in one term.
 const RUNS_PER_TERM: u64 = 1_000;
+/// Most reads of the inbox before refusals at the same time. In a burst, hundreds of jobs are refused
+/// each second, and their reads must not delay the other calls of the store.
+const MAX_REFUSAL_READS: usize = 16;
 
 /// A finished job whose progress row is kept until its retention has passed.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -63,6 +66,10 @@
     pub(crate) storing_calls: RefCell<CallTimes>,
     /// Demands of the jobs that are being stored.
     pub(crate) storing_demands: RefCell<PendingRoom>,
+    /// Jobs of which the demand is among these.
+    pub(crate) storing_jobs: RefCell<BTreeSet<JobId>>,
+    /// Permits for the reads of the inbox before refusals.
+    pub(crate) refusal_reads: Semaphore,
     pub(crate) links: RefCell<BTreeMap<WorkerName, WorkerLink>>,
     /// Registrations of workers in all pools, also in those that do not belong to the fleet.
     pub(crate) registrations: RefCell<BTreeMap<WorkerName, WorkerRegistration>>,
@@ -180,6 +187,8 @@
         dispatcher: RefCell::default(),
         storing_calls: RefCell::default(),
         storing_demands: RefCell::default(),
+        storing_jobs: RefCell::default(),
+        refusal_reads: Semaphore::new(MAX_REFUSAL_READS),
         links: RefCell::default(),
         registrations: RefCell::default(),
         expiring_workers: RefCell::default(),
--- a/crates/fleet/src/owner/submits.rs
+++ b/crates/fleet/src/owner/submits.rs
@@ -70,6 +70,10 @@
         let planner = session.planner.borrow();
         (planner.first_calls(&spec), planner.new_demand(&spec))
     };
+    // A repeated submission adds no demand.
+    let is_first = !session.planner.borrow().has_job(&spec.id)
+        && session.storing_jobs.borrow_mut().insert(spec.id.clone());
+    let demand = demand.filter(|_| is_first);
     session.storing_calls.borrow_mut().add_all(&calls);
     if let Some((pool, priority, demand)) = &demand {
         session.storing_demands.borrow_mut().add(pool, *priority, *demand);
@@ -80,6 +84,9 @@
     if let Some((pool, priority, demand)) = &demand {
         session.storing_demands.borrow_mut().remove(pool, *priority, *demand);
     }
+    if is_first {
+        session.storing_jobs.borrow_mut().remove(&spec.id);
+    }
     if result == Ok(StoredJob::Known) && !session.planner.borrow().has_job(&spec.id) {
         queue.unanswered_notify.notify_one();
     }
@@ -130,7 +137,15 @@
             || queue.may_store(&spec.id)
     };
     // Asked again after the read, during which another submission of the job may have come.
-    if is_known() || !load::is_absent_from_inbox(session, &spec.id).await || is_known() {
+    if is_known() {
+        return None;
+    }
+    let is_absent = {
+        // The semaphore is never closed.
+        let _permit = session.refusal_reads.acquire().await;
+        load::is_absent_from_inbox(session, &spec.id).await
+    };
+    if !is_absent || is_known() {
         return None;
     }
     let (reason, retry_after_s) = record_refusal(session, spec, refusal);
