--- a/crates/plan/src/capacity.rs
+++ b/crates/plan/src/capacity.rs
@@ -85,7 +85,8 @@
         let unreported_usage =
             pass.unreported_usage.get_or_insert_with(|| self.count_unreported_usage());
         let unreported = unreported_usage.get(team).copied().unwrap_or_default();
-        self.count_team_tasks(team, step, unreported)
+        let claimed = pass.team_claims.get(team).copied().unwrap_or_default();
+        self.count_team_tasks(team, step, unreported.plus(claimed))
     }
 
     /// Returns how many more tasks of a step the limit of a team allows beside its known runs and
--- a/crates/plan/src/preempt.rs
+++ b/crates/plan/src/preempt.rs
@@ -8,6 +8,7 @@
 use model::resource::ResourceAmounts;
 use serde::{Deserialize, Serialize};
 
+use crate::capacity;
 use crate::config::PlanConfig;
 use crate::job::{StepKey, StepSpec, TaskKey};
 use crate::order::RankClass;
@@ -15,6 +16,7 @@
 use crate::planner::Planner;
 use crate::room::RoomAmounts;
 use crate::state::{RunPhase, RunState, WorkerState};
+use crate::worker::{EndKind, EndedRun};
 
 /// Reason of the stops in logs and metrics.
 pub const PREEMPTED_REASON: &str = "preempted";
@@ -32,6 +34,12 @@
 const INITIAL_STOP_MS: f64 = 500.0;
 /// Weight of the newest stop in the moving average of that time.
 const STOP_GAIN: f64 = 0.2;
+/// Longest time that a stop counts as, in milliseconds. Workers take up to 900 ms; what took longer
+/// says something about one worker or link, and must not keep the others from being used.
+const MAX_STOP_MS: f64 = 1_500.0;
+/// Time constant with which the average returns to its initial value while no stop is measured, in
+/// milliseconds. Once it exceeds what urgent work can wait, no stop is ordered that could lower it.
+const STOP_MEMORY_MS: f64 = 5_000.0;
 /// Multiple of its own loss that a run has to have left to do, to be preempted.
 const MIN_REMAINING_FACTOR: f64 = 2.0;
 /// Time between the end of the stopped run and the start in its place, in milliseconds: a decision
@@ -89,6 +97,8 @@
     pool: ArcStr,
     run: u32,
     ordered_ms: u64,
+    /// Whether the worker was silent meanwhile, so that the time says nothing about stops.
+    was_silent: bool,
 }
 
 /// Preemptions so far, as far as later ones depend on them.
@@ -97,8 +107,11 @@
     in_flight: BTreeMap<TaskKey, StopInFlight>,
     /// When each task was last preempted, for [`MIN_PREEMPTION_INTERVAL_MS`].
     preempted_at: BTreeMap<TaskKey, u64>,
-    /// Moving average of the time from a stop order to the end of the run, in milliseconds.
-    stop_ms: f64,
+    /// Moving average of the time from a stop order to the end of the run, in milliseconds, when it
+    /// was last measured.
+    measured_stop_ms: f64,
+    /// When it was last measured.
+    measured_at_ms: u64,
     /// Time before which the runs are not looked at again.
     next_look_ms: u64,
 }
@@ -108,12 +121,32 @@
         Self {
             in_flight: BTreeMap::new(),
             preempted_at: BTreeMap::new(),
-            stop_ms: INITIAL_STOP_MS,
+            measured_stop_ms: INITIAL_STOP_MS,
+            measured_at_ms: 0,
             next_look_ms: 0,
         }
     }
 }
 
+impl PreemptState {
+    /// Returns the expected time from a stop order to the end of the run, in milliseconds.
+    #[expect(clippy::cast_precision_loss, reason = "stops are measured for days at most")]
+    fn stop_ms(&self, now_ms: u64) -> f64 {
+        let elapsed_ms = now_ms.saturating_sub(self.measured_at_ms) as f64;
+        let weight = (-elapsed_ms / STOP_MEMORY_MS).exp();
+        INITIAL_STOP_MS + weight * (self.measured_stop_ms - INITIAL_STOP_MS)
+    }
+
+    /// Learns how long the stop of a run took, which has ended at `now_ms`.
+    #[expect(clippy::cast_precision_loss, reason = "capped at once")]
+    fn measure_stop(&mut self, ordered_ms: u64, now_ms: u64) {
+        let took_ms = (now_ms.saturating_sub(ordered_ms) as f64).min(MAX_STOP_MS);
+        let stop_ms = self.stop_ms(now_ms);
+        self.measured_stop_ms = stop_ms + STOP_GAIN * (took_ms - stop_ms);
+        self.measured_at_ms = now_ms;
+    }
+}
+
 /// A run that may be preempted.
 #[derive(Clone, Debug)]
 struct Victim {
@@ -149,23 +182,21 @@
 type PreemptPlace = (WorkerName, Vec<Victim>);
 
 impl PreemptPool {
-    /// Takes room for a task from a worker: what is free or is becoming free, or else what the fewest
-    /// runs that are less urgent than `priority` occupy. Returns none if there is no such worker.
+    /// Takes room for a task from a worker that `may_take` allows: what is free or is becoming free,
+    /// or else what the fewest runs that are less urgent than `priority` occupy. Returns none if
+    /// there is no such worker.
     fn take_place(
         &mut self,
-        names: Option<&[WorkerName]>,
+        may_take: impl Fn(&WorkerName) -> bool,
         amounts: ResourceAmounts,
         priority: u32,
     ) -> Option<PreemptPlace> {
-        let is_allowed =
-            |name: &WorkerName| names.is_none_or(|names| names.binary_search(name).is_ok());
         let (name, count) = self
             .workers
             .iter()
-            .filter(|(name, _)| is_allowed(name))
             .filter_map(|(name, worker)| {
                 let count = worker.count_stops(amounts, priority)?;
-                Some((name, count))
+                may_take(name).then_some((name, count))
             })
             .min_by_key(|(_, count)| *count)?;
         if count > self.stops_left {
@@ -208,8 +239,14 @@
 impl Planner {
     /// Preempts runs for urgent steps that would be late otherwise.
     ///
-    /// `steps` are those of this decision in the order of their ranks, of which some were started.
-    pub(crate) fn preempt_runs(&mut self, steps: &[WaitingStep<'_>], config: &PlanConfig) {
+    /// `steps` are those of this decision, of which some were started, and of which the first need
+    /// not be the most useful.
+    pub(crate) fn preempt_runs(
+        &mut self,
+        steps: &[WaitingStep<'_>],
+        config: &PlanConfig,
+        pass: &mut PlacementPass,
+    ) {
         if !self.options.features.preemption {
             return;
         }
@@ -219,10 +256,12 @@
             return;
         }
         let mut pools: BTreeMap<ArcStr, PreemptPool> = BTreeMap::new();
-        let mut pass = PlacementPass::default();
         let mut examined = 0;
-        for waiting in steps {
-            if waiting.rank.class != RankClass::OnTime || examined >= MAX_EXAMINED_STEPS {
+        let on_time = steps.iter().filter(|waiting| waiting.rank.class == RankClass::OnTime);
+        let mut on_time: Vec<_> = on_time.collect();
+        on_time.sort_by_key(|waiting| waiting.rank);
+        for waiting in on_time {
+            if examined >= MAX_EXAMINED_STEPS {
                 break;
             }
             let step = &waiting.spec.steps[waiting.key.step as usize];
@@ -234,7 +273,7 @@
             if !may_preempt || tasks == 0 {
                 continue;
             }
-            let allowed = self.remaining_team_tasks(&waiting.spec, step, &mut pass);
+            let allowed = self.remaining_team_tasks(&waiting.spec, step, pass);
             if allowed == 0 || (step.gang && allowed.min(tasks) < step.count) {
                 continue;
             }
@@ -244,28 +283,38 @@
                 .or_insert_with(|| self.preempt_pool(&waiting.rule.pool, config));
             let occupied = RoomAmounts::of(step.occupied_amounts());
             pool.awaited = pool.awaited.plus(occupied.times(f64::from(tasks.min(allowed))));
-            self.preempt_for_step(waiting, step, tasks.min(allowed), pool);
+            if let Some(team) = &waiting.spec.team {
+                let claims = pass.team_claims.entry(team.clone()).or_default();
+                *claims = claims.plus(step.amounts.times(u64::from(tasks.min(allowed))));
+            }
+            self.preempt_for_step(waiting, step, tasks.min(allowed), pool, pass);
+        }
+    }
+
+    /// Learns from the end of a run how long its stop took, if it was stopped to preempt it and its
+    /// worker answered all the while. A run that ended by itself says nothing about stops.
+    pub(crate) fn record_preempted_end(&mut self, end: &EndedRun) {
+        let stop = self.preempt.in_flight.get(&end.task);
+        let Some(stop) = stop.filter(|stop| stop.run == end.run && !stop.was_silent) else {
+            return;
+        };
+        if end.kind == EndKind::Stopped {
+            let ordered_ms = stop.ordered_ms;
+            self.preempt.measure_stop(ordered_ms, self.now_ms);
         }
     }
 
-    /// Forgets stops whose runs have ended, and learns how long they took.
+    /// Forgets stops whose runs have ended, and marks those on workers that do not answer.
     fn update_stops(&mut self) {
         let now = self.now_ms;
         let workers = &self.workers;
         let state = &mut self.preempt;
         state.preempted_at.retain(|_, at| now.saturating_sub(*at) < MIN_PREEMPTION_INTERVAL_MS);
-        let ended = state.in_flight.extract_if(.., |task, stop| {
-            let worker = workers.get(&stop.worker);
-            let run = worker.and_then(|worker| worker.runs.get(task));
-            run.is_none_or(|run| run.run != stop.run)
+        state.in_flight.retain(|task, stop| {
+            let Some(worker) = workers.get(&stop.worker) else { return false };
+            stop.was_silent |= worker.silent;
+            worker.runs.get(task).is_some_and(|run| run.run == stop.run)
         });
-        let mut stop_ms = state.stop_ms;
-        for (_, stop) in ended {
-            #[expect(clippy::cast_precision_loss, reason = "stops take seconds at most")]
-            let took_ms = now.saturating_sub(stop.ordered_ms) as f64;
-            stop_ms += STOP_GAIN * (took_ms - stop_ms);
-        }
-        state.stop_ms = stop_ms;
     }
 
     /// Stops runs for a step if it would be late without that, and is in time with it.
@@ -276,13 +325,14 @@
         step: &StepSpec,
         tasks: u32,
         pool: &mut PreemptPool,
+        pass: &PlacementPass,
     ) {
         let Some(slack_ms) = self.jobs.get(&waiting.key.job).map(|job| job.slack_ms(self.now_ms))
         else {
             return;
         };
         let slack_ms = slack_ms as f64;
-        let is_in_time = self.preempt.stop_ms + RESTART_MS <= slack_ms;
+        let is_in_time = self.preempt.stop_ms(self.now_ms) + RESTART_MS <= slack_ms;
         if pool.wait_ms() <= slack_ms || !is_in_time || pool.stops_left == 0 {
             return;
         }
@@ -292,7 +342,12 @@
         let before = pool.stops_left;
         let workers = step.gang.then(|| pool.workers.clone());
         for _ in 0..tasks {
-            let place = pool.take_place(names.as_deref(), amounts, waiting.rule.priority);
+            let may_take = |name: &WorkerName| {
+                let beside = places.iter().filter(|(other, _)| other == name).count();
+                names.as_ref().is_none_or(|names| names.binary_search(name).is_ok())
+                    && self.may_place_on(name, waiting, step, beside, pass)
+            };
+            let place = pool.take_place(may_take, amounts, waiting.rule.priority);
             let Some(place) = place else { break };
             places.push(place);
         }
@@ -309,6 +364,7 @@
                     pool: waiting.rule.pool.clone(),
                     run: victim.run,
                     ordered_ms: self.now_ms,
+                    was_silent: false,
                 };
                 self.preempt.preempted_at.insert(victim.task.clone(), self.now_ms);
                 self.preempt.in_flight.insert(victim.task.clone(), order);
@@ -317,6 +373,30 @@
         }
     }
 
+    /// Returns whether a task of a step could start on a worker with enough free capacity, beside
+    /// `placed` tasks of the step that are to start there.
+    fn may_place_on(
+        &self,
+        name: &WorkerName,
+        waiting: &WaitingStep<'_>,
+        step: &StepSpec,
+        placed: usize,
+        pass: &PlacementPass,
+    ) -> bool {
+        let key = &waiting.key;
+        let is_own = || pass.own_reserved.get(key).is_some_and(|names| names.contains(name));
+        if pass.reserved.contains(name) && !is_own() {
+            return false;
+        }
+        if step.label.is_none() && step.max_per_worker == 0 {
+            return true;
+        }
+        let Some(worker) = self.workers.get(name) else { return false };
+        let here = worker.runs.keys().filter(|task| task.step == *key).count() + placed;
+        let has_place = step.max_per_worker == 0 || here < step.max_per_worker as usize;
+        has_place && capacity::is_suitable(step, waiting.rule, worker)
+    }
+
     /// Returns the workers for which a step holds a ticket that is valid until a stop has ended, in
     /// the order of their names.
     #[expect(
@@ -325,7 +405,7 @@
         reason = "stops take seconds at most"
     )]
     fn ticket_workers(&self, key: &StepKey) -> Vec<WorkerName> {
-        let needed_ms = self.now_ms + (self.preempt.stop_ms + RESTART_MS) as u64;
+        let needed_ms = self.now_ms + (self.preempt.stop_ms(self.now_ms) + RESTART_MS) as u64;
         let eligible = self.step_state(key).into_iter().flat_map(|state| &state.advice.eligible);
         let valid = eligible.filter(|(_, ticket)| ticket.expires_ms > needed_ms);
         valid.map(|(name, _)| name.clone()).collect()
@@ -403,7 +483,7 @@
         // What a resumed run had done before is not known, so its work counts from its start.
         let elapsed_ms = self.now_ms.saturating_sub(run.started_ms?) as f64;
         let remaining_ms = expected_ms - elapsed_ms;
-        let lost_ms = self.preempt.stop_ms + RESTORE_MS;
+        let lost_ms = self.preempt.stop_ms(self.now_ms) + RESTORE_MS;
         (may_stop && remaining_ms >= MIN_REMAINING_FACTOR * lost_ms).then(|| Victim {
             task: task.clone(),
             run: run.run,
@@ -447,13 +527,21 @@
         if pool.wait_ms() <= slack_ms {
             return none(PreemptionVerdict::InTimeWithout);
         }
-        if self.preempt.stop_ms + RESTART_MS > slack_ms {
+        if self.preempt.stop_ms(self.now_ms) + RESTART_MS > slack_ms {
             return none(PreemptionVerdict::TooLate);
         }
         let examined = tasks.min(MAX_EXPLAINED_TASKS);
-        let places: Vec<_> = (0..examined)
-            .map_while(|_| pool.take_place(None, amounts, waiting.rule.priority))
-            .collect();
+        let pass = PlacementPass::default();
+        let mut places: Vec<PreemptPlace> = Vec::new();
+        for _ in 0..examined {
+            let may_take = |name: &WorkerName| {
+                let beside = places.iter().filter(|(other, _)| other == name).count();
+                self.may_place_on(name, waiting, step, beside, &pass)
+            };
+            let place = pool.take_place(may_take, amounts, waiting.rule.priority);
+            let Some(place) = place else { break };
+            places.push(place);
+        }
         let is_whole = !step.gang || places.len() >= step.count as usize;
         let runs: Vec<_> = places
             .into_iter()
--- a/crates/plan/src/room.rs
+++ b/crates/plan/src/room.rs
@@ -5,7 +5,7 @@
 //! computed once in a decision, in the order of the ranks, so that a question about one more job
 //! is a binary search (docs/design/insufficient-capacity.md).
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use arcstr::ArcStr;
 use model::name::{JobId, QueueName, TeamName};
@@ -676,12 +676,12 @@
         }
         let mut pools: BTreeMap<ArcStr, PoolForecast> = BTreeMap::new();
         let mut allowed: BTreeMap<TeamName, RoomAmounts> = BTreeMap::new();
-        let mut last_job: Option<&JobId> = None;
+        // Steps of a job need not be neighbours: some are moved to the front.
+        let mut seen_jobs: HashSet<&JobId> = HashSet::with_capacity(steps.len());
         for step in steps {
-            if step.is_unservable || last_job == Some(&step.key.job) {
+            if step.is_unservable || !seen_jobs.insert(&step.key.job) {
                 continue;
             }
-            last_job = Some(&step.key.job);
             let Some(job) = self.jobs.get(&step.key.job) else { continue };
             let pool = pools.entry(step.rule.pool.clone());
             let pool = pool.or_insert_with(|| self.measure_pool(&step.rule.pool));
@@ -739,10 +739,12 @@
 
     /// Measures the capacity of a pool, its use and the rate at which it becomes free.
     ///
-    /// A worker that is silent, draining or not registered any more frees nothing; one that has not
-    /// reported since a takeover counts as busy.
+    /// A worker that is silent, draining or not registered any more frees nothing. One that has not
+    /// reported since a takeover, is quarantined or held counts as busy, but frees no capacity that
+    /// could be used.
     fn measure_pool(&self, name: &ArcStr) -> PoolForecast {
         let mut pool = PoolForecast::default();
+        let (mut usable, mut freeing) = (RoomAmounts::default(), RoomAmounts::default());
         for worker in self.workers.values().filter(|worker| worker.info.pool == *name) {
             let is_out = self.config.domains_out.contains(&worker.info.domain);
             if worker.silent || worker.deregistered || worker.info.draining || is_out {
@@ -754,12 +756,14 @@
             let used = if is_known { RoomAmounts::of(worker.occupied) } else { capacity };
             pool.used = pool.used.plus(used);
             if is_known {
+                usable = usable.plus(capacity);
+                freeing = freeing.plus(used);
                 pool.largest_free = pool.largest_free.max(worker.free());
             }
         }
         let efficiency = self.room.efficiency.get(name).copied().unwrap_or_default();
         let efficiency = efficiency.efficiency(self.now_ms);
-        pool.rate = pool.used.max(pool.capacity.times(BUSY_SHARE)).times(efficiency);
+        pool.rate = freeing.max(usable.times(BUSY_SHARE)).times(efficiency);
         let arrivals = self.room.arrivals.iter().filter(|((pool, _), _)| pool == name);
         let since_ms = self.room.first_decision_ms.unwrap_or(self.now_ms);
         pool.arrivals = arrivals
--- a/crates/plan/tests/preempt.rs
+++ b/crates/plan/tests/preempt.rs
@@ -195,6 +195,112 @@
     assert!(orders.iter().all(|order| allowed.contains(&order.worker)));
 }
 
+/// Guards against preemption that is switched off for good by stops that take long: on a silent
+/// worker, of a run that ends by itself, or on one slow worker.
+#[test]
+fn slow_stops_do_not_switch_preemption_off() {
+    for (name, kind, is_silent, took_ms) in [
+        ("ended by itself", EndKind::Lapsed, false, 20_000),
+        ("silent", EndKind::Stopped, true, 20_000),
+        ("slow", EndKind::Stopped, false, 20_000),
+        ("all slow", EndKind::Stopped, false, 1_400),
+    ] {
+        let mut fixture = idle_fixture(4, true);
+        let long = StepSpec { estimate_ms: 900_000, ..long_step(4) };
+        fixture.add(job("long", "batch", vec![long]));
+        let mut running = fixture.run_starts(StartAnswer::Started);
+        // A job of 500 ms can wait for 1.5 s, of which the new start takes 0.1 s.
+        let urgent = StepSpec { estimate_ms: 500, ..urgent_step(8) };
+        fixture.add(job("first", "urgent", vec![urgent.clone()]));
+        let orders = preempted(fixture.decide());
+        assert_eq!(orders.len(), 8, "{name}");
+        if is_silent {
+            for silent in [true, false] {
+                for order in &orders {
+                    fixture.planner.set_silent(&order.worker, silent);
+                }
+                fixture.decide();
+            }
+        }
+        fixture.now_ms += took_ms;
+        fixture.planner.cancel_job(&"first".into());
+        for (number, order) in (1..).zip(&orders) {
+            running.retain(|start| start.task != order.task);
+            let present = running.iter().filter(|start| start.worker == order.worker);
+            let present = present.map(support::present_run).collect();
+            let (task, run) = (order.task.clone(), order.run);
+            let ended = EndedRun { number, task, run, kind, saved: SAVED.into() };
+            fixture.report(&order.worker, present, vec![ended]);
+        }
+        fixture.run_starts(StartAnswer::Started);
+        // The initial value counts again after some of the time constants of 5 s.
+        fixture.now_ms += if took_ms < 20_000 { 25_000 } else { 100 };
+        fixture.decide();
+        fixture.add(job("second", "urgent", vec![StepSpec { count: 16, ..urgent }]));
+        assert!(!preempted(fixture.decide()).is_empty(), "{name}");
+    }
+}
+
+/// Guards against urgent work that is not examined because a late gang goes first, which could not
+/// use its answers.
+#[test]
+fn a_late_gang_at_the_front_does_not_keep_others_from_preemption() {
+    let mut fixture = idle_fixture(4, true);
+    fixture.add(job("long", "batch", vec![StepSpec { count: 14, ..long_step(4) }]));
+    fixture.run_starts(StartAnswer::Started);
+    fixture.add(job("gang", "asked", vec![StepSpec { gang: true, ..urgent_step(2) }]));
+    let request = support::advice_requests(fixture.decide()).remove(0);
+    fixture.add(job("rest", "batch", vec![StepSpec { count: 2, ..long_step(4) }]));
+    assert_eq!(fixture.run_starts(StartAnswer::Started).len(), 2);
+    for _ in 0..2 {
+        fixture.advise(&request, &request.workers);
+    }
+    fixture.now_ms += 3_000;
+    fixture.add(job("urgent", "urgent", vec![urgent_step(9)]));
+    assert!(!preempted(fixture.decide()).is_empty());
+}
+
+/// Guards against stops on workers that lack the label of the urgent step, or where its limit of
+/// tasks on a worker is reached.
+#[test]
+fn only_workers_where_the_step_may_start_are_considered() {
+    let labelled = StepSpec { label: Some("r1".into()), ..urgent_step(8) };
+    let spread = StepSpec { max_per_worker: 1, ..urgent_step(8) };
+    for (name, step, expected) in [("label", labelled, 8), ("limit", spread, 4)] {
+        let (mut fixture, _) = full_fixture("batch", long_step(4), true);
+        fixture.add(job("urgent", "urgent", vec![step]));
+        let orders = preempted(fixture.decide());
+        assert_eq!(orders.len(), expected, "{name}");
+        let mut counts: BTreeMap<WorkerName, usize> = BTreeMap::new();
+        for order in &orders {
+            *counts.entry(order.worker.clone()).or_default() += 1;
+        }
+        let rack = [worker(2).name, worker(3).name];
+        let is_allowed = |(worker, count): (&WorkerName, &usize)| match name {
+            "label" => rack.contains(worker),
+            _ => *count == 1,
+        };
+        assert!(counts.iter().all(is_allowed), "{name}: {counts:?}");
+    }
+}
+
+/// Guards against stops for steps of a team whose limit the steps before them use up.
+#[test]
+fn the_limit_of_a_team_counts_for_its_steps_together() {
+    let (mut fixture, _) = full_fixture("batch", long_step(4), true);
+    let mut config = preempt_config();
+    let limit = cpu(WORKER_CPU);
+    let limit = ResourceAmounts { memory_mb: 100_000, ..limit };
+    config.teams.insert("limited".into(), TeamRule { weight: 100, limit });
+    fixture.planner.set_config(Arc::new(config));
+    for index in 0..2 {
+        let team = Some(TeamName::from("limited"));
+        let spec = job(&format!("urgent{index}"), "urgent", vec![urgent_step(4)]);
+        fixture.add(JobSpec { team, ..spec });
+    }
+    assert_eq!(preempted(fixture.decide()).len(), 4, "the limit is one worker");
+}
+
 /// Guards against a wave of urgent work that stops the whole fleet at once, and against tasks that
 /// are stopped again and again.
 #[test]
