Count the stops of a stalled gang once, and judge beside live evidence only

Cause: each member that stalled on one worker counted towards the bound of three stops, so that three members on one hanging worker used it up and the gang was never judged again. A run that had used up its stops stayed marked, and a waiting member of a gang beside it was stopped. A late report was skipped whole, and the idle mark from before it stayed.

Change: of the members that are stopped together, one counts. A run without stops left is no evidence against its neighbours. A late report clears the marks of its worker.

Evidence: three new tests in crates/plan/tests/stall.rs fail before and pass now; 130 tests of the crate pass.

--- a/crates/plan/src/stall.rs
+++ b/crates/plan/src/stall.rs
@@ -35,8 +35,8 @@
 const MEASUREMENT_VALID_MS: u64 = 10_000;
 /// Speed of a run that is not held back, in per cent.
 const FULL_SPEED_PERCENT: u32 = 100;
-/// Runs of one task, or of one gang, that are stopped as stalled. A task that uses no processor
-/// on three workers works that way, and would otherwise never end.
+/// Stops of one task, or of one gang, as stalled. A task that uses no processor on three workers
+/// works that way, and would otherwise never end.
 const MAX_STALLED_RUNS: u32 = 3;
 /// Jobs with a stalled run on a worker, without a success in between, after which it gets no
 /// starts.
@@ -78,14 +78,22 @@
         report: &RunReport,
         sent_ms: u64,
     ) {
-        let is_late = self.now_ms.saturating_sub(sent_ms) > MAX_REPORT_AGE_MS;
-        if !self.options.features.early_moves || is_late {
+        if !self.options.features.early_moves {
+            return;
+        }
+        if self.now_ms.saturating_sub(sent_ms) > MAX_REPORT_AGE_MS {
+            // The report may have shown the runs at work since they were marked.
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.idle_runs.clear();
+            }
             return;
         }
         self.record_processor_use(name, report);
         let stalled = self.find_stalled_runs(name, report);
-        for task in &stalled {
-            self.record_stall(name, task);
+        for (index, task) in stalled.iter().enumerate() {
+            let is_first_of_step = stalled[..index].iter().all(|other| other.step != task.step);
+            let is_counted = is_first_of_step || !self.is_gang(&task.step);
+            self.record_stall(name, task, is_counted);
         }
         for task in &stalled {
             self.stop_run(name, task, STOP_REASON);
@@ -133,18 +141,23 @@
             });
             worker.idle_runs.insert(present.task.clone(), mark);
         }
+        let Some(worker) = self.workers.get(name) else { return Vec::new() };
         let used_ms = self.stalls.used_ms.get(&worker.info.pool);
         if used_ms.is_none_or(|used_ms| now > used_ms + MEASUREMENT_VALID_MS) {
             return Vec::new();
         }
         let idle = || worker.idle_runs.iter().filter(|(_, mark)| mark.is_long(now));
-        // A run that may wait is judged only beside a run of another job that should not.
+        let is_judged = |task: &TaskKey| self.stalled_runs(task) < MAX_STALLED_RUNS;
+        // A run that may wait is judged only beside a run of another job that should not. One that
+        // has used up its stops works without the processor, and is no sign of a hanging worker.
         let is_beside_stalled = |task: &TaskKey| {
-            idle().any(|(other, mark)| other.step.job != task.step.job && !mark.may_wait)
+            idle().any(|(other, mark)| {
+                other.step.job != task.step.job && !mark.may_wait && is_judged(other)
+            })
         };
-        let stalled = idle().filter(|(task, mark)| !mark.may_wait || is_beside_stalled(task));
-        let tasks: Vec<_> = stalled.map(|(task, _)| task.clone()).collect();
-        tasks.into_iter().filter(|task| self.stalled_runs(task) < MAX_STALLED_RUNS).collect()
+        let stalled = idle()
+            .filter(|(task, mark)| is_judged(task) && (!mark.may_wait || is_beside_stalled(task)));
+        stalled.map(|(task, _)| task.clone()).collect()
     }
 
     /// Returns whether a present run should be at work and used no processor time.
@@ -168,8 +181,11 @@
     /// Returns whether a run may be idle because it waits for other members of its gang.
     fn may_wait(&self, name: &WorkerName, task: &TaskKey) -> bool {
         let run = self.workers.get(name).and_then(|worker| worker.runs.get(task));
-        self.step_spec(&task.step).is_some_and(|spec| spec.gang)
-            && run.is_none_or(|run| run.was_busy)
+        self.is_gang(&task.step) && run.is_none_or(|run| run.was_busy)
+    }
+
+    fn is_gang(&self, key: &StepKey) -> bool {
+        self.step_spec(key).is_some_and(|spec| spec.gang)
     }
 
     /// Returns whether the run of every member of a gang should be at work.
@@ -191,20 +207,23 @@
             && since_ms.is_some_and(|since_ms| self.now_ms >= since_ms + grace_ms)
     }
 
-    /// Returns how many runs of a task, or of its gang, were stopped as stalled.
+    /// Returns how often a task, or its gang, was stopped as stalled.
     fn stalled_runs(&self, task: &TaskKey) -> u32 {
         let Some(state) = self.step_state(&task.step) else { return 0 };
-        if self.step_spec(&task.step).is_some_and(|spec| spec.gang) {
+        if self.is_gang(&task.step) {
             return state.tasks.iter().map(|task| task.stalled_runs).sum();
         }
         state.tasks.get(task.index as usize).map_or(0, |task| task.stalled_runs)
     }
 
-    /// Counts a stalled run of a task, which prefers other workers for its next one.
-    fn record_stall(&mut self, name: &WorkerName, task: &TaskKey) {
+    /// Records a stalled run of a task, which prefers other workers for its next one.
+    ///
+    /// The run counts towards the bound of stops if `is_counted`: of the members of a gang that are
+    /// stopped together, one does.
+    fn record_stall(&mut self, name: &WorkerName, task: &TaskKey, is_counted: bool) {
         let is_blamed = !self.is_gang_idle_elsewhere(name, task);
         let Some(state) = self.task_mut(task) else { return };
-        state.stalled_runs += 1;
+        state.stalled_runs += u32::from(is_counted);
         if is_blamed {
             if !state.avoided.contains(name) {
                 state.avoided.push(name.clone());
@@ -217,7 +236,7 @@
     /// which of them holds up the others.
     fn is_gang_idle_elsewhere(&self, name: &WorkerName, task: &TaskKey) -> bool {
         let Some(state) = self.step_state(&task.step) else { return false };
-        if !self.step_spec(&task.step).is_some_and(|spec| spec.gang) {
+        if !self.is_gang(&task.step) {
             return false;
         }
         (0_u32..).zip(&state.tasks).any(|(index, member)| {
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -89,7 +89,8 @@
     pub(crate) runs: SmallVec<[(WorkerName, u32); 1]>,
     /// Workers on which a run failed; others are preferred for the next run.
     pub(crate) avoided: SmallVec<[WorkerName; 2]>,
-    /// Number of runs that were stopped as stalled.
+    /// Number of runs that were stopped as stalled; members of a gang that are stopped together
+    /// count as one run, which is that of one of them.
     pub(crate) stalled_runs: u32,
 }
 
--- a/crates/plan/tests/stall.rs
+++ b/crates/plan/tests/stall.rs
@@ -5,9 +5,11 @@
 
 use plan::decision::{StartOrder, StopOrder};
 use plan::job::StepSpec;
-use plan::worker::{EndKind, PresentRun, StartAnswer};
+use plan::worker::{EndKind, PresentRun, RunReport, StartAnswer};
 use std::collections::BTreeSet;
-use support::{PlannerFixture, WORKER_CPU, config, cpu, job, present_run, step, stops, task};
+use support::{
+    INCARNATION, PlannerFixture, WORKER_CPU, config, cpu, job, present_run, step, stops, task,
+};
 
 /// Time after a start from which its run is judged, in milliseconds.
 const GRACE_MS: u64 = 1_000;
@@ -162,3 +164,60 @@
     report_after(&mut fixture, 900, &beside, idle);
     assert_eq!(report_after(&mut fixture, 900, &beside, idle).len(), 4);
 }
+
+/// Guards against a gang that is never judged again because several members stalled on one worker:
+/// they are one stop of the three that a gang may have.
+#[test]
+fn members_that_stall_together_count_once() {
+    let (mut fixture, mut orders) =
+        start([StepSpec { gang: true, ..step(3, cpu(WORKER_CPU / 4)) }]);
+    for stops in [3, 3, 3, 0] {
+        assert!(orders.iter().all(|order| order.worker == orders[0].worker), "they share a worker");
+        assert!(report_after(&mut fixture, GRACE_MS, &orders, idle).is_empty(), "one report");
+        assert_eq!(report_after(&mut fixture, 900, &orders, idle).len(), stops);
+        if stops > 0 {
+            for order in &orders {
+                fixture.end(order, EndKind::Stopped);
+            }
+            orders = fixture.run_starts(StartAnswer::Started);
+        }
+    }
+}
+
+/// Guards against a gang that is stopped beside a run that works without the processor, as its
+/// three stops have shown: that one is no sign of a worker that hangs.
+#[test]
+fn a_waiting_member_is_not_judged_beside_a_run_that_is_left_alone() {
+    let (mut fixture, mut orders) = start([step(1, cpu(1_000))]);
+    for _ in 0..3 {
+        report_after(&mut fixture, GRACE_MS, &orders, idle);
+        assert_eq!(report_after(&mut fixture, 900, &orders, idle).len(), 1);
+        fixture.end(&orders[0], EndKind::Stopped);
+        orders = fixture.run_starts(StartAnswer::Started);
+    }
+    fixture.add(job("gang", "normal", vec![StepSpec { gang: true, ..step(2, cpu(1_000)) }]));
+    orders.extend(fixture.run_starts(StartAnswer::Started));
+    assert!(orders.iter().all(|order| order.worker == orders[0].worker), "they share a worker");
+    let members_work =
+        |run: PresentRun| if run.task.step.job.as_str() == "gang" { at_work(run) } else { run };
+    assert!(report_after(&mut fixture, GRACE_MS, &orders, members_work).is_empty());
+    for _ in 0..3 {
+        assert!(report_after(&mut fixture, 900, &orders, idle).is_empty());
+    }
+}
+
+/// Guards against a run that is stopped although a late report, which is no evidence of an idle
+/// run, has shown it at work since the first idle report.
+#[test]
+fn a_late_report_ends_what_was_seen_before() {
+    let (mut fixture, orders) = start([step(1, cpu(1_000))]);
+    assert!(report_after(&mut fixture, GRACE_MS, &orders, idle).is_empty());
+    let sent_ms = fixture.now_ms + 100;
+    fixture.now_ms += 2_600;
+    let running = vec![at_work(present_run(&orders[0]))];
+    let late =
+        RunReport { incarnation: INCARNATION, running, ended: Vec::new(), is_partial: false };
+    fixture.planner.apply_report(&orders[0].worker, &late, sent_ms, fixture.now_ms);
+    assert!(report_after(&mut fixture, 100, &orders, idle).is_empty(), "one report");
+    assert_eq!(report_after(&mut fixture, 900, &orders, idle).len(), 1);
+}
