Expect the ends of runs on leaving workers at the speeds of these workers

Cause: the expected work of a run, at the usual speed, was compared with the time that it had lasted on its own worker. A run without saved progress that had lasted longer than expected counted as one that surely cannot end.

Change: expected work is divided by the speed of the worker, or of the slowest member of a gang. An overdue run without saved progress is not stopped.

Evidence: two new tests in crates/plan/tests/drain.rs fail before and pass now; 132 tests of the crate pass.

--- a/crates/plan/src/drain.rs
+++ b/crates/plan/src/drain.rs
@@ -10,7 +10,7 @@
 
 use crate::job::TaskKey;
 use crate::planner::Planner;
-use crate::state::{RunPhase, RunState};
+use crate::state::{RunPhase, RunState, WorkerState};
 
 /// Reason of stop orders for runs that are moved off a worker which leaves.
 pub const STOP_REASON: &str = "worker-leaves";
@@ -144,7 +144,8 @@
                 continue;
             }
             let running = worker.runs.iter().filter(|(_, run)| run.phase == RunPhase::Running);
-            moves.extend(running.filter_map(|(task, run)| self.early_move(name, span, task, run)));
+            moves
+                .extend(running.filter_map(|(task, run)| self.early_move(worker, span, task, run)));
         }
         moves
     }
@@ -153,11 +154,12 @@
     ///
     /// A run that saves its progress loses nothing by a stop. It uses the worker for as long as
     /// the stop is in time, and stays if it surely ends. One that starts from zero elsewhere is
-    /// moved only if it surely cannot end, and then at once.
+    /// moved only if it surely cannot end, and then at once. Past its expected end it may end at any
+    /// time.
     #[expect(clippy::cast_precision_loss, reason = "times are far below 2^53 ms")]
     fn early_move(
         &self,
-        name: &WorkerName,
+        worker: &WorkerState,
         span: DepartureSpan,
         task: &TaskKey,
         run: &RunState,
@@ -170,30 +172,38 @@
         let now = self.now_ms;
         let elapsed_ms =
             run.started_ms.or(run.confirmed_ms).map_or(0, |since| now.saturating_sub(since));
+        let speed = if step.gang { self.gang_speed(&task.step) } else { worker.speed.factor };
         let work_ms = self.durations.expected_ms(&job.spec.queue, step.estimate_ms);
-        let left_ms = expected_remaining_ms(work_ms, run, elapsed_ms);
+        let expected_ms = expected_duration_ms(work_ms / speed, run);
+        let left_ms = expected_remaining_ms(expected_ms, elapsed_ms);
+        let is_overdue = elapsed_ms as f64 > expected_ms;
         let is_moved = if step.checkpoint {
             let surely_ended_ms = now as f64 + left_ms * SURE_END_FACTOR + REPORT_DELAY_MS;
             now + STOP_LEAD_MS >= span.earliest_ms && surely_ended_ms > span.earliest_ms as f64
         } else {
-            now as f64 + left_ms * SURE_WORK_FACTOR > span.latest_ms as f64
+            !is_overdue && now as f64 + left_ms * SURE_WORK_FACTOR > span.latest_ms as f64
         };
         let priority =
             self.config.queues.get(&job.spec.queue).map_or(u32::MAX, |rule| rule.priority);
         is_moved.then(|| EarlyMove {
             priority,
             elapsed_ms,
-            worker: name.clone(),
+            worker: worker.info.name.clone(),
             task: task.clone(),
         })
     }
 }
 
-/// Returns the expected time until a run ends that has lasted for `elapsed_ms`, in milliseconds.
-/// Runs of its kind take `work_ms`.
+/// Returns the expected duration of a run, in milliseconds. Runs of its kind that start from the
+/// beginning take `whole_ms` on its worker.
+fn expected_duration_ms(whole_ms: f64, run: &RunState) -> f64 {
+    if run.is_resumed { whole_ms * RESUMED_PART } else { whole_ms }
+}
+
+/// Returns the expected time until a run ends that has lasted for `elapsed_ms` of the expected
+/// duration, in milliseconds.
 #[expect(clippy::cast_precision_loss, reason = "times are far below 2^53 ms")]
-fn expected_remaining_ms(work_ms: f64, run: &RunState, elapsed_ms: u64) -> f64 {
-    let part = if run.is_resumed { RESUMED_PART } else { 1.0 };
+fn expected_remaining_ms(expected_ms: f64, elapsed_ms: u64) -> f64 {
     let elapsed_ms = elapsed_ms as f64;
-    (work_ms * part - elapsed_ms).max(elapsed_ms * OVERDUE_FACTOR)
+    (expected_ms - elapsed_ms).max(elapsed_ms * OVERDUE_FACTOR)
 }
--- a/crates/plan/src/duration.rs
+++ b/crates/plan/src/duration.rs
@@ -127,7 +127,7 @@
     }
 
     /// Returns the speed of the slowest worker that runs a member of a gang.
-    fn gang_speed(&self, key: &StepKey) -> f64 {
+    pub(crate) fn gang_speed(&self, key: &StepKey) -> f64 {
         let tasks = self.step_state(key).into_iter().flat_map(|state| &state.tasks);
         let workers =
             tasks.flat_map(|task| &task.runs).filter_map(|(name, _)| self.workers.get(name));
--- a/crates/plan/tests/drain.rs
+++ b/crates/plan/tests/drain.rs
@@ -103,6 +103,37 @@
     assert_eq!(ids, ["urgent", "batch"]);
 }
 
+/// Guards against expectations that ignore the worker's speed: a slow worker does not end a run that
+/// a usual one surely ends, and a quick one may end what a usual one cannot.
+#[test]
+fn the_expected_end_follows_the_speed_of_the_worker() {
+    for (per_mille, estimate_ms, checkpoint, notice_ms, expected) in [
+        (1_000, 1_000, true, 2_500, 0),
+        (250, 1_000, true, 2_500, 1),
+        (1_000, 20_000, false, 5_500, 1),
+        (4_000, 20_000, false, 5_500, 0),
+    ] {
+        let mut fixture = PlannerFixture::new(1, config());
+        fixture.planner.restore_speeds(&[(worker(0).name, per_mille)].into());
+        fixture.add(timed_job("j", "normal", 1, estimate_ms, checkpoint));
+        assert_eq!(fixture.run_starts(StartAnswer::Started).len(), 1);
+        drain(&mut fixture, notice_ms);
+        let ordered = stops_within(&mut fixture, 900);
+        assert_eq!(ordered.len(), expected, "{per_mille} {estimate_ms}: {ordered:?}");
+    }
+}
+
+/// Guards against the loss of a run that saves nothing and has lasted longer than expected: it may
+/// end at any time.
+#[test]
+fn an_overdue_run_that_saves_nothing_stays() {
+    let mut fixture = start(2, timed_job("j", "normal", 1, 1_000, false));
+    fixture.now_ms += 20_000;
+    drain(&mut fixture, 2_500);
+    let ordered = stops_within(&mut fixture, 2_500);
+    assert!(ordered.is_empty(), "{ordered:?}");
+}
+
 /// Guards against deadlines that jump: heartbeats of a draining worker are read after different
 /// delays, and a configuration applies the last one again. None of them is a change.
 #[test]
