Learn speeds from registered workers only, and restore them as parts of the fleet

Cause: the runs of a step on workers that were gone when its work became known created estimates that nothing removed. After a restore only unusual workers have estimates, and both the share of quick workers and the median were taken from these; the share was computed for each restored worker, which is quadratic.

Change: runs on workers that are gone are left out. The share of quick workers is that of the registered ones, computed once after a restore. After a restore, workers without an estimate count as usual in the median.

Evidence: three new tests in crates/plan/tests/speed.rs fail before and pass now; 135 tests of the crate pass.

--- a/crates/plan/src/speed.rs
+++ b/crates/plan/src/speed.rs
@@ -190,6 +190,8 @@
     spread: f64,
     /// Whether the estimates differ by more than chance explains.
     is_uneven: bool,
+    /// Whether estimates of an earlier owner were restored, which are those of unusual workers.
+    is_restored: bool,
     /// Runs since the usual speed was last corrected.
     unshifted_runs: usize,
     /// Factor of the quick workers, if there are enough of them; otherwise 1.0.
@@ -211,6 +213,7 @@
             quick_workers: 0,
             spread: INITIAL_SPREAD,
             is_uneven: false,
+            is_restored: false,
             unshifted_runs: 0,
             quick_factor: 1.0,
             changes: SpeedChanges::default(),
@@ -332,19 +335,19 @@
         self.record_class(worker, before);
     }
 
-    /// Corrects the usual speed to that of the median worker, once there were more runs than
-    /// workers since the last time; returns whether speeds may have changed.
+    /// Corrects the usual speed to that of the median of the registered workers, once there were
+    /// more runs than estimates since the last time; returns whether speeds may have changed.
     ///
     /// Runs only tell workers from each other. This ties the speeds to the fleet, and takes a
     /// constant time for each run.
-    pub(crate) fn shift_usual_speed(&mut self) -> bool {
+    pub(crate) fn shift_usual_speed(&mut self, registered_workers: usize) -> bool {
         if self.unshifted_runs < MIN_RUNS_BETWEEN_SHIFTS.max(self.estimates.len()) {
             return false;
         }
         self.unshifted_runs = 0;
         self.compare_estimates();
-        self.shift_to_median();
-        self.update_quick_factor();
+        self.shift_to_median(registered_workers);
+        self.update_quick_factor(registered_workers);
         true
     }
 
@@ -366,10 +369,18 @@
         self.is_uneven = distance > UNEVEN_DISTANCE * standard_error;
     }
 
-    fn shift_to_median(&mut self) {
+    /// Corrects the usual speed to that of the median worker.
+    ///
+    /// After a restore, only unusual workers have estimates, and those without one count as usual.
+    /// Otherwise the workers with estimates are any part of the fleet, and their median is its own.
+    fn shift_to_median(&mut self, registered_workers: usize) {
         let known = self.estimates.values().filter(|estimate| estimate.confidence >= 1.0);
         self.scratch.clear();
         self.scratch.extend(known.map(|estimate| estimate.log_speed));
+        if self.is_restored {
+            let unknown_workers = registered_workers.saturating_sub(self.estimates.len());
+            self.scratch.extend(std::iter::repeat_n(0.0, unknown_workers));
+        }
         if self.scratch.is_empty() {
             return;
         }
@@ -388,9 +399,11 @@
         }
     }
 
+    /// Finds out whether waiting work can count on a quick worker. A worker without an estimate
+    /// counts as usual.
     #[expect(clippy::cast_precision_loss, reason = "fleets have thousands of workers")]
-    fn update_quick_factor(&mut self) {
-        let is_common = self.quick_workers * QUICK_SHARE_DIVISOR >= self.estimates.len().max(1);
+    pub(crate) fn update_quick_factor(&mut self, registered_workers: usize) {
+        let is_common = self.quick_workers * QUICK_SHARE_DIVISOR >= registered_workers.max(1);
         let quick = self.estimates.values().filter(|estimate| estimate.class == SpeedClass::Quick);
         let sum: f64 = quick.map(|estimate| estimate.log_speed).sum();
         self.quick_factor = if is_common { (sum / self.quick_workers as f64).exp() } else { 1.0 };
@@ -472,7 +485,8 @@
     }
 
     /// Takes over an exported factor of a worker of which nothing is known yet, with little
-    /// confidence. A factor that no worker can have is ignored.
+    /// confidence. A factor that no worker can have is ignored. [`Self::quick_factor`] stays until
+    /// all are restored and it is updated.
     pub fn restore(&mut self, worker: &WorkerName, per_mille: u32) {
         if !RESTORABLE_PER_MILLE.contains(&per_mille) || self.estimates.contains_key(worker) {
             return;
@@ -489,7 +503,7 @@
         (estimate.log_speed, estimate.confidence) = (log_speed, KEPT_CONFIDENCE);
         estimate.class = class;
         self.count_change(SpeedClass::Usual, class);
-        self.update_quick_factor();
+        self.is_restored = true;
     }
 }
 
--- a/crates/plan/src/suitability.rs
+++ b/crates/plan/src/suitability.rs
@@ -150,13 +150,16 @@
             return;
         }
         let mut runs = std::mem::take(&mut state.work.ended);
-        let ended = runs.len();
         let others = state.tasks.iter().zip(0_u32..).filter(|(_, index)| *index != task.index);
         let present =
             others.filter(|(task, _)| !task.done).filter_map(|(task, _)| task.runs.first());
-        runs.extend(
-            present.map(|(name, _)| RunTime { worker: name.clone(), log_ms: f64::INFINITY }),
-        );
+        let present: Vec<_> = present
+            .map(|(name, _)| RunTime { worker: name.clone(), log_ms: f64::INFINITY })
+            .collect();
+        // Estimates of workers that are gone would never be removed.
+        runs.retain(|run| self.workers.contains_key(&run.worker));
+        let ended = runs.len();
+        runs.extend(present);
         let is_single = runs.iter().all(|run| run.worker == *worker);
         let log_work = self.speeds.record_step(&runs);
         if is_single && self.durations.has_runs(queue) {
@@ -188,6 +191,7 @@
                 self.apply_speed(name);
             }
         }
+        self.speeds.update_quick_factor(self.workers.len());
     }
 
     /// Returns the learned speeds of the workers.
@@ -221,7 +225,7 @@
 
     /// Corrects the usual speed from time to time, and copies all speeds if it has changed.
     fn apply_usual_speed(&mut self) {
-        if self.speeds.shift_usual_speed() {
+        if self.speeds.shift_usual_speed(self.workers.len()) {
             for (name, worker) in &mut self.workers {
                 worker.speed = self.speeds.worker_speed(name);
             }
--- a/crates/plan/tests/speed.rs
+++ b/crates/plan/tests/speed.rs
@@ -16,7 +16,7 @@
 use plan::planner::{Planner, PlannerOptions};
 use plan::speed::{SpeedClass, SpeedTable};
 use plan::worker::{EndKind, StartAnswer, WorkerInfo};
-use support::{PlannerFixture, advice_requests, config, cpu, job, rule, step, worker};
+use support::{PlannerFixture, WORKER_CPU, advice_requests, config, cpu, job, rule, step, worker};
 
 /// Workers of the replayed fleet, a third of that of the deployment; the load is a third as well.
 const WORKERS: usize = 350;
@@ -409,6 +409,58 @@
     }
 }
 
+/// Guards against estimates of workers that are gone, which nothing removes: the runs of a step that
+/// ended there are kept until its work is known.
+#[test]
+fn workers_that_are_gone_get_no_estimates() {
+    let mut fixture = PlannerFixture::new(3, config());
+    fixture.add(job("j", "normal", vec![step(24, cpu(WORKER_CPU / 8))]));
+    let orders = fixture.run_starts(StartAnswer::Started);
+    let gone = orders[0].worker.clone();
+    let start_ms = fixture.now_ms;
+    let end_ms = |order: &StartOrder| start_ms + if order.worker == gone { 200 } else { 2_000 };
+    let mut running: Vec<_> = orders.iter().map(|order| (end_ms(order), order.clone())).collect();
+    fixture.now_ms = start_ms + 200;
+    fixture.end_due_runs(&mut running);
+    assert_eq!(running.len(), 16);
+    fixture.planner.deregister_worker(&gone);
+    fixture.now_ms = start_ms + 2_000;
+    fixture.end_due_runs(&mut running);
+    assert_eq!(fixture.planner.speeds().export(), BTreeMap::new());
+}
+
+/// Guards against shares of a fleet that are computed from the restored speeds alone, which are
+/// those of unusual workers: one quick worker of 20 would count as common.
+#[test]
+fn restored_speeds_are_shares_of_the_whole_fleet() {
+    for (quick, expected) in [(1, 1.0), (2, 1.6)] {
+        let mut fixture = PlannerFixture::new(20, config());
+        let speeds = (0..quick).map(|index| (worker(index).name, 1_600));
+        fixture.planner.restore_speeds(&speeds.collect());
+        let factor = fixture.planner.speeds().quick_factor();
+        assert!((factor - expected).abs() < 0.01, "{quick} workers: {factor}");
+    }
+}
+
+/// Guards against a usual speed that is taken from the restored workers: those without an estimate
+/// are as fast as usual, and most of the fleet.
+#[test]
+fn restored_speeds_do_not_move_the_usual_one() {
+    let mut fixture = PlannerFixture::new(30, config());
+    let speeds = (0..10).map(|index| (worker(index).name, 1_600));
+    fixture.planner.restore_speeds(&speeds.collect());
+    for number in 0..80 {
+        fixture.add(job(&format!("j{number}"), "normal", vec![step(1, cpu(1_000))]));
+        let orders = fixture.run_starts(StartAnswer::Started);
+        assert_eq!(fixture.planner.speeds().class(&orders[0].worker), SpeedClass::Usual);
+        fixture.now_ms += 1_000;
+        fixture.end(&orders[0], EndKind::Done);
+        fixture.store();
+    }
+    let speed = fixture.planner.speeds().speed(&worker(0).name);
+    assert!((1.55..1.65).contains(&speed), "{speed}");
+}
+
 /// Returns a planner with two slow, two usual and two quick workers, in this order.
 fn uneven_fixture(config: PlanConfig) -> PlannerFixture {
     let mut fixture = PlannerFixture::new(6, config);
