Say when a later owner may start jobs on an inherited worker

The doc comment of inherit_workers named a list without jobs. The condition is a stored list that allows runs of any job there. Only the comment changes.

--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -187,7 +187,8 @@
     /// A job known so far starts nothing until every worker that may run its tasks has
     /// reported, or can run nothing any more. `leased` names the workers that the earlier
     /// owner knew, with the jobs whose tasks it may have started there, also while they are
-    /// still registered: it starts others only after the list names the worker without jobs.
+    /// still registered: it starts others only after a list is stored that allows runs of any job
+    /// there.
     /// None of them has more capacity than `largest`.
     pub fn inherit_workers(
         &mut self,
