Refuse jobs beyond a share while others like them are late

Cause: jobs beyond their team's share go after all others, also those that arrive later, which the forecast knows only as a rate.

Evidence: late_jobs_beyond_a_share_refuse_further_ones fails on the code before.

--- a/crates/plan/src/admission.rs
+++ b/crates/plan/src/admission.rs
@@ -179,10 +179,14 @@
         } else {
             (RoomReason::Room, on_time_ms, slack_ms * ROOM_SLACK_SHARE)
         };
-        let is_late = wait_ms > limit_ms.max(MIN_ROOM_WAIT_MS);
+        // Work that arrives later goes before jobs beyond their teams' shares. Those that wait show
+        // whether a further one would be done in time.
+        let is_late = wait_ms > limit_ms.max(MIN_ROOM_WAIT_MS)
+            || (reason == RoomReason::Share && self.room.is_missing_objectives(rule, true));
         // The longer a job can wait, the less a forecast says: capacity is counted on for work that
         // cannot use it, such as gangs. Others like it are late first.
-        let is_contradicted = slack_ms >= LONG_SLACK_MS && !self.room.is_missing_objectives(rule);
+        let is_contradicted =
+            slack_ms >= LONG_SLACK_MS && !self.room.is_missing_objectives(rule, false);
         let is_useful_late =
             reason == RoomReason::Room && (late_ms <= late_limit_ms || is_contradicted);
         if !is_late || is_useful_late {
--- a/crates/plan/src/room.rs
+++ b/crates/plan/src/room.rs
@@ -315,6 +315,8 @@
     arrivals: BTreeMap<u32, ArrivalRates>,
     /// Jobs that wait, by priority.
     waiting_jobs: BTreeMap<u32, WaitingJobs>,
+    /// Those of teams beyond their shares, by priority.
+    waiting_beyond_share: BTreeMap<u32, WaitingJobs>,
 }
 
 /// Numbers of jobs of one priority that wait, without those that nobody waits for any more.
@@ -324,11 +326,24 @@
     all: u32,
 }
 
+impl WaitingJobs {
+    fn add(&mut self, is_late: bool) {
+        self.all += 1;
+        self.late += u32::from(is_late);
+    }
+
+    /// Returns whether the jobs miss their objectives.
+    fn is_missing(self) -> bool {
+        f64::from(self.late) > f64::from(self.all) * MIN_LATE_SHARE
+    }
+}
+
 impl PoolForecast {
-    /// Returns whether jobs of a priority that wait miss their objectives.
-    fn is_missing_objectives(&self, priority: u32) -> bool {
-        let jobs = self.waiting_jobs.get(&priority).copied().unwrap_or_default();
-        f64::from(jobs.late) > f64::from(jobs.all) * MIN_LATE_SHARE
+    /// Returns whether jobs of a priority that wait miss their objectives: those of teams beyond
+    /// their shares, or the others.
+    fn is_missing_objectives(&self, priority: u32, beyond_share: bool) -> bool {
+        let jobs = if beyond_share { &self.waiting_beyond_share } else { &self.waiting_jobs };
+        jobs.get(&priority).is_some_and(|jobs| jobs.is_missing())
     }
 
     /// Returns the demand of the tasks of a job that need a run, now or after other steps.
@@ -457,9 +472,9 @@
     }
 
     /// Returns whether the jobs of a queue's priority that wait in its pool miss their objectives.
-    pub(crate) fn is_missing_objectives(&self, rule: &QueueRule) -> bool {
+    pub(crate) fn is_missing_objectives(&self, rule: &QueueRule, beyond_share: bool) -> bool {
         let pool = self.forecast.pools.get(&rule.pool);
-        pool.is_some_and(|pool| pool.is_missing_objectives(rule.priority))
+        pool.is_some_and(|pool| pool.is_missing_objectives(rule.priority, beyond_share))
     }
 
     /// Records work that was refused and may come back.
@@ -689,9 +704,12 @@
             let demand = self.allowed_demand(job, demand, config, &mut allowed);
             pool.waiting.push(WaitingSum { rank: step.rank, demand });
             if step.rank.class != RankClass::Expired {
-                let jobs = pool.waiting_jobs.entry(step.rule.priority).or_default();
-                jobs.all += 1;
-                jobs.late += u32::from(step.rank.due_ms < now);
+                let jobs = if step.rank.class == RankClass::BeyondShare {
+                    &mut pool.waiting_beyond_share
+                } else {
+                    &mut pool.waiting_jobs
+                };
+                jobs.entry(step.rule.priority).or_default().add(step.rank.due_ms < now);
             }
         }
         for (name, pool) in &mut pools {
--- a/crates/plan/tests/room.rs
+++ b/crates/plan/tests/room.rs
@@ -421,6 +421,36 @@
     assert_eq!(refusal(&idle, &of_team("idle")), None, "there is capacity for it");
 }
 
+/// Guards against jobs beyond a team's share that are accepted one after the other although those
+/// before them are late: the forecast does not see all work that overtakes them.
+#[test]
+fn late_jobs_beyond_a_share_refuse_further_ones() {
+    let of_team = |id: &str| JobSpec {
+        team: Some(TeamName::from("small")),
+        ..job(id, "normal", vec![quarter(1)])
+    };
+    let use_up_share = |fixture: &mut PlannerFixture| {
+        for index in 0..3 {
+            let id = format!("spent{index}-{}", fixture.now_ms);
+            fixture.add(of_team(&id));
+            fixture.planner.cancel_job(&id.as_str().into());
+        }
+    };
+    let mut fixture = full_fixture(0);
+    use_up_share(&mut fixture);
+    fixture.add(of_team("waits"));
+    fixture.decide();
+    assert_eq!(refusal(&fixture, &of_team("early")), None, "one job waits, and is on time");
+    // Its objective is 5 s.
+    fixture.now_ms += 6_000;
+    fixture.decide();
+    use_up_share(&mut fixture);
+    fixture.decide();
+    let found = refusal(&fixture, &of_team("further")).expect("the one that waits is late");
+    assert_eq!(found.reason, RoomReason::Share);
+    assert_eq!(refusal(&fixture, &job("next", "normal", vec![quarter(1)])), None);
+}
+
 /// Guards against refusals of small jobs beside wide tasks that do not fit, and against work that waits
 /// for its team's limit.
 #[test]
