--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -2,6 +2,8 @@
 
 use crate::cell::{Cell, config};
 
+/// `cancel_ms` of the pages.
+const CANCEL_MS: u128 = 3_000;
 /// `finish_s` of the pages, in milliseconds: jobs are asked for this long after the traffic.
 const FINISH_MS: u64 = 14_000;
 /// How long a job may have nothing running then, in milliseconds.
@@ -11,6 +13,7 @@
     let run = match case {
         "wide-gang" => wide_gang,
         "filler" => filler,
+        "late-write" => late_write,
         _ => return 2,
     };
     run(record, trouble).unwrap_or(2)
@@ -106,3 +109,68 @@
     let stuck = is_stuck(&cell, &path, fill);
     Some(cell.finish(stuck, "an accepted job that fills never starts"))
 }
+
+/// A client hands a job in, gets no answer, leaves and cancels the job; the store does the write of
+/// the job late.
+fn late_write(record: &str, trouble: bool) -> Option<i32> {
+    let cell = Cell::start(record, 16, 3, &config(1))?;
+    let id = "00000000000000c1";
+    let path = format!("/weekly-branch/{id}");
+    let body = "{\"spec\":\"2200\",\"steps\":[{\"count\":4,\"cpu\":1800,\"memMb\":3700,\
+                \"estimateMs\":2200}]}";
+    let usual = |number: u64| {
+        let path = format!("/answer-sheet/{number:016x}");
+        let body = "{\"spec\":\"800\",\"steps\":[{\"count\":2,\"cpu\":2600,\"memMb\":9600,\
+                    \"estimateMs\":800}]}";
+        cell.request(number as usize % cell.nodes.len(), "POST", &path, body);
+    };
+    for number in 0..10 {
+        usual(0xa000 + number);
+        cell.sleep_ms(100);
+    }
+    if trouble {
+        let mut late = cell.store.late_writes.lock().unwrap();
+        late.keys = Some(id.to_owned());
+        late.delay = std::time::Duration::from_secs(6);
+        cell.record.line("writes of rows of one job get no answer and are done 6 s later");
+    }
+    cell.sleep_ms(100);
+    // The client leaves after a second, and cancels at another node.
+    let (status, acknowledged) = std::thread::scope(|scope| {
+        let store = cell.store.clone();
+        let record = cell.record.clone();
+        scope.spawn(move || {
+            std::thread::sleep(std::time::Duration::from_millis(2_300));
+            let mut late = store.late_writes.lock().unwrap();
+            late.keys = None;
+            record.line(&format!("the store answers all again; late {} of {}", late.late, late.all));
+        });
+        let traffic = scope.spawn(|| {
+            for number in 0..20 {
+                usual(0xb000 + number);
+                cell.sleep_ms(100);
+            }
+        });
+        cell.request_within(0, "POST", &path, body, 1_000);
+        let status = cell.request(1, "DELETE", &path, "").0;
+        let acknowledged = cell.epoch.elapsed().as_millis();
+        traffic.join().ok();
+        (status, acknowledged)
+    });
+    if status / 100 != 2 && status != 410 {
+        cell.record.line("the cancelling was not acknowledged");
+        return None;
+    }
+    cell.sleep_ms(13_000);
+    cell.state(2, &path);
+    let late_starts: Vec<_> = cell
+        .history()
+        .into_iter()
+        .filter(|run| run.task.starts_with(id) && run.start_ms > acknowledged + CANCEL_MS)
+        .collect();
+    cell.record.line(&format!(
+        "cancelling acknowledged with {status} at {acknowledged}; {} starts over {CANCEL_MS} ms later",
+        late_starts.len()
+    ));
+    Some(cell.finish(!late_starts.is_empty(), "tasks start after the job's cancelling was acknowledged"))
+}
--- a/review/standin-3/cell.rs
+++ b/review/standin-3/cell.rs
@@ -164,9 +164,21 @@
 
     /// Sends a client's request and records it; returns status and body, 0 without an answer.
     pub fn request(&self, node: usize, method: &str, path: &str, body: &str) -> (u16, String) {
+        self.request_within(node, method, path, body, 3_000)
+    }
+
+    /// Sends a request of a client that leaves after some time.
+    pub fn request_within(
+        &self,
+        node: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+        patience_ms: u64,
+    ) -> (u16, String) {
         let headers = [("host", HOST), ("x-api-key", KEY), ("x-deadline-ms", "3000")];
         let address = self.nodes[node].front;
-        let timeout = Duration::from_secs(3);
+        let timeout = Duration::from_millis(patience_ms);
         let sent = self.epoch.elapsed().as_millis();
         let answer = http::call(address, method, path, &headers, body, timeout);
         let (status, answer) = answer.unwrap_or_default();
--- a/review/standin-3/json.rs
+++ b/review/standin-3/json.rs
@@ -189,19 +189,3 @@
     }
     text
 }
-
-pub fn decode_base64(text: &str) -> Vec<u8> {
-    let mut bytes = Vec::new();
-    let (mut bits, mut count) = (0_u32, 0);
-    for byte in text.bytes() {
-        let Some(digit) = DIGITS.iter().position(|digit| *digit == byte) else { continue };
-        bits = bits << 6 | digit as u32;
-        count += 6;
-        if count >= 8 {
-            count -= 8;
-            bytes.push((bits >> count) as u8);
-            bits &= (1 << count) - 1;
-        }
-    }
-    bytes
-}
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -1,7 +1,7 @@
 //! The table service: rows, transactions and the feed of changes.
 
 use std::collections::BTreeMap;
-use std::sync::{Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 use crate::http::{Reply, Request};
@@ -16,18 +16,22 @@
     version: u64,
 }
 
-/// Faults of the store.
-#[derive(Clone, Copy, Default)]
-pub struct StoreFaults {
-    /// Carries transactions out and does not answer them.
-    pub loses_answers: bool,
+/// Writes that are not answered, and done later if their condition still holds then.
+#[derive(Default)]
+pub struct LateWrites {
+    /// Texts with which the keys of their rows begin; none for no such writes.
+    pub keys: Option<String>,
+    pub delay: Duration,
+    /// Writes so far while there are such, and those of them that were late.
+    pub all: u64,
+    pub late: u64,
 }
 
 pub struct Store {
     rows: Mutex<Rows>,
     changed: Condvar,
     started: Instant,
-    pub faults: Mutex<StoreFaults>,
+    pub late_writes: Mutex<LateWrites>,
 }
 
 /// Time that a transaction takes.
@@ -41,7 +45,7 @@
             rows: Mutex::default(),
             changed: Condvar::new(),
             started: Instant::now(),
-            faults: Mutex::default(),
+            late_writes: Mutex::default(),
         }
     }
 
@@ -62,13 +66,6 @@
         self.changed.notify_all();
     }
 
-    /// Returns the value of a row.
-    pub fn value(&self, table: &str, part: &str, key: &str) -> Option<Vec<u8>> {
-        let name = (table.to_owned(), part.to_owned(), key.to_owned());
-        let rows = self.rows.lock().unwrap();
-        rows.rows.get(&name)?.0.as_deref().map(crate::json::decode_base64)
-    }
-
     fn now_ms(&self) -> u128 {
         self.started.elapsed().as_millis() + 1
     }
@@ -92,15 +89,37 @@
         format!("[{}]", rows.join(","))
     }
 
-    pub fn handle(&self, request: &Request) -> Reply {
+    pub fn handle(self: &Arc<Self>, request: &Request) -> Reply {
         match request.path.as_str() {
-            "/amaranthsaddle/rows-tx" => self.transact(&request.body),
+            "/amaranthsaddle/rows-tx" => match self.lateness(&request.body) {
+                None => self.transact(&request.body),
+                Some(delay) => {
+                    let (store, body) = (self.clone(), request.body.clone());
+                    std::thread::spawn(move || {
+                        std::thread::sleep(delay);
+                        store.transact(&body)
+                    });
+                    None
+                }
+            },
             "/amaranthsaddle/rows-get" => Some(self.read(request)),
             "/amaranthsaddle/rows-feed" => Some(self.follow(request)),
             _ => Some((404, "{}".to_owned())),
         }
     }
 
+    /// Returns by how much a transaction is late; none if it is done and answered now.
+    fn lateness(&self, body: &str) -> Option<Duration> {
+        let mut late = self.late_writes.lock().unwrap();
+        let keys = late.keys.clone()?;
+        let body = Json::parse(body)?;
+        late.all += 1;
+        let is_late =
+            body.get("writes").list().iter().any(|row| row.get("key").text().starts_with(&keys));
+        late.late += u64::from(is_late);
+        is_late.then_some(late.delay)
+    }
+
     fn transact(&self, body: &str) -> Reply {
         std::thread::sleep(TX_TIME);
         let Some(body) = Json::parse(body) else { return Some((400, "{}".to_owned())) };
@@ -149,9 +168,6 @@
         }
         drop(rows);
         self.changed.notify_all();
-        if self.faults.lock().unwrap().loses_answers {
-            return None;
-        }
         Some((200, format!("{{\"ver\":{version},\"nowMs\":{}}}", self.now_ms())))
     }
 
