--- a/review/standin-3/cases.rs
+++ b/review/standin-3/cases.rs
@@ -1,7 +1,8 @@
 //! The cases. Each keeps to the limits that its `claim.txt` quotes.
 
-use crate::cell::{Cell, config};
+use crate::cell::{Cell, KEY, OTHER_KEY, config};
 
+const TENANTS: [(&str, &str); 2] = [("tenant-1", KEY), ("tenant-2", OTHER_KEY)];
 /// `cancel_ms` of the pages.
 const CANCEL_MS: u128 = 3_000;
 /// `finish_s` of the pages, in milliseconds: jobs are asked for this long after the traffic.
@@ -14,6 +15,7 @@
         "wide-gang" => wide_gang,
         "filler" => filler,
         "late-write" => late_write,
+        "tenant" => tenant,
         _ => return 2,
     };
     run(record, trouble).unwrap_or(2)
@@ -40,7 +42,7 @@
 
 /// A gang that needs all minions whole waits beside tasks that last; a small job follows.
 fn wide_gang(record: &str, trouble: bool) -> Option<i32> {
-    let cell = Cell::start(record, 16, 3, &config(1))?;
+    let cell = Cell::start(record, 16, 3, &config(1, &TENANTS))?;
     let desk = "00000000000000d1";
     let body = "{\"spec\":\"lasts\",\"steps\":[{\"count\":2,\"cpu\":4000,\"memMb\":4000,\
                 \"estimateMs\":1000,\"longRunning\":true,\"antiAffinity\":1}]}";
@@ -81,7 +83,7 @@
 /// Tasks that last and have a target run on all minions but one; that one is lost, and a job whose
 /// tasks fill follows.
 fn filler(record: &str, trouble: bool) -> Option<i32> {
-    let cell = Cell::start(record, 16, 3, &config(1))?;
+    let cell = Cell::start(record, 16, 3, &config(1, &TENANTS))?;
     let desk = "00000000000000d1";
     let body = "{\"spec\":\"lasts\",\"steps\":[{\"count\":15,\"cpu\":2000,\"memMb\":4000,\
                 \"estimateMs\":1000,\"longRunning\":true,\"antiAffinity\":1,\"image\":\"desk\",\
@@ -113,7 +115,7 @@
 /// A client hands a job in, gets no answer, leaves and cancels the job; the store does the write of
 /// the job late.
 fn late_write(record: &str, trouble: bool) -> Option<i32> {
-    let cell = Cell::start(record, 16, 3, &config(1))?;
+    let cell = Cell::start(record, 16, 3, &config(1, &TENANTS))?;
     let id = "00000000000000c1";
     let path = format!("/weekly-branch/{id}");
     let body = "{\"spec\":\"2200\",\"steps\":[{\"count\":4,\"cpu\":1800,\"memMb\":3700,\
@@ -174,3 +176,25 @@
     ));
     Some(cell.finish(!late_starts.is_empty(), "tasks start after the job's cancelling was acknowledged"))
 }
+
+/// A new version of the configuration does not name a tenant any more while a job of it runs.
+fn tenant(record: &str, trouble: bool) -> Option<i32> {
+    let cell = Cell::start(record, 16, 3, &config(1, &TENANTS))?;
+    let id = "00000000000000e1";
+    let path = format!("/weekly-branch/{id}");
+    let step = "\"count\":4,\"cpu\":1800,\"memMb\":3700,\"estimateMs\":2200";
+    let body =
+        format!("{{\"spec\":\"4000\",\"steps\":[{{{step}}},{{{step},\"after\":[0]}}]}}");
+    let status = cell.request_as(OTHER_KEY, 0, "POST", &path, &body, 3_000).0;
+    if status / 100 != 2 || !cell.wait_present(id, 4, 5_000) {
+        return None;
+    }
+    let tenants = if trouble { &TENANTS[..1] } else { &TENANTS[..] };
+    let next = config(2, tenants);
+    cell.record.line(&format!("operator: op/config = {next}"));
+    cell.store.put("op", "config", &next);
+    cell.sleep_ms(6_000);
+    let stuck = is_stuck(&cell, &path, id);
+    let done = cell.history().iter().filter(|run| run.end.is_some_and(|end| end.1 == "done")).count();
+    Some(cell.finish(stuck && done < 8, "an accepted job stops halfway"))
+}
--- a/review/standin-3/cell.rs
+++ b/review/standin-3/cell.rs
@@ -18,6 +18,7 @@
 const PROGRAM: &str = "target/release/amaranthsaddle";
 pub const HOST: &str = "nony24.example";
 pub const KEY: &str = "key-of-tenant-1";
+pub const OTHER_KEY: &str = "key-of-tenant-2";
 const ZONES: [&str; 4] = ["bole", "kirkos", "yeka", "lideta"];
 
 pub struct Record {
@@ -176,7 +177,20 @@
         body: &str,
         patience_ms: u64,
     ) -> (u16, String) {
-        let headers = [("host", HOST), ("x-api-key", KEY), ("x-deadline-ms", "3000")];
+        self.request_as(KEY, node, method, path, body, patience_ms)
+    }
+
+    /// Sends a request with a key.
+    pub fn request_as(
+        &self,
+        key: &str,
+        node: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+        patience_ms: u64,
+    ) -> (u16, String) {
+        let headers = [("host", HOST), ("x-api-key", key), ("x-deadline-ms", "3000")];
         let address = self.nodes[node].front;
         let timeout = Duration::from_millis(patience_ms);
         let sent = self.epoch.elapsed().as_millis();
@@ -258,8 +272,19 @@
     }
 }
 
-/// Returns a configuration in the form of the pages, with four queues and one tenant.
-pub fn config(version: u64) -> String {
+/// Returns a configuration in the form of the pages, with three queues and some tenants, each with
+/// its key.
+pub fn config(version: u64, tenants: &[(&str, &str)]) -> String {
+    let tenants: Vec<_> = tenants
+        .iter()
+        .map(|(name, key)| {
+            format!(
+                "{{\"name\":\"{name}\",\"apiKeys\":[\"{key}\"],\"weight\":40,\
+                 \"cap\":{{\"cpu\":0,\"memMb\":0,\"gpu\":0}}}}"
+            )
+        })
+        .collect();
+    let tenants = tenants.join(",");
     let route = |name: &str, priority: u32, attempts: u32, stretch: f64, target_ms: u32| {
         format!(
             "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"pathPrefix\":\"/{name}/\",\
@@ -273,8 +298,7 @@
          \"services\":[{{\"name\":\"survey-hub\",\"enforcesCapacity\":false,\
          \"healthPath\":\"/healthz\",\"maxConns\":64}}],\
          \"limits\":{{\"maxBodyBytes\":262144}},\
-         \"tenants\":[{{\"name\":\"tenant-1\",\"apiKeys\":[\"{KEY}\"],\"weight\":40,\
-         \"cap\":{{\"cpu\":0,\"memMb\":0,\"gpu\":0}}}}]}}",
+         \"tenants\":[{tenants}]}}",
         route("quarterly-turnover", 1, 4, 2.2, 1_000),
         route("weekly-branch", 2, 3, 4.0, 3_000),
         route("answer-sheet", 0, 2, 1.5, 250)
