Reserve no workers for a gang that services keep out

Cause: reservations for gangs, and the check whether a step can be served, counted the whole capacity of a worker, on the assumption that what runs there ends. A service does not end. All 16 workers stayed reserved for a gang that could not start beside one, for as long as it could be on time.

The line did not show reservations; it has reserved_workers now.

Change: what services occupy is taken, for reservations, calls of gangs and the check. A step that only services keep out is checked again when a run of a service has ended.

a_reservation_for_a_gang_ends asserted that a worker stays reserved for 15 s beside a service, which is this fault. It has the same assertions with a task that does not end; a_gang_beside_a_service_keeps_no_worker_free is new and asserts that nothing is reserved in the old situation.

--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -330,7 +330,7 @@
     log::info!(
         "fleet state term={} loaded={} jobs={} inherited_jobs={} runs={} workers={workers} \
          silent={silent} foreign={} unreported_workers={} unservable_steps={} \
-         advice_requests={} delayed_call_ms={:.0} call_slowdown={:.2} \
+         reserved_workers={} advice_requests={} delayed_call_ms={:.0} call_slowdown={:.2} \
          short_of_room={} room_wait_ms={} longest_decision_us={}",
         session.term,
         session.is_loaded.get(),
@@ -340,6 +340,7 @@
         workers::count_foreign_registrations(session),
         planner.unreported_worker_count(),
         unservable_steps.len(),
+        planner.reserved_worker_count(),
         session.dispatcher.borrow().pending_count(),
         planner.delayed_call_ms(),
         session.dispatcher.borrow().slowdown(),
--- a/crates/plan/src/candidate.rs
+++ b/crates/plan/src/candidate.rs
@@ -134,7 +134,7 @@
         let fits = step.occupied_amounts().fits_in(worker.free())
             && capacity::is_suitable(step, rule, worker)
             && self.can_start_on(worker)
-            && !pass.reserved.contains(name);
+            && !pass.is_withheld(name);
         // How much a filler slows a service is not known beforehand.
         let disturbs = step.filler && worker.sensitive_runs > 0;
         if !fits || disturbs {
--- a/crates/plan/src/capacity.rs
+++ b/crates/plan/src/capacity.rs
@@ -10,7 +10,7 @@
 use crate::job::{JobSpec, StepKey, StepSpec};
 use crate::place::PlacementPass;
 use crate::planner::Planner;
-use crate::state::WorkerState;
+use crate::state::{Servability, WorkerState};
 
 /// Free capacity of the workers of one pool.
 #[derive(Clone, Copy, Debug, Default)]
@@ -19,6 +19,10 @@
     pub(crate) decisions: usize,
     /// Workers on which tasks may be started.
     pub(crate) workers: usize,
+    /// Capacity of these workers, whether free or not.
+    pub(crate) total: ResourceAmounts,
+    /// Capacity of these workers that runs occupy.
+    pub(crate) occupied: ResourceAmounts,
     /// Largest free amount of each resource on any worker.
     pub(crate) largest_free: ResourceAmounts,
     /// Free capacity of all workers, less what steps earlier in the pass claimed for their
@@ -26,6 +30,14 @@
     pub(crate) unclaimed: ResourceAmounts,
 }
 
+impl PoolCapacity {
+    /// Returns whether runs occupy less than half of each resource.
+    pub(crate) fn is_mostly_free(&self) -> bool {
+        let amounts = self.occupied.as_array().into_iter().zip(self.total.as_array());
+        amounts.filter(|(_, total)| *total > 0).all(|(occupied, total)| 2 * occupied < total)
+    }
+}
+
 impl Planner {
     /// Returns whether tasks may be started on a worker now.
     pub(crate) fn can_start_on(&self, worker: &WorkerState) -> bool {
@@ -52,6 +64,8 @@
         usable.fold(PoolCapacity::default(), |capacity, worker| PoolCapacity {
             decisions: 0,
             workers: capacity.workers + 1,
+            total: capacity.total.plus(worker.info.capacity),
+            occupied: capacity.occupied.plus(worker.occupied),
             largest_free: capacity.largest_free.max(worker.free()),
             unclaimed: capacity.unclaimed.plus(worker.free()),
         })
@@ -151,32 +165,39 @@
         usage
     }
 
-    /// Checks whether the known workers could run a step, or a whole gang, if they were all free and
-    /// in use, and keeps the result. A step that they cannot run is passed over until a worker has
-    /// changed.
+    /// Checks whether the known workers could run a step, or a whole gang, if they were all in use and
+    /// free but for services, and keeps the result. A step that they cannot run is passed over until a
+    /// worker has changed or, where that would help, a run of a service has ended.
     pub(crate) fn check_servable(
         &mut self,
         key: &StepKey,
         step: &StepSpec,
         rule: &QueueRule,
     ) -> bool {
-        let changes = self.worker_changes;
+        let (worker_changes, service_ends) = (self.worker_changes, self.service_ends);
         let Some(state) = self.step_state(key) else { return false };
-        if let Some((checked, is_servable)) = state.servability
-            && checked == changes
-        {
-            return is_servable;
+        let known = state.servability.filter(|known| known.holds(worker_changes, service_ends));
+        if let Some(known) = known {
+            return known.is_servable;
         }
         let ineligible = &state.advice.ineligible;
-        let possible_tasks = self
+        let workers = self
             .workers
             .values()
             .filter(|worker| is_suitable(step, rule, worker))
-            .filter(|worker| !ineligible.contains(&worker.info.name))
-            .fold(0_u32, |sum, worker| sum.saturating_add(possible_tasks(step, worker)));
-        let is_servable = possible_tasks >= if step.gang { step.count } else { 1 };
+            .filter(|worker| !ineligible.contains(&worker.info.name));
+        let (mut possible, mut possible_without_services) = (0_u32, 0_u32);
+        for worker in workers {
+            possible = possible.saturating_add(possible_tasks(step, worker));
+            let tasks = max_tasks(step, worker.info.capacity);
+            possible_without_services = possible_without_services.saturating_add(tasks);
+        }
+        let needed = if step.gang { step.count } else { 1 };
+        let is_servable = possible >= needed;
+        let is_blocked_by_services = !is_servable && possible_without_services >= needed;
+        let service_ends = is_blocked_by_services.then_some(service_ends);
         if let Some(state) = self.step_mut(key) {
-            state.servability = Some((changes, is_servable));
+            state.servability = Some(Servability { is_servable, worker_changes, service_ends });
         }
         is_servable
     }
@@ -204,8 +225,14 @@
     step.label.as_ref().map(|label| (rule.pool.clone(), label.clone()))
 }
 
-/// Returns how many tasks of a step a suitable worker could run if it were free.
+/// Returns how many tasks of a step a suitable worker could run once its runs have ended, but for
+/// those of services.
 pub(crate) fn possible_tasks(step: &StepSpec, worker: &WorkerState) -> u32 {
-    let max_tasks = if step.max_per_worker == 0 { u32::MAX } else { step.max_per_worker };
-    fit_count(worker.info.capacity, step.occupied_amounts()).min(max_tasks)
+    max_tasks(step, worker.releasable())
+}
+
+/// Returns how many tasks of a step fit into the free capacity of one worker.
+pub(crate) fn max_tasks(step: &StepSpec, free: ResourceAmounts) -> u32 {
+    let max_per_worker = if step.max_per_worker == 0 { u32::MAX } else { step.max_per_worker };
+    fit_count(free, step.occupied_amounts()).min(max_per_worker)
 }
--- a/crates/plan/src/explain.rs
+++ b/crates/plan/src/explain.rs
@@ -523,7 +523,8 @@
                 continue;
             }
             counts.with_label += 1;
-            possible_tasks = possible_tasks.saturating_add(capacity::possible_tasks(step, worker));
+            possible_tasks =
+                possible_tasks.saturating_add(capacity::max_tasks(step, worker.info.capacity));
             if !self.can_start_on(worker) {
                 *self.reason_unusable(worker, &mut counts.unusable) += 1;
                 continue;
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -30,5 +30,6 @@
 mod place;
 mod report;
 mod request;
+mod reservation;
 mod state;
 mod suitability;
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -100,6 +100,10 @@
     pub(crate) team_claims: BTreeMap<TeamName, ResourceAmounts>,
     /// How fast workers have to be for the step that is being placed; none if all are equal.
     pub(crate) speed_need: Option<SpeedNeed>,
+    /// Whether the step that is being placed may start on reserved workers.
+    pub(crate) may_use_reserved: bool,
+    /// Number of steps that were checked for a delay by reservations.
+    pub(crate) delay_checks: usize,
 }
 
 impl PlacementPass {
@@ -120,6 +124,11 @@
         rule.advice.is_some() && !has_tickets && !may_reserve && !may_request
     }
 
+    /// Returns whether the step that is being placed has to leave a worker to a gang.
+    pub(crate) fn is_withheld(&self, name: &WorkerName) -> bool {
+        !self.may_use_reserved && self.reserved.contains(name)
+    }
+
     /// Returns whether workers may be reserved for one more gang.
     pub(crate) fn may_reserve(&self, rank: JobRank) -> bool {
         rank.class == RankClass::OnTime
@@ -182,6 +191,7 @@
                 self.place_step(step, &mut pass);
             }
         }
+        self.reserved_workers = pass.reserved.len();
         self.forecast_room(&steps, &config);
         self.preempt_runs(&steps, &config, &mut pass);
         if !is_delayed && self.delayed_calls.is_empty() {
@@ -251,7 +261,7 @@
                         .is_some_and(|state| state.advice.tickets_expire_ms > self.now_ms),
                     is_requested: state.is_some_and(|state| state.advice.requested_ms.is_some()),
                     is_unservable: state.is_some_and(|state| {
-                        state.servability == Some((self.worker_changes, false))
+                        state.is_unservable(self.worker_changes, self.service_ends)
                     }),
                     call_ms: request::estimate_call_ms(&job.spec.steps[step as usize], rule),
                     delayed_since_ms: state
@@ -280,6 +290,7 @@
         };
         pass.pools.insert(rule.pool.clone(), capacity);
         pass.speed_need = self.speed_need(waiting);
+        pass.may_use_reserved = self.has_long_reservation_delay(key);
         let may_fit = step.occupied_amounts().fits_in(capacity.largest_free);
         let before = self.decisions.len();
         if step.gang {
@@ -288,6 +299,7 @@
             self.place_tasks(key, spec, rule, allowed_tasks, pass);
         }
         let decisions = self.decisions.len() - before;
+        self.update_reservation_delay(waiting, &capacity, pass);
         if let Some(capacity) = pass.pools.get_mut(&rule.pool)
             && decisions > 0
         {
@@ -396,6 +408,7 @@
             team: spec.team.clone(),
             stop_sent: false,
             sharing: SharingKind::of(step),
+            is_service: step.service,
         };
         self.add_run(name, task, state);
         self.decisions.push(PlanDecision::Start(StartOrder {
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -70,6 +70,8 @@
     pub(crate) workers: BTreeMap<WorkerName, WorkerState>,
     /// Number of changes so far of workers' registrations and of the configuration.
     pub(crate) worker_changes: u64,
+    /// Number of runs of services so far that are not present any more.
+    pub(crate) service_ends: u64,
     pub(crate) jobs: BTreeMap<JobId, JobState>,
     /// Jobs that were cancelled before they were added.
     pub(crate) cancelled_jobs: BTreeSet<JobId>,
@@ -88,6 +90,8 @@
     pub(crate) remaining_runs: BTreeMap<JobId, RemainingRuns>,
     /// At least the capacity of each unreported worker.
     pub(crate) largest_inherited: ResourceAmounts,
+    /// Number of workers that the last decision reserved for gangs.
+    pub(crate) reserved_workers: usize,
     /// Workers that the advice requests in flight name, by step.
     pub(crate) open_advice_requests: BTreeMap<StepKey, Vec<WorkerName>>,
     /// Advice requests that wait for an entry.
@@ -432,16 +436,23 @@
 
     /// Returns the steps that no known worker could run.
     pub fn unservable_steps(&self) -> impl Iterator<Item = StepKey> {
-        let unservable = Some((self.worker_changes, false));
+        let (worker_changes, service_ends) = (self.worker_changes, self.service_ends);
         self.jobs.iter().flat_map(move |(id, job)| {
             job.occurrences.iter().flat_map(move |(occurrence, state)| {
                 let steps = (0_u32..).zip(&state.steps);
-                let steps = steps.filter(move |(_, step)| step.servability == unservable);
+                let steps =
+                    steps.filter(move |(_, step)| step.is_unservable(worker_changes, service_ends));
                 steps.map(|(step, _)| StepKey { job: id.clone(), occurrence: *occurrence, step })
             })
         })
     }
 
+    /// Returns the number of workers that the last decision reserved for gangs.
+    #[must_use]
+    pub const fn reserved_worker_count(&self) -> usize {
+        self.reserved_workers
+    }
+
     /// Returns the number of runs that may be present on all workers.
     #[must_use]
     pub fn present_run_count(&self) -> usize {
@@ -720,6 +731,7 @@
     pub(crate) fn remove_run(&mut self, name: &WorkerName, task: &TaskKey) -> Option<RunState> {
         let worker = self.workers.get_mut(name)?;
         let run = worker.remove_run(task)?;
+        self.service_ends += u64::from(run.is_service);
         if let Some(team) = &run.team
             && let Some(used) = self.team_usage.get_mut(team)
         {
@@ -859,6 +871,7 @@
             waiting: step.count,
             advice: AdviceState::default(),
             servability: None,
+            reservation_delay_since_ms: None,
             gang_saved: ArcStr::default(),
             work: StepWork::default(),
         })
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -249,6 +249,7 @@
         let remaining = self.take_remaining_run(&present.task);
         let job = self.jobs.get(&present.task.step.job);
         let step = job.and_then(|job| job.spec.steps.get(present.task.step.step as usize));
+        let is_service = step.is_some_and(|step| step.service);
         let (occupied, charged, sharing) = if let Some(step) = step {
             (step.occupied_amounts(), step.amounts, SharingKind::of(step))
         } else {
@@ -273,6 +274,7 @@
             team,
             stop_sent: false,
             sharing,
+            is_service,
         };
         self.add_run(name, &present.task, run);
         if wanted {
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -56,10 +56,11 @@
     /// Number of tasks that are not done and of which no run may be present.
     pub(crate) waiting: u32,
     pub(crate) advice: AdviceState,
-    /// Whether the known workers could run the step if they were all free and in use, and the
-    /// [`Planner::worker_changes`](crate::planner::Planner) at which that was found; none if it is
-    /// not known.
-    pub(crate) servability: Option<(u64, bool)>,
+    /// Whether the known workers could run the step; none if it is not known.
+    pub(crate) servability: Option<Servability>,
+    /// Since when the step is kept from free capacity by reservations for gangs, on the planner's
+    /// clock; none if it is not.
+    pub(crate) reservation_delay_since_ms: Option<u64>,
     /// Saved progress of a gang, from which every member resumes.
     pub(crate) gang_saved: ArcStr,
     /// Durations of the step's runs, from which the speeds of workers are learned.
@@ -73,6 +74,32 @@
         let runs = self.tasks.iter().flat_map(|task| &task.failed_runs);
         runs.collect::<BTreeSet<_>>().len()
     }
+
+    /// Returns whether it is known that no worker can run the step now or once its runs have ended.
+    pub(crate) fn is_unservable(&self, worker_changes: u64, service_ends: u64) -> bool {
+        let known = self.servability.filter(|known| known.holds(worker_changes, service_ends));
+        known.is_some_and(|known| !known.is_servable)
+    }
+}
+
+/// Whether the known workers could run a step once their runs have ended, but for those of services,
+/// and the changes up to which that is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Servability {
+    pub(crate) is_servable: bool,
+    /// [`Planner::worker_changes`](crate::planner::Planner) when that was found.
+    pub(crate) worker_changes: u64,
+    /// [`Planner::service_ends`](crate::planner::Planner) when that was found; none if services do
+    /// not matter for it.
+    pub(crate) service_ends: Option<u64>,
+}
+
+impl Servability {
+    /// Returns whether nothing has changed that it depends on.
+    pub(crate) fn holds(self, worker_changes: u64, service_ends: u64) -> bool {
+        self.worker_changes == worker_changes
+            && self.service_ends.is_none_or(|known| known == service_ends)
+    }
 }
 
 /// One task of a step.
@@ -177,6 +204,7 @@
 
 /// A run that may be present on a worker.
 #[derive(Clone, Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "each is an independent fact about the run")]
 pub(crate) struct RunState {
     /// Number of the run.
     pub(crate) run: u32,
@@ -199,6 +227,8 @@
     pub(crate) stop_sent: bool,
     /// How the run competes with others on its worker for processor time.
     pub(crate) sharing: SharingKind,
+    /// Whether the run belongs to a service, so that it does not end by itself.
+    pub(crate) is_service: bool,
 }
 
 /// A worker and the runs that may be present on it.
@@ -216,6 +246,8 @@
     pub(crate) runs: BTreeMap<TaskKey, RunState>,
     /// Capacity that the runs occupy together.
     pub(crate) occupied: ResourceAmounts,
+    /// Capacity that the runs of services occupy together.
+    pub(crate) service_occupied: ResourceAmounts,
     /// Number of runs that are neither of the next two kinds.
     pub(crate) plain_runs: u32,
     /// Number of runs that are fillers.
@@ -252,6 +284,7 @@
             starts_held: false,
             runs: BTreeMap::new(),
             occupied: ResourceAmounts::ZERO,
+            service_occupied: ResourceAmounts::ZERO,
             plain_runs: 0,
             filler_runs: 0,
             sensitive_runs: 0,
@@ -271,6 +304,9 @@
     pub(crate) fn insert_run(&mut self, task: TaskKey, run: RunState) {
         self.remove_run(&task);
         self.occupied = self.occupied.plus(run.occupied);
+        if run.is_service {
+            self.service_occupied = self.service_occupied.plus(run.occupied);
+        }
         *self.kind_count(run.sharing) += 1;
         self.runs.insert(task, run);
     }
@@ -279,6 +315,9 @@
     pub(crate) fn remove_run(&mut self, task: &TaskKey) -> Option<RunState> {
         let run = self.runs.remove(task)?;
         self.occupied = self.occupied.minus(run.occupied);
+        if run.is_service {
+            self.service_occupied = self.service_occupied.minus(run.occupied);
+        }
         *self.kind_count(run.sharing) -= 1;
         Some(run)
     }
@@ -295,6 +334,12 @@
     pub(crate) fn free(&self) -> ResourceAmounts {
         self.info.capacity.minus(self.occupied)
     }
+
+    /// Returns the capacity that is free, or becomes free when runs end by themselves: all but that
+    /// of services, which run until their jobs are cancelled.
+    pub(crate) fn releasable(&self) -> ResourceAmounts {
+        self.info.capacity.minus(self.service_occupied)
+    }
 }
 
 /// Run ends that may be acknowledged once the progress of their jobs is stored.
--- a/crates/plan/tests/calls.rs
+++ b/crates/plan/tests/calls.rs
@@ -351,28 +351,31 @@
     assert_eq!(fixture.starts().len(), 2);
 }
 
-/// Guards against a worker that is kept free for good for a gang that cannot start, because its other
-/// worker runs a service.
-#[test]
-fn a_reservation_for_a_gang_ends() {
-    let mut fixture = PlannerFixture::new(2, config());
+/// Makes two workers busy while a gang that needs both asks about them, so that it cannot use the
+/// answers: first with tasks that end, then one of them with `last`, which does not.
+fn waste_answers(fixture: &mut PlannerFixture, last: StepSpec) {
     let gang = StepSpec { gang: true, ..step(2, cpu(8_000)) };
     fixture.add(job("gang", "advised", vec![gang]));
     let workers = [worker(0).name, worker(1).name];
-    let service = StepSpec { service: true, ..step(1, cpu(8_000)) };
-    for blocking in [step(2, cpu(8_000)), service] {
+    for (blocking, ends) in [(step(2, cpu(8_000)), true), (last, false)] {
         let request = advice_requests(fixture.decide()).remove(0);
-        fixture.add(job(&format!("block{}", fixture.now_ms), "urgent", vec![blocking.clone()]));
+        fixture.add(job(&format!("block{}", fixture.now_ms), "urgent", vec![blocking]));
         let orders = fixture.run_starts(StartAnswer::Started);
         fixture.advise(&request, &workers);
         assert!(fixture.starts().is_empty(), "the answer is of no use");
-        if !blocking.service {
-            for order in &orders {
-                fixture.end(order, EndKind::Done);
-            }
+        for order in orders.iter().filter(|_| ends) {
+            fixture.end(order, EndKind::Done);
         }
         fixture.now_ms += 2_000;
     }
+}
+
+/// Guards against a worker that is kept free for good for a gang that cannot start, because a task on
+/// its other worker does not end.
+#[test]
+fn a_reservation_for_a_gang_ends() {
+    let mut fixture = PlannerFixture::new(2, config());
+    waste_answers(&mut fixture, step(1, cpu(8_000)));
     fixture.add(job("small", "normal", vec![step(1, cpu(1_000))]));
     assert!(fixture.starts().is_empty(), "the free worker is reserved");
     fixture.now_ms += 12_000;
@@ -382,6 +385,16 @@
     assert_eq!(fixture.starts().len(), 1, "the worker is free for others");
 }
 
+/// Guards against a worker that is kept free for a gang that cannot start, because its other worker
+/// runs a service, which does not end by itself.
+#[test]
+fn a_gang_beside_a_service_keeps_no_worker_free() {
+    let mut fixture = PlannerFixture::new(2, config());
+    waste_answers(&mut fixture, StepSpec { service: true, ..step(1, cpu(8_000)) });
+    fixture.add(job("small", "normal", vec![step(1, cpu(1_000))]));
+    assert_eq!(fixture.starts().len(), 1);
+}
+
 fn request(duration_ms: f64, priority: u32) -> AdviceRequest {
     let step = StepKey { job: "j".into(), occurrence: 0, step: 0 };
     AdviceRequest { step, workers: Vec::new(), duration_ms, priority }
