Store the cancellation of a job that is not found

Cause: the entry found no row of the job and stored nothing, although a write of the job was under way; the store may carry it out seconds after the call. The planner keeps cancellations of jobs that it does not know, but only stored ones reach it. Ruled out: a cancellation that the owner ignores (no row of it was stored, and its log has none before the job).

Change: the cancellation is stored before the 410, on condition that no row of the job exists. The owner, or a later one, keeps it, and a job that is stored afterwards ends as cancelled before anything starts. A condition on the insert instead would have cost a fifth of the jobs that fit into one transaction. The rows of such cancellations are removed after the retention time of job states, if their job does not exist.

Before the change a_job_that_is_stored_after_its_cancellation_does_not_run and a_new_owner_keeps_the_cancellation_of_a_job_that_is_stored_later fail ("waited in vain until ... is canceled"), and so does cancellations_without_a_job_are_removed, as nothing is stored.

--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -17,7 +17,7 @@
 use crate::context::{SharedContext, SubmitCall};
 use crate::limits;
 use crate::metrics;
-use crate::ports::{PeerCalls, PlatformRows, RowStore, RowTransaction, TransactOutcome};
+use crate::ports::{PeerCalls, PlatformRows, RowKey, RowStore, RowTransaction, TransactOutcome};
 use crate::row;
 use crate::submit::{SubmitAnswer, SubmitQueue, SubmitTarget};
 
@@ -372,7 +372,12 @@
                 Some(status) if status.is_final() => return Ok(CallerAnswer::Cancelled),
                 Some(_) => self.write_cancel(id).await,
                 None => match self.read_status(id).await {
-                    Ok(None) => return Ok(CallerAnswer::NoJob),
+                    Ok(None) => match self.write_early_cancel(id).await {
+                        Ok(true) => return Ok(CallerAnswer::NoJob),
+                        // The job has been stored since it was looked for.
+                        Ok(false) => Err(CallFailure::NotDone),
+                        Err(failure) => Err(failure),
+                    },
                     Ok(status) => {
                         known = status;
                         continue;
@@ -399,14 +404,40 @@
         Err((kind, "the cancellation could not be stored".to_owned()))
     }
 
+    /// Stores the cancellation of a known job.
     async fn write_cancel(&self, id: &JobId) -> Result<(), CallFailure> {
+        let is_written = self.write_cancel_row(id, Vec::new()).await?;
+        if is_written { Ok(()) } else { Err(CallFailure::NotDone) }
+    }
+
+    /// Stores the cancellation of a job that was not found, unless it exists now; returns whether the
+    /// cancellation is stored.
+    ///
+    /// A write of the job that nobody has answered may still take effect. Its caller is told that there
+    /// is no such job, and must not see it run after that.
+    async fn write_early_cancel(&self, id: &JobId) -> Result<bool, CallFailure> {
+        let keys = [row::job_key(id), row::inbox_key(id), row::progress_key(id)];
+        let expected = keys.into_iter().map(|key| (key, 0)).collect();
+        let is_written = self.write_cancel_row(id, expected).await?;
+        log::info!("cancellation of an unknown job job={id} stored={is_written}");
+        Ok(is_written)
+    }
+
+    /// Writes the row of a cancellation if the rows have the `expected` versions; returns whether they
+    /// have.
+    async fn write_cancel_row(
+        &self,
+        id: &JobId,
+        expected: Vec<(RowKey, u64)>,
+    ) -> Result<bool, CallFailure> {
         let transaction = RowTransaction {
+            expected,
             writes: vec![(row::cancel_key(id), b"{}".to_vec())],
             ..RowTransaction::default()
         };
         match self.context.ports.transact(&transaction, limits::STORE_TIMEOUT).await {
-            Ok(TransactOutcome::Committed(_)) => Ok(()),
-            Ok(TransactOutcome::Conflict(_)) => Err(CallFailure::NotDone),
+            Ok(TransactOutcome::Committed(_)) => Ok(true),
+            Ok(TransactOutcome::Conflict(_)) => Ok(false),
             Err(error) => {
                 log::warn!(
                     "cancellation not stored job={id} error=\"{}\"",
--- a/crates/fleet/src/limits.rs
+++ b/crates/fleet/src/limits.rs
@@ -163,6 +163,9 @@
 /// Most states that one sweep removes; each takes one condition and one removal of a
 /// transaction.
 pub const MAX_SWEPT_PER_TRANSACTION: usize = 48;
+/// Most cancellations that one sweep removes; each takes two conditions and one removal of a
+/// transaction.
+pub const MAX_CANCELLATIONS_PER_TRANSACTION: usize = 32;
 /// Retention of job states beyond [`FleetBounds::keep_ms`], in milliseconds: the clocks of
 /// VMs differ by seconds, and late repeats of a submission still have to find the state.
 pub const RETENTION_MARGIN_MS: u64 = 30_000;
--- a/crates/fleet/src/owner.rs
+++ b/crates/fleet/src/owner.rs
@@ -1,6 +1,7 @@
 //! Claims the fleet, keeps the ownership, and releases it or hands it over.
 
 mod advice;
+mod cancellations;
 mod explain;
 mod load;
 mod orders;
--- a/crates/fleet/src/owner/load.rs
+++ b/crates/fleet/src/owner/load.rs
@@ -15,7 +15,7 @@
 use crate::limits;
 use crate::news;
 use crate::owner::session::FinishedJob;
-use crate::owner::{OwnerPorts, SharedSession, advice, workers};
+use crate::owner::{OwnerPorts, SharedSession, advice, cancellations, workers};
 use crate::ports::{FeedAnswer, PortResult, RowPage, RowTransaction, TableRow, TransactOutcome};
 use crate::row::{self, LeasedWorkers};
 use crate::submit::TermVersions;
@@ -226,7 +226,7 @@
     records: &BTreeMap<JobId, ProgressRecord>,
 ) {
     if let Some(id) = row::parse_cancel_key(&row.key) {
-        apply_cancellation(session, &id, row.value.is_some());
+        cancellations::apply(session, &id, row.value.is_some());
         return;
     }
     let Some(value) = &row.value else { return };
@@ -239,17 +239,6 @@
     add_job(session, spec, record, now.0.saturating_sub(age_ms));
 }
 
-/// Applies the row of a cancellation, or its removal with the job.
-fn apply_cancellation<P: OwnerPorts>(session: &SharedSession<P>, id: &JobId, is_stored: bool) {
-    let status = session.context.statuses.borrow().get(id);
-    let mut planner = session.planner.borrow_mut();
-    if !is_stored {
-        planner.forget_cancellation(id);
-    } else if !matches!(status, Some(JobStatus::Completed | JobStatus::Failed)) {
-        planner.cancel_job(id);
-    }
-}
-
 /// Adds a stored job to the planner unless it is already known or finished: its row may be
 /// read, or the answer to its write may arrive, only after the job has run.
 ///
--- a/crates/fleet/src/owner/progress.rs
+++ b/crates/fleet/src/owner/progress.rs
@@ -12,7 +12,7 @@
 use crate::limits;
 use crate::metrics;
 use crate::owner::session::FinishedJob;
-use crate::owner::{OwnerPorts, SharedSession};
+use crate::owner::{OwnerPorts, SharedSession, cancellations};
 use crate::ports::{RowTransaction, TransactOutcome};
 use crate::row;
 
@@ -161,11 +161,12 @@
     }
 }
 
-/// Removes the states of jobs that finished before the retention time.
+/// Removes the states of jobs that finished before the retention time, and cancellations as old.
 pub(crate) async fn remove_old_states<P: OwnerPorts>(session: SharedSession<P>) {
     let keep_ms = session.context.bounds.keep_ms + limits::RETENTION_MARGIN_MS;
     loop {
         tokio::time::sleep(limits::SWEEP_INTERVAL).await;
+        cancellations::remove_old(&session).await;
         let old = take_old_jobs(&session, desk::unix_ms().saturating_sub(keep_ms));
         let mut partitions: BTreeMap<usize, Vec<FinishedJob>> = BTreeMap::new();
         for job in old {
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -81,6 +81,9 @@
     pub(crate) progress_versions: RefCell<BTreeMap<JobId, u64>>,
     /// Finished jobs, the earliest end first.
     pub(crate) finished_jobs: RefCell<VecDeque<FinishedJob>>,
+    /// Cancellations of jobs that were not known, with the time at which they were read; the earliest
+    /// first.
+    pub(crate) early_cancellations: RefCell<VecDeque<(ClockMillis, JobId)>>,
     /// Versions of this term's rows, on which writes of jobs and progress are conditional.
     pub(crate) term_versions: Cell<TermVersions>,
     /// Whether jobs and workers have been loaded.
@@ -195,6 +198,7 @@
         service_clock: Cell::default(),
         progress_versions: RefCell::default(),
         finished_jobs: RefCell::default(),
+        early_cancellations: RefCell::default(),
         term_versions: Cell::default(),
         is_loaded: Cell::new(false),
         lease_lists: Cell::default(),
--- a/standins/site/src/server.rs
+++ b/standins/site/src/server.rs
@@ -52,6 +52,9 @@
     pub answers_lost: bool,
     /// Delay between a transaction and its answer.
     pub write_delay: Duration,
+    /// Transactions that write a row of this key get no answer, and are carried out when the test
+    /// releases them, if their conditions hold then.
+    pub held_key: Option<&'static str>,
     /// Workers neither carry starts out nor answer them.
     pub starts_unanswered: bool,
     /// Delay between a read of rows and its answer, which may then be out of date.
@@ -69,6 +72,8 @@
     pub advice: AdviceService,
     /// Faults in force.
     pub faults: SiteFaults,
+    /// Transactions that [`SiteFaults::held_key`] has held back.
+    pub held_transactions: Vec<TxBody>,
 }
 
 /// A running site.
@@ -254,6 +259,17 @@
         self.lock().table.put("op", key, STANDARD.encode(value.to_string()));
     }
 
+    /// Carries out the transactions that were held back, as far as their conditions hold, and holds
+    /// no further ones; returns how many took effect.
+    #[must_use]
+    pub fn release_transactions(&self) -> usize {
+        let mut state = self.lock();
+        state.faults.held_key = None;
+        let held = std::mem::take(&mut state.held_transactions);
+        let results = held.iter().map(|body| state.table.transact(body));
+        results.filter(|result| matches!(result, TxResult::Committed(_))).count()
+    }
+
     /// Returns all runs of all workers, after ending those that are due.
     #[must_use]
     pub fn history(&self) -> Vec<HistoryRun> {
@@ -282,6 +298,9 @@
     match (index, call.as_str()) {
         (0, "rows-tx") => {
             let delay = site.lock().faults.write_delay;
+            if hold_transaction(&body, &site) {
+                return std::future::pending().await;
+            }
             let answer = transact(&body, &site);
             tokio::time::sleep(delay).await;
             answer
@@ -299,6 +318,18 @@
     }
 }
 
+/// Keeps a transaction for later if it writes the held key; returns whether it does.
+fn hold_transaction(body: &[u8], site: &SiteData) -> bool {
+    let mut state = site.lock();
+    let Some(key) = state.faults.held_key else { return false };
+    let Ok(body) = serde_json::from_slice::<TxBody>(body) else { return false };
+    let is_held = body.writes.iter().any(|row| row.key == key);
+    if is_held {
+        state.held_transactions.push(body);
+    }
+    is_held
+}
+
 fn transact(body: &[u8], site: &SiteData) -> HttpResponse {
     let mut state = site.lock();
     if state.faults.store_down || state.faults.writes_refused {
