Go on with accepted jobs whose team was removed

Cause: the planner allowed no task to a team without a rule in the configuration, and the forecast of capacity left its demand out. Ruled out: workers, advice and reservations (nothing else runs, and with the team named the second step starts).

Change: the last limit of a removed team holds on while it has unfinished jobs. A job carries the limit under which it was accepted, if there is one, for an owner that has never known the team; that of the job accepted last counts. The present limit of a team that is named goes first. Rows of jobs without a limit do not grow.

--- a/crates/fleet/src/desk.rs
+++ b/crates/fleet/src/desk.rs
@@ -8,6 +8,7 @@
 use link::failure::{self, CallFailure};
 use model::kind::ErrorKind;
 use model::name::{JobId, QueueName, TeamName};
+use model::resource::ResourceAmounts;
 use model::time::ClockMillis;
 use plan::job::{JobSchedule, JobSpec, StepSpec};
 use plan::progress::{JobStatus, ProgressRecord};
@@ -206,7 +207,11 @@
     ) -> Result<CallerAnswer, (ErrorKind, String)> {
         check_draft(&draft)?;
         let config = self.context.config_view.borrow().config.clone();
-        let accepted_rule = config.and_then(|config| config.plan.queues.get(&queue).cloned());
+        let plan = config.as_ref().map(|config| &config.plan);
+        let accepted_rule = plan.and_then(|plan| plan.queues.get(&queue).cloned());
+        let team_rule = plan.zip(team.as_ref()).and_then(|(plan, team)| plan.teams.get(team));
+        let accepted_limit =
+            team_rule.map(|rule| rule.limit).filter(|limit| *limit != ResourceAmounts::UNLIMITED);
         let spec = JobSpec {
             id: id.clone(),
             queue,
@@ -216,6 +221,7 @@
             schedule: draft.schedule,
             accepted_ms: unix_ms(),
             accepted_rule,
+            accepted_limit,
         };
         let timeout_ms = reduced_timeout_ms(timeout);
         if timeout_ms < limits::MIN_SUBMIT_TIMEOUT_MS {
--- a/crates/plan/src/capacity.rs
+++ b/crates/plan/src/capacity.rs
@@ -111,9 +111,9 @@
         step: &StepSpec,
         further: ResourceAmounts,
     ) -> u32 {
-        let Some(rule) = self.config.teams.get(team) else { return 0 };
+        let limit = self.team_limit(team);
         let used = self.team_usage.get(team).copied().unwrap_or_default();
-        fit_count(rule.limit.minus(used).minus(further), step.amounts)
+        fit_count(limit.minus(used).minus(further), step.amounts)
     }
 
     /// Returns what each team may use on workers that have not reported to this owner, and counts
--- a/crates/plan/src/explain.rs
+++ b/crates/plan/src/explain.rs
@@ -628,6 +628,7 @@
         schedule: question.schedule,
         accepted_ms: 0,
         accepted_rule: None,
+        accepted_limit: None,
     }
 }
 
--- a/crates/plan/src/job.rs
+++ b/crates/plan/src/job.rs
@@ -34,6 +34,10 @@
     /// removed; `None` in jobs of earlier builds.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub accepted_rule: Option<QueueRule>,
+    /// Limit of the team when the job was accepted, which holds on if the team is removed; `None`
+    /// if it had none, and in jobs of earlier builds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub accepted_limit: Option<ResourceAmounts>,
 }
 
 /// Times at which a repeated job becomes due.
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -28,6 +28,7 @@
 mod capacity;
 mod gang;
 mod place;
+mod removed_team;
 mod report;
 mod request;
 mod reservation;
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -192,7 +192,7 @@
             }
         }
         self.reserved_workers = pass.reserved.len();
-        self.forecast_room(&steps, &config);
+        self.forecast_room(&steps);
         self.preempt_runs(&steps, &config, &mut pass);
         if !is_delayed && self.delayed_calls.is_empty() {
             self.aged_call_ms = CallAmounts::default();
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -18,6 +18,7 @@
 use crate::order::{self, JobRank, RankInput};
 use crate::preempt::PreemptState;
 use crate::progress::{JobStatus, ProgressRecord, RemainingRuns, StepProgress};
+use crate::removed_team::RemovedTeams;
 use crate::room::RoomState;
 use crate::speed::{self, SpeedTable, StepWork};
 use crate::stall::StallRecord;
@@ -77,6 +78,7 @@
     pub(crate) cancelled_jobs: BTreeSet<JobId>,
     /// Resources that the runs of each team use up of its limit.
     pub(crate) team_usage: BTreeMap<TeamName, ResourceAmounts>,
+    pub(crate) removed_teams: RemovedTeams,
     /// Jobs whose progress changed since it was last taken to be stored.
     pub(crate) dirty_jobs: BTreeSet<JobId>,
     /// Run ends that were counted and whose progress is not stored.
@@ -135,10 +137,13 @@
         Self { first_run: options.first_run, options, ..Self::default() }
     }
 
-    /// Puts a configuration in force. The rules of a queue that it does not name any more hold on
-    /// for the queue's unfinished jobs.
+    /// Puts a configuration in force. The rules of a queue and the limit of a team that it does not
+    /// name any more hold on for their unfinished jobs.
     pub fn set_config(&mut self, config: Arc<PlanConfig>) {
         let earlier = std::mem::replace(&mut self.config, config);
+        let teams: BTreeSet<_> =
+            self.jobs.values().filter_map(|job| job.spec.team.as_ref()).collect();
+        self.removed_teams.replace_config(&earlier, &self.config, |team| teams.contains(team));
         let specs: Vec<_> = self.jobs.values().map(|job| job.spec.clone()).collect();
         for spec in specs {
             self.keep_rule(&spec, &earlier);
@@ -320,6 +325,7 @@
             return;
         }
         self.keep_rule(spec, &PlanConfig::default());
+        self.keep_limit(spec);
         let beyond_share = self.charge_share(spec);
         self.record_arrival(spec, beyond_share);
         let mut job = JobState {
--- a/crates/plan/src/room.rs
+++ b/crates/plan/src/room.rs
@@ -12,7 +12,7 @@
 use model::resource::ResourceAmounts;
 
 use crate::capacity;
-use crate::config::{PlanConfig, QueueRule};
+use crate::config::QueueRule;
 use crate::duration::DurationTable;
 use crate::job::{JobSpec, StepSpec};
 use crate::order::{JobRank, RankClass};
@@ -680,7 +680,7 @@
     }
 
     /// Computes the forecast from the steps that wait after a decision.
-    pub(crate) fn forecast_room(&mut self, steps: &[WaitingStep<'_>], config: &PlanConfig) {
+    pub(crate) fn forecast_room(&mut self, steps: &[WaitingStep<'_>]) {
         let features = self.options.features;
         if !features.room_admission && !features.preemption {
             return;
@@ -710,7 +710,7 @@
             let pool = pools.entry(step.rule.pool.clone());
             let pool = pool.or_insert_with(|| self.measure_pool(&step.rule.pool));
             let demand = pool.waiting_demand(job, &self.durations);
-            let demand = self.allowed_demand(job, demand, config, &mut allowed);
+            let demand = self.allowed_demand(job, demand, &mut allowed);
             pool.waiting.push(WaitingSum { rank: step.rank, demand });
             if step.rank.class != RankClass::Expired {
                 let jobs = if step.rank.class == RankClass::BeyondShare {
@@ -745,17 +745,16 @@
         &self,
         job: &JobState,
         demand: RoomDemand,
-        config: &PlanConfig,
         allowed: &mut BTreeMap<TeamName, RoomAmounts>,
     ) -> RoomDemand {
         let Some(team) = &job.spec.team else { return demand };
-        let Some(rule) = config.teams.get(team) else { return RoomDemand::default() };
-        if rule.limit == ResourceAmounts::UNLIMITED {
+        let limit = self.team_limit(team);
+        if limit == ResourceAmounts::UNLIMITED {
             return demand;
         }
         let left = allowed.entry(team.clone()).or_insert_with(|| {
             let used = self.team_usage.get(team).copied().unwrap_or_default();
-            RoomAmounts::of(rule.limit.minus(used))
+            RoomAmounts::of(limit.minus(used))
         });
         let ratio = demand.amounts.largest_ratio(left.max(RoomAmounts([1e-9; 4])));
         let share = if ratio > 1.0 { 1.0 / ratio } else { 1.0 };
--- a/crates/plan/tests/runs.rs
+++ b/crates/plan/tests/runs.rs
@@ -630,6 +630,84 @@
     assert_eq!(fixture.store()["j"].status, JobStatus::Failed);
 }
 
+/// Returns a configuration without the team of the jobs.
+fn config_without_team() -> plan::config::PlanConfig {
+    let mut config = config();
+    config.teams.remove("red");
+    config
+}
+
+/// Guards against a service that is not started again once its team has been removed.
+#[test]
+fn a_service_goes_on_without_its_team() {
+    let mut fixture = PlannerFixture::new(1, config());
+    fixture.add(job("s", "normal", vec![StepSpec { service: true, ..step(1, cpu(100)) }]));
+    let order = fixture.run_starts(StartAnswer::Started).remove(0);
+    fixture.planner.set_config(Arc::new(config_without_team()));
+    fixture.end(&order, EndKind::Failed);
+    assert_eq!(fixture.run_starts(StartAnswer::Started).len(), 1);
+}
+
+/// Returns a job of a team that might use so much when it was accepted.
+fn limited_job(id: &str, accepted_ms: u64, cpu_millis: u64) -> JobSpec {
+    let limit = ResourceAmounts { cpu_millis, ..ResourceAmounts::UNLIMITED };
+    let spec = job(id, "normal", vec![step(4, cpu(1_000))]);
+    JobSpec { accepted_ms, accepted_limit: Some(limit), ..spec }
+}
+
+/// Guards against an accepted job that starts no further step once its team has been removed.
+#[test]
+fn an_accepted_job_goes_on_without_its_team() {
+    let mut fixture = PlannerFixture::new(1, config());
+    fixture.add(two_step_job());
+    let first = fixture.run_starts(StartAnswer::Started).remove(0);
+    fixture.planner.set_config(Arc::new(config_without_team()));
+    fixture.end(&first, EndKind::Done);
+    let second = fixture.run_starts(StartAnswer::Started).remove(0);
+    // Another change of the configuration must not end it either.
+    fixture.planner.set_config(Arc::new(config_without_team()));
+    fixture.end(&second, EndKind::Done);
+    assert_eq!(fixture.store()["j"].status, JobStatus::Completed);
+}
+
+/// Guards against a removed team that uses more than it might: its last limit holds on.
+#[test]
+fn a_removed_team_stays_within_its_limit() {
+    let mut fixture = PlannerFixture::new(2, narrow_config());
+    fixture.add(job("j", "normal", vec![step(2, cpu(1_000))]));
+    assert_eq!(fixture.run_starts(StartAnswer::Started).len(), 2);
+    for _ in 0..2 {
+        fixture.planner.set_config(Arc::new(config_without_team()));
+    }
+    fixture.add(limited_job("late", 1, 8_000));
+    fixture.add(limited_job("later", 2, 8_000));
+    assert_eq!(fixture.run_starts(StartAnswer::Started).len(), 3, "five cores may be in use");
+}
+
+/// Guards against the same under an owner that has never known the team: the limit of the job that was
+/// accepted last is the newest one.
+#[test]
+fn a_new_owner_keeps_to_the_limit_of_a_removed_team() {
+    for order in [[1, 2], [2, 1]] {
+        let mut fixture = PlannerFixture::new(2, config_without_team());
+        for accepted_ms in order {
+            let cpu_millis = if accepted_ms == 1 { 8_000 } else { 3_000 };
+            fixture.add(limited_job(&format!("j{accepted_ms}"), accepted_ms, cpu_millis));
+        }
+        assert_eq!(fixture.run_starts(StartAnswer::Started).len(), 3, "{order:?}");
+    }
+}
+
+/// Guards against old limits that go before that of a team that is there.
+#[test]
+fn the_limit_of_a_present_team_goes_first() {
+    let mut fixture = PlannerFixture::new(2, config_without_team());
+    fixture.add(limited_job("j1", 1, 1_000));
+    fixture.planner.set_config(Arc::new(narrow_config()));
+    fixture.add(limited_job("j2", 2, 1_000));
+    assert_eq!(fixture.run_starts(StartAnswer::Started).len(), 5);
+}
+
 /// Returns a configuration in which the team may use five cores.
 fn narrow_config() -> plan::config::PlanConfig {
     let mut config = config();
--- a/crates/plan/tests/support/mod.rs
+++ b/crates/plan/tests/support/mod.rs
@@ -88,6 +88,7 @@
         schedule: None,
         accepted_ms: 0,
         accepted_rule: None,
+        accepted_limit: None,
     }
 }
 
