Start fillers beside services where there is no other worker, and pace them

Cause: fillers were kept off each worker with such a service, whatever its tail, on the assumption that there are other workers. Nothing could have slowed a filler beside a service. Ruled out: reservations and advice (the case has no gang and no queue with advice; without the loss of the worker the job starts at once).

Change: a filler that has waited for 2 s for another worker, on a fleet of which less than half is in use, may start beside a service whose tail is at most 65 % of its target. It starts at 20 % of its speed, is sped up while the tail is as low, and stands still from 85 % on: reports come about every 2 s, and the rule allows 4 s above the target. The speed in each report is compared with the ordered one, so that lost, late and inherited orders are corrected.

--- a/crates/fleet/src/owner/orders.rs
+++ b/crates/fleet/src/owner/orders.rs
@@ -1,7 +1,7 @@
-//! Sends starts and stops of runs to workers and reports the answers to the planner.
+//! Sends starts, stops and the pace of runs to workers and reports the answers to the planner.
 
 use link::failure;
-use plan::decision::{StartOrder, StopOrder};
+use plan::decision::{PaceOrder, StartOrder, StopOrder};
 use plan::worker::{RefusalKind, StartAnswer};
 use plan::{drain, stall};
 
@@ -60,6 +60,28 @@
     }
 }
 
+/// Sends the pace of a run. An order that is lost or carried out late shows in the worker's next
+/// report, upon which the planner orders it again.
+pub(crate) async fn send_pace<P: OwnerPorts>(session: SharedSession<P>, order: PaceOrder) {
+    let permit = workers::acquire_order_permit(&session, &order.worker).await;
+    if !session.planner.borrow().may_be_present(&order.worker, &order.task, order.run) {
+        return;
+    }
+    let address = session.links.borrow().get(&order.worker).map(|link| link.address.clone());
+    let Some(address) = address.filter(|_| session.is_held()) else { return };
+    let answer = session.context.ports.pace(&address, &order, session.term).await;
+    drop(permit);
+    let error = answer.as_ref().err().map(failure::format_one_line).unwrap_or_default();
+    log::info!(
+        "pace task={} run={} worker={} percent={} confirmed={} error=\"{error}\"",
+        order.task,
+        order.run,
+        order.worker,
+        order.percent,
+        answer.is_ok()
+    );
+}
+
 /// Sends a stop and reports the answer to the planner. After an unanswered stop, the planner is
 /// informed after a delay and orders another one.
 pub(crate) async fn send_stop<P: OwnerPorts>(session: SharedSession<P>, order: StopOrder) {
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -553,6 +553,9 @@
                     }
                     session.spawn(orders::send_stop(session.clone(), order));
                 }
+                PlanDecision::Pace(order) => {
+                    session.spawn(orders::send_pace(session.clone(), order));
+                }
                 PlanDecision::RequestAdvice(request) => {
                     session.dispatcher.borrow_mut().push(request, now.0);
                 }
--- a/crates/fleet/src/ports.rs
+++ b/crates/fleet/src/ports.rs
@@ -8,7 +8,7 @@
 use error_stack::Report;
 use link::failure::CallFailure;
 use model::name::WorkerName;
-use plan::decision::{AdviceAnswer, AdviceRequest, StartOrder, StopOrder};
+use plan::decision::{AdviceAnswer, AdviceRequest, PaceOrder, StartOrder, StopOrder};
 use plan::explain::ExplainQuestion;
 use plan::job::JobSpec;
 use plan::worker::{RunReport, StartAnswer};
@@ -178,6 +178,14 @@
         fencing_token: u64,
     ) -> impl Future<Output = PortResult<()>>;
 
+    /// Lets a run work at a part of its speed.
+    fn pace(
+        &self,
+        address: &str,
+        order: &PaceOrder,
+        fencing_token: u64,
+    ) -> impl Future<Output = PortResult<()>>;
+
     /// Polls the runs of a worker and extends its lease.
     fn poll(
         &self,
--- a/crates/plan/src/candidate.rs
+++ b/crates/plan/src/candidate.rs
@@ -15,6 +15,7 @@
 
 /// A worker that can run tasks of a step.
 #[derive(Clone, Debug)]
+#[expect(clippy::struct_excessive_bools, reason = "each is an independent criterion")]
 pub(crate) struct WorkerCandidate {
     pub(crate) name: WorkerName,
     /// Free capacity, less the tasks placed here in this pass.
@@ -23,6 +24,8 @@
     pub(crate) near_data: bool,
     /// Whether fillers run here; they would slow a latency-sensitive service.
     pub(crate) has_fillers: bool,
+    /// Whether latency-sensitive services run here; a filler would slow them.
+    pub(crate) has_sensitive_runs: bool,
     pub(crate) rack: Option<ArcStr>,
     /// Whether a member of the gang failed there; others are preferred.
     pub(crate) avoided: bool,
@@ -41,7 +44,7 @@
 }
 
 /// Place of a candidate in the order of preference for one task: workers where it failed, fillers
-/// beside a service, other racks than that of the data, the order by speed, free processor time.
+/// beside a service or the reverse, other racks than that of the data, the order by speed, free processor time.
 pub(crate) type PlacePreference = (bool, bool, bool, SpeedOrder, u64);
 
 impl WorkerCandidate {
@@ -53,7 +56,8 @@
     /// Returns where the worker comes in the order in which tasks of a step are placed; smaller comes
     /// first. `is_avoided` says whether the task has failed here.
     pub(crate) const fn preference(&self, step: &StepSpec, is_avoided: bool) -> PlacePreference {
-        let is_disturbed = step.tail_target_ms > 0 && self.has_fillers;
+        let is_disturbed = (step.tail_target_ms > 0 && self.has_fillers)
+            || (step.filler && self.has_sensitive_runs);
         (is_avoided, is_disturbed, !self.near_data, self.speed_order, self.free.cpu_millis)
     }
 
@@ -135,8 +139,8 @@
             && capacity::is_suitable(step, rule, worker)
             && self.can_start_on(worker)
             && !pass.is_withheld(name);
-        // How much a filler slows a service is not known beforehand.
-        let disturbs = step.filler && worker.sensitive_runs > 0;
+        let may_disturb = pass.may_use_withheld && worker.has_safe_tail();
+        let disturbs = step.filler && worker.sensitive_runs > 0 && !may_disturb;
         if !fits || disturbs {
             return None;
         }
@@ -152,6 +156,7 @@
             free: worker.free(),
             near_data: step.data_rack.is_some() && step.data_rack.as_ref() == worker.info.rack(),
             has_fillers: worker.filler_runs > 0,
+            has_sensitive_runs: worker.sensitive_runs > 0,
             rack: worker.info.rack().cloned(),
             avoided: false,
             ticket: ArcStr::default(),
@@ -165,7 +170,7 @@
 
     /// Returns the index of the candidate on which a task should start.
     ///
-    /// Avoids workers where the task failed, then fillers beside a service, then racks without
+    /// Avoids workers where the task failed, then fillers beside a service or the reverse, then racks without
     /// the data; among the rest it takes the slowest that is fast enough, and among equally fast
     /// ones that with the least free processor time.
     pub(crate) fn choose_candidate(
--- a/crates/plan/src/decision.rs
+++ b/crates/plan/src/decision.rs
@@ -1,4 +1,4 @@
-//! Decisions of the planner: starts, stops and requests for advice.
+//! Decisions of the planner: starts, stops, the pace of runs, and requests for advice.
 
 use std::sync::Arc;
 
@@ -15,6 +15,8 @@
     Start(StartOrder),
     /// Stop a run.
     Stop(StopOrder),
+    /// Let a run work at a part of its speed.
+    Pace(PaceOrder),
     /// Ask the advice service which workers may run a step.
     RequestAdvice(AdviceRequest),
 }
@@ -49,6 +51,19 @@
     pub reason: &'static str,
 }
 
+/// An order to a worker to let one run work, and disturb others, at a part of its speed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PaceOrder {
+    /// Worker that has the run.
+    pub worker: WorkerName,
+    /// Task of the run.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+    /// Speed in per cent of full speed.
+    pub percent: u32,
+}
+
 /// A request to the advice service: which of these workers may run a step.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AdviceRequest {
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -15,6 +15,7 @@
 use crate::decision::{PlanDecision, StartOrder};
 use crate::job::{JobSpec, StepKey, StepSpec, TaskKey};
 use crate::order::{JobRank, RankClass};
+use crate::pace::RunSpeed;
 use crate::planner::Planner;
 use crate::request;
 use crate::state::{JobState, RunPhase, RunState, SharingKind};
@@ -100,10 +101,10 @@
     pub(crate) team_claims: BTreeMap<TeamName, ResourceAmounts>,
     /// How fast workers have to be for the step that is being placed; none if all are equal.
     pub(crate) speed_need: Option<SpeedNeed>,
-    /// Whether the step that is being placed may start on reserved workers.
-    pub(crate) may_use_reserved: bool,
-    /// Number of steps that were checked for a delay by reservations.
-    pub(crate) delay_checks: usize,
+    /// Whether the step that is being placed may start on workers that are withheld from others.
+    pub(crate) may_use_withheld: bool,
+    /// Number of searches for workers that are withheld from a step.
+    pub(crate) withheld_searches: usize,
 }
 
 impl PlacementPass {
@@ -126,7 +127,7 @@
 
     /// Returns whether the step that is being placed has to leave a worker to a gang.
     pub(crate) fn is_withheld(&self, name: &WorkerName) -> bool {
-        !self.may_use_reserved && self.reserved.contains(name)
+        !self.may_use_withheld && self.reserved.contains(name)
     }
 
     /// Returns whether workers may be reserved for one more gang.
@@ -290,7 +291,7 @@
         };
         pass.pools.insert(rule.pool.clone(), capacity);
         pass.speed_need = self.speed_need(waiting);
-        pass.may_use_reserved = self.has_long_reservation_delay(key);
+        pass.may_use_withheld = self.may_use_withheld_workers(key);
         let may_fit = step.occupied_amounts().fits_in(capacity.largest_free);
         let before = self.decisions.len();
         if step.gang {
@@ -299,7 +300,7 @@
             self.place_tasks(key, spec, rule, allowed_tasks, pass);
         }
         let decisions = self.decisions.len() - before;
-        self.update_reservation_delay(waiting, &capacity, pass);
+        self.update_withheld_time(waiting, &capacity, pass);
         if let Some(capacity) = pass.pools.get_mut(&rule.pool)
             && decisions > 0
         {
@@ -390,6 +391,8 @@
         if step.tail_target_ms > 0 {
             self.stop_fillers(name);
         }
+        let worker = self.workers.get(name);
+        let has_sensitive_runs = worker.is_some_and(|worker| worker.sensitive_runs > 0);
         self.record_calls(task, spec);
         let Some(state) = self.step_mut(&task.step) else { return };
         let gang_saved = state.gang_saved.clone();
@@ -409,6 +412,7 @@
             stop_sent: false,
             sharing: SharingKind::of(step),
             is_service: step.service,
+            speed: RunSpeed::at_start(step.filler && has_sensitive_runs),
         };
         self.add_run(name, task, state);
         self.decisions.push(PlanDecision::Start(StartOrder {
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -877,7 +877,7 @@
             waiting: step.count,
             advice: AdviceState::default(),
             servability: None,
-            reservation_delay_since_ms: None,
+            withheld_since_ms: None,
             gang_saved: ArcStr::default(),
             work: StepWork::default(),
         })
--- a/crates/plan/src/report.rs
+++ b/crates/plan/src/report.rs
@@ -6,6 +6,7 @@
 
 use crate::decision::AdviceAnswer;
 use crate::job::TaskKey;
+use crate::pace::RunSpeed;
 use crate::planner::Planner;
 use crate::progress::JobStatus;
 use crate::state::{IssuedTicket, JobState, RunPhase, RunState, SharingKind};
@@ -50,6 +51,7 @@
             self.apply_present_run(name, present);
         }
         self.stop_stalled_runs(name, report, sent_ms);
+        self.pace_fillers(name, report);
         if !report.is_partial {
             self.remove_absent_runs(name, report, sent_ms);
             self.mark_reported(name);
@@ -275,6 +277,7 @@
             stop_sent: false,
             sharing,
             is_service,
+            speed: RunSpeed::reported(present.speed_percent),
         };
         self.add_run(name, &present.task, run);
         if wanted {
@@ -358,6 +361,7 @@
                     run.started_ms = Some(now);
                 }
                 self.mark_job_running(task);
+                self.pace_started_run(name, task);
             }
             StartAnswer::Refused(RefusalKind::Fenced) => {}
             StartAnswer::Refused(kind) => {
--- a/crates/plan/src/state.rs
+++ b/crates/plan/src/state.rs
@@ -10,6 +10,7 @@
 
 use crate::drain::DepartureSpan;
 use crate::job::{JobSpec, StepSpec, TaskKey};
+use crate::pace::RunSpeed;
 use crate::progress::{JobStatus, RemainingRuns};
 use crate::ranges::IndexRanges;
 use crate::speed::{StepWork, WorkerSpeed};
@@ -58,9 +59,9 @@
     pub(crate) advice: AdviceState,
     /// Whether the known workers could run the step; none if it is not known.
     pub(crate) servability: Option<Servability>,
-    /// Since when the step is kept from free capacity by reservations for gangs, on the planner's
-    /// clock; none if it is not.
-    pub(crate) reservation_delay_since_ms: Option<u64>,
+    /// Since when workers that the step could use are withheld from it, on the planner's clock; none
+    /// if they are not.
+    pub(crate) withheld_since_ms: Option<u64>,
     /// Saved progress of a gang, from which every member resumes.
     pub(crate) gang_saved: ArcStr,
     /// Durations of the step's runs, from which the speeds of workers are learned.
@@ -229,6 +230,8 @@
     pub(crate) sharing: SharingKind,
     /// Whether the run belongs to a service, so that it does not end by itself.
     pub(crate) is_service: bool,
+    /// How fast the run should work.
+    pub(crate) speed: RunSpeed,
 }
 
 /// A worker and the runs that may be present on it.
@@ -266,6 +269,9 @@
     pub(crate) quarantined_until_ms: u64,
     /// Learned speed of the worker.
     pub(crate) speed: WorkerSpeed,
+    /// Highest tail response time of the services here in the last report, in per cent of their
+    /// targets; none if none was measured.
+    pub(crate) tail_percent: Option<u32>,
     /// When the worker leaves; none if it does not drain, or has not said when it leaves.
     pub(crate) departure: Option<DepartureSpan>,
     /// Runs that used no processor time in the last report.
@@ -294,6 +300,7 @@
             failed_jobs: BTreeSet::new(),
             quarantined_until_ms: 0,
             speed: WorkerSpeed::default(),
+            tail_percent: None,
             departure: None,
             idle_runs: BTreeMap::new(),
             stalled_jobs: BTreeSet::new(),
--- a/crates/plan/tests/calls.rs
+++ b/crates/plan/tests/calls.rs
@@ -135,6 +135,7 @@
                 }
                 PlanDecision::RequestAdvice(request) => self.dispatcher.push(request, now),
                 PlanDecision::Stop(order) => panic!("nothing is cancelled: {order:?}"),
+                PlanDecision::Pace(order) => panic!("nothing is paced: {order:?}"),
             }
         }
         self.send_calls(now);
--- a/crates/plan/tests/fleet_property.rs
+++ b/crates/plan/tests/fleet_property.rs
@@ -96,6 +96,7 @@
                 PlanDecision::Start(order) => self.start(&order, random),
                 PlanDecision::Stop(order) => self.stop(&order, random),
                 PlanDecision::RequestAdvice(_) => {}
+                PlanDecision::Pace(order) => panic!("nothing is paced: {order:?}"),
             }
         }
     }
--- a/crates/plan/tests/load.rs
+++ b/crates/plan/tests/load.rs
@@ -62,6 +62,7 @@
                 }
                 PlanDecision::RequestAdvice(request) => self.pending_requests.push_back(request),
                 PlanDecision::Stop(order) => panic!("nothing is cancelled: {order:?}"),
+                PlanDecision::Pace(order) => panic!("nothing is paced: {order:?}"),
             }
         }
         self.answer_calls(now);
--- a/crates/plan/tests/preempt.rs
+++ b/crates/plan/tests/preempt.rs
@@ -350,6 +350,7 @@
                     in_flight.push((fixture.now_ms + 300, order));
                 }
                 PlanDecision::RequestAdvice(request) => panic!("no advice: {request:?}"),
+                PlanDecision::Pace(order) => panic!("nothing is paced: {order:?}"),
             }
         }
         assert!(in_flight.len() <= 8, "{} stops in flight", in_flight.len());
--- a/crates/plan/tests/speed.rs
+++ b/crates/plan/tests/speed.rs
@@ -206,6 +206,7 @@
                     self.calls.push((answered_ms, request));
                 }
                 PlanDecision::Stop(order) => panic!("nothing is cancelled: {order:?}"),
+                PlanDecision::Pace(order) => panic!("nothing is paced: {order:?}"),
             }
         }
         for members in gangs.into_values() {
--- a/standins/site/src/server.rs
+++ b/standins/site/src/server.rs
@@ -313,6 +313,7 @@
         (_, "run-start") if site.lock().faults.starts_unanswered => std::future::pending().await,
         (_, "run-start") => start(index - 1, &body, &site),
         (_, "run-stop") => stop(index - 1, &body, &site),
+        (_, "pace") => pace(index - 1, &body, &site),
         (_, "hold") => hold(index - 1, &body, &site).await,
         _ => HttpResponse::NotFound().finish(),
     }
@@ -496,6 +497,29 @@
     HttpResponse::Ok().json(json!({ "clockMs": worker.clock_ms() }))
 }
 
+/// Body of the call `pace`.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct PaceBody {
+    task: String,
+    run: u32,
+    percent: u32,
+    fencing_token: u64,
+}
+
+fn pace(index: usize, body: &[u8], site: &SiteData) -> HttpResponse {
+    let Ok(body) = serde_json::from_slice::<PaceBody>(body) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let mut state = site.lock();
+    let worker = &mut state.workers[index];
+    if !worker.accept_token(body.fencing_token) {
+        return HttpResponse::Conflict().json(json!({ "reason": "fence" }));
+    }
+    worker.pace(&body.task, body.run, body.percent);
+    HttpResponse::Ok().json(json!({ "clockMs": worker.clock_ms() }))
+}
+
 /// Body of the call `hold`.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
--- a/standins/site/src/worker.rs
+++ b/standins/site/src/worker.rs
@@ -9,7 +9,7 @@
 const MAX_LEASE_MS: u64 = 6_000;
 
 /// Processor use of a run that works, in thousandths of a core.
-const USED_CPU_MILLIS: u32 = 500;
+const USED_CPU_MILLIS: u64 = 500;
 
 /// Most ended runs in one answer to the call `hold`.
 const MAX_LISTED_ENDS: usize = 500;
@@ -59,6 +59,8 @@
     ends_at_ms: u64,
     /// How the task then ends.
     outcome: &'static str,
+    /// Speed in per cent, which the worker reports; it does not change how long the run takes.
+    percent: u32,
     /// Index of the run in the history.
     history_index: usize,
 }
@@ -90,6 +92,8 @@
     pub is_mute: bool,
     /// Since when the runs stand still, on the worker's clock; none while they work.
     stalled_since_ms: Option<u64>,
+    /// Tail response time of services, or processor use of any other run, as the worker reports it.
+    pub measurement: u64,
     /// All runs, in the order of their starts.
     pub history: Vec<HistoryRun>,
 }
@@ -111,6 +115,7 @@
             last_end_number: 0,
             is_mute: false,
             stalled_since_ms: None,
+            measurement: USED_CPU_MILLIS,
             history: Vec::new(),
         }
     }
@@ -133,7 +138,7 @@
         }
         let restarted = Self::new(self.name.clone(), self.incarnation + 1, self.started);
         let history = std::mem::take(&mut self.history);
-        *self = Self { history, ..restarted };
+        *self = Self { history, measurement: self.measurement, ..restarted };
     }
 
     /// Leaves: the runs and the ends that were not acknowledged are lost, and nothing is reported
@@ -287,6 +292,7 @@
             run: body.run,
             ends_at_ms,
             outcome,
+            percent: 100,
             history_index: self.history.len() - 1,
         };
         self.present.insert(body.task.clone(), run);
@@ -303,6 +309,19 @@
         }
     }
 
+    /// Lets a run work at a part of its speed.
+    pub fn pace(&mut self, task: &str, run: u32, percent: u32) {
+        if let Some(present) = self.present.get_mut(task).filter(|present| present.run == run) {
+            present.percent = percent;
+        }
+    }
+
+    /// Returns the speed of a present run, in per cent.
+    #[must_use]
+    pub fn speed_percent(&self, task: &str) -> Option<u32> {
+        self.present.get(task).map(|run| run.percent)
+    }
+
     /// Drops the ends up to a number, which the owner has acknowledged.
     pub fn acknowledge(&mut self, number: u64) {
         self.ended.retain(|end| end.0 > number);
@@ -317,10 +336,13 @@
     /// Returns the answer to the call `hold`: present runs and ends that are not acknowledged.
     #[must_use]
     pub fn report(&self) -> serde_json::Value {
-        let used_cpu = if self.stalled_since_ms.is_some() { 0 } else { USED_CPU_MILLIS };
+        let used_cpu = if self.stalled_since_ms.is_some() { 0 } else { self.measurement };
         // Task, run, saved progress (none), speed in per cent, and processor use.
-        let running: Vec<_> =
-            self.present.iter().map(|(task, run)| (task, run.run, "", 100, used_cpu)).collect();
+        let running: Vec<_> = self
+            .present
+            .iter()
+            .map(|(task, run)| (task, run.run, "", run.percent, used_cpu))
+            .collect();
         // Number of the end, task, run, outcome, and saved progress (none).
         let ended: Vec<_> = self
             .ended
