--- a/crates/plan/src/candidate.rs
+++ b/crates/plan/src/candidate.rs
@@ -44,7 +44,8 @@
 }
 
 /// Place of a candidate in the order of preference for one task: workers where it failed, fillers
-/// beside a service or the reverse, other racks than that of the data, the order by speed, free processor time.
+/// beside a service or the reverse, other racks than that of the data, the order by speed, free
+/// processor time.
 pub(crate) type PlacePreference = (bool, bool, bool, SpeedOrder, u64);
 
 impl WorkerCandidate {
@@ -170,8 +171,8 @@
 
     /// Returns the index of the candidate on which a task should start.
     ///
-    /// Avoids workers where the task failed, then fillers beside a service or the reverse, then racks without
-    /// the data; among the rest it takes the slowest that is fast enough, and among equally fast
+    /// Avoids workers where the task failed, then fillers beside a service or the reverse, then racks
+    /// without the data; among the rest it takes the slowest that is fast enough, and among equally fast
     /// ones that with the least free processor time.
     pub(crate) fn choose_candidate(
         &mut self,
--- a/crates/plan/src/withheld.rs
+++ b/crates/plan/src/withheld.rs
@@ -6,10 +6,6 @@
 //! check beforehand finds. Keeping fillers away from services assumes that there are other workers.
 //! Where neither holds, work would wait beside free workers for good.
 
-use std::collections::BTreeSet;
-
-use model::name::WorkerName;
-
 use crate::candidate::WorkerCandidate;
 use crate::capacity::PoolCapacity;
 use crate::gang;
@@ -80,11 +76,13 @@
         if !fits(&candidates) {
             return false;
         }
-        let others = self.find_candidates(key, step, rule, pass);
-        let others: BTreeSet<WorkerName> = others.into_iter().map(|other| other.name).collect();
         let own = pass.own_reserved.get(key);
         candidates.retain(|candidate| {
-            others.contains(&candidate.name) || own.is_some_and(|own| own.contains(&candidate.name))
+            let name = &candidate.name;
+            let is_own = own.is_some_and(|own| own.contains(name));
+            let is_reserved = pass.reserved.contains(name) && !is_own;
+            let is_disturbed = step.filler && candidate.has_sensitive_runs;
+            !is_reserved && !is_disturbed
         });
         !fits(&candidates)
     }
--- a/standins/site/src/server.rs
+++ b/standins/site/src/server.rs
@@ -40,6 +40,21 @@
     STARTED.elapsed().as_millis() + 1
 }
 
+/// Which transactions get no answer and are held back.
+#[derive(Clone, Copy, Debug, Default)]
+pub enum HeldWrites {
+    /// None.
+    #[default]
+    None,
+    /// Those that write a row of this key.
+    Key(&'static str),
+    /// Those that write rows of jobs, their progress or their cancellations.
+    Jobs,
+}
+
+/// Tables of what [`HeldWrites::Jobs`] holds back.
+const JOB_TABLES: [&str; 3] = ["jobs", "inbox", "progress"];
+
 /// Faults that a test injects.
 #[derive(Clone, Copy, Debug, Default)]
 #[expect(clippy::struct_excessive_bools, reason = "each is an independent fault")]
@@ -52,9 +67,9 @@
     pub answers_lost: bool,
     /// Delay between a transaction and its answer.
     pub write_delay: Duration,
-    /// Transactions that write a row of this key get no answer, and are carried out when the test
-    /// releases them, if their conditions hold then.
-    pub held_key: Option<&'static str>,
+    /// Transactions that get no answer, and are carried out when the test releases them, if their
+    /// conditions hold then.
+    pub held_writes: HeldWrites,
     /// Workers neither carry starts out nor answer them.
     pub starts_unanswered: bool,
     /// Delay between a read of rows and its answer, which may then be out of date.
@@ -72,7 +87,7 @@
     pub advice: AdviceService,
     /// Faults in force.
     pub faults: SiteFaults,
-    /// Transactions that [`SiteFaults::held_key`] has held back.
+    /// Transactions that [`SiteFaults::held_writes`] has held back.
     pub held_transactions: Vec<TxBody>,
 }
 
@@ -264,7 +279,7 @@
     #[must_use]
     pub fn release_transactions(&self) -> usize {
         let mut state = self.lock();
-        state.faults.held_key = None;
+        state.faults.held_writes = HeldWrites::None;
         let held = std::mem::take(&mut state.held_transactions);
         let results = held.iter().map(|body| state.table.transact(body));
         results.filter(|result| matches!(result, TxResult::Committed(_))).count()
@@ -319,12 +334,16 @@
     }
 }
 
-/// Keeps a transaction for later if it writes the held key; returns whether it does.
+/// Keeps a transaction for later if it is one of those to be held; returns whether it is.
 fn hold_transaction(body: &[u8], site: &SiteData) -> bool {
     let mut state = site.lock();
-    let Some(key) = state.faults.held_key else { return false };
+    let held_writes = state.faults.held_writes;
     let Ok(body) = serde_json::from_slice::<TxBody>(body) else { return false };
-    let is_held = body.writes.iter().any(|row| row.key == key);
+    let is_held = body.writes.iter().any(|row| match held_writes {
+        HeldWrites::None => false,
+        HeldWrites::Key(key) => row.key == key,
+        HeldWrites::Jobs => JOB_TABLES.contains(&row.table.as_str()),
+    });
     if is_held {
         state.held_transactions.push(body);
     }
