Keep each early cancellation once

The owner reads the inbox again whenever the feed of its changes does not reach back far enough, and listed each kept cancellation again at each read. They are kept by job now, and forgotten with their rows.

--- a/crates/fleet/src/owner/cancellations.rs
+++ b/crates/fleet/src/owner/cancellations.rs
@@ -4,7 +4,6 @@
 
 use link::failure;
 use model::name::JobId;
-use model::time::ClockMillis;
 use plan::progress::JobStatus;
 
 use crate::limits;
@@ -16,14 +15,16 @@
 pub(crate) fn apply<P: OwnerPorts>(session: &SharedSession<P>, id: &JobId, is_stored: bool) {
     let status = session.context.statuses.borrow().get(id);
     let mut planner = session.planner.borrow_mut();
+    let mut kept = session.early_cancellations.borrow_mut();
     if !is_stored {
         planner.forget_cancellation(id);
+        kept.remove(id);
         return;
     }
-    if !planner.has_job(id) {
+    // The rows are read again whenever the feed of their changes does not reach back far enough.
+    if !planner.has_job(id) && !kept.contains_key(id) {
         log::info!("cancellation kept job={id} reason=job-not-known status={status:?}");
-        let now = session.context.clock.now();
-        session.early_cancellations.borrow_mut().push_back((now, id.clone()));
+        kept.insert(id.clone(), session.context.clock.now());
     }
     if !matches!(status, Some(JobStatus::Completed | JobStatus::Failed)) {
         planner.cancel_job(id);
@@ -36,19 +37,15 @@
 pub(crate) async fn remove_old<P: OwnerPorts>(session: &SharedSession<P>) {
     let keep_ms = session.context.bounds.keep_ms + limits::RETENTION_MARGIN_MS;
     let now = session.context.clock.now();
-    let mut partitions: BTreeMap<usize, Vec<(ClockMillis, JobId)>> = BTreeMap::new();
+    let mut partitions: BTreeMap<usize, Vec<JobId>> = BTreeMap::new();
     {
         let mut kept = session.early_cancellations.borrow_mut();
         let planner = session.planner.borrow();
-        for _ in 0..limits::MAX_CANCELLATIONS_PER_TRANSACTION {
-            let Some(cancellation) = kept.pop_front_if(|(at, _)| now.since(*at) >= keep_ms) else {
-                break;
-            };
-            // The cancellation of a job that is known is removed together with the job.
-            if !planner.has_job(&cancellation.1) {
-                let partition = row::partition_index(&cancellation.1);
-                partitions.entry(partition).or_default().push(cancellation);
-            }
+        // The cancellation of a job that is known is removed together with the job.
+        kept.retain(|id, _| !planner.has_job(id));
+        let old = kept.iter().filter(|(_, at)| now.since(**at) >= keep_ms);
+        for (id, _) in old.take(limits::MAX_CANCELLATIONS_PER_TRANSACTION) {
+            partitions.entry(row::partition_index(id)).or_default().push(id.clone());
         }
     }
     for old in partitions.into_values() {
@@ -58,9 +55,9 @@
 
 /// Removes rows of cancellations, which lie in one partition, on condition that their jobs do not
 /// exist.
-async fn remove<P: OwnerPorts>(session: &SharedSession<P>, old: Vec<(ClockMillis, JobId)>) {
+async fn remove<P: OwnerPorts>(session: &SharedSession<P>, old: Vec<JobId>) {
     let mut transaction = RowTransaction::default();
-    for (_, id) in &old {
+    for id in &old {
         transaction.expected.extend([row::job_key(id), row::inbox_key(id)].map(|key| (key, 0)));
         transaction.removes.push(row::cancel_key(id));
     }
@@ -77,10 +74,8 @@
                 "old cancellations not removed error=\"{}\"",
                 failure::format_one_line(&error)
             );
-            let mut kept = session.early_cancellations.borrow_mut();
-            for cancellation in old.into_iter().rev() {
-                kept.push_front(cancellation);
-            }
+            return;
         }
     }
+    session.early_cancellations.borrow_mut().retain(|id, _| !old.contains(id));
 }
--- a/crates/fleet/src/owner/session.rs
+++ b/crates/fleet/src/owner/session.rs
@@ -81,9 +81,8 @@
     pub(crate) progress_versions: RefCell<BTreeMap<JobId, u64>>,
     /// Finished jobs, the earliest end first.
     pub(crate) finished_jobs: RefCell<VecDeque<FinishedJob>>,
-    /// Cancellations of jobs that were not known, with the time at which they were read; the earliest
-    /// first.
-    pub(crate) early_cancellations: RefCell<VecDeque<(ClockMillis, JobId)>>,
+    /// Jobs that were not known when their cancellations were first read, with the time of that.
+    pub(crate) early_cancellations: RefCell<BTreeMap<JobId, ClockMillis>>,
     /// Versions of this term's rows, on which writes of jobs and progress are conditional.
     pub(crate) term_versions: Cell<TermVersions>,
     /// Whether jobs and workers have been loaded.
