--- a/crates/plan/tests/runs.rs
+++ b/crates/plan/tests/runs.rs
@@ -759,3 +759,28 @@
     fixture.end(&order, EndKind::Done);
     assert_eq!(fixture.store()["j"].remaining, None);
 }
+
+/// Guards against a task that runs again after it was done: its worker has left the registrations, and
+/// the next owner is not told to wait for its report, although the end was not stored.
+#[test]
+fn a_new_owner_waits_for_a_worker_with_ends_that_are_not_stored() {
+    let mut owner = PlannerFixture::new(2, config());
+    owner.add(job("j", "normal", vec![step(1, cpu(1_000))]));
+    let order = owner.run_starts(StartAnswer::Started).remove(0);
+    owner.planner.deregister_worker(&order.worker);
+    owner.end(&order, EndKind::Done);
+    assert!(owner.planner.has_progress(), "the end is not stored");
+
+    let mut successor = PlannerFixture::unreported(2, config());
+    successor.planner.deregister_worker(&order.worker);
+    successor.add(job("j", "normal", vec![step(1, cpu(1_000))]));
+    let runs = owner.planner.possible_runs(&order.worker);
+    let leased = [(order.worker.clone(), runs)].into();
+    successor.planner.inherit_workers(leased, ResourceAmounts::UNLIMITED);
+    for index in 0..2 {
+        if worker(index).name != order.worker {
+            successor.report(&worker(index).name, Vec::new(), Vec::new());
+        }
+    }
+    assert!(successor.starts().is_empty(), "the worker still lists the end");
+}
